--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""A demonstration with real processes: ``make demo``."""
--- /dev/null
+++ b/src/coursekeel/answers/_policy.py
@@ -0,0 +1,23 @@
+"""The settings that a request class gives to its answers."""
+
+from attrs import frozen
+
+__all__ = ["AnswerPolicy"]
+
+
+@frozen
+class AnswerPolicy:
+    """How long an answer waits, and what it spends on not waiting.
+
+    ``silence_ms`` is how long one stream may be silent before it is doubted;
+    ``races`` says whether a doubted stream keeps running beside its successor (head
+    office buys latency) or is cancelled first (Paysandú saves engine work).
+    """
+
+    patience_ms: int = 30_000
+    first_token_ms: int = 10_000
+    silence_ms: int = 1_000
+    races: bool = True
+    deaths_before_stop: int = 3
+    own_stream_tries: int = 2
+    retry_after_ms: int = 2_000
--- /dev/null
+++ b/src/coursekeel/calls/__init__.py
@@ -0,0 +1,46 @@
+"""Calls to plain services, and how those that may not be repeated run at most once."""
+
+from coursekeel.calls._call import (
+    Begin,
+    CallAction,
+    CallCore,
+    CallEvent,
+    CallPolicy,
+    CallReply,
+    ClaimAnswered,
+    ReadBack,
+    ReadBackAnswered,
+    Record,
+    Recorded,
+    Reply,
+    Send,
+    SendEnded,
+    SendOutcome,
+    ServiceReply,
+    WriteClaim,
+)
+from coursekeel.calls._claims import ClaimRow, ClaimState, claim_key, fingerprint_of
+
+__all__ = [
+    "Begin",
+    "CallAction",
+    "CallCore",
+    "CallEvent",
+    "CallPolicy",
+    "CallReply",
+    "ClaimAnswered",
+    "ClaimRow",
+    "ClaimState",
+    "ReadBack",
+    "ReadBackAnswered",
+    "Record",
+    "Recorded",
+    "Reply",
+    "Send",
+    "SendEnded",
+    "SendOutcome",
+    "ServiceReply",
+    "WriteClaim",
+    "claim_key",
+    "fingerprint_of",
+]
--- /dev/null
+++ b/src/coursekeel/calls/_call.py
@@ -0,0 +1,316 @@
+"""One call to a plain service: a deterministic core that sends it at most once.
+
+A call that may not be repeated and carries the caller's key is sent only under a claim
+in the table. Whatever is said of a call's fate is what can be proved: `not_run` needs
+a refusal that stands in the table, or an id that only this entry ever knew.
+"""
+
+from enum import Enum
+
+from attrs import define, field, frozen
+
+from coursekeel.answers import RunState
+from coursekeel.calls._claims import ClaimRow, ClaimState
+from coursekeel.charts import Machine, load_chart
+from coursekeel.platform import (
+    Committed,
+    Conflict,
+    Row,
+    Rows,
+    TransactOutcome,
+    Unavailable,
+    Unsure,
+)
+
+__all__ = [
+    "Begin",
+    "CallAction",
+    "CallCore",
+    "CallEvent",
+    "CallPolicy",
+    "CallReply",
+    "ClaimAnswered",
+    "ReadBack",
+    "ReadBackAnswered",
+    "Record",
+    "Recorded",
+    "Reply",
+    "Send",
+    "SendEnded",
+    "SendOutcome",
+    "ServiceReply",
+    "WriteClaim",
+]
+
+
+@frozen
+class CallPolicy:
+    """How often an endpoint may be tried, by whether the route may be repeated."""
+
+    repeatable: bool
+    tries: int = 3
+    retry_after_ms: int = 2_000
+
+
+@frozen
+class ServiceReply:
+    """What the service answered."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+class SendOutcome(Enum):
+    """How a send ended that brought no reply."""
+
+    NOT_SENT = "not_sent"
+    MAYBE_SENT = "maybe_sent"
+    NO_ENDPOINT = "no_endpoint"
+
+
+@frozen
+class Begin:
+    """The call arrived."""
+
+
+@frozen
+class ClaimAnswered:
+    """The table answered the claim, or didn't."""
+
+    outcome: TransactOutcome
+
+
+@frozen
+class ReadBackAnswered:
+    """The claim's row was read after an unsure write."""
+
+    outcome: Rows | Unavailable
+
+
+@frozen
+class SendEnded:
+    """The send came to its end."""
+
+    outcome: ServiceReply | SendOutcome
+
+
+@frozen
+class Recorded:
+    """The call's result was written, or could not be."""
+
+    outcome: TransactOutcome
+
+
+CallEvent = Begin | ClaimAnswered | ReadBackAnswered | SendEnded | Recorded
+
+
+@frozen
+class WriteClaim:
+    """Insert this row if no row stands under its key."""
+
+    row: ClaimRow
+
+
+@frozen
+class ReadBack:
+    """Read the row under the key."""
+
+    key: str
+
+
+@frozen
+class Send:
+    """Send the call, to an endpoint that wasn't tried yet if there is one."""
+
+
+@frozen
+class Record:
+    """Replace the claim at ``version`` by this row."""
+
+    row: ClaimRow
+    version: int
+
+
+@frozen
+class CallReply:
+    """The final word to the caller: the service's reply, or a truthful refusal."""
+
+    run: RunState
+    code: str = ""
+    reply: ServiceReply | None = None
+    retry_after_ms: int = 0
+    repeated: bool = False
+
+
+@frozen
+class Reply:
+    """Answer the caller."""
+
+    reply: CallReply
+
+
+CallAction = WriteClaim | ReadBack | Send | Record | Reply
+
+
+@define(eq=False)
+class CallCore:
+    """Decides one call. ``claim`` is the row to insert, None where none is needed."""
+
+    policy: CallPolicy
+    claim: ClaimRow | None
+    keyed: bool
+    _machine: Machine = field(factory=lambda: load_chart("call").machine())
+    _version: int = 0
+    _tries: int = 0
+    _reply: CallReply | None = None
+
+    @property
+    def settled(self) -> bool:
+        """Say whether the call is done with."""
+        return self._machine.state == "settled"
+
+    def handle(self, event: CallEvent) -> list[CallAction]:
+        """Take one event and say what is to be done."""
+        match event:
+            case Begin():
+                return self._begin()
+            case ClaimAnswered():
+                return self._claimed(event.outcome)
+            case ReadBackAnswered():
+                return self._read_back(event.outcome)
+            case SendEnded():
+                return self._sent(event.outcome)
+            case Recorded():
+                return self._recorded(event.outcome)
+
+    def _begin(self) -> list[CallAction]:
+        if self.claim is None:
+            self._machine.feed("no_claim_needed")
+            return self._send()
+        self._machine.feed("claim_needed")
+        return [WriteClaim(self.claim)]
+
+    def _claimed(self, outcome: TransactOutcome) -> list[CallAction]:
+        claim = self._own_claim()
+        match outcome:
+            case Committed():
+                self._version = outcome.versions[claim.key]
+                self._machine.feed("claim_won")
+                return self._send()
+            case Conflict():
+                self._machine.feed("claim_lost")
+                return [Reply(self._other(outcome.rows.get(claim.key)))]
+            case Unsure():
+                self._machine.feed("claim_unsure")
+                return [ReadBack(claim.key)]
+            case Unavailable():
+                self._machine.feed("claim_unavailable")
+                return [Reply(self._unknown("store_unavailable"))]
+
+    def _read_back(self, outcome: Rows | Unavailable) -> list[CallAction]:
+        claim = self._own_claim()
+        if isinstance(outcome, Unavailable):
+            self._machine.feed("claim_unavailable")
+            return [Reply(self._unknown("store_unavailable"))]
+        row = outcome.rows.get(claim.key)
+        if row is None:
+            # The claim may still be on its way into the table, and a send without it
+            # could meet a second one.
+            self._machine.feed("claim_unsure")
+            return [Reply(self._unknown("claim_unsure"))]
+        if row.value["attempt_id"] == claim.attempt_id:
+            self._version = row.version
+            self._machine.feed("claim_won")
+            return self._send()
+        self._machine.feed("claim_lost")
+        return [Reply(self._other(row))]
+
+    def _send(self) -> list[CallAction]:
+        self._tries += 1
+        return [Send()]
+
+    def _sent(self, outcome: ServiceReply | SendOutcome) -> list[CallAction]:
+        if self._may_try_again(outcome):
+            return self._send()
+        match outcome:
+            case ServiceReply():
+                self._machine.feed("answered")
+                return self._settle(CallReply(RunState.RAN, reply=outcome))
+            case SendOutcome.MAYBE_SENT:
+                self._machine.feed("maybe_sent")
+                return self._settle(self._unknown("answer_lost"))
+            case _:
+                self._machine.feed("not_sent")
+                return self._settle(
+                    CallReply(
+                        RunState.NOT_RUN,
+                        "no_endpoint",
+                        retry_after_ms=self.policy.retry_after_ms,
+                    )
+                )
+
+    def _may_try_again(self, outcome: ServiceReply | SendOutcome) -> bool:
+        if self._tries >= self.policy.tries:
+            return False
+        if outcome is SendOutcome.NOT_SENT:
+            return True
+        return outcome is SendOutcome.MAYBE_SENT and self.policy.repeatable
+
+    def _settle(self, reply: CallReply) -> list[CallAction]:
+        """A claimed call's fate is recorded before a refusal is given out.
+
+        A result is given out at once: the caller has a right to it even if the table
+        can't take it now. A refusal becomes true only by standing in the table.
+        """
+        self._reply = reply
+        if self.claim is None:
+            self._machine.feed("recorded")
+            return [Reply(self._without_claim(reply))]
+        record = Record(self.claim.settled(reply.run, reply.reply), self._version)
+        if reply.run is RunState.NOT_RUN:
+            return [record]
+        return [Reply(reply), record]
+
+    def _without_claim(self, reply: CallReply) -> CallReply:
+        """With a caller's key, another entry may have run what this one didn't."""
+        if reply.run is RunState.NOT_RUN and self.keyed:
+            return self._unknown(reply.code)
+        return reply
+
+    def _recorded(self, outcome: TransactOutcome) -> list[CallAction]:
+        """A refusal that doesn't stand in the table isn't given out."""
+        reply = self._reply
+        self._machine.feed("recorded")
+        if reply is None or reply.run is not RunState.NOT_RUN:
+            return []
+        if isinstance(outcome, Committed):
+            return [Reply(reply)]
+        return [Reply(self._unknown("store_unavailable"))]
+
+    def _other(self, row: Row | None) -> CallReply:
+        """What the first call with this key came to."""
+        if row is None:
+            return self._unknown("claim_unsure")
+        first = ClaimRow.from_row(row.key, row.value)
+        if first.fingerprint != self._own_claim().fingerprint:
+            return CallReply(RunState.UNKNOWN, "key_reused")
+        match first.state:
+            case ClaimState.DONE:
+                reply = ServiceReply(first.status, first.content_type, first.body)
+                return CallReply(RunState.RAN, reply=reply, repeated=True)
+            case ClaimState.REFUSED:
+                return CallReply(RunState.NOT_RUN, "refused_before", repeated=True)
+            case ClaimState.UNKNOWN:
+                return CallReply(RunState.UNKNOWN, "answer_lost", repeated=True)
+            case ClaimState.RUNNING:
+                return self._unknown("in_progress")
+
+    def _unknown(self, code: str) -> CallReply:
+        return CallReply(
+            RunState.UNKNOWN, code, retry_after_ms=self.policy.retry_after_ms
+        )
+
+    def _own_claim(self) -> ClaimRow:
+        assert self.claim is not None
+        return self.claim
--- /dev/null
+++ b/src/coursekeel/cli/_serve.py
@@ -0,0 +1,46 @@
+"""Run an entry on the asyncio reactor until it is told to stop."""
+
+import signal
+from pathlib import Path
+from typing import Any
+
+from coursekeel.observe import log_event, set_up_logging
+from coursekeel.settings import load_settings
+
+__all__ = ["serve"]
+
+
+def serve(settings_file: Path, log_level: str) -> int:
+    """Serve until SIGTERM or SIGINT; returns the exit code."""
+    settings = load_settings(settings_file)
+    set_up_logging(settings.instance_id, log_level)
+    # The reactor must be chosen before anything imports the default one; gRPC needs
+    # the asyncio loop, so it is that one.
+    from twisted.internet import asyncioreactor
+
+    asyncioreactor.install()
+    from twisted.internet import reactor
+
+    from coursekeel.entry import Entry
+    from coursekeel.entry._periodic import spawn
+
+    running: Any = reactor
+    entry = Entry(running, settings)
+
+    async def begin() -> None:
+        await entry.start()
+        print(f"listening {entry.http_port} {entry.peers.port}", flush=True)
+
+    async def end() -> None:
+        await entry.stop()
+        running.stop()
+
+    def told(number: int, _frame: object) -> None:
+        log_event("signal", number=number)
+        running.callFromThread(lambda: spawn(end(), "stop", running))
+
+    running.callWhenRunning(lambda: spawn(begin(), "start", running))
+    running.callWhenRunning(lambda: signal.signal(signal.SIGTERM, told))
+    running.callWhenRunning(lambda: signal.signal(signal.SIGINT, told))
+    running.run()
+    return 0
--- /dev/null
+++ b/src/coursekeel/endpoints/_http_engine.py
@@ -0,0 +1,321 @@
+"""Engines met over HTTP: JSON requests, streams of JSON lines."""
+
+from collections.abc import Iterator
+from typing import Any
+
+import orjson
+from attrs import define, field
+from twisted.internet import defer
+from twisted.internet.error import ConnectError
+from twisted.internet.task import CooperativeTask, cooperate
+from twisted.protocols.basic import LineOnlyReceiver
+from twisted.python.failure import Failure
+from twisted.web.client import ResponseDone
+from twisted.web.http_headers import Headers
+from twisted.web.iweb import IBodyProducer
+from zope.interface import implementer
+
+from coursekeel.answers import Loss, StreamHead
+from coursekeel.endpoints._adapter import (
+    EndpointStatus,
+    EngineAdapter,
+    EngineStream,
+    GenerationOrder,
+    OrderOutcome,
+    StreamListener,
+    Unreachable,
+)
+from coursekeel.endpoints._orders import Order
+from coursekeel.fetch import (
+    AnswerLost,
+    Fetcher,
+    NotReached,
+    Reply,
+    direct_agent,
+)
+from coursekeel.intents import ModelName
+from coursekeel.reactor import Reactor
+
+__all__ = ["ChunkedBody", "HttpEngine"]
+
+_OK = 200
+_OLD_EPOCH = 409
+_PIECE_BYTES = 64 * 1024
+_LINE_LIMIT_BYTES = 1 << 20
+_JSON = Headers({"content-type": ["application/json"]})
+
+
+@implementer(IBodyProducer)
+class ChunkedBody:
+    """Sends byte strings one after the other without joining them."""
+
+    def __init__(self, chunks: list[bytes]) -> None:
+        self._chunks = chunks
+        self.length = sum(len(each) for each in chunks)
+        self._task: CooperativeTask[Any] | None = None
+
+    def startProducing(self, consumer: Any) -> "defer.Deferred[None]":
+        """Start to write; fires when everything was written."""
+        self._task = cooperate(self._pieces(consumer))
+        done: defer.Deferred[Any] = self._task.whenDone()
+        # A task that is stopped fails its deferred; the connection's loss is told
+        # elsewhere.
+        return done.addCallbacks(lambda _: None, lambda _: None)
+
+    def _pieces(self, consumer: Any) -> Iterator[None]:
+        for chunk in self._chunks:
+            view = memoryview(chunk)
+            for start in range(0, len(chunk), _PIECE_BYTES):
+                consumer.write(bytes(view[start : start + _PIECE_BYTES]))
+                yield None
+
+    def pauseProducing(self) -> None:
+        """Wait until the connection has room."""
+        if self._task is not None:
+            self._task.pause()
+
+    def resumeProducing(self) -> None:
+        """Go on."""
+        if self._task is not None:
+            self._task.resume()
+
+    def stopProducing(self) -> None:
+        """The connection is lost."""
+        if self._task is not None:
+            self._task.stop()
+
+
+class _Lines(LineOnlyReceiver):
+    """Turns a response's body into the listener's calls."""
+
+    delimiter = b"\n"
+    MAX_LENGTH = _LINE_LIMIT_BYTES
+
+    def __init__(self, stream: "_HttpStream") -> None:
+        self._stream = stream
+
+    def lineReceived(self, line: bytes) -> None:
+        if line:
+            self._stream.line(line)
+
+    def lineLengthExceeded(self, line: bytes) -> None:
+        self._stream.lost(Loss.CUT)
+
+    def connectionLost(self, reason: Any = None) -> None:
+        clean = reason is not None and reason.check(ResponseDone)
+        self._stream.lost(Loss.CLOSED_EARLY if clean else Loss.CUT)
+
+
+class _HttpStream(EngineStream):
+    def __init__(self, listener: StreamListener) -> None:
+        self._listener = listener
+        self._lines = _Lines(self)
+        self._request: defer.Deferred[Any] | None = None
+        self._over = False
+        self._paused = False
+
+    def start(self, request: "defer.Deferred[Any]") -> None:
+        self._request = request
+        request.addCallbacks(self._answered, self._failed)
+
+    def _answered(self, response: Any) -> None:
+        self._request = None
+        if self._over:
+            response.deliverBody(_Discard())
+            return
+        if response.code != _OK:
+            response.deliverBody(_Discard())
+            self.lost(Loss.REFUSED)
+            return
+        response.deliverBody(self._lines)
+        if self._paused:
+            self.pause()
+
+    def _failed(self, failure: Failure) -> None:
+        self._request = None
+        self.lost(Loss.NOT_SENT if failure.check(ConnectError) else Loss.GONE)
+
+    def line(self, line: bytes) -> None:
+        if self._over:
+            return
+        try:
+            said = orjson.loads(line)
+            self._say(said)
+        except (ValueError, KeyError, TypeError):
+            # What can't be read can't be counted on; reading again sorts it out.
+            self.lost(Loss.CUT)
+
+    def _say(self, said: dict[str, Any]) -> None:
+        tokens = said.get("t")
+        if tokens is not None:
+            self._listener.tokens(said["p"], tokens, said["s"])
+        elif "head" in said:
+            self._listener.head(_head(said["head"]))
+        else:
+            self._listener.finish(said["p"], said["finish"])
+
+    def lost(self, loss: Loss) -> None:
+        if not self._over:
+            self._over = True
+            self._shut()
+            self._listener.ended(loss)
+
+    def pause(self) -> None:
+        self._paused = True
+        transport: Any = self._lines.transport
+        if transport is not None:
+            transport.pauseProducing()
+
+    def resume(self) -> None:
+        self._paused = False
+        transport: Any = self._lines.transport
+        if transport is not None:
+            transport.resumeProducing()
+
+    def close(self) -> None:
+        self._over = True
+        self._shut()
+
+    def _shut(self) -> None:
+        if self._request is not None:
+            self._request.cancel()
+        elif self._lines.transport is not None:
+            transport: Any = self._lines.transport
+            transport.loseConnection()
+
+
+class _Discard(LineOnlyReceiver):
+    """Closes a connection whose body nobody wants."""
+
+    def connectionMade(self) -> None:
+        transport: Any = self.transport
+        transport.loseConnection()
+
+    def dataReceived(self, data: bytes) -> None:
+        return
+
+
+def _head(raw: dict[str, Any]) -> StreamHead:
+    return StreamHead(
+        run_id=raw["run_id"],
+        label=raw["for"],
+        model=raw["model"],
+        adapter=raw["adapter"],
+        version=raw["version"],
+        incarnation=raw["incarnation"],
+        from_position=raw["from"],
+    )
+
+
+@define(eq=False)
+class HttpEngine(EngineAdapter):
+    """An engine, or a plain service's control side, at ``address`` (host:port)."""
+
+    reactor: Reactor
+    address: str
+    connect_ms: int
+    timeout_ms: int
+    _streams: Any = field(init=False)
+    _fetcher: Fetcher = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        # A stream closes its connection, so none is kept for reuse.
+        self._streams = direct_agent(
+            self.reactor, self.connect_ms, keeps_connections=False
+        )
+        self._fetcher = Fetcher(self.reactor, self.connect_ms)
+
+    def open(self, order: GenerationOrder, listener: StreamListener) -> EngineStream:
+        """Ask for a run."""
+        stream = _HttpStream(listener)
+        body = ChunkedBody(_chunks(order))
+        stream.start(
+            self._streams.request(b"POST", self._url("/generate"), _JSON, body)
+        )
+        return stream
+
+    def take_up(
+        self, run_id: str, position: int, listener: StreamListener
+    ) -> EngineStream:
+        """Read a run that the engine has, from ``position`` on."""
+        stream = _HttpStream(listener)
+        url = self._url(f"/streams/{run_id}?from={position}")
+        stream.start(self._streams.request(b"GET", url))
+        return stream
+
+    async def stop(self, run_id: str) -> None:
+        """Tell the engine to stop a run."""
+        await self._ask("DELETE", f"/streams/{run_id}", None)
+
+    async def status(self) -> EndpointStatus | Unreachable:
+        """Ask the endpoint for its word."""
+        answer = await self._ask("GET", "/status", None)
+        if isinstance(answer, Unreachable):
+            return answer
+        return _status(orjson.loads(answer.body))
+
+    async def give(self, order: Order, epoch: int) -> str:
+        """Give an order under the lease's epoch."""
+        body: dict[str, Any] = {
+            "order": order.kind,
+            "group": order.group,
+            "epoch": epoch,
+            "role": order.role,
+        }
+        if order.serves is not None:
+            serves = order.serves
+            body["serves"] = [serves.model, serves.adapter, serves.version]
+        answer = await self._ask("POST", "/orders", orjson.dumps(body))
+        if isinstance(answer, Unreachable):
+            return OrderOutcome.UNSURE
+        if answer.status == _OLD_EPOCH:
+            return OrderOutcome.OLD_EPOCH
+        return OrderOutcome.OBEYED if answer.status == _OK else OrderOutcome.UNSURE
+
+    def describe(self) -> dict[str, Any]:
+        """Where the endpoint is."""
+        return {"address": self.address}
+
+    async def _ask(
+        self, method: str, path: str, data: bytes | None
+    ) -> Reply | Unreachable:
+        url = f"http://{self.address}{path}"
+        outcome = await self._fetcher.ask(method, url, self.timeout_ms, data)
+        match outcome:
+            case Reply():
+                return outcome
+            case NotReached():
+                return Unreachable(True, outcome.reason)
+            case AnswerLost():
+                return Unreachable(False, outcome.reason)
+
+    def _url(self, path: str) -> bytes:
+        return f"http://{self.address}{path}".encode()
+
+
+def _chunks(order: GenerationOrder) -> list[bytes]:
+    """The envelope around the caller's request, which is not copied."""
+    envelope = {
+        "for": order.label,
+        "model": order.serves.model,
+        "adapter": order.serves.adapter,
+        "version": order.serves.version,
+        "prompt_tokens": order.prompt_tokens,
+        "prefix_tokens": order.prefix_tokens,
+        "priority": order.priority,
+        "cache_salt": order.cache_salt,
+    }
+    head = orjson.dumps(envelope)[:-1] + b',"request":'
+    return [head, order.request, b"}"]
+
+
+def _status(raw: dict[str, Any]) -> EndpointStatus:
+    return EndpointStatus(
+        incarnation=str(raw["incarnation"]),
+        leaving=bool(raw["leaving"]),
+        running=int(raw["running"]),
+        queued=int(raw["queued"]),
+        slots=int(raw["slots"]),
+        serves=tuple(ModelName(*each) for each in raw["models"]),
+        role=str(raw.get("role", "")),
+    )
--- /dev/null
+++ b/src/coursekeel/endpoints/_orders.py
@@ -0,0 +1,83 @@
+"""Orders to endpoints, given under a lease and corrected until they stand.
+
+Orders are absolute and idempotent ("serve exactly this"), so that one repeated or
+overtaken does no harm that the next reading doesn't mend. The epoch of the lease goes
+with each order; endpoints that check it refuse a former holder. For those that don't,
+an order is sent only while the lease surely outlives it.
+"""
+
+from attrs import define, field, frozen
+
+from coursekeel.intents import Configuration, EndpointKind, ModelName
+
+__all__ = ["EndpointFacts", "LoadPacer", "Order", "OrderKind", "orders_due"]
+
+OrderKind = str
+_LOAD = "load"
+_ROLE = "role"
+_MS_PER_MINUTE = 60_000
+
+
+@frozen
+class Order:
+    """One absolute order for one endpoint."""
+
+    endpoint_id: str
+    kind: OrderKind
+    group: str
+    serves: ModelName | None = None
+    role: str = ""
+
+
+@frozen
+class EndpointFacts:
+    """What an endpoint says that it serves, as last read."""
+
+    serves: tuple[ModelName, ...]
+    role: str
+    running: int
+
+
+def orders_due(
+    configuration: Configuration, facts: dict[str, EndpointFacts]
+) -> list[Order]:
+    """The orders that would bring the endpoints to the configuration.
+
+    An endpoint that still runs requests is left alone: a load or a change of role
+    would cut them, and new work no longer goes to it for a model it isn't to serve.
+    """
+    intent = configuration.intent
+    names = {each.name: each.serves for each in intent.models}
+    due: list[Order] = []
+    for wanted in intent.endpoints:
+        seen = facts.get(wanted.endpoint_id)
+        if wanted.kind is not EndpointKind.ENGINE or seen is None or seen.running:
+            continue
+        missing = [
+            names[each] for each in wanted.models if names[each] not in seen.serves
+        ]
+        due += [
+            Order(wanted.endpoint_id, _LOAD, wanted.group, serves=each)
+            for each in missing
+        ]
+        if seen.role != wanted.role:
+            due.append(Order(wanted.endpoint_id, _ROLE, wanted.group, role=wanted.role))
+    return due
+
+
+@define
+class LoadPacer:
+    """Spaces loads so that the weight store's rate is kept; others pass freely."""
+
+    loads_per_minute: int
+    _sent_ms: list[float] = field(factory=list)
+
+    def may_send(self, order: Order, now_ms: float) -> bool:
+        """Take one load's place in the rate, if there is one."""
+        if order.kind != _LOAD:
+            return True
+        self._sent_ms = [at for at in self._sent_ms if now_ms - at < _MS_PER_MINUTE]
+        if len(self._sent_ms) >= self.loads_per_minute:
+            return False
+        self._sent_ms.append(now_ms)
+        return True
--- /dev/null
+++ b/src/coursekeel/entry/_answer_task.py
@@ -0,0 +1,499 @@
+"""The task that owns one answer: its core, its streams to engines, its readers."""
+
+import math
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+from attrs import define, field
+
+from coursekeel.answers import (
+    Action,
+    AnswerCore,
+    AttemptEnded,
+    CancelAttempt,
+    Complete,
+    Deliver,
+    EndpointSilent,
+    Event,
+    FinishArrived,
+    Granted,
+    HeadArrived,
+    Interrupt,
+    Ledger,
+    Loss,
+    NothingFree,
+    OpenAttempt,
+    ReadingResumed,
+    SeekEndpoint,
+    SetAlarm,
+    Started,
+    StopWork,
+    StreamHead,
+    Tick,
+    TokensArrived,
+    Way,
+)
+from coursekeel.endpoints import (
+    EngineAdapter,
+    EngineStream,
+    FleetPulse,
+    GenerationOrder,
+    StreamListener,
+)
+from coursekeel.entry._clock import Clock
+from coursekeel.entry._follower import Follower
+from coursekeel.entry._periodic import spawn
+from coursekeel.entry._requests import GenerationRequest
+from coursekeel.entry._routing_task import RoutingTask
+from coursekeel.entry._sinks import Refusal
+from coursekeel.observe import Metrics, log_event
+from coursekeel.reactor import Reactor
+from coursekeel.routing import Decision, Grant, Seek
+
+__all__ = ["AnswerPorts", "AnswerTask"]
+
+_LATE_ALARM_MS = 250
+_HELD_LOOK_MS = 500
+_GAP_SAMPLE = 64
+_MESSAGES = {
+    "interrupted": "no endpoint could go on with the answer in time",
+    "request_stops_engines": "engines died while they ran this request",
+    "too_late": "the request can't be served in its time",
+    "queue_full": "too many requests wait",
+    "no_endpoint": "no endpoint serves this model now",
+    "cancelled": "the answer was given up",
+}
+
+
+@define(eq=False)
+class AnswerPorts:
+    """What an answer's task is given by its entry.
+
+    ``may_send`` says whether the entry may still speak for durable answers, and
+    ``durable_tokens`` how far the journal holds one.
+    """
+
+    reactor: Reactor
+    clock: Clock
+    routing: RoutingTask
+    pulse: FleetPulse
+    metrics: Metrics
+    engine: Callable[[str], EngineAdapter | None]
+    ended: Callable[["AnswerTask"], None]
+    run_known: Callable[["AnswerTask", str, StreamHead], None]
+    caller_lead_tokens: int
+
+
+@define(eq=False)
+class _Open:
+    """A stream under way, and the place at its endpoint that it holds."""
+
+    endpoint_id: str
+    stream: EngineStream
+    opened_ms: float
+    holds_place: bool
+    run_id: str = ""
+    pulsing: bool = False
+
+
+class _Listener(StreamListener):
+    """Turns a stream's calls into the task's messages."""
+
+    __slots__ = ("_attempt", "_task")
+
+    def __init__(self, task: "AnswerTask", attempt: int) -> None:
+        self._task = task
+        self._attempt = attempt
+
+    def head(self, head: StreamHead) -> None:
+        self._task.head(self._attempt, head)
+
+    def tokens(self, position: int, tokens: list[int], texts: list[str]) -> None:
+        self._task.heard(self._attempt)
+        self._task.tell(TokensArrived(self._attempt, position, tokens, texts))
+
+    def finish(self, position: int, reason: str) -> None:
+        self._task.tell(FinishArrived(self._attempt, position, reason))
+
+    def ended(self, loss: Loss) -> None:
+        self._task.stream_ended(self._attempt, loss)
+
+
+@define(eq=False)
+class AnswerTask:
+    """One answer at work. Messages are taken one at a time, in order."""
+
+    request: GenerationRequest
+    core: AnswerCore
+    ports: AnswerPorts
+    durable_gate: Callable[[], bool] | None = None
+    journal_end: Callable[[], int] | None = None
+    stored: bool = False
+    refusal: Refusal | None = None
+    gone: bool = False
+    begun: bool = False
+    unsettled: bool = False
+    followers: list[Follower] = field(factory=list)
+    arrived_ms: float = field(init=False)
+    _messages: deque[Event] = field(factory=deque)
+    _busy: bool = False
+    _open: dict[int, _Open] = field(factory=dict)
+    _ticket: int | None = None
+    _granted: str = ""
+    _alarm: Any = None
+    _alarm_ms: float = math.inf
+    _last_token_ms: float = 0.0
+    _resuming: bool = False
+    _deliveries: int = 0
+    _held: bool = False
+
+    def __attrs_post_init__(self) -> None:
+        self.arrived_ms = self.ports.clock.now_ms()
+
+    # What readers see.
+
+    @property
+    def ledger(self) -> Ledger:
+        """The answer's tokens."""
+        return self.core.ledger
+
+    @property
+    def ended(self) -> bool:
+        """Say whether nothing more will come."""
+        return self.core.ended or self.gone
+
+    @property
+    def settled(self) -> bool:
+        """Say whether this process may end without losing anything of the answer."""
+        return self.ended and not self.followers and not self.unsettled
+
+    @property
+    def finish_reason(self) -> str:
+        """Why a finished answer ended where it did."""
+        return self.core.finish_reason
+
+    @property
+    def deliverable_end(self) -> int:
+        """How many tokens may leave for readers now."""
+        if self.journal_end is None:
+            return self.ledger.next_position
+        return self.journal_end()
+
+    def may_send(self) -> bool:
+        """Say whether this entry may speak for the answer now."""
+        return self.durable_gate is None or self.gone or self.durable_gate()
+
+    def follow(self, follower: Follower) -> None:
+        """Add a reader and give it what there is."""
+        self.followers.append(follower)
+        follower.wake()
+        self._hold_or_read()
+
+    def left(self, follower: Follower) -> None:
+        """A reader left or has everything."""
+        if follower in self.followers:
+            self.followers.remove(follower)
+        self._hold_or_read()
+
+    def left_behind(self) -> None:
+        """A slow reader took some more: the engine may be read again."""
+        self._hold_or_read()
+
+    def wake_followers(self) -> None:
+        """Something that readers see has changed."""
+        for follower in list(self.followers):
+            follower.wake()
+        self._hold_or_read()
+
+    # Messages.
+
+    def tell(self, event: Event) -> None:
+        """Take a message; actions it leads to are carried out before the next one."""
+        self._messages.append(event)
+        if isinstance(event, Started):
+            self.begun = True
+        if self._busy:
+            return
+        self._busy = True
+        try:
+            while self._messages:
+                message = self._messages.popleft()
+                for action in self.core.handle(message, self.ports.clock.now_ms()):
+                    self._carry_out(action)
+                if isinstance(message, Granted):
+                    self._return_grant()
+        finally:
+            self._busy = False
+
+    def head(self, attempt: int, head: StreamHead) -> None:
+        """A stream opened."""
+        opened = self._open.get(attempt)
+        if opened is not None:
+            opened.run_id = head.run_id
+        self.tell(HeadArrived(attempt, head))
+        if attempt in self._open and not self.ended:
+            self.ports.run_known(self, self._open[attempt].endpoint_id, head)
+
+    def heard(self, attempt: int) -> None:
+        """Tokens came on a stream: its endpoint lives."""
+        opened = self._open.get(attempt)
+        if opened is None:
+            return
+        now_ms = self.ports.clock.now_ms()
+        if opened.pulsing:
+            self.ports.pulse.heard(opened.endpoint_id, now_ms)
+            return
+        opened.pulsing = True
+        self.ports.pulse.opened(opened.endpoint_id, now_ms)
+        if opened.holds_place:
+            router = self.ports.routing.router
+            router.gave_first_token(opened.endpoint_id, self.request.policy.name)
+
+    def stream_ended(self, attempt: int, loss: Loss) -> None:
+        """A stream is over."""
+        opened = self._open.get(attempt)
+        if opened is not None:
+            if loss is Loss.REFUSED:
+                now_ms = self.ports.clock.now_ms()
+                self.ports.routing.router.turned_away(opened.endpoint_id, now_ms)
+            self._let_go(attempt)
+        if not self.core.ended:
+            self.tell(AttemptEnded(attempt, loss))
+
+    def endpoint_silent(self, endpoint_id: str) -> None:
+        """The whole endpoint fell silent."""
+        if not self._held:
+            self.tell(EndpointSilent(endpoint_id))
+
+    def give_up_ownership(self) -> None:
+        """Another entry owns the answer: nothing more is sent to anyone."""
+        self.gone = True
+        self.wake_followers()
+
+    # Actions.
+
+    def _carry_out(self, action: Action) -> None:
+        match action:
+            case Deliver():
+                self._delivered()
+            case SeekEndpoint():
+                self._seek(action)
+            case OpenAttempt():
+                self._open_attempt(action)
+            case CancelAttempt():
+                self._cancel(action)
+            case SetAlarm():
+                self._set_alarm(action.at_ms)
+            case Complete():
+                self._end()
+            case Interrupt():
+                self.refusal = Refusal(
+                    action.code,
+                    _MESSAGES.get(action.code, action.code),
+                    action.run,
+                    action.retry_after_ms,
+                    action.held_tokens,
+                )
+                self._end()
+            case StopWork():
+                self._end()
+
+    def _delivered(self) -> None:
+        now_ms = self.ports.clock.now_ms()
+        labels = self._labels()
+        metrics = self.ports.metrics
+        if not self._deliveries:
+            metrics.first_token_s.observe(labels, (now_ms - self.arrived_ms) / 1000)
+        elif self._resuming:
+            metrics.resume_s.observe(labels, (now_ms - self._last_token_ms) / 1000)
+        elif self._deliveries % _GAP_SAMPLE == 0:
+            metrics.token_gap_s.observe(labels, (now_ms - self._last_token_ms) / 1000)
+        self._deliveries += 1
+        self._resuming = False
+        self._last_token_ms = now_ms
+        self.wake_followers()
+
+    def _seek(self, action: SeekEndpoint) -> None:
+        request = self.request
+        now_ms = self.ports.clock.now_ms()
+        left = max(request.max_tokens - action.held_tokens, 1)
+        self._resuming = self._resuming or action.held_tokens > 0
+        seek = Seek(
+            ticket=0,
+            team=request.team.name,
+            request_class=request.policy.name,
+            rank=request.policy.rank,
+            model=request.model.name,
+            cost_tokens=request.prompt_tokens + left,
+            deadline_ms=now_ms + request.policy.patience_ms,
+            weight=request.team.weight,
+            continuing=action.continuing,
+            held_tokens=action.held_tokens,
+            prompt_tokens=request.prompt_tokens,
+            prompt_key=request.prompt_key,
+            excluded=action.excluded,
+        )
+        self._ticket = None
+        ticket = self.ports.routing.seek(seek, self._decided)
+        if self._granted == "":
+            self._ticket = ticket
+
+    def _decided(self, decision: Decision) -> None:
+        self._ticket = None
+        if not isinstance(decision, Grant):
+            self.refusal = Refusal(
+                decision.code,
+                _MESSAGES.get(decision.code, decision.code),
+                self.core.run_state,
+                decision.retry_after_ms,
+            )
+            self.tell(NothingFree(decision.retry_after_ms))
+            self._refused_by_routing()
+            return
+        self._granted = decision.endpoint_id
+        if self.ended:
+            self._return_grant()
+            return
+        self.tell(Granted(decision.endpoint_id))
+
+    def _refused_by_routing(self) -> None:
+        """Routing refuses only what never ran, and the refusal is final."""
+        self.core.withdraw()
+        self._end()
+
+    def _return_grant(self) -> None:
+        """Give back a place that no attempt took."""
+        if self._granted:
+            endpoint_id, self._granted = self._granted, ""
+            self.ports.routing.released(endpoint_id, 0.0)
+
+    def _open_attempt(self, action: OpenAttempt) -> None:
+        holds_place = action.way is Way.PREFILL and self._granted == action.endpoint_id
+        if holds_place:
+            self._granted = ""
+        engine = self.ports.engine(action.endpoint_id)
+        if engine is None:
+            if holds_place:
+                self.ports.routing.released(action.endpoint_id, 0.0)
+            self.tell(AttemptEnded(action.attempt, Loss.NOT_SENT))
+            return
+        self._count_attempt(action)
+        listener = _Listener(self, action.attempt)
+        if action.way is Way.OWN_STREAM:
+            position = action.from_position
+            stream = engine.take_up(action.run_id, position, listener)
+        else:
+            stream = engine.open(self._order(action), listener)
+        opened = _Open(
+            action.endpoint_id, stream, self.ports.clock.now_ms(), holds_place
+        )
+        opened.run_id = action.run_id
+        self._open[action.attempt] = opened
+
+    def _order(self, action: OpenAttempt) -> GenerationOrder:
+        request = self.request
+        return GenerationOrder(
+            label=self.core.attempts[action.attempt].label,
+            serves=request.model.serves,
+            request=request.body,
+            prompt_tokens=request.prompt_tokens,
+            prefix_tokens=self.ledger.tokens_from(0),
+            priority=-request.policy.rank,
+            cache_salt=request.team.name,
+        )
+
+    def _count_attempt(self, action: OpenAttempt) -> None:
+        metrics = self.ports.metrics
+        labels = self._labels()
+        metrics.attempts.inc({**labels, "way": action.way.value})
+        self._resuming = self._resuming or action.from_position > 0
+        if action.way is Way.PREFILL and action.attempt > 1:
+            again = self.request.prompt_tokens + action.from_position
+            metrics.extra_tokens.add({**labels, "kind": "prefilled_again"}, again)
+        log_event(
+            "attempt_opened",
+            request=self.core.label,
+            attempt=action.attempt,
+            endpoint=action.endpoint_id,
+            way=action.way.value,
+            position=action.from_position,
+        )
+
+    def _cancel(self, action: CancelAttempt) -> None:
+        opened = self._open.get(action.attempt)
+        if opened is None:
+            return
+        opened.stream.close()
+        self._let_go(action.attempt)
+        engine = self.ports.engine(opened.endpoint_id)
+        if action.stops_run and opened.run_id and engine is not None:
+            spawn(engine.stop(opened.run_id), "stop_run", self.ports.reactor)
+
+    def _let_go(self, attempt: int) -> None:
+        opened = self._open.pop(attempt)
+        if opened.pulsing:
+            self.ports.pulse.closed(opened.endpoint_id)
+        if opened.holds_place:
+            run_ms = self.ports.clock.now_ms() - opened.opened_ms
+            self.ports.routing.released(opened.endpoint_id, run_ms)
+
+    def _set_alarm(self, at_ms: float) -> None:
+        """One timer an answer, moved only when the alarm comes earlier."""
+        if self._alarm is not None and self._alarm.active():
+            self._alarm.cancel()
+        self._alarm_ms = at_ms
+        if math.isfinite(at_ms):
+            delay_ms = max(0.0, at_ms - self.ports.clock.now_ms())
+            self._alarm = self.ports.reactor.callLater(delay_ms / 1000, self._rings)
+
+    def _rings(self) -> None:
+        late_ms = self.ports.clock.now_ms() - self._alarm_ms
+        if self._held:
+            self._set_alarm(self.ports.clock.now_ms() + _HELD_LOOK_MS)
+        elif late_ms > _LATE_ALARM_MS:
+            # This process was paused: what it didn't read is no silence of others.
+            self.tell(ReadingResumed())
+        else:
+            self.tell(Tick())
+
+    # Back pressure.
+
+    def _hold_or_read(self) -> None:
+        """Hold the engine up while the only readers are far behind.
+
+        A durable answer isn't held: it runs to its end without its caller.
+        """
+        if self.stored or self.core.ended or not self.followers:
+            lead = 0
+        else:
+            ahead = max(each.cursor for each in self.followers)
+            lead = self.ledger.next_position - ahead
+        hold = lead > self.ports.caller_lead_tokens
+        if hold == self._held:
+            return
+        self._held = hold
+        for each in self._open.values():
+            if hold:
+                each.stream.pause()
+            else:
+                each.stream.resume()
+        if not hold:
+            self.tell(ReadingResumed())
+
+    # The end.
+
+    def _end(self) -> None:
+        self._set_alarm(math.inf)
+        if self._ticket is not None:
+            self.ports.routing.withdraw(self._ticket)
+            self._ticket = None
+        for attempt in list(self._open):
+            self._open[attempt].stream.close()
+            self._let_go(attempt)
+        self._return_grant()
+        self.ports.ended(self)
+        self.wake_followers()
+
+    def _labels(self) -> dict[str, str]:
+        return {"team": self.request.team.name, "class": self.request.policy.name}
--- /dev/null
+++ b/src/coursekeel/entry/_answers_desk.py
@@ -0,0 +1,474 @@
+"""Every answer that this entry drives, and how durable ones are kept and settled."""
+
+from base64 import b64decode, b64encode
+
+import orjson
+from attrs import define, evolve, field
+from twisted.internet.task import deferLater
+
+from coursekeel.answers import (
+    AnswerCore,
+    AnswerRecord,
+    Cancelled,
+    Expected,
+    Fenced,
+    Ledger,
+    RecordState,
+    Started,
+    StreamHead,
+    answer_key,
+)
+from coursekeel.entry._answer_task import AnswerPorts, AnswerTask
+from coursekeel.entry._journal_task import JournalTask
+from coursekeel.entry._periodic import spawn
+from coursekeel.entry._requests import GenerationRequest
+from coursekeel.intents import Delivery
+from coursekeel.observe import log_event
+from coursekeel.platform import (
+    Batcher,
+    Committed,
+    Conflict,
+    Platform,
+    Rows,
+    Transaction,
+    TransactOutcome,
+    Unavailable,
+)
+from coursekeel.reactor import Reactor
+
+__all__ = ["AnswersDesk", "StoredResult"]
+
+_INLINE_BYTES = 32 * 1024
+_RETRY_S = 1.0
+_RETURN_WINDOW_S = 15.0
+_KEPT_AFTER_END_S = 30.0
+_CLAIM_WAIT_S = 0.15
+_STORED_LOOK_S = 0.02
+_STORED_LOOKS = 150
+_SECONDS_A_MINUTE = 60
+
+
+@define(frozen=True)
+class StoredResult:
+    """An answer that ended, as the store keeps it."""
+
+    record: AnswerRecord
+    tokens: list[int]
+    texts: list[str]
+
+    def to_bytes(self) -> bytes:
+        """The form that is kept: the tokens and their texts."""
+        return orjson.dumps([self.tokens, self.texts])
+
+
+@define(eq=False)
+class _Durable:
+    """Book-keeping of one durable answer that this entry owns."""
+
+    record: AnswerRecord
+    version: int = 0
+    prompt_bytes: int = 0
+    settling: bool = False
+    settled: bool = False
+
+
+@define(eq=False)
+class AnswersDesk:
+    """Starts, finds and settles answers. One entry has one."""
+
+    reactor: Reactor
+    instance_id: str
+    ports: AnswerPorts
+    platform: Platform
+    batcher: Batcher
+    journal: JournalTask
+    unstored_limit_bytes: int
+    unstored_bytes: int = 0
+    tasks: dict[str, AnswerTask] = field(factory=dict)
+    _durable: dict[str, _Durable] = field(factory=dict)
+    _orders: int = 0
+    _generations: int = 0
+
+    # Starting.
+
+    def generation_name(self) -> str:
+        """A name for a new generation that tells which incarnation made it."""
+        self._generations += 1
+        return f"{self.journal.incarnation}-{self._generations}"
+
+    def has_room(self, request: GenerationRequest) -> bool:
+        """Say whether a durable request's prompt may still wait for the store."""
+        if not request.policy.durable:
+            return True
+        return self.unstored_bytes + len(request.body) <= self.unstored_limit_bytes
+
+    def start(self, request: GenerationRequest) -> AnswerTask:
+        """Begin an answer; a durable one is stored beside, not before."""
+        ledger = Ledger(self.generation_name())
+        task = self._task(request, ledger)
+        if request.policy.durable:
+            self._keep(task)
+        if not (request.policy.durable and request.keyed):
+            task.tell(Started())
+        return task
+
+    def _task(self, request: GenerationRequest, ledger: Ledger) -> AnswerTask:
+        key = answer_key(request.team.name, request.request_id)
+        label = f"{request.team.name}/{request.request_id}/{ledger.generation}"
+        serves = request.model.serves
+        expected = Expected(serves.model, serves.adapter, serves.version)
+        core = AnswerCore(label, expected, request.policy.answer_policy(), ledger)
+        task = AnswerTask(request, core, self.ports)
+        if request.policy.durable:
+            task.unsettled = True
+            task.durable_gate = self.journal.may_send
+            self.journal.writer.track(key, ledger)
+        if request.policy.delivery is Delivery.AFTER_JOURNAL:
+            task.journal_end = lambda: self._journal_end(key, task)
+        self.tasks[key] = task
+        return task
+
+    def _journal_end(self, key: str, task: AnswerTask) -> int:
+        """In a store outage tokens leave at once, as the class's page says."""
+        durable = self._durable.get(key)
+        if self.journal.store_out or durable is None or durable.settled:
+            return task.ledger.next_position
+        return self.journal.writer.durable_tokens(key)
+
+    def find(self, team: str, request_id: str) -> AnswerTask | None:
+        """An answer that this entry drives."""
+        return self.tasks.get(answer_key(team, request_id))
+
+    # Keeping.
+
+    def _keep(self, task: AnswerTask) -> None:
+        request = task.request
+        self._orders += 1
+        record = AnswerRecord(
+            team=request.team.name,
+            request_id=request.request_id,
+            request_class=request.policy.name,
+            owner=self.journal.incarnation,
+            epoch=1,
+            order=self._orders,
+            generation=task.ledger.generation,
+            state=RecordState.RUNNING,
+            model=request.model.name,
+            first_segment=self.journal.writer.next_segment,
+        )
+        durable = _Durable(record, prompt_bytes=len(request.body))
+        self._durable[record.key] = durable
+        self.unstored_bytes += durable.prompt_bytes
+        spawn(self._store(task, durable), "store_answer", self.reactor)
+        if request.keyed:
+            self.reactor.callLater(_CLAIM_WAIT_S, self._start_anyway, task)
+
+    def _start_anyway(self, task: AnswerTask) -> None:
+        """The store is slow to say whether the id is new: serving doesn't wait."""
+        if task.core.state == "waiting" and not task.begun and not task.ended:
+            task.tell(Started())
+
+    async def _store(self, task: AnswerTask, durable: _Durable) -> None:
+        """Put prompt and row in the store, however long that takes."""
+        while not task.gone:
+            outcome = await self._insert(task.request, durable)
+            if isinstance(outcome, Committed):
+                durable.version = outcome.versions[durable.record.key]
+                self._is_stored(task, durable)
+                return
+            if isinstance(outcome, Conflict):
+                if self._is_own(outcome, durable):
+                    self._is_stored(task, durable)
+                else:
+                    self._is_anothers(task, durable)
+                return
+            if task.ended and not task.ledger.next_position:
+                break
+            await self._pause(_RETRY_S)
+        self._forget_prompt(durable)
+
+    async def _insert(
+        self, request: GenerationRequest, durable: _Durable
+    ) -> TransactOutcome:
+        record = durable.record
+        if len(request.body) > _INLINE_BYTES:
+            prompt_object = f"prompts/{record.team}/{record.request_id}"
+            put = await self.platform.put_object(prompt_object, request.body)
+            if not isinstance(put, Committed):
+                return put
+            record = evolve(record, prompt_object=prompt_object)
+        else:
+            record = evolve(record, prompt=b64encode(request.body).decode())
+        durable.record = record
+        index = {"key": record.key}
+        return await self.batcher.transact(
+            Transaction(
+                {record.key: 0},
+                {record.key: record.to_row(), record.index_key: index},
+            )
+        )
+
+    def _is_own(self, conflict: Conflict, durable: _Durable) -> bool:
+        """A row in the way may be this entry's own, whose answer was lost."""
+        row = conflict.rows.get(durable.record.key)
+        if row is None:
+            return False
+        found = AnswerRecord.from_row(row.value)
+        durable.version = row.version
+        return (found.owner, found.order) == (
+            durable.record.owner,
+            durable.record.order,
+        )
+
+    def _is_stored(self, task: AnswerTask, durable: _Durable) -> None:
+        self._forget_prompt(durable)
+        task.stored = True
+        if not task.begun and not task.ended:
+            task.tell(Started())
+        task.wake_followers()
+        if task.core.ended:
+            self._settle_soon(task)
+
+    def _forget_prompt(self, durable: _Durable) -> None:
+        self.unstored_bytes -= durable.prompt_bytes
+        durable.prompt_bytes = 0
+
+    def _is_anothers(self, task: AnswerTask, durable: _Durable) -> None:
+        """The id is taken: the first one's answer is the answer."""
+        self._forget_prompt(durable)
+        log_event("answer_is_anothers", request=task.core.label)
+        self.fence(durable.record.key, stops_run=True)
+
+    async def until_stored(self, task: AnswerTask) -> bool:
+        """Wait for the store, for a while; say whether the request is safe."""
+        for _ in range(_STORED_LOOKS):
+            if task.stored:
+                return True
+            if task.gone:
+                found = await self.stored_record(
+                    task.request.team.name, task.request.request_id
+                )
+                return isinstance(found, tuple)
+            await self._pause(_STORED_LOOK_S)
+        return task.stored
+
+    def give_up(self, task: AnswerTask) -> None:
+        """The caller or an operator gave the answer up."""
+        if not task.ended:
+            task.tell(Cancelled())
+
+    # Adoption.
+
+    def adopt(
+        self,
+        request: GenerationRequest,
+        record: AnswerRecord,
+        version: int,
+        ledger: Ledger,
+        started: Started,
+    ) -> AnswerTask:
+        """Drive an answer that was another's, from the tokens its journal holds."""
+        task = self._task(request, ledger)
+        self._durable[record.key] = _Durable(record, version)
+        task.stored = True
+        task.tell(started)
+        return task
+
+    def next_order(self) -> int:
+        """The place of the next answer in this owner's index."""
+        self._orders += 1
+        return self._orders
+
+    def fence(self, key: str, stops_run: bool = False) -> None:
+        """Another entry owns the answer: stop, and send its readers away."""
+        task = self.tasks.pop(key, None)
+        self._durable.pop(key, None)
+        self.journal.forget(key)
+        if task is None:
+            return
+        task.gone = True
+        task.unsettled = False
+        task.tell(Cancelled() if stops_run else Fenced())
+        task.wake_followers()
+
+    def fence_all(self) -> None:
+        """This incarnation's lease is lost, and with it every durable answer."""
+        for key in list(self._durable):
+            self.fence(key)
+
+    # Events of tasks.
+
+    def run_known(self, task: AnswerTask, endpoint_id: str, head: StreamHead) -> None:
+        """A stream opened: an adopter should know of it."""
+        key = self._key(task)
+        if key in self._durable:
+            writer = self.journal.writer
+            writer.runs_at(key, endpoint_id, head.run_id, head.label)
+
+    def journal_gained(self, keys: list[str]) -> None:
+        """The journal holds more of these answers, or may speak again for all."""
+        for key in keys or list(self._durable):
+            task = self.tasks.get(key)
+            if task is not None:
+                task.wake_followers()
+
+    def left(self, task: AnswerTask) -> None:
+        """A reader left: an answer that isn't durable ends when nobody returns."""
+        if not task.stored and not task.followers and not task.ended:
+            self.reactor.callLater(_RETURN_WINDOW_S, self._nobody_returned, task)
+
+    def _nobody_returned(self, task: AnswerTask) -> None:
+        if not task.followers and not task.stored and not task.ended:
+            task.tell(Cancelled())
+
+    def ended(self, task: AnswerTask) -> None:
+        """An answer came to its end."""
+        self._count(task)
+        if task.stored and not task.gone:
+            self._settle_soon(task)
+        self.reactor.callLater(_KEPT_AFTER_END_S, self._drop, task)
+
+    def _count(self, task: AnswerTask) -> None:
+        labels = {"team": task.request.team.name, "class": task.request.policy.name}
+        outcome = "moved" if task.gone else task.core.state
+        metrics = self.ports.metrics
+        metrics.requests.inc({**labels, "outcome": outcome})
+        metrics.tokens.add(labels, task.ledger.next_position)
+        log_event(
+            "answer_ended",
+            request=task.core.label,
+            outcome=outcome,
+            tokens=task.ledger.next_position,
+            attempts=len(task.core.attempts),
+        )
+
+    def _drop(self, task: AnswerTask) -> None:
+        key = self._key(task)
+        durable = self._durable.get(key)
+        if durable is not None and not durable.settled and not task.gone:
+            # What the store doesn't hold yet stays here, however long that takes.
+            self.reactor.callLater(_KEPT_AFTER_END_S, self._drop, task)
+            return
+        if self.tasks.get(key) is task:
+            del self.tasks[key]
+        self._durable.pop(key, None)
+        self.journal.forget(key)
+
+    # Settling.
+
+    def _settle_soon(self, task: AnswerTask) -> None:
+        durable = self._durable.get(self._key(task))
+        if durable is not None and not durable.settling:
+            durable.settling = True
+            spawn(self._settle(task, durable), "settle_answer", self.reactor)
+
+    async def _settle(self, task: AnswerTask, durable: _Durable) -> None:
+        """Write how the answer ended; until then another may still adopt it."""
+        key = durable.record.key
+        while not task.gone:
+            outcome = await self._write_end(task, durable)
+            if isinstance(outcome, Committed):
+                break
+            if isinstance(outcome, Conflict) and not self._ended_already(
+                outcome, durable
+            ):
+                self.fence(key)
+                return
+            if isinstance(outcome, Conflict):
+                break
+            await self._pause(_RETRY_S)
+        durable.settled = True
+        task.unsettled = False
+        self.journal.forget(key)
+        task.wake_followers()
+        if durable.record.prompt_object:
+            await self.platform.delete_object(durable.record.prompt_object)
+
+    async def _write_end(self, task: AnswerTask, durable: _Durable) -> TransactOutcome:
+        record = self._ended_record(task, durable.record)
+        result = _result_bytes(task.ledger)
+        if len(result) > _INLINE_BYTES:
+            result_object = f"results/{record.team}/{record.request_id}"
+            put = await self.platform.put_object(result_object, result)
+            if not isinstance(put, Committed):
+                return put
+            record = evolve(record, result_object=result_object)
+        else:
+            record = evolve(record, result=b64encode(result).decode())
+        due = f"expires/{record.expires_at_s // _SECONDS_A_MINUTE:010d}/{record.key}"
+        return await self.batcher.transact(
+            Transaction(
+                {record.key: durable.version},
+                {
+                    record.key: record.to_row(),
+                    record.index_key: None,
+                    due: {"key": record.key},
+                },
+            )
+        )
+
+    def _ended_record(self, task: AnswerTask, record: AnswerRecord) -> AnswerRecord:
+        refusal = task.refusal
+        keep_s = task.request.policy.keep_s
+        return evolve(
+            record,
+            state=RecordState(task.core.state),
+            prompt="",
+            prior=None,
+            finish_reason=task.finish_reason,
+            error_code=refusal.code if refusal else "",
+            held_tokens=task.ledger.next_position,
+            expires_at_s=self.ports.clock.wall_s() + keep_s,
+        )
+
+    def _ended_already(self, conflict: Conflict, durable: _Durable) -> bool:
+        """The row may show this entry's own end, whose answer was lost."""
+        row = conflict.rows.get(durable.record.key)
+        if row is None:
+            return False
+        found = AnswerRecord.from_row(row.value)
+        same = (found.owner, found.epoch) == (
+            durable.record.owner,
+            durable.record.epoch,
+        )
+        return same and found.state is not RecordState.RUNNING
+
+    # Reading what is stored.
+
+    async def stored_record(
+        self, team: str, request_id: str
+    ) -> tuple[AnswerRecord, int] | Unavailable | None:
+        """An answer's row and its version; None if there is none."""
+        key = answer_key(team, request_id)
+        rows = await self.platform.read([key])
+        if isinstance(rows, Unavailable):
+            return rows
+        return _record(rows, key)
+
+    async def stored_result(self, record: AnswerRecord) -> StoredResult | Unavailable:
+        """The tokens of an answer that ended."""
+        if not record.result_object:
+            tokens, texts = orjson.loads(b64decode(record.result))
+            return StoredResult(record, tokens, texts)
+        fetched = await self.platform.get_object(record.result_object)
+        if isinstance(fetched, Unavailable):
+            return fetched
+        if fetched.data is None:
+            return Unavailable("the result is gone")
+        tokens, texts = orjson.loads(fetched.data)
+        return StoredResult(record, tokens, texts)
+
+    async def _pause(self, seconds: float) -> None:
+        await deferLater(self.reactor, seconds)
+
+    def _key(self, task: AnswerTask) -> str:
+        return answer_key(task.request.team.name, task.request.request_id)
+
+
+def _result_bytes(ledger: Ledger) -> bytes:
+    return orjson.dumps([ledger.tokens_from(0), ledger.texts_from(0)])
+
+
+def _record(rows: Rows, key: str) -> tuple[AnswerRecord, int] | None:
+    row = rows.rows.get(key)
+    return None if row is None else (AnswerRecord.from_row(row.value), row.version)
--- /dev/null
+++ b/src/coursekeel/entry/_calls_task.py
@@ -0,0 +1,242 @@
+"""The task that carries calls to plain services."""
+
+from typing import Any
+from uuid import uuid4
+
+from attrs import define, field
+from twisted.internet.defer import Deferred
+from twisted.internet.task import deferLater
+
+from coursekeel.calls import (
+    Begin,
+    CallAction,
+    CallCore,
+    CallEvent,
+    CallPolicy,
+    CallReply,
+    ClaimAnswered,
+    ClaimRow,
+    ReadBack,
+    ReadBackAnswered,
+    Record,
+    Recorded,
+    Reply,
+    Send,
+    SendEnded,
+    SendOutcome,
+    ServiceReply,
+    WriteClaim,
+    claim_key,
+    fingerprint_of,
+)
+from coursekeel.entry._clock import Clock
+from coursekeel.entry._periodic import spawn
+from coursekeel.entry._routing_task import RoutingTask
+from coursekeel.fetch import AnswerLost, Fetcher, NotReached
+from coursekeel.fetch import Reply as HttpReply
+from coursekeel.intents import ClassPolicy, RouteIntent, ServiceIntent, TeamIntent
+from coursekeel.observe import log_event
+from coursekeel.platform import (
+    Batcher,
+    Committed,
+    Platform,
+    Transaction,
+    TransactOutcome,
+)
+from coursekeel.reactor import Reactor
+from coursekeel.routing import Decision, Grant, Seek
+
+__all__ = ["CallRequest", "CallsTask"]
+
+_RECORD_TRIES = 30
+_RECORD_PAUSE_S = 1.0
+_SECONDS_A_MINUTE = 60
+_SAFE_METHODS = ("GET", "HEAD")
+
+
+@define(frozen=True)
+class CallRequest:
+    """One call to a service. ``key`` is the caller's, empty if it gave none."""
+
+    team: TeamIntent
+    service: ServiceIntent
+    policy: ClassPolicy
+    method: str
+    path: str
+    content_type: str
+    body: bytes
+    key: str
+
+    @property
+    def route(self) -> RouteIntent | None:
+        """The longest route that the intent has for this call."""
+        fitting = [
+            each
+            for each in self.service.routes
+            if self.method in each.methods and self.path.startswith(each.path_prefix)
+        ]
+        return max(fitting, key=lambda each: len(each.path_prefix), default=None)
+
+    @property
+    def repeatable(self) -> bool:
+        """Say whether the intent lets the call be repeated; silence means no."""
+        route = self.route
+        return route is not None and route.repeatable
+
+
+@define(eq=False)
+class CallsTask:
+    """Runs calls: each has a core, and this task's sockets carry out its actions."""
+
+    reactor: Reactor
+    clock: Clock
+    platform: Platform
+    batcher: Batcher
+    routing: RoutingTask
+    incarnation: str
+    connect_ms: int
+    address: Any
+    _fetchers: dict[bool, Fetcher] = field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        for repeatable in (True, False):
+            fetcher = Fetcher(
+                self.reactor, self.connect_ms, keeps_connections=repeatable
+            )
+            self._fetchers[repeatable] = fetcher
+
+    async def call(self, request: CallRequest) -> CallReply:
+        """Carry one call to its final word."""
+        core = CallCore(
+            CallPolicy(request.repeatable, retry_after_ms=1_000),
+            self._claim(request),
+            keyed=bool(request.key),
+        )
+        reply: Deferred[CallReply] = Deferred()
+        spawn(self._run(core, request, reply), "call", self.reactor)
+        return await reply
+
+    def _claim(self, request: CallRequest) -> ClaimRow | None:
+        if request.repeatable or not request.key:
+            return None
+        return ClaimRow(
+            key=claim_key(request.team.name, request.service.name, request.key),
+            attempt_id=str(uuid4()),
+            owner=self.incarnation,
+            fingerprint=fingerprint_of(request.method, request.path, request.body),
+            expires_at_s=self.clock.wall_s() + request.policy.keep_s,
+        )
+
+    async def _run(
+        self, core: CallCore, request: CallRequest, reply: "Deferred[CallReply]"
+    ) -> None:
+        tried: set[str] = set()
+        actions = core.handle(Begin())
+        while actions:
+            events: list[CallEvent] = []
+            for action in actions:
+                event = await self._carry_out(action, request, tried, reply)
+                if event is not None:
+                    events.append(event)
+            actions = [each for event in events for each in core.handle(event)]
+
+    async def _carry_out(
+        self,
+        action: CallAction,
+        request: CallRequest,
+        tried: set[str],
+        reply: "Deferred[CallReply]",
+    ) -> CallEvent | None:
+        match action:
+            case WriteClaim():
+                return ClaimAnswered(await self._write_claim(action.row))
+            case ReadBack():
+                return ReadBackAnswered(await self.platform.read([action.key]))
+            case Send():
+                return SendEnded(await self._send(request, tried))
+            case Record():
+                return Recorded(await self._record(action))
+            case Reply():
+                reply.callback(action.reply)
+                return None
+
+    async def _write_claim(self, row: ClaimRow) -> TransactOutcome:
+        due = f"expires/{row.expires_at_s // _SECONDS_A_MINUTE:010d}/{row.key}"
+        return await self.batcher.transact(
+            Transaction({row.key: 0}, {row.key: row.to_row(), due: {"key": row.key}})
+        )
+
+    async def _record(self, action: Record) -> TransactOutcome:
+        """Keep the call's fate; a result is tried for a while, a refusal once."""
+        write = Transaction(
+            {action.row.key: action.version}, {action.row.key: action.row.to_row()}
+        )
+        outcome = await self.batcher.transact(write)
+        if isinstance(outcome, Committed) or action.row.state.value == "refused":
+            return outcome
+        spawn(self._record_later(write), "record_call", self.reactor)
+        return outcome
+
+    async def _record_later(self, write: Transaction) -> None:
+        for _ in range(_RECORD_TRIES):
+            await deferLater(self.reactor, _RECORD_PAUSE_S)
+            outcome = await self.batcher.transact(write)
+            if isinstance(outcome, Committed):
+                return
+        log_event("call_not_recorded", keys=",".join(write.writes))
+
+    # Sending.
+
+    async def _send(
+        self, request: CallRequest, tried: set[str]
+    ) -> ServiceReply | SendOutcome:
+        decision = await self._seek(request, tried)
+        if not isinstance(decision, Grant):
+            return SendOutcome.NO_ENDPOINT
+        tried.add(decision.endpoint_id)
+        started_ms = self.clock.now_ms()
+        try:
+            return await self._send_to(decision.endpoint_id, request)
+        finally:
+            run_ms = self.clock.now_ms() - started_ms
+            self.routing.released(decision.endpoint_id, run_ms)
+
+    def _seek(self, request: CallRequest, tried: set[str]) -> "Deferred[Decision]":
+        decided: Deferred[Decision] = Deferred()
+        seek = Seek(
+            ticket=0,
+            team=request.team.name,
+            request_class=request.policy.name,
+            rank=request.policy.rank,
+            model=f"service/{request.service.name}",
+            cost_tokens=1.0,
+            deadline_ms=self.clock.now_ms() + request.policy.patience_ms,
+            weight=request.team.weight,
+            excluded=frozenset(tried),
+        )
+        self.routing.seek(seek, decided.callback)
+        return decided
+
+    async def _send_to(
+        self, endpoint_id: str, request: CallRequest
+    ) -> ServiceReply | SendOutcome:
+        headers = {"content-type": request.content_type or "application/octet-stream"}
+        if request.key:
+            headers["idempotency-key"] = request.key
+        outcome = await self._fetchers[request.repeatable].ask(
+            request.method,
+            f"http://{self.address(endpoint_id)}{request.path}",
+            request.service.timeout_ms,
+            None if request.method in _SAFE_METHODS else request.body,
+            headers,
+        )
+        match outcome:
+            case HttpReply():
+                return ServiceReply(outcome.status, outcome.content_type, outcome.body)
+            case NotReached():
+                return SendOutcome.NOT_SENT
+            case AnswerLost():
+                log_event(
+                    "call_answer_lost", endpoint=endpoint_id, error=outcome.reason
+                )
+                return SendOutcome.MAYBE_SENT
--- /dev/null
+++ b/src/coursekeel/entry/_entry.py
@@ -0,0 +1,393 @@
+"""One entry: every task, made and joined, started and stopped in order."""
+
+from collections.abc import AsyncIterator
+from random import Random
+from typing import Any
+from uuid import uuid4
+
+from attrs import define, field
+from klein import Klein
+from twisted.internet.defer import Deferred
+from twisted.internet.task import deferLater
+
+from coursekeel.endpoints import EngineAdapter, LeavingMark
+from coursekeel.entry._adoption_task import AdoptionTask
+from coursekeel.entry._answer_task import AnswerPorts
+from coursekeel.entry._answers_desk import AnswersDesk
+from coursekeel.entry._calls_task import CallsTask
+from coursekeel.entry._clock import Clock
+from coursekeel.entry._configuration_task import ConfigurationTask
+from coursekeel.entry._endpoints_task import EndpointsTask
+from coursekeel.entry._expiry_task import ExpiryTask
+from coursekeel.entry._http_api import CallerApi
+from coursekeel.entry._http_common import send_json
+from coursekeel.entry._http_operator import OperatorApi
+from coursekeel.entry._journal_task import JournalTask
+from coursekeel.entry._orders_task import OrdersTask
+from coursekeel.entry._overview import Overview
+from coursekeel.entry._peers_task import PeersTask
+from coursekeel.entry._periodic import Periodic
+from coursekeel.entry._reader import ReaderPorts
+from coursekeel.entry._relay import serve_follow
+from coursekeel.entry._rollout_task import RolloutTask
+from coursekeel.entry._routing_task import RoutingTask
+from coursekeel.entry._site import bounded_site
+from coursekeel.errors import SettingsInvalid
+from coursekeel.intents import Configuration
+from coursekeel.membership import Greeting, Isolation, PeerBook
+from coursekeel.observe import Metrics, log_event
+from coursekeel.platform import Batcher, HttpPlatform
+from coursekeel.routing import Router
+from coursekeel.settings import EntrySettings
+
+__all__ = ["Entry"]
+
+_BACKLOG = 512
+_READER_PATIENCE_MS = 30_000
+_MARKS_A_GREETING = 16
+_DRAIN_LOOK_S = 0.05
+
+
+@define(eq=False, slots=False)
+class Entry:
+    """The role that serves. Every instance runs one, and all are the same."""
+
+    reactor: Any
+    settings: EntrySettings
+    clock: Clock = field(factory=Clock)
+    metrics: Metrics = field(factory=Metrics)
+    http_port: int = 0
+    _listener: Any = None
+    _keep_alive: Periodic = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        settings = self.settings
+        if any(each in settings.instance_id for each in "~/."):
+            raise SettingsInvalid(
+                f"instance_id: got {settings.instance_id!r}, expected no ~, / or dot"
+            )
+        self._make_platform()
+        self._make_routing()
+        self._make_configuration()
+        self._make_answers()
+        self._make_peers()
+        self._make_adoption()
+        self._make_interfaces()
+        self._keep_alive = Periodic(
+            self.reactor, "keep_alive", settings.timers.keep_alive_ms, self._alive
+        )
+
+    # Making.
+
+    def _make_platform(self) -> None:
+        settings, timers = self.settings, self.settings.timers
+        self.incarnation = f"{settings.instance_id}~{uuid4().hex[:8]}"
+        self.random = Random(settings.seed)
+        self.isolation = Isolation(timers.isolation_ms)
+        platform = settings.platform
+        self.platform = HttpPlatform(
+            self.reactor, platform.base_url, platform.timeout_ms
+        )
+        self.batcher = Batcher(self.platform, self.reactor, timers.claim_batch_ms)
+
+    def _make_routing(self) -> None:
+        self.router = Router(self.settings.zone, self.random, self._may_take)
+        self.routing = RoutingTask(self.reactor, self.clock, self.router)
+        self.endpoints = EndpointsTask(
+            self.reactor,
+            self.clock,
+            self.platform,
+            self.settings,
+            self.isolation,
+            self.routing,
+            self._endpoint_silent,
+            self._listed_entries,
+        )
+
+    def _make_configuration(self) -> None:
+        self.configuration = ConfigurationTask(
+            self.reactor,
+            self.clock,
+            self.platform,
+            self.isolation,
+            self.settings.timers.configuration_ms,
+            self._applied,
+            from_peers=self._ask_peers,
+        )
+        self.orders = OrdersTask(
+            self.reactor,
+            self.clock,
+            self.platform,
+            self.settings.timers,
+            self.settings.instance_id,
+            self.configuration,
+            self.endpoints,
+        )
+
+    def _make_answers(self) -> None:
+        settings = self.settings
+        self.journal = JournalTask(
+            self.reactor,
+            self.clock,
+            self.platform,
+            settings.timers,
+            settings.instance_id,
+            self.incarnation,
+            self._fenced,
+            lambda keys: self.desk.journal_gained(keys),
+            self.configuration.registered,
+            lambda: f"{settings.peer.host}:{self.peers.port}",
+        )
+        ports = AnswerPorts(
+            self.reactor,
+            self.clock,
+            self.routing,
+            self.endpoints.pulse,
+            self.metrics,
+            self._engine,
+            lambda task: self.desk.ended(task),
+            lambda task, name, head: self.desk.run_known(task, name, head),
+            settings.limits.caller_lead_tokens,
+        )
+        self.desk = AnswersDesk(
+            self.reactor,
+            settings.instance_id,
+            ports,
+            self.platform,
+            self.batcher,
+            self.journal,
+            settings.limits.unstored_prompt_bytes,
+        )
+
+    def _make_peers(self) -> None:
+        settings = self.settings
+        self.peers = PeersTask(
+            self.reactor,
+            self.clock,
+            PeerBook(settings.instance_id, self.random),
+            self.isolation,
+            settings.timers.greeting_ms,
+            self._greeting,
+            self._heard,
+            lambda: self.configuration.current,
+            self._serve_follow,
+        )
+        self.rollouts = RolloutTask(
+            self.reactor,
+            settings.instance_id,
+            self.configuration,
+            self.peers,
+            self.platform,
+            self._entries_listed,
+        )
+
+    def _make_adoption(self) -> None:
+        settings = self.settings
+        self.adoption = AdoptionTask(
+            self.reactor,
+            self.clock,
+            self.platform,
+            self.desk,
+            self.configuration,
+            settings.timers,
+            settings.limits,
+            self.random,
+        )
+        self.expiry = ExpiryTask(
+            self.reactor, self.clock, self.platform, settings.instance_id, self.random
+        )
+
+    def _make_interfaces(self) -> None:
+        settings = self.settings
+        self.calls = CallsTask(
+            self.reactor,
+            self.clock,
+            self.platform,
+            self.batcher,
+            self.routing,
+            self.incarnation,
+            settings.timers.connect_ms,
+            self.endpoints.address,
+        )
+        readers = ReaderPorts(
+            self.reactor,
+            self.clock,
+            self.desk,
+            self.peers,
+            self.adoption,
+            settings.instance_id,
+            _READER_PATIENCE_MS,
+        )
+        self.caller_api = CallerApi(
+            settings, self.configuration, self.desk, self.calls, readers, self.metrics
+        )
+        overview = Overview(
+            settings,
+            self.clock,
+            self.configuration,
+            self.endpoints,
+            self.orders,
+            self.desk,
+            self.peers,
+            self.platform,
+            self.router,
+        )
+        self.operator_api = OperatorApi(
+            settings, self.configuration, self.rollouts, overview
+        )
+        self._add_gauges()
+
+    def _add_gauges(self) -> None:
+        counters = self.platform.counters
+        gauge = self.metrics.gauge
+        gauge("coursekeel_store_reads", "Store reads so far", lambda: counters.reads)
+        gauge("coursekeel_store_writes", "Store writes so far", lambda: counters.writes)
+        gauge("coursekeel_waiting", "Requests that wait", lambda: self.router.waiting)
+        gauge(
+            "coursekeel_refused", "Requests refused so far", lambda: self.router.refused
+        )
+        gauge(
+            "coursekeel_open_answers",
+            "Answers at work",
+            lambda: sum(not each.ended for each in self.desk.tasks.values()),
+        )
+
+    # Starting and stopping.
+
+    async def start(self) -> None:
+        """Open the sockets and begin; the entry is ready once it has read a
+        configuration.
+        """
+        peer, http = self.settings.peer, self.settings.http
+        peer_port = await self.peers.listen(peer.host, peer.port)
+        site = bounded_site(self._app().resource(), self.settings)
+        self._listener = self.reactor.listenTCP(
+            http.port, site, backlog=_BACKLOG, interface=http.host
+        )
+        self.http_port = self._listener.getHost().port
+        for task in self._tasks():
+            task.start()
+        log_event("entry_started", http_port=self.http_port, peer_port=peer_port)
+
+    def _tasks(self) -> list[Any]:
+        return [
+            self.configuration,
+            self.endpoints,
+            self.peers,
+            self.journal,
+            self.adoption,
+            self.orders,
+            self.rollouts,
+            self.expiry,
+            self._keep_alive,
+        ]
+
+    async def stop(self) -> None:
+        """Finish what runs, hand leases back, and close; no caller sees a cut."""
+        log_event("entry_stopping", open_answers=len(self._unfinished()))
+        self.caller_api.draining = True
+        give_up_ms = self.clock.now_ms() + self.settings.timers.drain_ms
+        while self._unfinished() or self.caller_api.busy:
+            if self.clock.now_ms() > give_up_ms:
+                log_event("drain_given_up", open_answers=len(self._unfinished()))
+                break
+            await deferLater(self.reactor, _DRAIN_LOOK_S)
+        await self._close()
+
+    def _unfinished(self) -> list[Any]:
+        return [each for each in self.desk.tasks.values() if not each.settled]
+
+    async def _close(self) -> None:
+        for task in self._tasks():
+            stopped = task.stop()
+            if stopped is not None:
+                await stopped
+        await Deferred.fromCoroutine(_stop_listening(self._listener))
+        log_event("entry_stopped")
+
+    def _app(self) -> Klein:
+        app = Klein()
+        self.caller_api.routes(app)
+        self.operator_api.routes(app)
+        app.route("/healthz")(self._healthz)
+        app.route("/readyz")(self._readyz)
+        app.route("/metrics")(self._metrics)
+        return app
+
+    def _healthz(self, request: Any) -> bytes:
+        return send_json(request, 200, {"healthy": True})
+
+    def _readyz(self, request: Any) -> bytes:
+        """The balancer's question: may this entry be given callers?"""
+        ready = self.configuration.ready and not self.caller_api.draining
+        return send_json(request, 200 if ready else 503, {"ready": ready})
+
+    def _metrics(self, request: Any) -> bytes:
+        content, headers = self.metrics.render([request.getHeader("accept") or ""])
+        for name, value in headers.items():
+            request.setHeader(name, value)
+        return content
+
+    # Joins between tasks.
+
+    def _may_take(self, endpoint_id: str, now_ms: float) -> bool:
+        return self.endpoints.may_take_new_work(endpoint_id, now_ms)
+
+    def _engine(self, endpoint_id: str) -> EngineAdapter | None:
+        return self.endpoints.engine(endpoint_id)
+
+    def _endpoint_silent(self, endpoint_id: str) -> None:
+        for task in list(self.desk.tasks.values()):
+            if not task.ended:
+                task.endpoint_silent(endpoint_id)
+
+    def _listed_entries(self, addresses: dict[str, str]) -> None:
+        self.peers.book.listed(addresses)
+
+    def _entries_listed(self) -> list[str]:
+        listed = self.endpoints.listed.values()
+        return [each.instance_id for each in listed if each.kind == "entry"]
+
+    def _applied(self, configuration: Configuration) -> None:
+        self.endpoints.configured(configuration.intent)
+        self.routing.review()
+
+    async def _ask_peers(self) -> None:
+        found = await self.peers.read_highest()
+        if found is not None:
+            self.configuration.offered(found)
+
+    def _fenced(self) -> None:
+        """The lease is another's: give the durable answers up and start a new life."""
+        self.desk.fence_all()
+        self.incarnation = f"{self.settings.instance_id}~{uuid4().hex[:8]}"
+        self.journal.begin_again(self.incarnation)
+
+    def _greeting(self) -> Greeting:
+        marks = self.endpoints.evidence.leaving_marks()[:_MARKS_A_GREETING]
+        return Greeting(
+            self.settings.instance_id,
+            self.incarnation,
+            max(self.configuration.seen_revision, self.configuration.current.revision),
+            self.configuration.current.revision,
+            self.caller_api.draining,
+            tuple(marks),
+        )
+
+    def _heard(self, greeting: Greeting) -> None:
+        self.configuration.hinted(greeting.seen_revision)
+        self.endpoints.hinted(
+            [LeavingMark(m.endpoint_id, m.incarnation) for m in greeting.marks]
+        )
+
+    def _serve_follow(self, request: Any) -> AsyncIterator[Any]:
+        return serve_follow(request, self.desk.find)
+
+    async def _alive(self) -> None:
+        self.caller_api.keep_alive()
+
+
+async def _stop_listening(listener: Any) -> None:
+    stopped = listener.stopListening()
+    if stopped is not None:
+        await stopped
--- /dev/null
+++ b/src/coursekeel/entry/_expiry_task.py
@@ -0,0 +1,71 @@
+"""The task that deletes what was kept long enough."""
+
+from random import Random
+
+from attrs import define, field
+
+from coursekeel.entry._clock import Clock
+from coursekeel.entry._periodic import Periodic
+from coursekeel.observe import log_event
+from coursekeel.platform import Platform, Row, Transaction, Unavailable
+from coursekeel.reactor import Reactor
+
+__all__ = ["ExpiryTask"]
+
+_INTERVAL_MS = 30_000
+_MOST_AT_ONCE = 100
+_SECONDS_A_MINUTE = 60
+
+
+@define(eq=False)
+class ExpiryTask:
+    """Deletes answers and claims whose keeping time has passed.
+
+    Keeping times are by the calendar and coarse; no promise rests on two instances'
+    clocks agreeing. Any entry does this, now and then, so none has to.
+    """
+
+    reactor: Reactor
+    clock: Clock
+    platform: Platform
+    instance_id: str
+    random: Random
+    _loop: Periodic = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        interval_ms = _INTERVAL_MS * (1 + self.random.random())
+        self._loop = Periodic(self.reactor, "expiry", interval_ms, self._round)
+
+    def start(self) -> None:
+        """Delete from now on."""
+        self._loop.start()
+
+    def stop(self) -> None:
+        """Delete no more."""
+        self._loop.stop()
+
+    async def _round(self) -> None:
+        rows = await self.platform.scan("expires/", _MOST_AT_ONCE)
+        if isinstance(rows, Unavailable):
+            return
+        now_minute = self.clock.wall_s() // _SECONDS_A_MINUTE
+        for row in rows.rows.values():
+            if int(row.key.split("/")[1]) < now_minute:
+                await self._expire(row)
+
+    async def _expire(self, due: Row) -> None:
+        key = due.value["key"]
+        rows = await self.platform.read([key])
+        if isinstance(rows, Unavailable):
+            return
+        writes: dict[str, None] = {due.key: None}
+        expected = {due.key: due.version}
+        row = rows.rows.get(key)
+        if row is not None:
+            writes[key] = None
+            expected[key] = row.version
+            for field_name in ("prompt_object", "result_object"):
+                if row.value.get(field_name):
+                    await self.platform.delete_object(row.value[field_name])
+        await self.platform.transact(Transaction(expected, dict(writes)))
+        log_event("expired", key=key)
--- /dev/null
+++ b/src/coursekeel/entry/_follower.py
@@ -0,0 +1,90 @@
+"""Brings one reader up to an answer's end, at the reader's own pace."""
+
+from typing import TYPE_CHECKING
+
+from attrs import define
+
+from coursekeel.answers import EventId
+from coursekeel.entry._sinks import AnswerSink
+
+if TYPE_CHECKING:
+    from coursekeel.entry._answer_task import AnswerTask
+
+__all__ = ["Follower"]
+
+_MOST_TOKENS_AN_EVENT = 512
+_WAIT_AT_MOST_TOKENS = 256
+
+
+@define(eq=False)
+class Follower:
+    """A cursor on a ledger: nothing is buffered for a slow reader but its place.
+
+    ``held`` is what the reader says it holds; it is continued only once the ledger has
+    reached that place and the digests agree.
+    """
+
+    task: "AnswerTask"
+    sink: AnswerSink
+    held: EventId | None = None
+    cursor: int = 0
+    over: bool = False
+    _told_stored: bool = False
+
+    def wake(self) -> None:
+        """Give the reader what it may have by now."""
+        if self.over or self.sink.full or not self.task.may_send():
+            return
+        if self.task.stored and not self._told_stored:
+            self._told_stored = True
+            self.sink.stored()
+        if self.held is not None and not self._verify(self.held):
+            return
+        self._advance()
+        if self.task.ended and not self.sink.full:
+            self._end()
+
+    def _verify(self, held: EventId) -> bool:
+        """Settle whether the reader's tokens are a prefix of this ledger's.
+
+        A ledger that is still shorter can't tell yet. Waiting for it costs the reader
+        some tokens' time and often spares it starting anew.
+        """
+        ledger = self.task.ledger
+        missing = held.position - ledger.next_position
+        if 0 < missing <= _WAIT_AT_MOST_TOKENS and not self.task.ended:
+            return False
+        self.held = None
+        if ledger.agrees_with(held.position, held.digest):
+            self.cursor = held.position
+        else:
+            self.sink.restart(ledger.generation)
+        return True
+
+    def _advance(self) -> None:
+        end = self.task.deliverable_end
+        while self.cursor < end and not self.sink.full:
+            upto = min(end, self.cursor + _MOST_TOKENS_AN_EVENT)
+            self._give(upto)
+
+    def _give(self, upto: int) -> None:
+        ledger = self.task.ledger
+        tokens = ledger.tokens_from(self.cursor, upto)
+        text = ledger.text_between(self.cursor, upto)
+        event_id = EventId(ledger.generation, upto, ledger.digest_at(upto))
+        self.cursor = upto
+        self.sink.tokens(event_id, tokens, text)
+
+    def _end(self) -> None:
+        refusal = self.task.refusal
+        if self.task.gone:
+            self.over = True
+            self.sink.moved()
+        elif refusal is not None:
+            self.over = True
+            self.sink.refuse(refusal)
+        elif self.cursor == self.task.ledger.next_position:
+            self.over = True
+            self.sink.finish(self.task.finish_reason, self.task.ledger.event_id)
+        if self.over:
+            self.task.left(self)
--- /dev/null
+++ b/src/coursekeel/entry/_journal_task.py
@@ -0,0 +1,269 @@
+"""The task that owns this instance's lease and writes its journal.
+
+The write that renews the lease also makes the newest segment count, so an instance
+costs the table one write an interval however many answers it holds.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+from attrs import define, field
+
+from coursekeel.answers import JournalWriter, Segment
+from coursekeel.entry._clock import Clock
+from coursekeel.entry._periodic import Periodic, spawn
+from coursekeel.observe import log_event
+from coursekeel.platform import (
+    Committed,
+    Conflict,
+    Platform,
+    Row,
+    Transaction,
+    Unavailable,
+)
+from coursekeel.reactor import Reactor
+from coursekeel.settings import Timers
+
+__all__ = ["LEASES_PREFIX", "JournalTask", "lease_key", "orphan_key", "seal"]
+
+LEASES_PREFIX = "leases/entry/"
+_RENEWALS_A_LEASE = 3
+
+
+def lease_key(instance_id: str) -> str:
+    """The row by which an instance shows that it lives."""
+    return f"{LEASES_PREFIX}{instance_id}"
+
+
+def orphan_key(incarnation: str) -> str:
+    """The row that opens a lapsed incarnation's answers to adoption."""
+    return f"orphans/{incarnation}"
+
+
+@define(eq=False)
+class JournalTask:
+    """One incarnation's lease and journal.
+
+    ``fenced`` is called when the lease turns out to be another's: every durable answer
+    of this incarnation then belongs to those who adopt it.
+    """
+
+    reactor: Reactor
+    clock: Clock
+    platform: Platform
+    timers: Timers
+    instance_id: str
+    incarnation: str
+    fenced: Callable[[], None]
+    gained: Callable[[list[str]], None]
+    taken: Callable[[], None]
+    peer_address: Callable[[], str]
+    writer: JournalWriter = field(init=False)
+    store_out: bool = False
+    _loop: Periodic = field(init=False)
+    _version: int | None = None
+    _renewed_ms: float = float("-inf")
+    _permitted_until_ms: float = float("-inf")
+    _stopping: bool = False
+
+    def __attrs_post_init__(self) -> None:
+        self.writer = JournalWriter(self.incarnation)
+        self._loop = Periodic(
+            self.reactor, "journal", self.timers.journal_ms, self._round
+        )
+
+    def start(self) -> None:
+        """Take the lease, then renew it and write segments from then on."""
+        self._loop.start()
+
+    @property
+    def held(self) -> bool:
+        """Say whether the table was seen to hold this incarnation's lease."""
+        return self._version is not None
+
+    def may_send(self) -> bool:
+        """Say whether this entry may speak for durable answers.
+
+        After a pause longer than the lease the answer is no until the table was asked:
+        others may have taken over meanwhile. While the store is out nobody can have.
+        """
+        if self.clock.now_ms() < self._permitted_until_ms:
+            return True
+        self._loop.now()
+        return False
+
+    def flush_soon(self) -> None:
+        """Write the next segment now, since something waits for it."""
+        self._loop.now()
+
+    async def stop(self) -> None:
+        """Write what is left and free the lease, so that nobody waits for it."""
+        self._loop.stop()
+        self._stopping = True
+        await self._flush()
+        if self._version is not None:
+            key = lease_key(self.instance_id)
+            await self.platform.transact(Transaction({key: self._version}, {key: None}))
+
+    async def _round(self) -> None:
+        if self._version is None:
+            await self._take()
+        elif self._due():
+            await self._flush()
+
+    def _due(self) -> bool:
+        if self.writer.cut() is not None:
+            return True
+        age_ms = self.clock.now_ms() - self._renewed_ms
+        return age_ms >= self.timers.lease_ms / _RENEWALS_A_LEASE
+
+    # Taking the lease.
+
+    async def _take(self) -> None:
+        """Take the lease row; a former life's answers are opened to adoption."""
+        asked_ms = self.clock.now_ms()
+        key = lease_key(self.instance_id)
+        rows = await self.platform.read([key])
+        if isinstance(rows, Unavailable):
+            self._note_outage(asked_ms)
+            return
+        row = rows.rows.get(key)
+        if row is not None and row.value["incarnation"] == self.incarnation:
+            self._version = row.version
+            self._permit(asked_ms)
+            return
+        writes: dict[str, dict[str, Any] | None] = {key: self._lease_value()}
+        if row is not None:
+            writes |= _orphaned(row)
+        outcome = await self.platform.transact(
+            Transaction({key: row.version if row else 0}, writes)
+        )
+        if isinstance(outcome, Committed):
+            self._version = outcome.versions[key]
+            self._permit(asked_ms)
+            log_event("lease_taken", incarnation=self.incarnation)
+            self.taken()
+        else:
+            self._loop.now()
+
+    def _lease_value(self, segment: int | None = None) -> dict[str, Any]:
+        last = self.writer.next_segment - 1 if segment is None else segment
+        return {
+            "incarnation": self.incarnation,
+            "last_segment": last,
+            "address": self.peer_address(),
+        }
+
+    # Renewal and segments.
+
+    async def _flush(self) -> None:
+        asked_ms = self.clock.now_ms()
+        segment = self.writer.cut()
+        if segment is not None and not await self._put(segment):
+            self._note_outage(asked_ms)
+            return
+        await self._renew(segment, asked_ms)
+
+    async def _put(self, segment: Segment) -> bool:
+        outcome = await self.platform.put_object(segment.object_key, segment.to_bytes())
+        if isinstance(outcome, Committed):
+            return True
+        self.writer.failed()
+        return False
+
+    async def _renew(self, segment: Segment | None, asked_ms: float) -> None:
+        key = lease_key(self.instance_id)
+        assert self._version is not None
+        value = self._lease_value(segment.number if segment else None)
+        outcome = await self.platform.transact(
+            Transaction({key: self._version}, {key: value})
+        )
+        match outcome:
+            case Committed():
+                self._version = outcome.versions[key]
+                self._counted(segment, asked_ms)
+            case Conflict():
+                await self._conflicted(outcome.rows.get(key), segment, asked_ms)
+            case Unavailable():
+                self.writer.failed()
+                self._note_outage(asked_ms)
+            case _:
+                await self._read_back(segment, asked_ms)
+
+    def _counted(self, segment: Segment | None, asked_ms: float) -> None:
+        self._permit(asked_ms)
+        if segment is not None:
+            self.gained(self.writer.stored())
+
+    async def _read_back(self, segment: Segment | None, asked_ms: float) -> None:
+        key = lease_key(self.instance_id)
+        rows = await self.platform.read([key])
+        if isinstance(rows, Unavailable):
+            self.writer.failed()
+            self._note_outage(asked_ms)
+            return
+        await self._conflicted(rows.rows.get(key), segment, asked_ms)
+
+    async def _conflicted(
+        self, row: Row | None, segment: Segment | None, asked_ms: float
+    ) -> None:
+        """The row isn't as this incarnation last saw it: was it its own late write?"""
+        if row is None or row.value["incarnation"] != self.incarnation:
+            self._lost()
+            return
+        self._version = row.version
+        counted = segment is None or row.value["last_segment"] >= segment.number
+        if counted:
+            self._counted(segment, asked_ms)
+            return
+        self.writer.failed()
+        self._permit(asked_ms)
+
+    def _lost(self) -> None:
+        log_event("lease_lost", incarnation=self.incarnation)
+        self._version = None
+        self._permitted_until_ms = float("-inf")
+        self._loop.stop()
+        if not self._stopping:
+            self.fenced()
+
+    def _permit(self, asked_ms: float) -> None:
+        self._renewed_ms = asked_ms
+        self._permitted_until_ms = asked_ms + self.timers.lease_ms
+        if self.store_out:
+            self.store_out = False
+            log_event("store_back")
+        self.gained([])
+
+    def _note_outage(self, asked_ms: float) -> None:
+        """Nobody can take over while the table is out, so sending may go on."""
+        if not self.store_out:
+            log_event("store_out")
+        self.store_out = True
+        self._permitted_until_ms = asked_ms + self.timers.lease_ms
+        self.gained([])
+
+    def begin_again(self, incarnation: str) -> None:
+        """Start a new life under a new name; the old one's journal is others' now."""
+        self.incarnation = incarnation
+        self.writer = JournalWriter(incarnation)
+        self._renewed_ms = float("-inf")
+        self._loop.start()
+
+    def forget(self, key: str) -> None:
+        """An answer is settled; segments that only spoke of it are deleted."""
+        for object_key in self.writer.forget(key):
+            spawn(self._delete(object_key), "delete_segment", self.reactor)
+
+    async def _delete(self, object_key: str) -> None:
+        await self.platform.delete_object(object_key)
+
+
+def _orphaned(row: Row) -> dict[str, dict[str, Any]]:
+    """The row that opens the lease's answers to adoption, written as it is removed."""
+    return {orphan_key(row.value["incarnation"]): dict(row.value)}
+
+
+def seal(row: Row) -> Transaction:
+    """End a lapsed incarnation: its next renewal fails, its answers may be adopted."""
+    return Transaction({row.key: row.version}, {row.key: None, **_orphaned(row)})
--- /dev/null
+++ b/src/coursekeel/entry/_peers_task.py
@@ -0,0 +1,252 @@
+"""The task that owns the gRPC server and the channels to other entries."""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any
+
+import grpc
+import orjson
+from attrs import define, field
+from twisted.internet.defer import Deferred
+
+from coursekeel.endpoints import LeavingMark
+from coursekeel.entry._clock import Clock
+from coursekeel.entry._periodic import Periodic
+from coursekeel.intents import Configuration
+from coursekeel.membership import Greeting, Isolation, PeerBook
+from coursekeel.observe import log_event
+from coursekeel.peers import peer_pb2, peer_pb2_grpc
+from coursekeel.reactor import Reactor
+
+__all__ = ["FollowServer", "PeerRefused", "PeersTask"]
+
+_GREETING_TIMEOUT_S = 1.0
+_BODY_LIMIT_BYTES = 32 << 20
+_KEEPALIVE_MS = 1_000
+_OPTIONS = [
+    ("grpc.max_receive_message_length", _BODY_LIMIT_BYTES),
+    ("grpc.keepalive_time_ms", 2 * _KEEPALIVE_MS),
+    ("grpc.keepalive_timeout_ms", 2 * _KEEPALIVE_MS),
+    ("grpc.http2.max_pings_without_data", 0),
+    ("grpc.initial_reconnect_backoff_ms", 100),
+    ("grpc.max_reconnect_backoff_ms", 1_000),
+    ("grpc.enable_http_proxy", 0),
+]
+_SERVER_OPTIONS = [
+    ("grpc.max_receive_message_length", _BODY_LIMIT_BYTES),
+    ("grpc.http2.min_ping_interval_without_data_ms", _KEEPALIVE_MS),
+    ("grpc.so_reuseport", 0),
+]
+
+FollowServer = Callable[[peer_pb2.FollowRequest], AsyncIterator[peer_pb2.FollowReply]]
+
+
+@define(frozen=True)
+class PeerRefused:
+    """A peer gave no answer; ``refused`` if its address refused the connection."""
+
+    refused: bool
+    reason: str
+
+
+def as_deferred(work: Awaitable[Any]) -> "Deferred[Any]":
+    """Run an asyncio coroutine on the reactor's loop."""
+    return Deferred.fromFuture(asyncio.ensure_future(work))
+
+
+@define(eq=False)
+class PeersTask(peer_pb2_grpc.PeerServicer):
+    """Greets peers, answers theirs, and opens relays."""
+
+    reactor: Reactor
+    clock: Clock
+    book: PeerBook
+    isolation: Isolation
+    interval_ms: float
+    own_greeting: Callable[[], Greeting]
+    heard: Callable[[Greeting], None]
+    configuration: Callable[[], Configuration]
+    follow_server: FollowServer
+    sent_bytes: int = 0
+    received_bytes: int = 0
+    port: int = 0
+    _server: Any = None
+    _channels: dict[str, tuple[str, Any]] = field(factory=dict)
+    _loop: Periodic = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._loop = Periodic(self.reactor, "greeting", self.interval_ms, self._round)
+
+    async def listen(self, host: str, port: int) -> int:
+        """Open the server; returns the port, which the kernel chose for 0."""
+        self._server = grpc.aio.server(options=_SERVER_OPTIONS)
+        peer_pb2_grpc.add_PeerServicer_to_server(self, self._server)
+        self.port = self._server.add_insecure_port(f"{host}:{port}")
+        await as_deferred(self._server.start())
+        return self.port
+
+    def start(self) -> None:
+        """Greet from now on."""
+        self._loop.start()
+
+    async def stop(self) -> None:
+        """Close the server and all channels."""
+        self._loop.stop()
+        for _, channel in self._channels.values():
+            await as_deferred(channel.close())
+        if self._server is not None:
+            await as_deferred(self._server.stop(0))
+
+    # Serving.
+
+    async def Greet(self, request: Any, context: Any) -> Any:
+        """Answer a greeting with one's own."""
+        self.received_bytes += request.ByteSize()
+        self._took(_greeting(request))
+        reply = _message(self.own_greeting())
+        self.sent_bytes += reply.ByteSize()
+        return reply
+
+    async def ReadConfiguration(self, request: Any, context: Any) -> Any:
+        """Give the configuration that is applied here."""
+        current = self.configuration()
+        body = orjson.dumps(current.to_json())
+        return peer_pb2.ConfigurationReply(revision=current.revision, body=body)
+
+    async def Follow(self, request: Any, context: Any) -> Any:
+        """Relay an answer that this entry drives."""
+        async for reply in self.follow_server(request):
+            yield reply
+
+    # Greeting.
+
+    async def _round(self) -> None:
+        for instance_id in self.book.to_tell():
+            await self.greet(instance_id)
+
+    async def greet_all(self, names: list[str]) -> None:
+        """Greet these peers now, all at once."""
+        greetings = [as_deferred(self._greet(each)) for each in names]
+        for each in greetings:
+            await each
+
+    async def greet(self, instance_id: str) -> None:
+        """Greet one peer now."""
+        await as_deferred(self._greet(instance_id))
+
+    async def _greet(self, instance_id: str) -> None:
+        stub = self._stub(instance_id)
+        if stub is None:
+            return
+        message = _message(self.own_greeting())
+        self.sent_bytes += message.ByteSize()
+        asked_ms = self.clock.now_ms()
+        try:
+            reply = await stub.Greet(message, timeout=_GREETING_TIMEOUT_S)
+        except grpc.aio.AioRpcError as failure:
+            if _is_refusal(failure):
+                self.book.refused(instance_id)
+            return
+        self.received_bytes += reply.ByteSize()
+        self.isolation.reached(asked_ms)
+        self._took(_greeting(reply))
+
+    def _took(self, greeting: Greeting) -> None:
+        self.book.heard(greeting)
+        self.heard(greeting)
+
+    # Asking.
+
+    async def read_highest(self) -> Configuration | None:
+        """The highest configuration among the peers that can be reached."""
+        found: Configuration | None = None
+        for instance_id in self.book.names:
+            read = await as_deferred(self._read_configuration(instance_id))
+            if read is not None and (found is None or read.revision > found.revision):
+                found = read
+        return found
+
+    async def _read_configuration(self, instance_id: str) -> Configuration | None:
+        stub = self._stub(instance_id)
+        if stub is None:
+            return None
+        asked_ms = self.clock.now_ms()
+        try:
+            reply = await stub.ReadConfiguration(
+                peer_pb2.ConfigurationRequest(), timeout=_GREETING_TIMEOUT_S
+            )
+        except grpc.aio.AioRpcError:
+            return None
+        self.isolation.reached(asked_ms)
+        if not reply.revision:
+            return None
+        return Configuration.from_json(orjson.loads(reply.body))
+
+    async def follow(
+        self, instance_id: str, request: Any, took: Callable[[Any], bool]
+    ) -> PeerRefused | None:
+        """Follow an answer at a peer; ``took`` says whether to go on."""
+        refused: PeerRefused | None = await as_deferred(
+            self._follow(instance_id, request, took)
+        )
+        return refused
+
+    async def _follow(
+        self, instance_id: str, request: Any, took: Callable[[Any], bool]
+    ) -> PeerRefused | None:
+        stub = self._stub(instance_id)
+        if stub is None:
+            return PeerRefused(False, "the peer's address isn't known")
+        call = stub.Follow(request)
+        try:
+            async for reply in call:
+                if not took(reply):
+                    call.cancel()
+                    return None
+        except grpc.aio.AioRpcError as failure:
+            return PeerRefused(_is_refusal(failure), str(failure.details()))
+        except asyncio.CancelledError:
+            return None
+        return None
+
+    def _stub(self, instance_id: str) -> Any:
+        address = self.book.address(instance_id)
+        if not address:
+            return None
+        known = self._channels.get(instance_id)
+        if known is None or known[0] != address:
+            channel = grpc.aio.insecure_channel(address, options=_OPTIONS)
+            known = self._channels[instance_id] = (address, channel)
+            log_event("peer_channel", peer=instance_id, address=address)
+        return peer_pb2_grpc.PeerStub(known[1])
+
+
+def _is_refusal(failure: grpc.aio.AioRpcError) -> bool:
+    if failure.code() is not grpc.StatusCode.UNAVAILABLE:
+        return False
+    return "refused" in str(failure.details()).lower()
+
+
+def _message(greeting: Greeting) -> Any:
+    return peer_pb2.Greeting(
+        instance_id=greeting.instance_id,
+        incarnation=greeting.incarnation,
+        seen_revision=greeting.seen_revision,
+        applied_revision=greeting.applied_revision,
+        leaving=greeting.leaving,
+        marks=[
+            peer_pb2.LeavingMark(endpoint_id=m.endpoint_id, incarnation=m.incarnation)
+            for m in greeting.marks
+        ],
+    )
+
+
+def _greeting(message: Any) -> Greeting:
+    return Greeting(
+        message.instance_id,
+        message.incarnation,
+        message.seen_revision,
+        message.applied_revision,
+        message.leaving,
+        tuple(LeavingMark(m.endpoint_id, m.incarnation) for m in message.marks),
+    )
--- /dev/null
+++ b/src/coursekeel/entry/_reader.py
@@ -0,0 +1,236 @@
+"""Finds an answer wherever it is, and keeps a caller on it when it moves."""
+
+from enum import Enum
+from typing import Any, Protocol
+
+from attrs import define, field
+from twisted.internet.defer import Deferred
+from twisted.internet.task import deferLater
+
+from coursekeel.answers import AnswerRecord, EventId, RecordState, RunState, digest_of
+from coursekeel.entry._adoption_task import AdoptionTask
+from coursekeel.entry._answer_task import AnswerTask
+from coursekeel.entry._answers_desk import AnswersDesk
+from coursekeel.entry._clock import Clock
+from coursekeel.entry._follower import Follower
+from coursekeel.entry._peers_task import PeersTask
+from coursekeel.entry._relay import relay_request, take_reply
+from coursekeel.entry._sinks import AnswerSink, Refusal
+from coursekeel.observe import log_event
+from coursekeel.platform import Unavailable
+from coursekeel.reactor import Reactor
+
+__all__ = ["AnswerReader", "CallerSink", "ReaderPorts", "instance_of"]
+
+_LOOK_AGAIN_S = 0.1
+_FIRST_REPLY_S = 1.5
+
+
+class CallerSink(Protocol):
+    """A sink that a caller reads, with what it holds so far."""
+
+    over: bool
+    held: EventId | None
+    wake: Any
+    source_moved: Any
+
+
+class _Found(Enum):
+    SERVED = "served"
+    LOOK_AGAIN = "look_again"
+    ABSENT = "absent"
+
+
+@define(eq=False)
+class ReaderPorts:
+    """What readers are given by their entry."""
+
+    reactor: Reactor
+    clock: Clock
+    desk: AnswersDesk
+    peers: PeersTask
+    adoption: AdoptionTask
+    instance_id: str
+    patience_ms: float
+
+
+def instance_of(incarnation: str) -> str:
+    """The instance that an incarnation or a generation's name belongs to."""
+    return incarnation.partition("~")[0]
+
+
+@define(eq=False)
+class AnswerReader:
+    """One caller's way through one answer, over whatever entries drive it."""
+
+    ports: ReaderPorts
+    team: str
+    request_id: str
+    sink: Any
+    _follower: Follower | None = None
+    _moved: "Deferred[None] | None" = field(default=None)
+
+    async def read(self) -> bool:
+        """Bring the caller to the end of the answer; False if there is no answer."""
+        give_up_ms = self.ports.clock.now_ms() + self.ports.patience_ms
+        while not self.sink.over:
+            task = self.ports.desk.find(self.team, self.request_id)
+            if task is not None and not task.gone:
+                await self.follow(task)
+                give_up_ms = self.ports.clock.now_ms() + self.ports.patience_ms
+                continue
+            found = await self._elsewhere()
+            if found is _Found.ABSENT:
+                return False
+            if found is _Found.SERVED:
+                give_up_ms = self.ports.clock.now_ms() + self.ports.patience_ms
+                continue
+            if self.ports.clock.now_ms() > give_up_ms:
+                self._give_up()
+                break
+            await deferLater(self.ports.reactor, _LOOK_AGAIN_S)
+        return True
+
+    async def follow(self, task: AnswerTask) -> None:
+        """Read from an answer that is driven here, until it ends or moves."""
+        ended: Deferred[None] = Deferred()
+        self._moved = ended
+        follower = Follower(task, self.sink, self.sink.held)
+        self._follower = follower
+        self.sink.wake = lambda: self._wake(follower)
+        self.sink.source_moved = lambda: self._leave(ended)
+        task.follow(follower)
+        if self.sink.over:
+            self._leave(ended)
+        await ended
+
+    def _wake(self, follower: Follower) -> None:
+        follower.wake()
+        follower.task.left_behind()
+
+    def sink_closed(self) -> None:
+        """The caller left, or has its final word."""
+        follower, self._follower = self._follower, None
+        if follower is not None:
+            follower.over = True
+            follower.task.left(follower)
+            self.ports.desk.left(follower.task)
+        if self._moved is not None:
+            self._leave(self._moved)
+
+    def _leave(self, ended: "Deferred[None]") -> None:
+        if not ended.called:
+            ended.callback(None)
+
+    # Elsewhere.
+
+    async def _elsewhere(self) -> _Found:
+        found = await self.ports.desk.stored_record(self.team, self.request_id)
+        if isinstance(found, Unavailable) or found is None:
+            return await self._by_hint(store_out=found is not None)
+        record, _ = found
+        if record.state is not RecordState.RUNNING:
+            return await self._replay(record)
+        owner = instance_of(record.owner)
+        if record.owner == self.ports.desk.journal.incarnation:
+            return _Found.LOOK_AGAIN
+        return await self._relay(owner, record.owner)
+
+    async def _by_hint(self, store_out: bool) -> _Found:
+        """Without a row, what the caller holds still names the entry that made it."""
+        held = self.sink.held
+        owner = instance_of(held.generation) if held is not None else ""
+        if owner and owner != self.ports.instance_id:
+            found = await self._relay(owner, "")
+            if found is _Found.SERVED:
+                return found
+        return _Found.LOOK_AGAIN if store_out else _Found.ABSENT
+
+    async def _relay(self, owner: str, incarnation: str) -> _Found:
+        """Read through the entry that drives the answer."""
+        relay = _Relay(self.sink)
+        request = relay_request(self.team, self.request_id, self.sink.held)
+        following = self.ports.peers.follow(owner, request, relay.took)
+        timer = self.ports.reactor.callLater(_FIRST_REPLY_S, relay.give_up)
+        done: Deferred[Any] = Deferred.fromCoroutine(following)
+        relay.call = done
+        try:
+            outcome = await done
+        except Exception:  # cancelled, because no first reply came
+            outcome = None
+        finally:
+            if timer.active():
+                timer.cancel()
+        if outcome is not None and outcome.refused and incarnation:
+            log_event("owner_refuses", owner=owner, request=self.request_id)
+            await self.ports.adoption.seal_refusing(owner, incarnation)
+            await self.ports.adoption.adopt_one(self.team, self.request_id)
+            return _Found.LOOK_AGAIN
+        return _Found.SERVED if relay.served else _Found.LOOK_AGAIN
+
+    async def _replay(self, record: AnswerRecord) -> _Found:
+        """Give what the store keeps of an answer that ended."""
+        result = await self.ports.desk.stored_result(record)
+        if isinstance(result, Unavailable):
+            return _Found.LOOK_AGAIN
+        start = self._start_of(result.tokens, record.generation)
+        end = len(result.tokens)
+        upto = EventId(record.generation, end, digest_of(result.tokens))
+        self.sink.stored()
+        if start < end:
+            text = "".join(result.texts[start:])
+            self.sink.tokens(upto, result.tokens[start:], text)
+        if record.state is RecordState.FINISHED:
+            self.sink.finish(record.finish_reason, upto)
+        else:
+            self.sink.refuse(_refusal_of(record))
+        return _Found.SERVED
+
+    def _start_of(self, tokens: list[int], generation: str) -> int:
+        held = self.sink.held
+        if held is None:
+            return 0
+        if digest_of(tokens[: held.position]) == held.digest and (
+            held.position <= len(tokens)
+        ):
+            return int(held.position)
+        self.sink.restart(generation)
+        return 0
+
+    def _give_up(self) -> None:
+        refusal = Refusal(
+            "answer_unreachable",
+            "the answer's owner and the store can't be reached now",
+            RunState.UNKNOWN,
+            2_000,
+        )
+        self.sink.refuse(refusal)
+
+
+def _refusal_of(record: AnswerRecord) -> Refusal:
+    run = RunState.RAN if record.held_tokens else RunState.UNKNOWN
+    code = record.error_code or record.state.value
+    return Refusal(code, "the answer ended early", run, 0, record.held_tokens)
+
+
+@define(eq=False)
+class _Relay:
+    """One relay's progress: whether the peer had the answer, and its first word."""
+
+    sink: AnswerSink
+    served: bool = False
+    first: bool = False
+    call: Any = None
+
+    def took(self, reply: Any) -> bool:
+        self.first = True
+        if not reply.found:
+            return False
+        self.served = True
+        if getattr(self.sink, "over", False):
+            return False
+        return take_reply(reply, self.sink)
+
+    def give_up(self) -> None:
+        if not self.first and self.call is not None:
+            self.call.cancel()
--- /dev/null
+++ b/src/coursekeel/entry/_requests.py
@@ -0,0 +1,151 @@
+"""Read a caller's generation request, checked before anything is done for it."""
+
+from typing import Any
+
+import orjson
+import xxhash
+from attrs import frozen
+
+from coursekeel.errors import RequestInvalid
+from coursekeel.intents import ClassPolicy, Intent, ModelIntent, TeamIntent
+
+__all__ = ["GenerationRequest", "read_generation"]
+
+_DEFAULT_MAX_TOKENS = 16
+_CHARACTERS_PER_TOKEN = 4
+_TOKENS_PER_IMAGE = 512
+_PREFIX_CHARACTERS = 1_024
+
+
+@frozen
+class GenerationRequest:
+    """One checked request. ``body`` is what came, byte for byte; it is held once.
+
+    ``keyed`` says whether the caller gave the request id, so that another entry may
+    know of it too.
+    """
+
+    team: TeamIntent
+    request_id: str
+    keyed: bool
+    model: ModelIntent
+    policy: ClassPolicy
+    body: bytes
+    prompt_tokens: int
+    max_tokens: int
+    prompt_key: str
+    stream: bool = False
+    chat: bool = False
+
+
+def read_generation(
+    body: bytes,
+    team: TeamIntent,
+    intent: Intent,
+    request_id: str,
+    keyed: bool,
+    most_tokens: int,
+) -> GenerationRequest:
+    """Check a request; raises `RequestInvalid` with the path of the field at fault."""
+    try:
+        raw = orjson.loads(body)
+    except ValueError as failure:
+        raise RequestInvalid("", f"the body is not JSON: {failure}") from failure
+    if not isinstance(raw, dict):
+        raise RequestInvalid("", "the body must be a JSON object")
+    model = _model(raw, team, intent)
+    chat = "messages" in raw
+    prompt = raw.get("messages" if chat else "prompt")
+    path = "messages" if chat else "prompt"
+    prompt_tokens, text = _prompt(prompt, path)
+    return GenerationRequest(
+        team=team,
+        request_id=request_id,
+        keyed=keyed,
+        model=model,
+        policy=intent.request_class(team.request_class),
+        body=body,
+        prompt_tokens=prompt_tokens,
+        max_tokens=_whole(raw, "max_tokens", _DEFAULT_MAX_TOKENS, 1, most_tokens),
+        prompt_key=xxhash.xxh64_hexdigest(
+            f"{team.name}\n{text[:_PREFIX_CHARACTERS]}".encode()
+        ),
+        stream=_flag(raw, "stream"),
+        chat=chat,
+    )
+
+
+def _model(raw: dict[str, Any], team: TeamIntent, intent: Intent) -> ModelIntent:
+    name = raw.get("model")
+    if not isinstance(name, str):
+        raise RequestInvalid("model", f"expected a model's name, got {name!r:.40}")
+    model = intent.model(name)
+    if model is None or name not in team.models:
+        known = ", ".join(team.models) or "none"
+        raise RequestInvalid("model", f"unknown model {name!r:.80}; yours: {known}")
+    return model
+
+
+def _whole(raw: dict[str, Any], name: str, default: int, least: int, most: int) -> int:
+    value = raw.get(name, default)
+    if type(value) is not int or not least <= value <= most:
+        expected = f"expected a whole number from {least} to {most}"
+        raise RequestInvalid(name, f"{expected}, got {value!r:.40}")
+    return value
+
+
+def _flag(raw: dict[str, Any], name: str) -> bool:
+    value = raw.get(name, False)
+    if not isinstance(value, bool):
+        raise RequestInvalid(name, f"expected true or false, got {value!r:.40}")
+    return value
+
+
+def _prompt(prompt: Any, path: str) -> tuple[int, str]:
+    """About how many tokens the prompt has, and the text it starts with."""
+    if isinstance(prompt, str) and prompt:
+        return _text_tokens(prompt), prompt
+    if isinstance(prompt, list) and prompt:
+        if all(type(each) is int and each >= 0 for each in prompt):
+            return len(prompt), repr(prompt[:_PREFIX_CHARACTERS])
+        return _parts(prompt, path)
+    expected = "expected text, token ids, or a list of content parts"
+    raise RequestInvalid(path, f"{expected}, got {prompt!r:.40}")
+
+
+def _parts(parts: list[Any], path: str) -> tuple[int, str]:
+    tokens = 0
+    texts = []
+    for index, part in enumerate(parts):
+        more, text = _part(part, f"{path}[{index}]")
+        tokens += more
+        texts.append(text)
+    return tokens, "\n".join(texts)
+
+
+def _part(part: Any, path: str) -> tuple[int, str]:
+    if not isinstance(part, dict):
+        raise RequestInvalid(path, f"expected an object, got {part!r:.40}")
+    if "content" in part:
+        return _prompt(part["content"], f"{path}.content")
+    match part.get("type"):
+        case "text" if isinstance(part.get("text"), str):
+            return _text_tokens(part["text"]), part["text"]
+        case "image_url" if isinstance(part.get("image_url"), dict):
+            return _TOKENS_PER_IMAGE, _image_mark(part["image_url"], path)
+        case kind:
+            expected = "expected a part of type text or image_url with its content"
+            raise RequestInvalid(path, f"{expected}, got type {kind!r:.40}")
+
+
+def _image_mark(image: dict[str, Any], path: str) -> str:
+    url = image.get("url")
+    if not isinstance(url, str) or not url.startswith("data:"):
+        # Fetching what a caller names would let it reach into the platform's network.
+        expected = "expected the image itself as a data: URL"
+        raise RequestInvalid(f"{path}.image_url.url", f"{expected}, got {url!r:.40}")
+    return xxhash.xxh64_hexdigest(url.encode())
+
+
+def _text_tokens(text: str) -> int:
+    return max(1, len(text) // _CHARACTERS_PER_TOKEN)
--- /dev/null
+++ b/src/coursekeel/entry/_routing_task.py
@@ -0,0 +1,68 @@
+"""The task that owns routing and tells each request what was decided."""
+
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from attrs import define, evolve, field
+
+from coursekeel.entry._clock import Clock
+from coursekeel.reactor import Reactor
+from coursekeel.routing import Decision, LoadReport, Router, Seek
+
+__all__ = ["RoutingTask"]
+
+_REVIEW_MS = 50
+
+
+@define(eq=False)
+class RoutingTask:
+    """Feeds `Router` and hands its decisions to those who asked."""
+
+    reactor: Reactor
+    clock: Clock
+    router: Router
+    _waiting: dict[int, Callable[[Decision], None]] = field(factory=dict)
+    _tickets: int = 0
+    _timer: Any = None
+
+    def seek(self, seek: Seek, decided: Callable[[Decision], None]) -> int:
+        """Ask for an endpoint; ``decided`` is called once, maybe before this returns.
+
+        The ticket in ``seek`` is replaced by the one returned.
+        """
+        self._tickets += 1
+        ticket = self._tickets
+        self._waiting[ticket] = decided
+        self._tell(self.router.seek(evolve(seek, ticket=ticket), self.clock.now_ms()))
+        self._review_later()
+        return ticket
+
+    def withdraw(self, ticket: int) -> None:
+        """The request needs no endpoint any more."""
+        if self._waiting.pop(ticket, None) is not None:
+            self.router.withdraw(ticket)
+
+    def released(self, endpoint_id: str, run_ms: float) -> None:
+        """A granted place is free again."""
+        now_ms = self.clock.now_ms()
+        self._tell(self.router.released(endpoint_id, run_ms, now_ms))
+
+    def reported(self, report: LoadReport) -> None:
+        """An endpoint's load report came."""
+        self._tell(self.router.reported(report, self.clock.now_ms()))
+
+    def review(self) -> None:
+        """Look again at what waits, since endpoints may have come or gone."""
+        self._timer = None
+        self._tell(self.router.review(self.clock.now_ms()))
+        self._review_later()
+
+    def _review_later(self) -> None:
+        if self._timer is None and self._waiting:
+            self._timer = self.reactor.callLater(_REVIEW_MS / 1000, self.review)
+
+    def _tell(self, decisions: Iterable[Decision]) -> None:
+        for decision in decisions:
+            decided = self._waiting.pop(decision.ticket, None)
+            if decided is not None:
+                decided(decision)
--- /dev/null
+++ b/src/coursekeel/entry/_sinks.py
@@ -0,0 +1,53 @@
+"""Where an answer goes: the interface that callers' and peers' streams share."""
+
+from abc import ABC, abstractmethod
+
+from attrs import frozen
+
+from coursekeel.answers import EventId, RunState
+
+__all__ = ["AnswerSink", "Refusal"]
+
+
+@frozen
+class Refusal:
+    """A final word that isn't the answer. ``run`` is what is known of the request."""
+
+    code: str
+    message: str
+    run: RunState
+    retry_after_ms: int = 0
+    held_tokens: int = 0
+
+
+class AnswerSink(ABC):
+    """Takes one answer, in order; after `finish`, `refuse` or `moved` nothing comes."""
+
+    @property
+    @abstractmethod
+    def full(self) -> bool:
+        """Say whether the reader is slow and nothing should be given for now."""
+
+    @abstractmethod
+    def stored(self) -> None:
+        """The request is safe in the store: it will be carried to its end."""
+
+    @abstractmethod
+    def restart(self, generation: str) -> None:
+        """The reader must drop what it holds: another generation starts at 0."""
+
+    @abstractmethod
+    def tokens(self, upto: EventId, tokens: list[int], text: str) -> None:
+        """Tokens that bring the reader up to ``upto``."""
+
+    @abstractmethod
+    def finish(self, reason: str, upto: EventId) -> None:
+        """The answer is whole."""
+
+    @abstractmethod
+    def refuse(self, refusal: Refusal) -> None:
+        """The answer will not be given, or not further."""
+
+    @abstractmethod
+    def moved(self) -> None:
+        """Another entry owns the answer now: ask again."""
--- /dev/null
+++ b/src/coursekeel/fetch/_fetch.py
@@ -0,0 +1,88 @@
+"""One HTTP exchange through `treq`, with a limit on the whole of it."""
+
+from collections.abc import Mapping
+from typing import Any
+
+import treq
+from attrs import define, field, frozen
+from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.error import ConnectError
+
+from coursekeel.fetch._agent import direct_agent
+from coursekeel.reactor import Reactor
+
+__all__ = ["AnswerLost", "FetchOutcome", "Fetcher", "NotReached", "Reply"]
+
+
+@frozen
+class Reply:
+    """The whole answer."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+@frozen
+class NotReached:
+    """No connection was made, so the request surely had no effect."""
+
+    reason: str
+
+
+@frozen
+class AnswerLost:
+    """The request may have had its effect; its answer didn't come, or not in time."""
+
+    reason: str
+
+
+FetchOutcome = Reply | NotReached | AnswerLost
+
+
+@define(eq=False)
+class Fetcher:
+    """Sends requests; never twice, whatever the method. See `direct_agent`."""
+
+    reactor: Reactor
+    connect_ms: int
+    keeps_connections: bool = True
+    _client: Any = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        agent = direct_agent(self.reactor, self.connect_ms, self.keeps_connections)
+        self._client = treq.client.HTTPClient(agent)
+
+    async def ask(
+        self,
+        method: str,
+        url: str,
+        timeout_ms: float,
+        data: bytes | None = None,
+        headers: Mapping[str, str] | None = None,
+    ) -> FetchOutcome:
+        """Send one request and read its whole answer within ``timeout_ms``."""
+        exchange: Deferred[Reply] = ensureDeferred(
+            self._exchange(method, url, data, headers)
+        )
+        exchange.addTimeout(timeout_ms / 1000, self.reactor)
+        try:
+            return await exchange
+        except ConnectError as failure:
+            return NotReached(str(failure))
+        except Exception as failure:  # every other loss leaves the effect open
+            return AnswerLost(f"{type(failure).__name__}: {failure}")
+
+    async def _exchange(
+        self,
+        method: str,
+        url: str,
+        data: bytes | None,
+        headers: Mapping[str, str] | None,
+    ) -> Reply:
+        response = await self._client.request(
+            method, url, data=data, headers=headers, allow_redirects=False
+        )
+        body = await treq.content(response)
+        kind = response.headers.getRawHeaders("content-type", [""])[0]
+        return Reply(response.code, kind, body)
--- /dev/null
+++ b/src/coursekeel/intents/__init__.py
@@ -0,0 +1,71 @@
+"""Intents, plans and the one configuration in force."""
+
+from coursekeel.intents._codec import (
+    faults_of,
+    intent_from_json,
+    intent_to_json,
+    strict_converter,
+)
+from coursekeel.intents._model import (
+    CLASS_PROFILES,
+    ClassPolicy,
+    Delivery,
+    EndpointIntent,
+    EndpointKind,
+    Intent,
+    ModelIntent,
+    ModelName,
+    RouteIntent,
+    ServiceIntent,
+    TeamIntent,
+)
+from coursekeel.intents._plan import (
+    Change,
+    Configuration,
+    Plan,
+    check_intent,
+    make_plan,
+)
+from coursekeel.intents._rollout import PeerEvidence, Rollout, waits_for
+from coursekeel.intents._store import (
+    CONFIGURATION_KEY,
+    ConfigurationStore,
+    Confirmed,
+    Stale,
+    StoreSilent,
+    UnknownPlan,
+    plan_key,
+)
+
+__all__ = [
+    "CLASS_PROFILES",
+    "CONFIGURATION_KEY",
+    "Change",
+    "ClassPolicy",
+    "Configuration",
+    "ConfigurationStore",
+    "Confirmed",
+    "Delivery",
+    "EndpointIntent",
+    "EndpointKind",
+    "Intent",
+    "ModelIntent",
+    "ModelName",
+    "PeerEvidence",
+    "Plan",
+    "Rollout",
+    "RouteIntent",
+    "ServiceIntent",
+    "Stale",
+    "StoreSilent",
+    "TeamIntent",
+    "UnknownPlan",
+    "check_intent",
+    "faults_of",
+    "intent_from_json",
+    "intent_to_json",
+    "make_plan",
+    "plan_key",
+    "strict_converter",
+    "waits_for",
+]
--- /dev/null
+++ b/src/coursekeel/intents/_store.py
@@ -0,0 +1,175 @@
+"""Confirm plans by compare-and-set on the one configuration row."""
+
+from attrs import define, frozen
+
+from coursekeel.intents._plan import Change, Configuration, Plan, make_plan
+from coursekeel.platform import (
+    Committed,
+    Conflict,
+    Platform,
+    Row,
+    Rows,
+    Transaction,
+    Unavailable,
+)
+
+__all__ = [
+    "CONFIGURATION_KEY",
+    "ConfigurationStore",
+    "Confirmed",
+    "Stale",
+    "StoreSilent",
+    "UnknownPlan",
+    "plan_key",
+]
+
+CONFIGURATION_KEY = "configuration"
+
+
+@frozen
+class Confirmed:
+    """The plan is committed as ``revision``; the same answer each time it is asked."""
+
+    revision: int
+
+
+@frozen
+class Stale:
+    """Another change came first; ``changes`` is what it did since the plan."""
+
+    in_force: int
+    changes: tuple[Change, ...]
+
+
+@frozen
+class StoreSilent:
+    """The store doesn't answer. If ``unsure``, the confirm may have taken effect."""
+
+    unsure: bool
+    reason: str
+
+
+@frozen
+class UnknownPlan:
+    """No plan of this id is kept."""
+
+
+def plan_key(plan_id: str) -> str:
+    """The key of a plan's row."""
+    return f"plans/{plan_id}"
+
+
+@define
+class ConfigurationStore:
+    """Reads and writes the configuration; every step survives a lost answer."""
+
+    platform: Platform
+
+    async def read(self) -> Configuration | Unavailable:
+        """The configuration that the table holds; revision 0 if it holds none."""
+        rows = await self.platform.read([CONFIGURATION_KEY])
+        if isinstance(rows, Unavailable):
+            return rows
+        row = rows.rows.get(CONFIGURATION_KEY)
+        return Configuration() if row is None else Configuration.from_json(row.value)
+
+    async def keep(self, plan: Plan) -> Committed | StoreSilent:
+        """Keep a plan until it is confirmed."""
+        write = Transaction(writes={plan_key(plan.plan_id): plan.to_json()})
+        outcome = await self.platform.transact(write)
+        if isinstance(outcome, Committed):
+            return outcome
+        return StoreSilent(False, "the plan could not be kept; plan again")
+
+    async def confirm(
+        self, plan_id: str
+    ) -> Confirmed | Stale | StoreSilent | UnknownPlan:
+        """Put a plan in the table as the next revision, at most once."""
+        rows = await self.platform.read([CONFIGURATION_KEY, plan_key(plan_id)])
+        if isinstance(rows, Unavailable):
+            return StoreSilent(False, rows.reason)
+        plan_row = rows.rows.get(plan_key(plan_id))
+        if plan_row is None:
+            return UnknownPlan()
+        current = rows.rows.get(CONFIGURATION_KEY)
+        settled = _settled(plan_row, current)
+        if settled is not None:
+            return settled
+        return await self._write(Plan.from_json(plan_row.value), plan_row, current)
+
+    async def _write(
+        self, plan: Plan, plan_row: Row, current: Row | None
+    ) -> Confirmed | Stale | StoreSilent | UnknownPlan:
+        configuration = Configuration(plan.on_revision + 1, plan.intent, plan.plan_id)
+        value = {**configuration.to_json(), "before": _history(current)}
+        done = {**plan_row.value, "confirmed_revision": configuration.revision}
+        write = Transaction(
+            expected={
+                CONFIGURATION_KEY: current.version if current else 0,
+                plan_row.key: plan_row.version,
+            },
+            writes={CONFIGURATION_KEY: value, plan_row.key: done},
+        )
+        outcome = await self.platform.transact(write)
+        match outcome:
+            case Committed():
+                return Confirmed(configuration.revision)
+            case Conflict():
+                return await self._after(
+                    plan.plan_id, "lost a race, and the store then"
+                )
+            case Unavailable():
+                return StoreSilent(False, outcome.reason)
+            case _:
+                return await self._after(plan.plan_id, outcome.reason)
+
+    async def _after(
+        self, plan_id: str, reason: str
+    ) -> Confirmed | Stale | StoreSilent | UnknownPlan:
+        """Read back what became of a write whose outcome isn't known."""
+        rows = await self.platform.read([CONFIGURATION_KEY, plan_key(plan_id)])
+        if isinstance(rows, Unavailable):
+            return StoreSilent(True, f"{reason}: {rows.reason}")
+        return _read_back(rows, plan_id, reason)
+
+
+def _read_back(
+    rows: Rows, plan_id: str, reason: str
+) -> Confirmed | Stale | StoreSilent | UnknownPlan:
+    plan_row = rows.rows.get(plan_key(plan_id))
+    if plan_row is None:
+        return UnknownPlan()
+    settled = _settled(plan_row, rows.rows.get(CONFIGURATION_KEY))
+    # The write may still be on its way, so that it isn't there proves nothing yet;
+    # confirming again is safe, since the compare-and-set lets one write through.
+    return settled or StoreSilent(True, reason)
+
+
+def _settled(plan_row: Row, current: Row | None) -> Confirmed | Stale | None:
+    """What the table already says of a plan: confirmed, overtaken, or nothing yet."""
+    confirmed = plan_row.value.get("confirmed_revision")
+    if confirmed is not None:
+        return Confirmed(confirmed)
+    if current is None or current.value["revision"] == plan_row.value["on_revision"]:
+        return None
+    return Stale(current.value["revision"], _since(plan_row, current))
+
+
+def _since(plan_row: Row, current: Row) -> tuple[Change, ...]:
+    """What changed between the plan's revision and the one in force."""
+    on_revision = plan_row.value["on_revision"]
+    before = {each["revision"]: each for each in current.value.get("before", [])}
+    old = before.get(on_revision)
+    if old is None:
+        detail = f"revision {on_revision} is too old to compare"
+        return (Change("change", "configuration", detail),)
+    now = Configuration.from_json(current.value)
+    known = frozenset(each.endpoint_id for each in now.intent.endpoints)
+    return make_plan("", now.intent, Configuration.from_json(old), known, {}).changes
+
+
+def _history(current: Row | None) -> list[dict[str, object]]:
+    """The last revision stays beside the new one, to say what changed since."""
+    if current is None:
+        return [{**Configuration().to_json()}]
+    return [{key: each for key, each in current.value.items() if key != "before"}]
--- /dev/null
+++ b/src/coursekeel/membership/__init__.py
@@ -0,0 +1,14 @@
+"""Live instances: their leases, what they tell each other, and being cut off."""
+
+from coursekeel.membership._isolation import Isolation
+from coursekeel.membership._lease import GroupLease, LapseWatch, LeaseTerms
+from coursekeel.membership._peers import Greeting, PeerBook
+
+__all__ = [
+    "Greeting",
+    "GroupLease",
+    "Isolation",
+    "LapseWatch",
+    "LeaseTerms",
+    "PeerBook",
+]
--- /dev/null
+++ b/src/coursekeel/platform/__init__.py
@@ -0,0 +1,35 @@
+"""The platform's table, objects and instance list: interfaces and their clients."""
+
+from coursekeel.platform._batcher import Batcher
+from coursekeel.platform._http import HttpPlatform
+from coursekeel.platform._interface import (
+    Committed,
+    Conflict,
+    Fetched,
+    InstanceList,
+    ListedInstance,
+    Platform,
+    Row,
+    Rows,
+    Transaction,
+    TransactOutcome,
+    Unavailable,
+    Unsure,
+)
+
+__all__ = [
+    "Batcher",
+    "Committed",
+    "Conflict",
+    "Fetched",
+    "HttpPlatform",
+    "InstanceList",
+    "ListedInstance",
+    "Platform",
+    "Row",
+    "Rows",
+    "TransactOutcome",
+    "Transaction",
+    "Unavailable",
+    "Unsure",
+]
--- /dev/null
+++ b/src/coursekeel/platform/_interface.py
@@ -0,0 +1,144 @@
+"""What coursekeel asks of the platform, and the outcomes it has to live with.
+
+Every operation returns a value that says what is known. ``Unavailable`` means that
+the operation surely had no effect; ``Unsure`` that it may have had one, so the caller
+must read back before acting on either belief.
+"""
+
+from abc import ABC, abstractmethod
+from typing import Any
+
+from attrs import field, frozen
+
+__all__ = [
+    "Committed",
+    "Conflict",
+    "Fetched",
+    "InstanceList",
+    "ListedInstance",
+    "Platform",
+    "Row",
+    "Rows",
+    "TransactOutcome",
+    "Transaction",
+    "Unavailable",
+    "Unsure",
+]
+
+
+@frozen
+class Row:
+    """One table row; ``version`` grows with each write to the key."""
+
+    key: str
+    version: int
+    value: dict[str, Any]
+
+
+@frozen
+class Transaction:
+    """Writes that take effect together, if every expected version still stands.
+
+    ``expected`` maps a key to the version it must have, 0 for an absent row.
+    A value of None in ``writes`` deletes the row.
+    """
+
+    expected: dict[str, int] = field(factory=dict)
+    writes: dict[str, dict[str, Any] | None] = field(factory=dict)
+
+
+@frozen
+class Committed:
+    """The write took effect; the new version of each key written."""
+
+    versions: dict[str, int] = field(factory=dict)
+
+
+@frozen
+class Conflict:
+    """The transaction had no effect: these rows have other versions than expected."""
+
+    rows: dict[str, Row | None]
+
+
+@frozen
+class Unavailable:
+    """The operation surely had no effect."""
+
+    reason: str
+
+
+@frozen
+class Unsure:
+    """The operation may have taken effect; its answer was lost."""
+
+    reason: str
+
+
+@frozen
+class Rows:
+    """Rows that were read; a key that is absent from the table is absent here."""
+
+    rows: dict[str, Row]
+
+
+@frozen
+class Fetched:
+    """An object's bytes, or None where no such object exists."""
+
+    data: bytes | None
+
+
+@frozen
+class ListedInstance:
+    """One line of the platform's list; ``kind`` is entry, engine or service."""
+
+    instance_id: str
+    kind: str
+    zone: str
+    address: str
+    leaving: bool = False
+
+
+@frozen
+class InstanceList:
+    """The platform's list of instances, which lags the truth by some seconds."""
+
+    instances: tuple[ListedInstance, ...]
+
+
+TransactOutcome = Committed | Conflict | Unavailable | Unsure
+
+
+class Platform(ABC):
+    """The platform's services, as far as coursekeel uses them."""
+
+    @abstractmethod
+    async def transact(self, transaction: Transaction) -> TransactOutcome:
+        """Apply a transaction to the table."""
+
+    @abstractmethod
+    async def read(self, keys: list[str]) -> Rows | Unavailable:
+        """Read rows by key."""
+
+    @abstractmethod
+    async def scan(self, prefix: str, limit: int) -> Rows | Unavailable:
+        """Read up to ``limit`` rows whose keys start with ``prefix``, in key order."""
+
+    @abstractmethod
+    async def put_object(
+        self, key: str, data: bytes
+    ) -> Committed | Unavailable | Unsure:
+        """Store an object whole, replacing one of the same key."""
+
+    @abstractmethod
+    async def get_object(self, key: str) -> Fetched | Unavailable:
+        """Fetch an object."""
+
+    @abstractmethod
+    async def delete_object(self, key: str) -> Committed | Unavailable | Unsure:
+        """Delete an object; deleting one that isn't there is no error."""
+
+    @abstractmethod
+    async def list_instances(self) -> InstanceList | Unavailable:
+        """Read the platform's list of live and leaving instances."""
--- /dev/null
+++ b/src/coursekeel/routing/_budget.py
@@ -0,0 +1,47 @@
+"""A budget that keeps retries a bounded share of the work."""
+
+from attrs import define
+
+__all__ = ["RetryBudget"]
+
+
+@define
+class RetryBudget:
+    """Successes earn retries; a reserve refills slowly, so that a quiet class can
+    still recover.
+
+    ``share`` is how many retries one success earns.
+    """
+
+    share: float
+    reserve: float = 10.0
+    refill_per_s: float = 5.0
+    _tokens: float = 10.0
+    _at_ms: float | None = None
+
+    def succeeded(self) -> None:
+        """A run was granted for the first time or came to its end."""
+        self._tokens = min(self._tokens + self.share, self._cap)
+
+    def take(self, now_ms: float) -> bool:
+        """Take one retry if the budget has it."""
+        self._refill(now_ms)
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+    def give_back(self) -> None:
+        """Return a retry that was taken and not used."""
+        self._tokens = min(self._tokens + 1, self._cap)
+
+    @property
+    def _cap(self) -> float:
+        return max(self.reserve, 100 * self.share)
+
+    def _refill(self, now_ms: float) -> None:
+        since_ms = 0.0 if self._at_ms is None else now_ms - self._at_ms
+        self._at_ms = now_ms
+        if self._tokens < self.reserve:
+            gained = since_ms / 1000 * self.refill_per_s
+            self._tokens = min(self._tokens + gained, self.reserve)
--- /dev/null
+++ b/src/coursekeel/routing/_limits.py
@@ -0,0 +1,55 @@
+"""Learn how many runs an endpoint takes, from what it refuses and how it slows."""
+
+from attrs import define
+
+__all__ = ["ConcurrencyLimit"]
+
+_START = 64.0
+_LEAST = 1.0
+_MOST = 4096.0
+_AFTER_REFUSAL = 0.8
+_AFTER_SLOWNESS = 0.95
+
+
+@define
+class ConcurrencyLimit:
+    """An additive-increase, multiplicative-decrease limit on one endpoint's runs.
+
+    Entries don't negotiate shares: each learns its own from the same refusals.
+    """
+
+    limit: float = _START
+    running: int = 0
+    _held_until_ms: float = 0.0
+
+    @property
+    def free(self) -> bool:
+        """Say whether one more run may be sent."""
+        return self.running < int(self.limit)
+
+    def started(self) -> None:
+        """A run was sent."""
+        self.running += 1
+
+    def ended(self) -> None:
+        """A run ended, however it did."""
+        self.running -= 1
+
+    def succeeded(self) -> None:
+        """A run gave its first token in good time."""
+        if self.running >= self.limit / 2:
+            self.limit = min(_MOST, self.limit + 1 / max(self.limit, 1.0))
+
+    def refused(self, now_ms: float, hold_ms: float) -> None:
+        """The endpoint turned a run away; one burst of refusals counts once."""
+        self._shrink(_AFTER_REFUSAL, now_ms, hold_ms)
+
+    def slowed(self, now_ms: float, hold_ms: float) -> None:
+        """A first token came far later than expected."""
+        self._shrink(_AFTER_SLOWNESS, now_ms, hold_ms)
+
+    def _shrink(self, factor: float, now_ms: float, hold_ms: float) -> None:
+        if now_ms < self._held_until_ms:
+            return
+        self._held_until_ms = now_ms + hold_ms
+        self.limit = max(_LEAST, min(self.limit, self.running) * factor)
--- /dev/null
+++ b/src/coursekeel/routing/_messages.py
@@ -0,0 +1,60 @@
+"""What routing is told and what it answers."""
+
+from attrs import field, frozen
+
+__all__ = ["Decision", "Grant", "LoadReport", "Refuse", "Seek"]
+
+
+@frozen
+class Seek:
+    """A request that needs an endpoint.
+
+    ``cost_tokens`` is prompt and output together, as far as known. ``rank`` orders the
+    classes. A continuing request has tokens already, and goes before new work.
+    ``prompt_key`` names the prompt, salted by team, for prefix affinity.
+    """
+
+    ticket: int
+    team: str
+    request_class: str
+    rank: int
+    model: str
+    cost_tokens: float
+    deadline_ms: float
+    weight: float = 1.0
+    continuing: bool = False
+    held_tokens: int = 0
+    prompt_tokens: int = 0
+    prompt_key: str = ""
+    excluded: frozenset[str] = field(factory=frozenset)
+
+
+@frozen
+class LoadReport:
+    """An endpoint's own report of its load, which lags."""
+
+    endpoint_id: str
+    running: int
+    queued: int
+    slots: int
+    asked_ms: float
+
+
+@frozen
+class Grant:
+    """The request may go to this endpoint, where a place is taken for it."""
+
+    ticket: int
+    endpoint_id: str
+
+
+@frozen
+class Refuse:
+    """The request can't be served in its time; final, and given at once."""
+
+    ticket: int
+    code: str
+    retry_after_ms: int
+
+
+Decision = Grant | Refuse
--- /dev/null
+++ b/tests/quality/test_core_imports.py
@@ -0,0 +1,42 @@
+"""Cores decide without sockets, clocks or global randomness."""
+
+import ast
+from pathlib import Path
+
+import pytest
+
+SOURCE = Path(__file__).parents[2] / "src" / "coursekeel"
+CORES = ("answers", "calls", "charts", "intents", "membership", "routing")
+PURE_FILES = [
+    *(file for room in CORES for file in (SOURCE / room).glob("*.py")),
+    *(SOURCE / "endpoints").glob("_[!h]*.py"),
+]
+FORBIDDEN = {
+    "asyncio",
+    "grpc",
+    "http",
+    "klein",
+    "os",
+    "select",
+    "socket",
+    "subprocess",
+    "threading",
+    "time",
+    "treq",
+    "twisted",
+    "uuid",
+}
+
+
+@pytest.mark.parametrize("file", PURE_FILES, ids=lambda file: str(file.name))
+def test_core_imports_nothing_that_does_io(file: Path) -> None:
+    tree = ast.parse(file.read_text())
+    imported = set()
+    for node in ast.walk(tree):
+        if isinstance(node, ast.Import):
+            imported |= {each.name.split(".")[0] for each in node.names}
+        elif isinstance(node, ast.ImportFrom) and node.module:
+            imported.add(node.module.split(".")[0])
+            if node.module == "random":
+                assert {each.name for each in node.names} <= {"Random"}
+    assert not imported & FORBIDDEN
