Answers and calls under real failures: kills, freezes, cuts, outages

Cause: the cores hold under generated schedules; processes and sockets had not been tried.

Found by the new tests, each seen failing first: - A frozen owner that woke sent 143 tokens to its caller after its lease was another's (test_a_frozen_owner_that_wakes_...: 21 held, 164 after). Cause: on being fenced the follower first brought its reader to the ledger's end. Ruled out: the renewal itself, which failed as it should. A fenced follower now gives nothing more and tells its reader to come back. - A gap in a stream made the entry tell the engine to stop the run that it then wanted to read again. Rereading no longer stops the run. - A second head on a stream would have been an impossible input, which stops the process: a lying engine could have done that.

--- a/src/coursekeel/answers/_answer.py
+++ b/src/coursekeel/answers/_answer.py
@@ -197,6 +197,9 @@
         attempt = self._known(event.attempt)
         if not attempt.live:
             return [CancelAttempt(attempt.number)]
+        if attempt.streaming:
+            # A second head: the stream goes on with somebody else's answer.
+            return self._drop(attempt, now_ms)
         attempt.heard_ms = now_ms
         if attempt.accept_head(event.head, self.expected):
             return []
@@ -261,7 +264,7 @@
         """Tokens are missing between what is held and what came: read them again."""
         attempt.machine.feed("lost")
         return [
-            CancelAttempt(attempt.number),
+            CancelAttempt(attempt.number, stops_run=False),
             *self._own_stream_or_else(attempt, now_ms),
         ]
 
--- a/src/coursekeel/entry/_answer_task.py
+++ b/src/coursekeel/entry/_answer_task.py
@@ -132,6 +132,7 @@
     stored: bool = False
     refusal: Refusal | None = None
     gone: bool = False
+    fenced: bool = False
     begun: bool = False
     unsettled: bool = False
     followers: list[Follower] = field(factory=list)
@@ -182,7 +183,7 @@
 
     def may_send(self) -> bool:
         """Say whether this entry may speak for the answer now."""
-        return self.durable_gate is None or self.gone or self.durable_gate()
+        return self.durable_gate is None or self.durable_gate()
 
     def follow(self, follower: Follower) -> None:
         """Add a reader and give it what there is."""
@@ -266,11 +267,6 @@
         if not self._held:
             self.tell(EndpointSilent(endpoint_id))
 
-    def give_up_ownership(self) -> None:
-        """Another entry owns the answer: nothing more is sent to anyone."""
-        self.gone = True
-        self.wake_followers()
-
     # Actions.
 
     def _carry_out(self, action: Action) -> None:
--- a/src/coursekeel/entry/_answers_desk.py
+++ b/src/coursekeel/entry/_answers_desk.py
@@ -287,6 +287,7 @@
         if task is None:
             return
         task.gone = True
+        task.fenced = not stops_run
         task.unsettled = False
         task.tell(Cancelled() if stops_run else Fenced())
         task.wake_followers()
--- a/src/coursekeel/entry/_follower.py
+++ b/src/coursekeel/entry/_follower.py
@@ -33,7 +33,13 @@
 
     def wake(self) -> None:
         """Give the reader what it may have by now."""
-        if self.over or self.sink.full or not self.task.may_send():
+        if self.over or self.sink.full:
+            return
+        if self.task.gone:
+            # What the ledger gained lately may not be in the answer of the new owner.
+            self._leave()
+            return
+        if not self.task.may_send():
             return
         if self.task.stored and not self._told_stored:
             self._told_stored = True
@@ -75,12 +81,17 @@
         self.cursor = upto
         self.sink.tokens(event_id, tokens, text)
 
+    def _leave(self) -> None:
+        self.over = True
+        if self.task.fenced:
+            self.sink.come_back()
+        else:
+            self.sink.moved()
+        self.task.left(self)
+
     def _end(self) -> None:
         refusal = self.task.refusal
-        if self.task.gone:
-            self.over = True
-            self.sink.moved()
-        elif refusal is not None:
+        if refusal is not None:
             self.over = True
             self.sink.refuse(refusal)
         elif self.cursor == self.task.ledger.next_position:
--- a/src/coursekeel/entry/_relay.py
+++ b/src/coursekeel/entry/_relay.py
@@ -66,6 +66,10 @@
         )
         self._over = True
 
+    def come_back(self) -> None:
+        """The peer asks the table again on its reader's behalf."""
+        self.moved()
+
     def moved(self) -> None:
         """Tell that this entry no longer drives the answer."""
         self._put(moved=True)
--- a/src/coursekeel/entry/_sinks.py
+++ b/src/coursekeel/entry/_sinks.py
@@ -48,6 +48,10 @@
     def refuse(self, refusal: Refusal) -> None:
         """The answer will not be given, or not further."""
 
+    @abstractmethod
+    def come_back(self) -> None:
+        """This entry lost the answer to another: the reader must ask again."""
+
     @abstractmethod
     def moved(self) -> None:
         """Another entry owns the answer now: ask again."""
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -44,6 +44,7 @@
         headers: dict[str, str],
         timeout_s: float,
     ) -> "Caller":
+        self.error = None
         if self.event_id:
             headers["last-event-id"] = self.event_id
         body = self.request if method == "POST" else None
--- /dev/null
+++ b/tests/common/sites.py
@@ -0,0 +1,96 @@
+"""Sites of real processes for tests, and the callers that use them."""
+
+import contextlib
+import threading
+from collections.abc import Iterator
+
+from standins.caller import Caller
+from standins.site import Site, sample_intent, wait_until
+
+GAP_MS = 10
+FAST = {
+    "journal_ms": 100,
+    "lease_ms": 1_000,
+    "lease_margin_ms": 300,
+    "isolation_ms": 1_000,
+    "status_ms": 100,
+    "list_ms": 200,
+    "configuration_ms": 200,
+    "greeting_ms": 200,
+    "evidence_ms": 1_500,
+}
+
+
+@contextlib.contextmanager
+def running_site(
+    engines: int = 3, services: int = 0, entries: int = 2, **class_changes
+) -> Iterator[Site]:
+    """A site whose intent is in force and whose endpoints are all seen."""
+    with Site() as site:
+        site.start_platform()
+        site.start_engines(engines, "--gap-ms", str(GAP_MS), "--prefill-ms", "5")
+        if services:
+            site.start_services(services)
+        site.start_entries(entries, **FAST)
+        site.until_ready()
+        names = list(site.services)
+        site.put_in_force(sample_intent(list(site.engines), names, **class_changes))
+        site.until_serving()
+        yield site
+
+
+_IDS = iter(range(1, 1_000_000))
+
+
+def dossier(tokens: int = 100, team: str = "ikeja") -> Caller:
+    """A caller with a request of its own."""
+    number = next(_IDS)
+    prompt = f"dossier {number}"
+    request = {"model": "summary", "prompt": prompt, "max_tokens": tokens, "seed": 1}
+    return Caller(request, f"{team}-key", f"request-{number}")
+
+
+def reading(caller: Caller, port: int, follow: bool = False) -> threading.Thread:
+    """Read in a thread of its own, so that the test can do harm meanwhile."""
+    work = caller.follow if follow else caller.post
+    thread = threading.Thread(target=work, args=(port,), daemon=True)
+    thread.start()
+    return thread
+
+
+def until_holding(caller: Caller, tokens: int) -> None:
+    """Wait until the caller holds so many tokens."""
+    wait_until(lambda: len(caller.tokens) >= tokens or caller.error, "tokens come")
+
+
+def busy_engine(site: Site) -> str:
+    """An engine that runs something."""
+
+    def look() -> str:
+        for name, engine in site.engines.items():
+            if site.processes[name].running and engine.get("/status")["running"]:
+                return name
+        return ""
+
+    return str(wait_until(look, "an engine is busy"))
+
+
+def until_stored(caller: Caller) -> None:
+    """Wait until the caller was told that its request is safe."""
+    wait_until(lambda: "stored" in caller.events, "the request is stored")
+
+
+def comes_back(caller: Caller, port: int) -> Caller:
+    """Come back until the answer is whole or refused for good."""
+
+    def again() -> bool:
+        caller.follow(port, timeout_s=10)
+        return caller.finished or caller.error is not None
+
+    wait_until(again, "the answer ends", 20)
+    return caller
+
+
+def answers_of(site: Site, name: str) -> dict[str, int]:
+    """How many answers an entry has in each state."""
+    return dict(site.entries[name].get("/operator/status")["answers"])
--- /dev/null
+++ b/tests/nocover/test_bad_input.py
@@ -0,0 +1,136 @@
+"""Bad input gets its documented error, and the entry goes on serving."""
+
+import socket
+
+import pytest
+
+from tests.common.sites import dossier, running_site
+
+GOOD = {"model": "summary", "prompt": "x", "max_tokens": 5}
+
+
+@pytest.fixture(scope="module")
+def site():
+    with running_site(engines=1, services=1, entries=1) as running:
+        yield running
+
+
+@pytest.fixture
+def entry(site):
+    http = site.entries["entry-1"]
+    http.key = "desk-key"
+    yield http
+    http.key = "desk-key"
+    assert http.ask("POST", "/v1/completions", GOOD)[0] == 200
+
+
+BODIES = [
+    (b"not json", "the body is not JSON"),
+    (b"[1]", "JSON object"),
+    ({"prompt": "x"}, "model"),
+    ({**GOOD, "model": "nobody"}, "unknown model"),
+    ({**GOOD, "prompt": ""}, "prompt"),
+    ({**GOOD, "prompt": [1, "a"]}, "prompt[0]"),
+    ({**GOOD, "max_tokens": 0}, "max_tokens"),
+    ({**GOOD, "max_tokens": "5"}, "max_tokens"),
+    ({**GOOD, "stream": "yes"}, "stream"),
+    ({**GOOD, "prompt": [{"type": "video"}]}, "prompt[0]"),
+    (
+        {
+            **GOOD,
+            "prompt": [{"type": "image_url", "image_url": {"url": "http://a/b"}}],
+        },
+        "data: URL",
+    ),
+]
+
+
+@pytest.mark.parametrize(("body", "says"), BODIES)
+def test_a_request_that_cannot_be_used_is_named(entry, body, says):
+    status, answer = entry.ask("POST", "/v1/completions", body)
+    assert status == 400
+    assert answer["error"]["code"] == "bad_request"
+    assert answer["error"]["run"] == "not_run"
+    assert says in answer["error"]["message"]
+
+
+@pytest.mark.parametrize("path", ["/v1/completions", "/services/booking/slots/1"])
+def test_a_wrong_key_is_refused(entry, path):
+    entry.key = "nobody"
+    status, answer = entry.ask("POST", path, GOOD)
+    assert (status, answer["error"]["code"]) == (401, "bad_key")
+
+
+@pytest.mark.parametrize("path", ["/operator/intent", "/operator/status"])
+def test_a_teams_key_opens_nothing_of_operators(entry, path):
+    assert entry.ask("GET", path)[0] == 401
+
+
+def test_an_unknown_service_or_route_is_not_found(entry):
+    assert entry.ask("GET", "/services/nothing/x")[0] == 404
+    assert entry.ask("DELETE", "/services/booking/slots/1")[0] == 404
+
+
+def test_a_bad_request_id_is_refused(entry):
+    headers = {"idempotency-key": "a/b"}
+    status, answer = entry.ask("POST", "/v1/completions", GOOD, headers=headers)
+    assert (status, answer["error"]["code"]) == (400, "bad_request")
+
+
+def raw(entry, data: bytes) -> bytes:
+    with socket.create_connection(("127.0.0.1", entry.port), timeout=30) as connection:
+        connection.sendall(data)
+        return connection.recv(4096)
+
+
+def test_a_body_over_the_limit_is_refused_before_it_is_read(entry):
+    head = b"POST /v1/completions HTTP/1.1\r\nHost: x\r\n"
+    head += b"Content-Length: 99999999999\r\n\r\n"
+    assert raw(entry, head).startswith(b"HTTP/1.1 413")
+
+
+def test_headers_over_the_limit_end_the_connection(entry):
+    lines = b"".join(b"X-%d: %s\r\n" % (n, b"y" * 1000) for n in range(40))
+    answer = raw(entry, b"GET /healthz HTTP/1.1\r\nHost: x\r\n" + lines + b"\r\n")
+    assert b" 200 " not in answer
+
+
+def test_half_a_request_then_silence_holds_up_nobody(entry):
+    with socket.create_connection(("127.0.0.1", entry.port)) as half:
+        half.sendall(b"POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 9")
+        assert entry.ask("POST", "/v1/completions", GOOD)[0] == 200
+
+
+@pytest.mark.parametrize(
+    "prompt",
+    [
+        "text",
+        [1, 2, 3],
+        [
+            {"type": "text", "text": "flaws?"},
+            {"type": "image_url", "image_url": {"url": "data:image/png;base64,AA"}},
+        ],
+    ],
+)
+def test_prompts_come_as_text_tokens_or_parts(entry, prompt):
+    status, answer = entry.ask("POST", "/v1/completions", {**GOOD, "prompt": prompt})
+    assert status == 200
+    assert len(answer["choices"][0]["token_ids"]) == 5
+
+
+def test_chat_messages_are_answered_as_messages(entry):
+    body = {"model": "summary", "max_tokens": 5}
+    body["messages"] = [{"role": "user", "content": "hello"}]
+    status, answer = entry.ask("POST", "/v1/chat/completions", body)
+    assert status == 200
+    assert answer["choices"][0]["message"]["content"]
+
+
+def test_an_unkeyed_stream_is_whole(site, entry):
+    assert dossier(20, team="desk").post(entry.port).whole
+
+
+def test_metrics_are_told_by_team_and_class(entry):
+    response = entry.open("GET", "/metrics")
+    text = response.read().decode()
+    assert 'coursekeel_first_token_seconds_count{class="interactive"' in text
--- /dev/null
+++ b/tests/nocover/test_calls.py
@@ -0,0 +1,106 @@
+"""Calls to a plain service that may not be repeated, over real sockets."""
+
+import threading
+
+import pytest
+
+from tests.common.sites import running_site
+
+PATH = "/services/booking/confirmations/7"
+
+
+@pytest.fixture(scope="module")
+def site():
+    with running_site(engines=1, services=1, entries=2) as running:
+        for entry in running.entries.values():
+            entry.key = "ikeja-key"
+        yield running
+
+
+@pytest.fixture
+def service(site):
+    return site.services["booking-1"]
+
+
+def confirm(site, entry, key, body=b"{}"):
+    headers = {"idempotency-key": key} if key else {}
+    return site.entries[entry].ask("POST", PATH, body, headers=headers)
+
+
+def ran(service, key):
+    return service.get("/control/ran").get(key, 0)
+
+
+def test_a_second_call_with_the_key_gets_the_first_ones_result(site, service):
+    first = confirm(site, "entry-1", "k-1")
+    second = confirm(site, "entry-2", "k-1")
+    assert first == second
+    assert ran(service, "k-1") == 1
+
+
+def test_a_call_delivered_to_two_entries_at_once_runs_once(site, service):
+    service.fault(delay_ms=100)
+    answers = []
+    threads = [
+        threading.Thread(target=lambda e=e: answers.append(confirm(site, e, "k-2")))
+        for e in ("entry-1", "entry-2", "entry-1", "entry-2")
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    service.fault(delay_ms=0)
+    assert ran(service, "k-2") == 1
+    assert {status for status, _ in answers} <= {200, 409}
+    for status, body in answers:
+        assert status == 200 or body["error"]["run"] == "unknown"
+
+
+def test_a_lost_answer_is_unknown_and_never_sent_again(site, service):
+    service.fault(lose_answers=1)
+    status, body = confirm(site, "entry-1", "k-3")
+    assert (status, body["error"]["run"]) == (502, "unknown")
+    status, body = confirm(site, "entry-2", "k-3")
+    assert (status, body["error"]["run"]) == (502, "unknown")
+    assert ran(service, "k-3") == 1
+
+
+def test_a_key_used_for_another_call_is_refused(site, service):
+    assert confirm(site, "entry-1", "k-4")[0] == 200
+    status, body = confirm(site, "entry-1", "k-4", b'{"other":1}')
+    assert (status, body["error"]["code"]) == (422, "key_reused")
+
+
+def test_without_the_store_a_keyed_call_is_refused_at_once(site, service):
+    site.platform.fault(outage=True)
+    status, body = confirm(site, "entry-1", "k-5")
+    site.platform.fault(outage=False)
+    assert status == 503
+    assert body["error"]["run"] == "unknown"
+    assert body["error"]["retry_after_ms"] > 0
+    assert ran(service, "k-5") == 0
+
+
+def test_a_claim_whose_answer_was_lost_is_read_back_and_runs_once(site, service):
+    site.platform.fault(lose_answers=1)
+    confirm(site, "entry-1", "k-6")
+    site.platform.fault(lose_answers=0)
+    assert confirm(site, "entry-2", "k-6")[0] in (200, 409)
+    assert ran(service, "k-6") <= 1
+
+
+def test_a_lookup_needs_no_store(site):
+    site.platform.fault(outage=True)
+    status, _ = site.entries["entry-1"].ask("GET", "/services/booking/slots/3")
+    site.platform.fault(outage=False)
+    assert status == 200
+
+
+def test_a_refusal_stands_for_good(site, service):
+    """Last, because it kills the service."""
+    site.processes["booking-1"].kill()
+    status, body = confirm(site, "entry-1", "k-9")
+    assert (status, body["error"]["run"]) == (503, "not_run")
+    status, body = confirm(site, "entry-2", "k-9")
+    assert (status, body["error"]["code"]) == (409, "refused_before")
+    assert body["error"]["run"] == "not_run"
