Routing under overload: limits from what endpoints say, refusals at once

Ruled out: the fair queue itself, which passes its properties; the two random choices, whose effect shows only once limits hold.

Change: slots bound the limit, a queue inside the endpoint lowers it, the rate is averaged cost over averaged time, a request is refused when its wait passes 0.8 of its deadline, ended runs correct the report as sent ones do.

--- /dev/null
+++ b/bench/resume.py
@@ -0,0 +1,200 @@
+"""How long callers wait when their engine dies or freezes, beside the naive way.
+
+The naive caller runs in the same run against the same engines: round robin, one
+second of patience, the answer run again from its start and what was held skipped.
+"""
+
+import json
+import signal
+import socket
+import threading
+import time
+from http.client import HTTPConnection, HTTPException
+from itertools import pairwise
+
+from bench._tools import percentiles
+from standins.caller import Caller
+from standins.site import Site, sample_intent, wait_until
+from tests.common.sites import FAST
+
+GAP_MS = 10
+TOKENS = 90
+PROFILES = {
+    "head_office": {"profile": "dossier"},
+    "inspection": {"profile": "defect_review"},
+}
+NAIVE_TIMEOUT_S = 1.0
+
+
+class NaiveCaller:
+    """What a caller without coursekeel would do."""
+
+    def __init__(self, request: dict, ports: list[int]) -> None:
+        self.request = request
+        self.ports = ports
+        self.times: list[float] = []
+        self.held = 0
+        self.made = 0
+
+    def run(self) -> None:
+        for turn in range(20):
+            port = self.ports[turn % len(self.ports)]
+            try:
+                if self._once(port):
+                    return
+            except (OSError, HTTPException, ValueError):
+                continue
+
+    def _once(self, port: int) -> bool:
+        connection = HTTPConnection("127.0.0.1", port, timeout=NAIVE_TIMEOUT_S)
+        order = {"for": "x/1", "prefix_tokens": [], "request": self.request}
+        connection.request("POST", "/generate", json.dumps(order))
+        position = 0
+        for raw in connection.getresponse():
+            said = json.loads(raw)
+            for _ in said.get("t", []):
+                position += 1
+                self.made += 1
+                if position > self.held:
+                    self.held = position
+                    self.times.append(time.monotonic())
+            if "finish" in said:
+                return True
+        return False
+
+
+def measure(runs: int = 10) -> list[dict]:
+    rows = []
+    for profile, policy in PROFILES.items():
+        for fault in ("killed", "frozen"):
+            rows += _fault_rows(profile, policy, fault, runs)
+    return rows
+
+
+def _start(site: Site, policy: dict) -> None:
+    site.start_platform()
+    site.start_engines(4, "--gap-ms", str(GAP_MS))
+    timers = {
+        **FAST,
+        "silence_floor_ms": 400 if policy["profile"] == "dossier" else 2000,
+    }
+    site.start_entries(1, **timers)
+    site.until_ready()
+    intent = sample_intent(list(site.engines), [])
+    intent["classes"][0] = {"name": "dossier", **policy}
+    site.put_in_force(intent)
+    site.until_serving()
+
+
+def _fault_rows(profile: str, policy: dict, fault: str, runs: int) -> list[dict]:
+    ours, naive, extra_ours, extra_naive, whole = [], [], [], [], 0
+    with Site() as site:
+        _start(site, policy)
+        for number in range(runs):
+            caller = Caller(_request(number), "ikeja-key", f"bench-{number}")
+            made = _made(site)
+            _one(site, caller, fault)
+            whole += caller.whole
+            ours.append(_longest_ms(caller.times))
+            extra_ours.append(_made(site) - made - TOKENS)
+            rival = NaiveCaller(_request(number), _ports(site))
+            _one_naive(site, rival, fault)
+            naive.append(_longest_ms(rival.times))
+            extra_naive.append(rival.made - TOKENS)
+    shared = {"profile": profile, "fault": fault, "runs": runs}
+    return [
+        {
+            **shared,
+            "way": "entry",
+            "whole": whole,
+            "resume_ms": percentiles(ours),
+            "extra_tokens": percentiles(extra_ours),
+        },
+        {
+            **shared,
+            "way": "naive",
+            "resume_ms": percentiles(naive),
+            "extra_tokens": percentiles(extra_naive),
+        },
+    ]
+
+
+def _request(number: int) -> dict:
+    prompt = f"dossier {number}"
+    return {"model": "summary", "prompt": prompt, "max_tokens": TOKENS, "seed": number}
+
+
+def _ports(site: Site) -> list[int]:
+    return [each.port for each in site.engines.values()]
+
+
+def _longest_ms(times: list[float]) -> float:
+    gaps = [after - before for before, after in pairwise(times)]
+    return max(gaps, default=0.0) * 1000
+
+
+def _made(site: Site) -> int:
+    """Tokens that the engines made; one that was killed counts from nought again."""
+    return sum(
+        engine.get("/status")["counters"]["generated_tokens"]
+        for engine in site.engines.values()
+    )
+
+
+def _one(site: Site, caller: Caller, fault: str) -> None:
+    port = site.entries["entry-1"].port
+    thread = threading.Thread(target=caller.post, args=(port, 60))
+    thread.start()
+    wait_until(lambda: len(caller.tokens) >= TOKENS // 3, "under way")
+    _harm(site, fault, thread)
+
+
+def _one_naive(site: Site, caller: NaiveCaller, fault: str) -> None:
+    thread = threading.Thread(target=caller.run)
+    thread.start()
+    wait_until(lambda: caller.held >= TOKENS // 3, "under way")
+    _harm(site, fault, thread)
+
+
+def _harm(site: Site, fault: str, thread: threading.Thread) -> None:
+    """Kill or freeze the engine that works, and mend it afterwards."""
+    name = wait_until(lambda: _busy(site), "an engine is busy")
+    process = site.processes[name]
+    if fault == "frozen":
+        process.signal(signal.SIGSTOP)
+        thread.join(60)
+        process.signal(signal.SIGCONT)
+        wait_until(lambda: not _busy(site), "engines are idle")
+        return
+    process.kill()
+    thread.join(60)
+    port = site.engines[name].port
+    _until_free(port)
+    options = ["--name", name, "--gap-ms", str(GAP_MS), "--port", str(port)]
+    site.start(name, "standins", "engine", *options).listening()
+    site.until_serving()
+
+
+def _until_free(port: int) -> None:
+    def free() -> bool:
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                return False
+            return True
+
+    wait_until(free, "the port is free")
+
+
+def _busy(site: Site) -> str:
+    for name, engine in site.engines.items():
+        if engine.get("/status")["running"]:
+            return name
+    return ""
+
+
+if __name__ == "__main__":
+    for row in measure():
+        print(row)
--- a/src/coursekeel/routing/_candidates.py
+++ b/src/coursekeel/routing/_candidates.py
@@ -12,6 +12,7 @@
 __all__ = ["EndpointLoad", "expected_first_token_ms", "pick", "subset"]
 
 _NEWEST_SHARE = 0.2
+_REPORT_HOLD_MS = 1_000.0
 _USUAL_FIRST_MS = 50.0
 _USUAL_RUN_MS = 2_000.0
 _CACHED_KEPT = 512
@@ -29,16 +30,17 @@
     report: LoadReport | None = None
     sent_since_report: int = 0
     usual_run_ms: float = _USUAL_RUN_MS
+    usual_first_ms: float = 0.0
     _prompts: dict[str, None] = field(factory=dict)
 
     def reported(self, report: LoadReport) -> None:
-        """Take a report; what was sent after it was asked for still counts on top."""
-        if self.report is None:
-            # Until it refuses, an endpoint is taken at its word about its slots.
-            self.limit.limit = max(self.limit.limit, float(report.slots))
-        if self.report is None or report.asked_ms >= self.report.asked_ms:
-            self.report = report
-            self.sent_since_report = 0
+        """Take a report; what was sent and what ended since counts on top."""
+        if self.report is not None and report.asked_ms < self.report.asked_ms:
+            return
+        self.report = report
+        self.sent_since_report = 0
+        asked_ms = report.asked_ms
+        self.limit.reported(report.slots, report.queued, asked_ms, _REPORT_HOLD_MS)
 
     def sent(self, prompt_key: str) -> None:
         """A run was sent; its prompt will be in the endpoint's cache."""
@@ -50,9 +52,23 @@
             if len(self._prompts) > _CACHED_KEPT:
                 del self._prompts[next(iter(self._prompts))]
 
+    def first_token_slow(self, took_ms: float, factor: float) -> bool:
+        """Learn the usual time to a first token; say whether this one was far off.
+
+        The usual time follows slow ones ten times more slowly than quick ones, or an
+        endpoint that fills up would soon pass for one that was always slow.
+        """
+        share = _NEWEST_SHARE if took_ms < self.usual_first_ms else _NEWEST_SHARE / 10
+        if not self.usual_first_ms:
+            share = 1.0
+        slow = bool(self.usual_first_ms) and took_ms > factor * self.usual_first_ms
+        self.usual_first_ms += share * (took_ms - self.usual_first_ms)
+        return slow
+
     def ended(self, run_ms: float) -> None:
         """A run ended after ``run_ms``."""
         self.limit.ended()
+        self.sent_since_report -= 1
         self.usual_run_ms += _NEWEST_SHARE * (run_ms - self.usual_run_ms)
 
     def has_cached(self, prompt_key: str) -> bool:
@@ -75,7 +91,7 @@
     report = load.report
     if report is None or report.slots <= 0:
         return load.limit.running * load.usual_run_ms / max(load.limit.limit, 1.0)
-    present = report.running + report.queued + load.sent_since_report
+    present = max(0, report.running + report.queued + load.sent_since_report)
     over = present + 1 - report.slots
     if over > 0:
         return over * load.usual_run_ms / report.slots
--- a/src/coursekeel/routing/_limits.py
+++ b/src/coursekeel/routing/_limits.py
@@ -19,6 +19,7 @@
     """
 
     limit: float = _START
+    most: float = _MOST
     running: int = 0
     _held_until_ms: float = 0.0
 
@@ -27,6 +28,18 @@
         """Say whether one more run may be sent."""
         return self.running < int(self.limit)
 
+    def reported(self, slots: int, queued: int, now_ms: float, hold_ms: float) -> None:
+        """The endpoint said how many runs it serves at once, and how many wait there.
+
+        Its slots bound the limit. Runs that wait inside the endpoint wait behind
+        everyone's, out of reach of fairness and deadlines, so they count as slowness.
+        """
+        fresh = self.most == _MOST
+        self.most = float(max(slots, 1))
+        self.limit = self.most if fresh else min(self.limit, self.most)
+        if queued and self.running:
+            self._shrink(_AFTER_SLOWNESS, now_ms, hold_ms)
+
     def started(self) -> None:
         """A run was sent."""
         self.running += 1
@@ -38,7 +51,7 @@
     def succeeded(self) -> None:
         """A run gave its first token in good time."""
         if self.running >= self.limit / 2:
-            self.limit = min(_MOST, self.limit + 1 / max(self.limit, 1.0))
+            self.limit = min(self.most, self.limit + 1 / max(self.limit, 1.0))
 
     def refused(self, now_ms: float, hold_ms: float) -> None:
         """The endpoint turned a run away; one burst of refusals counts once."""
--- a/src/coursekeel/routing/_router.py
+++ b/src/coursekeel/routing/_router.py
@@ -14,7 +14,9 @@
 __all__ = ["Router", "RouterSettings"]
 
 _JITTER = 0.25
-_RATE_SHARE = 0.1
+_RATE_SHARE = 0.05
+_HOPEFUL_SHARE = 0.8
+_SLOW_FACTOR = 3.0
 
 
 @define(frozen=True)
@@ -29,6 +31,44 @@
     continuing_at_once: int = 64
 
 
+@define
+class _Rate:
+    """How fast a queue moves: averaged cost over averaged time.
+
+    Averaging each grant's own rate instead lets one pair of grants in the same moment
+    count for many; the estimate came out several times too high and nothing was
+    refused before its deadline.
+    """
+
+    tokens: float = 0.0
+    interval_ms: float = 0.0
+    _pending: float = 0.0
+    _at_ms: float | None = None
+
+    @property
+    def tokens_per_ms(self) -> float:
+        return self.tokens / self.interval_ms if self.interval_ms else 0.0
+
+    def moved(self, tokens: float, now_ms: float) -> None:
+        since_ms = 0.0 if self._at_ms is None else now_ms - self._at_ms
+        started = self._at_ms is not None
+        self._at_ms = now_ms
+        if not started:
+            return
+        self._pending += tokens
+        if since_ms <= 0:
+            return
+        share = _RATE_SHARE if self.interval_ms else 1.0
+        self.tokens += share * (self._pending - self.tokens)
+        self.interval_ms += share * (since_ms - self.interval_ms)
+        self._pending = 0.0
+
+    def pause(self) -> None:
+        """The queue is empty: what passes until it fills again is no waiting time."""
+        self._at_ms = None
+        self._pending = 0.0
+
+
 @define(eq=False)
 class Router:
     """One entry's routing: a core without clock or sockets.
@@ -47,8 +87,7 @@
     _continuing: dict[int, tuple[Seek, float]] = field(factory=dict)
     _budgets: dict[str, RetryBudget] = field(factory=dict)
     _shares: dict[str, float] = field(factory=dict)
-    _tokens_per_ms: dict[str, float] = field(factory=dict)
-    _granted_ms: dict[str, float] = field(factory=dict)
+    _rates: dict[str, "_Rate"] = field(factory=dict)
     refused: int = 0
 
     def configure(self, serving: dict[str, list[str]], zones: dict[str, str]) -> None:
@@ -110,10 +149,14 @@
             load.reported(report)
         return self.review(now_ms)
 
-    def gave_first_token(self, endpoint_id: str, request_class: str) -> None:
-        """A run gave its first token."""
+    def gave_first_token(
+        self, endpoint_id: str, request_class: str, took_ms: float, now_ms: float
+    ) -> None:
+        """A run gave its first token after ``took_ms``; far more than usual is slow."""
         load = self._loads.get(endpoint_id)
-        if load is not None:
+        if load is not None and load.first_token_slow(took_ms, _SLOW_FACTOR):
+            load.limit.slowed(now_ms, self.settings.refusal_hold_ms)
+        elif load is not None:
             load.limit.succeeded()
         self._budget(request_class).succeeded()
 
@@ -207,16 +250,16 @@
         if queue.waiting >= self.settings.queue_limit:
             return self._refuse(seek, "queue_full", self._wait_ms(seek, queue))
         wait_ms = self._wait_ms(seek, queue)
-        if now_ms + wait_ms > seek.deadline_ms:
+        if wait_ms > _HOPEFUL_SHARE * (seek.deadline_ms - now_ms):
             return self._refuse(seek, "too_late", wait_ms)
         return None
 
     def _wait_ms(self, seek: Seek, queue: FairQueue) -> float:
         """How long this request would wait, judged by how fast its queue has moved."""
-        rate = self._tokens_per_ms.get(seek.model, 0.0)
-        if not queue.waiting or rate <= 0:
+        rate = self._rates.get(seek.model)
+        if not queue.waiting or rate is None or not rate.tokens_per_ms:
             return 0.0
-        return queue.ahead_of(seek.team) / rate
+        return queue.ahead_of(seek.team) / rate.tokens_per_ms
 
     def _note_rate(self, seek: Seek, queue: FairQueue, now_ms: float) -> None:
         """Learn the tokens a millisecond that grants move, while there is a queue.
@@ -225,15 +268,10 @@
         learning from them made the first burst after a quiet hour look hopeless.
         """
         if not queue.waiting:
-            self._granted_ms.pop(seek.model, None)
-            return
-        last_ms = self._granted_ms.get(seek.model)
-        self._granted_ms[seek.model] = now_ms
-        if last_ms is None or now_ms <= last_ms:
+            if seek.model in self._rates:
+                self._rates[seek.model].pause()
             return
-        rate = seek.cost_tokens / (now_ms - last_ms)
-        known = self._tokens_per_ms.get(seek.model, rate)
-        self._tokens_per_ms[seek.model] = known + _RATE_SHARE * (rate - known)
+        self._rates.setdefault(seek.model, _Rate()).moved(seek.cost_tokens, now_ms)
 
     def _refuse(self, seek: Seek, code: str, wait_ms: float) -> Refuse:
         self.refused += 1
--- a/src/coursekeel/settings/_load.py
+++ b/src/coursekeel/settings/_load.py
@@ -1,6 +1,8 @@
 """Read settings from JSON with comments, and name every fault at once."""
 
+from collections.abc import Mapping
 from pathlib import Path
+from string import hexdigits
 from typing import Any
 
 import attrs
@@ -52,15 +54,15 @@
     if not isinstance(value, dict):
         raise SettingsInvalid(f"{source}: expected an object, got {value!r:.40}")
     filled, faults = _with_profile(dict(value))
-    settings = None
+    # Ranges are looked at in the raw value, so that a wrong type elsewhere doesn't
+    # hide them until the next try.
+    faults += _out_of_range(filled, EntrySettings, "")
+    faults += _operator_faults(filled)
     try:
         settings = _CONVERTER.structure(filled, EntrySettings)
     except Exception as failure:
         faults += [_with_unit_hint(each) for each in faults_of(failure)]
-    if settings is not None:
-        faults += _out_of_range(settings, "")
-        faults += _operator_faults(settings)
-    if faults or settings is None:
+    if faults:
         raise SettingsInvalid("\n".join(f"{source}: {each}" for each in faults))
     return settings
 
@@ -95,26 +97,42 @@
     return f"{path}: {'; '.join(meant)}; {text}" if meant else fault
 
 
-def _out_of_range(value: Any, path: str) -> list[str]:
+def _out_of_range(raw: dict[str, Any], kind: type, path: str) -> list[str]:
     faults: list[str] = []
-    for each in attrs.fields(type(value)):
-        inner = getattr(value, each.name)
+    for each in attrs.fields(kind):
+        given = raw.get(each.name)
         at = f"{path}.{each.name}".lstrip(".")
-        if attrs.has(type(inner)):
-            faults += _out_of_range(inner, at)
-            continue
-        least, most = each.metadata.get("least"), each.metadata.get("most")
-        if least is not None and inner < least:
-            faults.append(f"{at}: got {inner}, expected at least {least}")
-        if most is not None and inner > most:
-            faults.append(f"{at}: got {inner}, expected at most {most}")
+        if attrs.has(each.type) and isinstance(given, dict):
+            faults += _out_of_range(given, each.type, at)
+        if type(given) is int:
+            faults += _bounds(given, each.metadata, at)
     return faults
 
 
-def _operator_faults(settings: EntrySettings) -> list[str]:
+def _bounds(given: int, metadata: Mapping[str, int], at: str) -> list[str]:
+    least, most = metadata.get("least"), metadata.get("most")
+    if least is not None and given < least:
+        return [f"{at}: got {given}, expected at least {least}"]
+    if most is not None and given > most:
+        return [f"{at}: got {given}, expected at most {most}"]
+    return []
+
+
+def _operator_faults(raw: dict[str, Any]) -> list[str]:
+    operators = raw.get("operators", [])
+    if not isinstance(operators, list):
+        return []
     return [
         f"operators[{index}].key_hash: expected the SHA-256 of the key, "
         f"{_HASH_CHARACTERS} hexadecimal digits"
-        for index, each in enumerate(settings.operators)
-        if len(each.key_hash) != _HASH_CHARACTERS
+        for index, each in enumerate(operators)
+        if isinstance(each, dict) and not _is_hash(each.get("key_hash"))
     ]
+
+
+def _is_hash(given: Any) -> bool:
+    return (
+        isinstance(given, str)
+        and len(given) == _HASH_CHARACTERS
+        and set(given) <= set(hexdigits)
+    )
