A second body under an id can't replace the first; large modules divided

Cause: reading the store's part as a newcomer: prompts lay under team and request id alone, so another entry that was given the same id with another body wrote over the first one's prompt before its row was refused. An adopter then went on with the wrong prompt.

Ruled out: the row, whose insert is refused as it should be. The engine's own stream hid the fault while the engine lived.

Change: prompt and result objects carry owner and order in their names; the loser deletes its own. `_answers_desk` gave its store part to `_answer_store`, `_http_api` its gate, calls and late stream to modules of their own.

Conclusion: same behaviour otherwise; test_delivery_after_the_journal_... covers the other delivery with processes.

--- a/src/coursekeel/entry/_adoption_task.py
+++ b/src/coursekeel/entry/_adoption_task.py
@@ -271,7 +271,7 @@
         """The row's version if the takeover stands, a lost answer read back."""
         if isinstance(outcome, Committed):
             return outcome.versions[taken.key]
-        found = await self.desk.stored_record(taken.team, taken.request_id)
+        found = await self.desk.store.read(taken.team, taken.request_id)
         if isinstance(found, Unavailable) or found is None:
             return None
         record, version = found
--- /dev/null
+++ b/src/coursekeel/entry/_answer_store.py
@@ -0,0 +1,148 @@
+"""Durable answers in the table and the object store: how they are written and read."""
+
+from base64 import b64decode, b64encode
+
+import orjson
+from attrs import define, evolve, frozen
+
+from coursekeel.answers import AnswerRecord, Ledger, RecordState, answer_key
+from coursekeel.entry._journal_task import JournalTask
+from coursekeel.platform import (
+    Batcher,
+    Committed,
+    Conflict,
+    Platform,
+    Transaction,
+    TransactOutcome,
+    Unavailable,
+)
+
+__all__ = ["AnswerStore", "StoredResult", "ended_already", "is_own"]
+
+_INLINE_BYTES = 32 * 1024
+_SECONDS_A_MINUTE = 60
+
+
+@frozen
+class StoredResult:
+    """An answer that ended, as the store keeps it."""
+
+    record: AnswerRecord
+    tokens: list[int]
+    texts: list[str]
+
+
+@define(eq=False)
+class AnswerStore:
+    """Writes rows under this incarnation's fence, small bodies in them, large beside.
+
+    Objects are named by the owner and its order as well as by the request: two entries
+    that were given the same id must not write over each other's prompt, nor a woken
+    owner over its successor's result.
+    """
+
+    platform: Platform
+    batcher: Batcher
+    journal: JournalTask
+
+    async def put_prompt(
+        self, record: AnswerRecord, body: bytes
+    ) -> AnswerRecord | TransactOutcome:
+        """Keep the prompt; gives the record that tells where."""
+        if len(body) <= _INLINE_BYTES:
+            return evolve(record, prompt=b64encode(body).decode())
+        name = _object_name("prompts", record)
+        put = await self.platform.put_object(name, body)
+        return evolve(record, prompt_object=name) if _done(put) else put
+
+    async def insert(self, record: AnswerRecord) -> TransactOutcome:
+        """Put a new answer's row in the table, if its id is new."""
+        return await self.batcher.transact(
+            Transaction(
+                {record.key: 0, **self.journal.fence()},
+                {record.key: record.to_row(), record.index_key: {"key": record.key}},
+            )
+        )
+
+    async def write_end(
+        self, record: AnswerRecord, version: int, ledger: Ledger
+    ) -> TransactOutcome:
+        """Keep how an answer ended, and when that may be deleted."""
+        result = orjson.dumps([ledger.tokens_from(0), ledger.texts_from(0)])
+        if len(result) <= _INLINE_BYTES:
+            record = evolve(record, result=b64encode(result).decode())
+        else:
+            name = _object_name("results", record)
+            put = await self.platform.put_object(name, result)
+            if not _done(put):
+                return put
+            record = evolve(record, result_object=name)
+        due = f"expires/{record.expires_at_s // _SECONDS_A_MINUTE:010d}/{record.key}"
+        return await self.batcher.transact(
+            Transaction(
+                {record.key: version, **self.journal.fence()},
+                {
+                    record.key: record.to_row(),
+                    record.index_key: None,
+                    due: {"key": record.key},
+                },
+            )
+        )
+
+    async def drop_prompt(self, record: AnswerRecord) -> None:
+        """Delete a prompt that nobody needs any more."""
+        if record.prompt_object:
+            await self.platform.delete_object(record.prompt_object)
+
+    async def read(
+        self, team: str, request_id: str
+    ) -> tuple[AnswerRecord, int] | Unavailable | None:
+        """An answer's row and its version; None if there is none."""
+        key = answer_key(team, request_id)
+        rows = await self.platform.read([key])
+        if isinstance(rows, Unavailable):
+            return rows
+        row = rows.rows.get(key)
+        return None if row is None else (AnswerRecord.from_row(row.value), row.version)
+
+    async def result(self, record: AnswerRecord) -> StoredResult | Unavailable:
+        """The tokens of an answer that ended."""
+        data = b64decode(record.result)
+        if record.result_object:
+            fetched = await self.platform.get_object(record.result_object)
+            if isinstance(fetched, Unavailable):
+                return fetched
+            if fetched.data is None:
+                return Unavailable("the result is gone")
+            data = fetched.data
+        tokens, texts = orjson.loads(data)
+        return StoredResult(record, tokens, texts)
+
+
+def is_own(conflict: Conflict, record: AnswerRecord) -> int | None:
+    """The version of a row in the way that is this owner's own, written before."""
+    row = conflict.rows.get(record.key)
+    if row is None:
+        return None
+    found = AnswerRecord.from_row(row.value)
+    mine = (found.owner, found.order) == (record.owner, record.order)
+    return row.version if mine else None
+
+
+def ended_already(conflict: Conflict, record: AnswerRecord) -> bool:
+    """Say whether the row shows this owner's own end, whose answer was lost."""
+    row = conflict.rows.get(record.key)
+    if row is None:
+        return False
+    found = AnswerRecord.from_row(row.value)
+    same = (found.owner, found.epoch) == (record.owner, record.epoch)
+    return same and found.state is not RecordState.RUNNING
+
+
+def _object_name(kind: str, record: AnswerRecord) -> str:
+    owner = f"{record.owner}-{record.order}"
+    return f"{kind}/{record.team}/{record.request_id}/{owner}"
+
+
+def _done(outcome: TransactOutcome) -> bool:
+    return isinstance(outcome, Committed)
--- a/src/coursekeel/entry/_answers_desk.py
+++ b/src/coursekeel/entry/_answers_desk.py
@@ -1,8 +1,5 @@
 """Every answer that this entry drives, and how durable ones are kept and settled."""
 
-from base64 import b64decode, b64encode
-
-import orjson
 from attrs import define, evolve, field
 from twisted.internet.task import deferLater
 
@@ -18,6 +15,7 @@
     StreamHead,
     answer_key,
 )
+from coursekeel.entry._answer_store import AnswerStore, ended_already, is_own
 from coursekeel.entry._answer_task import AnswerPorts, AnswerTask
 from coursekeel.entry._journal_task import JournalTask
 from coursekeel.entry._periodic import spawn
@@ -25,40 +23,21 @@
 from coursekeel.intents import Delivery
 from coursekeel.observe import log_event
 from coursekeel.platform import (
-    Batcher,
     Committed,
     Conflict,
-    Platform,
-    Rows,
-    Transaction,
     TransactOutcome,
     Unavailable,
 )
 from coursekeel.reactor import Reactor
 
-__all__ = ["AnswersDesk", "StoredResult"]
+__all__ = ["AnswersDesk"]
 
-_INLINE_BYTES = 32 * 1024
 _RETRY_S = 1.0
 _RETURN_WINDOW_S = 15.0
 _KEPT_AFTER_END_S = 30.0
 _CLAIM_WAIT_S = 0.15
 _STORED_LOOK_S = 0.02
 _STORED_LOOKS = 150
-_SECONDS_A_MINUTE = 60
-
-
-@define(frozen=True)
-class StoredResult:
-    """An answer that ended, as the store keeps it."""
-
-    record: AnswerRecord
-    tokens: list[int]
-    texts: list[str]
-
-    def to_bytes(self) -> bytes:
-        """The form that is kept: the tokens and their texts."""
-        return orjson.dumps([self.tokens, self.texts])
 
 
 @define(eq=False)
@@ -79,8 +58,7 @@
     reactor: Reactor
     instance_id: str
     ports: AnswerPorts
-    platform: Platform
-    batcher: Batcher
+    store: AnswerStore
     journal: JournalTask
     unstored_limit_bytes: int
     unstored_bytes: int = 0
@@ -177,10 +155,12 @@
                 self._is_stored(task, durable)
                 return
             if isinstance(outcome, Conflict) and durable.record.key in outcome.rows:
-                if self._is_own(outcome, durable):
-                    self._is_stored(task, durable)
-                else:
-                    self._is_anothers(task, durable)
+                version = is_own(outcome, durable.record)
+                if version is None:
+                    await self._is_anothers(task, durable)
+                    return
+                durable.version = version
+                self._is_stored(task, durable)
                 return
             if task.ended and not task.ledger.next_position:
                 break
@@ -192,35 +172,11 @@
     ) -> TransactOutcome:
         if not self.journal.held:
             return Unavailable("this incarnation has no lease yet")
-        record = durable.record
-        if len(request.body) > _INLINE_BYTES:
-            prompt_object = f"prompts/{record.team}/{record.request_id}"
-            put = await self.platform.put_object(prompt_object, request.body)
-            if not isinstance(put, Committed):
-                return put
-            record = evolve(record, prompt_object=prompt_object)
-        else:
-            record = evolve(record, prompt=b64encode(request.body).decode())
-        durable.record = record
-        index = {"key": record.key}
-        return await self.batcher.transact(
-            Transaction(
-                {record.key: 0, **self.journal.fence()},
-                {record.key: record.to_row(), record.index_key: index},
-            )
-        )
-
-    def _is_own(self, conflict: Conflict, durable: _Durable) -> bool:
-        """A row in the way may be this entry's own, whose answer was lost."""
-        row = conflict.rows.get(durable.record.key)
-        if row is None:
-            return False
-        found = AnswerRecord.from_row(row.value)
-        durable.version = row.version
-        return (found.owner, found.order) == (
-            durable.record.owner,
-            durable.record.order,
-        )
+        placed = await self.store.put_prompt(durable.record, request.body)
+        if not isinstance(placed, AnswerRecord):
+            return placed
+        durable.record = placed
+        return await self.store.insert(placed)
 
     def _is_stored(self, task: AnswerTask, durable: _Durable) -> None:
         self._forget_prompt(durable)
@@ -235,11 +191,12 @@
         self.unstored_bytes -= durable.prompt_bytes
         durable.prompt_bytes = 0
 
-    def _is_anothers(self, task: AnswerTask, durable: _Durable) -> None:
+    async def _is_anothers(self, task: AnswerTask, durable: _Durable) -> None:
         """The id is taken: the first one's answer is the answer."""
         self._forget_prompt(durable)
         log_event("answer_is_anothers", request=task.core.label)
         self.fence(durable.record.key, stops_run=True)
+        await self.store.drop_prompt(durable.record)
 
     async def until_stored(self, task: AnswerTask) -> bool:
         """Wait for the store, for a while; say whether the request is safe."""
@@ -247,9 +204,8 @@
             if task.stored:
                 return True
             if task.gone:
-                found = await self.stored_record(
-                    task.request.team.name, task.request.request_id
-                )
+                request = task.request
+                found = await self.store.read(request.team.name, request.request_id)
                 return isinstance(found, tuple)
             await self._pause(_STORED_LOOK_S)
         return task.stored
@@ -384,46 +340,21 @@
         """Write how the answer ended; until then another may still adopt it."""
         key = durable.record.key
         while not task.gone:
-            outcome = await self._write_end(task, durable)
+            ended = self._ended_record(task, durable.record)
+            outcome = await self.store.write_end(ended, durable.version, task.ledger)
             if isinstance(outcome, Committed):
                 break
-            if isinstance(outcome, Conflict) and not self._ended_already(
-                outcome, durable
-            ):
+            if isinstance(outcome, Conflict):
+                if ended_already(outcome, durable.record):
+                    break
                 self.fence(key)
                 return
-            if isinstance(outcome, Conflict):
-                break
             await self._pause(_RETRY_S)
         durable.settled = True
         task.unsettled = False
         self.journal.forget(key)
         task.wake_followers()
-        if durable.record.prompt_object:
-            await self.platform.delete_object(durable.record.prompt_object)
-
-    async def _write_end(self, task: AnswerTask, durable: _Durable) -> TransactOutcome:
-        record = self._ended_record(task, durable.record)
-        result = _result_bytes(task.ledger)
-        if len(result) > _INLINE_BYTES:
-            result_object = f"results/{record.team}/{record.request_id}"
-            put = await self.platform.put_object(result_object, result)
-            if not isinstance(put, Committed):
-                return put
-            record = evolve(record, result_object=result_object)
-        else:
-            record = evolve(record, result=b64encode(result).decode())
-        due = f"expires/{record.expires_at_s // _SECONDS_A_MINUTE:010d}/{record.key}"
-        return await self.batcher.transact(
-            Transaction(
-                {record.key: durable.version, **self.journal.fence()},
-                {
-                    record.key: record.to_row(),
-                    record.index_key: None,
-                    due: {"key": record.key},
-                },
-            )
-        )
+        await self.store.drop_prompt(durable.record)
 
     def _ended_record(self, task: AnswerTask, record: AnswerRecord) -> AnswerRecord:
         refusal = task.refusal
@@ -439,54 +370,8 @@
             expires_at_s=self.ports.clock.wall_s() + keep_s,
         )
 
-    def _ended_already(self, conflict: Conflict, durable: _Durable) -> bool:
-        """The row may show this entry's own end, whose answer was lost."""
-        row = conflict.rows.get(durable.record.key)
-        if row is None:
-            return False
-        found = AnswerRecord.from_row(row.value)
-        same = (found.owner, found.epoch) == (
-            durable.record.owner,
-            durable.record.epoch,
-        )
-        return same and found.state is not RecordState.RUNNING
-
-    # Reading what is stored.
-
-    async def stored_record(
-        self, team: str, request_id: str
-    ) -> tuple[AnswerRecord, int] | Unavailable | None:
-        """An answer's row and its version; None if there is none."""
-        key = answer_key(team, request_id)
-        rows = await self.platform.read([key])
-        if isinstance(rows, Unavailable):
-            return rows
-        return _record(rows, key)
-
-    async def stored_result(self, record: AnswerRecord) -> StoredResult | Unavailable:
-        """The tokens of an answer that ended."""
-        if not record.result_object:
-            tokens, texts = orjson.loads(b64decode(record.result))
-            return StoredResult(record, tokens, texts)
-        fetched = await self.platform.get_object(record.result_object)
-        if isinstance(fetched, Unavailable):
-            return fetched
-        if fetched.data is None:
-            return Unavailable("the result is gone")
-        tokens, texts = orjson.loads(fetched.data)
-        return StoredResult(record, tokens, texts)
-
     async def _pause(self, seconds: float) -> None:
         await deferLater(self.reactor, seconds)
 
     def _key(self, task: AnswerTask) -> str:
         return answer_key(task.request.team.name, task.request.request_id)
-
-
-def _result_bytes(ledger: Ledger) -> bytes:
-    return orjson.dumps([ledger.tokens_from(0), ledger.texts_from(0)])
-
-
-def _record(rows: Rows, key: str) -> tuple[AnswerRecord, int] | None:
-    row = rows.rows.get(key)
-    return None if row is None else (AnswerRecord.from_row(row.value), row.version)
--- a/src/coursekeel/entry/_entry.py
+++ b/src/coursekeel/entry/_entry.py
@@ -12,6 +12,7 @@
 
 from coursekeel.endpoints import EngineAdapter, LeavingMark
 from coursekeel.entry._adoption_task import AdoptionTask
+from coursekeel.entry._answer_store import AnswerStore
 from coursekeel.entry._answer_task import AnswerPorts
 from coursekeel.entry._answers_desk import AnswersDesk
 from coursekeel.entry._calls_task import CallsTask
@@ -20,7 +21,9 @@
 from coursekeel.entry._endpoints_task import EndpointsTask
 from coursekeel.entry._expiry_task import ExpiryTask
 from coursekeel.entry._http_api import CallerApi
+from coursekeel.entry._http_calls import ServiceApi
 from coursekeel.entry._http_common import send_json
+from coursekeel.entry._http_gate import Gate
 from coursekeel.entry._http_operator import OperatorApi
 from coursekeel.entry._journal_task import JournalTask
 from coursekeel.entry._orders_task import OrdersTask
@@ -153,8 +156,7 @@
             self.reactor,
             settings.instance_id,
             ports,
-            self.platform,
-            self.batcher,
+            AnswerStore(self.platform, self.batcher, self.journal),
             self.journal,
             settings.limits.unstored_prompt_bytes,
         )
@@ -218,9 +220,9 @@
             settings.instance_id,
             _READER_PATIENCE_MS,
         )
-        self.caller_api = CallerApi(
-            settings, self.configuration, self.desk, self.calls, readers, self.metrics
-        )
+        self.gate = Gate(settings, self.configuration)
+        self.caller_api = CallerApi(settings, self.gate, self.desk, readers)
+        self.service_api = ServiceApi(self.gate, self.calls, self.clock, self.metrics)
         overview = Overview(
             settings,
             self.clock,
@@ -285,9 +287,9 @@
     async def stop(self) -> None:
         """Finish what runs, hand leases back, and close; no caller sees a cut."""
         log_event("entry_stopping", open_answers=len(self._unfinished()))
-        self.caller_api.draining = True
+        self.gate.draining = True
         give_up_ms = self.clock.now_ms() + self.settings.timers.drain_ms
-        while self._unfinished() or self.caller_api.busy:
+        while self._unfinished() or self.gate.open_requests:
             if self.clock.now_ms() > give_up_ms:
                 log_event("drain_given_up", open_answers=len(self._unfinished()))
                 break
@@ -309,6 +311,7 @@
         """Everything that is served over HTTP."""
         app = Klein()
         self.caller_api.routes(app)
+        self.service_api.routes(app)
         self.operator_api.routes(app)
         app.route("/healthz")(self._healthz)
         app.route("/readyz")(self._readyz)
@@ -320,7 +323,7 @@
 
     def _readyz(self, request: Any) -> bytes:
         """The balancer's question: may this entry be given callers?"""
-        ready = self.configuration.ready and not self.caller_api.draining
+        ready = self.configuration.ready and not self.gate.draining
         return send_json(request, 200 if ready else 503, {"ready": ready})
 
     def _metrics(self, request: Any) -> bytes:
@@ -371,7 +374,7 @@
             self.incarnation,
             max(self.configuration.seen_revision, self.configuration.current.revision),
             self.configuration.current.revision,
-            self.caller_api.draining,
+            self.gate.draining,
             tuple(marks),
         )
 
--- a/src/coursekeel/entry/_reader.py
+++ b/src/coursekeel/entry/_reader.py
@@ -125,7 +125,7 @@
     # Elsewhere.
 
     async def _elsewhere(self) -> _Found:
-        found = await self.ports.desk.stored_record(self.team, self.request_id)
+        found = await self.ports.desk.store.read(self.team, self.request_id)
         if isinstance(found, Unavailable) or found is None:
             return await self._by_hint(store_out=found is not None)
         record, _ = found
@@ -170,7 +170,7 @@
 
     async def _replay(self, record: AnswerRecord) -> _Found:
         """Give what the store keeps of an answer that ended."""
-        result = await self.ports.desk.stored_result(record)
+        result = await self.ports.desk.store.result(record)
         if isinstance(result, Unavailable):
             return _Found.LOOK_AGAIN
         start = self._start_of(result.tokens, record.generation)
--- a/tests/nocover/test_entry_faults.py
+++ b/tests/nocover/test_entry_faults.py
@@ -166,3 +166,30 @@
     check(caller)
     check(twin)
     assert caller.tokens == twin.tokens
+
+
+def test_another_body_under_the_same_id_never_replaces_the_first(site):
+    caller = dossier(200)
+    caller.request["prompt"] = "first " * 10_000
+    thread = reading(caller, site.entries["entry-1"].port)
+    until_stored(caller)
+    rival = dossier(200)
+    rival.request_id = caller.request_id
+    rival.request["prompt"] = "second " * 10_000
+    rival_thread = reading(rival, site.entries["entry-2"].port)
+    until_holding(rival, 1)
+    site.processes[busy_engine(site)].kill()
+    site.processes["entry-1"].kill()
+    thread.join(10)
+    check(comes_back(caller, site.entries["entry-3"].port))
+    rival_thread.join(10)
+
+
+def test_delivery_after_the_journal_never_restarts():
+    with running_site(engines=3, entries=2, delivery="after_journal") as site:
+        caller, thread = begun(site)
+        site.processes[busy_engine(site)].kill()
+        site.processes["entry-1"].kill()
+        thread.join(10)
+        check(comes_back(caller, site.entries["entry-2"].port))
+        assert "restart" not in caller.events
