--- a/src/coursekeel/endpoints/_adapter.py
+++ b/src/coursekeel/endpoints/_adapter.py
@@ -1,7 +1,7 @@
 """What coursekeel asks of a model engine or plain service, whatever its protocol."""
 
 from abc import ABC, abstractmethod
-from typing import Any
+from enum import Enum
 
 from attrs import frozen
 
@@ -59,7 +59,7 @@
     reason: str
 
 
-class OrderOutcome:
+class OrderOutcome(Enum):
     """How an order went."""
 
     OBEYED = "obeyed"
@@ -127,9 +127,5 @@
         """Ask the endpoint for its word."""
 
     @abstractmethod
-    async def give(self, order: Order, epoch: int) -> str:
-        """Give an order under the lease's epoch; one of `OrderOutcome`."""
-
-    @abstractmethod
-    def describe(self) -> dict[str, Any]:
-        """What an operator is shown of where the endpoint is."""
+    async def give(self, order: Order, epoch: int) -> OrderOutcome:
+        """Give an order under the lease's epoch."""
--- a/src/coursekeel/endpoints/_evidence.py
+++ b/src/coursekeel/endpoints/_evidence.py
@@ -103,11 +103,6 @@
             return False
         return now_ms - known.seen_ms <= self.fresh_ms
 
-    def may_continue(self, endpoint_id: str) -> bool:
-        """Say whether a run in progress there may be read: leaving is no hindrance."""
-        known = self._known.get(endpoint_id)
-        return known is not None and known.machine.state in ("serving", "leaving")
-
     def state(self, endpoint_id: str, now_ms: float) -> str:
         """The endpoint's state in a word, for operators."""
         known = self._known.get(endpoint_id)
--- a/src/coursekeel/endpoints/_http_engine.py
+++ b/src/coursekeel/endpoints/_http_engine.py
@@ -254,10 +254,10 @@
             return answer
         return _status(orjson.loads(answer.body))
 
-    async def give(self, order: Order, epoch: int) -> str:
+    async def give(self, order: Order, epoch: int) -> OrderOutcome:
         """Give an order under the lease's epoch."""
         body: dict[str, Any] = {
-            "order": order.kind,
+            "order": order.kind.value,
             "group": order.group,
             "epoch": epoch,
             "role": order.role,
@@ -272,10 +272,6 @@
             return OrderOutcome.OLD_EPOCH
         return OrderOutcome.OBEYED if answer.status == _OK else OrderOutcome.UNSURE
 
-    def describe(self) -> dict[str, Any]:
-        """Where the endpoint is."""
-        return {"address": self.address}
-
     async def _ask(
         self, method: str, path: str, data: bytes | None
     ) -> Reply | Unreachable:
--- a/src/coursekeel/endpoints/_orders.py
+++ b/src/coursekeel/endpoints/_orders.py
@@ -6,25 +6,40 @@
 an order is sent only while the lease surely outlives it.
 """
 
+from enum import Enum
+
 from attrs import define, field, frozen
 
-from coursekeel.intents import Configuration, EndpointKind, ModelName
+from coursekeel.intents import (
+    Configuration,
+    EndpointIntent,
+    EndpointKind,
+    ModelName,
+)
 
 __all__ = ["EndpointFacts", "LoadPacer", "Order", "OrderKind", "orders_due"]
 
-OrderKind = str
-_LOAD = "load"
-_ROLE = "role"
 _MS_PER_MINUTE = 60_000
 
 
+class OrderKind(Enum):
+    """What an order asks for."""
+
+    LOAD = "load"
+    ROLE = "role"
+
+
 @frozen
 class Order:
-    """One absolute order for one endpoint."""
+    """One absolute order for one endpoint.
+
+    ``checks_epochs`` says that the endpoint itself refuses a former holder's orders.
+    """
 
     endpoint_id: str
     kind: OrderKind
     group: str
+    checks_epochs: bool = False
     serves: ModelName | None = None
     role: str = ""
 
@@ -56,15 +71,23 @@
         missing = [
             names[each] for each in wanted.models if names[each] not in seen.serves
         ]
-        due += [
-            Order(wanted.endpoint_id, _LOAD, wanted.group, serves=each)
-            for each in missing
-        ]
+        due += [_order(wanted, OrderKind.LOAD, serves=each) for each in missing]
         if seen.role != wanted.role:
-            due.append(Order(wanted.endpoint_id, _ROLE, wanted.group, role=wanted.role))
+            due.append(_order(wanted, OrderKind.ROLE, role=wanted.role))
     return due
 
 
+def _order(
+    wanted: EndpointIntent,
+    kind: OrderKind,
+    serves: ModelName | None = None,
+    role: str = "",
+) -> Order:
+    return Order(
+        wanted.endpoint_id, kind, wanted.group, wanted.checks_epochs, serves, role
+    )
+
+
 @define
 class LoadPacer:
     """Spaces loads so that the weight store's rate is kept; others pass freely."""
@@ -74,7 +97,7 @@
 
     def may_send(self, order: Order, now_ms: float) -> bool:
         """Take one load's place in the rate, if there is one."""
-        if order.kind != _LOAD:
+        if order.kind is not OrderKind.LOAD:
             return True
         self._sent_ms = [at for at in self._sent_ms if now_ms - at < _MS_PER_MINUTE]
         if len(self._sent_ms) >= self.loads_per_minute:
--- a/src/coursekeel/entry/_entry.py
+++ b/src/coursekeel/entry/_entry.py
@@ -248,6 +248,11 @@
         gauge(
             "coursekeel_refused", "Requests refused so far", lambda: self.router.refused
         )
+        gauge(
+            "coursekeel_adopted",
+            "Answers adopted so far",
+            lambda: self.adoption.adopted,
+        )
         gauge(
             "coursekeel_open_answers",
             "Answers at work",
--- a/src/coursekeel/entry/_journal_task.py
+++ b/src/coursekeel/entry/_journal_task.py
@@ -115,10 +115,6 @@
         self._loop.now()
         return False
 
-    def flush_soon(self) -> None:
-        """Write the next segment now, since something waits for it."""
-        self._loop.now()
-
     async def stop(self) -> None:
         """Write what is left and free the lease, so that nobody waits for it."""
         self._loop.stop()
--- a/src/coursekeel/entry/_orders_task.py
+++ b/src/coursekeel/entry/_orders_task.py
@@ -98,12 +98,17 @@
         self._pacer.loads_per_minute = current.intent.loads_per_minute
         for order in orders_due(current, self.endpoints.facts):
             lease = self.leases.get(order.group)
-            if lease is not None and self._outlasts_order(lease):
+            if lease is not None and self._may_order(lease, order):
                 await self._give(order, lease)
 
-    def _outlasts_order(self, lease: GroupLease) -> bool:
-        """Read the clock right before the write: what was true a moment ago isn't."""
-        return lease.surely_held(self.clock.now_ms(), self.timers.order_ms)
+    def _may_order(self, lease: GroupLease, order: Order) -> bool:
+        """Read the clock right before the write: what was true a moment ago isn't.
+
+        An endpoint that checks epochs refuses what comes too late by itself; for one
+        that doesn't, the lease must outlast the slowest order.
+        """
+        need_ms = 0 if order.checks_epochs else self.timers.order_ms
+        return lease.surely_held(self.clock.now_ms(), need_ms)
 
     async def _give(self, order: Order, lease: GroupLease) -> None:
         engine = self.endpoints.engine(order.endpoint_id)
@@ -115,10 +120,10 @@
         log_event(
             "order_given",
             endpoint=order.endpoint_id,
-            order=order.kind,
+            order=order.kind.value,
             epoch=lease.epoch,
-            outcome=outcome,
+            outcome=outcome.value,
         )
-        if outcome == OrderOutcome.OBEYED:
+        if outcome is OrderOutcome.OBEYED:
             # What was read before the order is no reason to give it again.
             self.endpoints.facts.pop(order.endpoint_id, None)
--- a/src/coursekeel/intents/_model.py
+++ b/src/coursekeel/intents/_model.py
@@ -56,7 +56,6 @@
 
     name: str
     serves: ModelName
-    load_bytes: int = 0
 
 
 @frozen
--- a/src/coursekeel/membership/_peers.py
+++ b/src/coursekeel/membership/_peers.py
@@ -96,9 +96,3 @@
     def names(self) -> list[str]:
         """Every peer that is known."""
         return sorted(self._peers)
-
-    @property
-    def highest_revision(self) -> int:
-        """The highest revision that any peer has seen."""
-        words = [p.greeting.seen_revision for p in self._peers.values() if p.greeting]
-        return max(words, default=0)
--- a/src/coursekeel/observe/_metrics.py
+++ b/src/coursekeel/observe/_metrics.py
@@ -49,9 +49,6 @@
         self.attempts = self._counter(
             "coursekeel_attempts_total", "Runs asked of endpoints, by way"
         )
-        self.store_operations = self._counter(
-            "coursekeel_store_operations_total", "Table and object operations"
-        )
         processor = "Processor time of this process"
         self.gauge("coursekeel_processor_seconds", processor, _processor_s)
         memory = "Resident memory of this process at its largest"
--- a/src/coursekeel/routing/_budget.py
+++ b/src/coursekeel/routing/_budget.py
@@ -31,10 +31,6 @@
         self._tokens -= 1
         return True
 
-    def give_back(self) -> None:
-        """Return a retry that was taken and not used."""
-        self._tokens = min(self._tokens + 1, self._cap)
-
     @property
     def _cap(self) -> float:
         return max(self.reserve, 100 * self.share)
--- a/tests/nocover/test_orders.py
+++ b/tests/nocover/test_orders.py
@@ -18,13 +18,21 @@
         running.start_engines(2, *checks)
         running.start_entries(2, **ORDER_FAST)
         running.until_ready()
-        running.put_in_force(sample_intent(list(running.engines), []))
+        running.checks_epochs = bool(checks)
+        running.put_in_force(intent_of(running))
         running.until_serving()
         yield running
 
 
-def put_version(site, version, entry):
+def intent_of(site):
     intent = sample_intent(list(site.engines), [])
+    for endpoint in intent["endpoints"]:
+        endpoint["checks_epochs"] = site.checks_epochs
+    return intent
+
+
+def put_version(site, version, entry):
+    intent = intent_of(site)
     intent["models"][0]["serves"]["version"] = version
     intent["loads_per_minute"] = 60
     found = site.entries[entry].ask("POST", "/operator/plans", intent)[1]
