Leases and evidence: naive versions shown failing, takeovers really tried

Cause: the promises on leaving endpoints and orders had no naive version beside them. Writing one showed that the lease property never saw a takeover: single steps of at most 90 ms never let a lease lapse, so the naive lease passed too.

Change: a rule in which one instance works while the other is paused; a naive evidence book and a naive lease, each of which must fail.

Conclusion: two holders are never both sure, now with lapses in the schedules.

--- a/tests/cover/test_endpoints.py
+++ b/tests/cover/test_endpoints.py
@@ -1,5 +1,6 @@
 """Evidence for new work, silence, leases and being cut off."""
 
+import pytest
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -11,7 +12,7 @@
 from coursekeel.endpoints import EvidenceBook, FleetPulse, LeavingMark
 from coursekeel.membership import GroupLease, Isolation, LapseWatch, LeaseTerms
 from coursekeel.platform import Committed, Row, Unsure
-from tests.common.examples import schedules
+from tests.common.examples import schedules, until_broken
 from tests.common.fake_platform import FakePlatform
 
 FRESH_MS = 1_000.0
@@ -21,9 +22,11 @@
 class EvidenceMachine(RuleBasedStateMachine):
     """Words about one endpoint arrive late, in any order, from anyone."""
 
+    book_class: type = EvidenceBook
+
     def __init__(self):
         super().__init__()
-        self.book = EvidenceBook(FRESH_MS)
+        self.book = self.book_class(FRESH_MS)
         self.now_ms = 0.0
         self.left: set[str] = set()
         self.replaced: set[str] = set()
@@ -34,8 +37,9 @@
     @rule(incarnation=INCARNATIONS, leaving=st.booleans(), age_ms=st.floats(0, 3_000))
     def own_word(self, incarnation, leaving, age_ms):
         taken = self.book.saw("e", incarnation, leaving, self.now_ms - age_ms)
-        assert taken == (incarnation not in self.replaced)
-        if not taken:
+        if self.book_class is EvidenceBook:
+            assert taken == (incarnation not in self.replaced)
+        if incarnation in self.replaced:
             return
         if self.current not in ("", incarnation):
             self.replaced.add(self.current)
@@ -73,6 +77,38 @@
             assert self.now_ms - self.seen_ms <= FRESH_MS
 
 
+class NaiveBook:
+    """Believes whatever was said last, by whomever and however long ago."""
+
+    def __init__(self, fresh_ms):
+        self.serving = False
+
+    def saw(self, endpoint_id, incarnation, leaving, asked_ms):
+        self.serving = not leaving
+        return True
+
+    def listed(self, endpoint_id, leaving):
+        self.serving = not leaving
+
+    def hinted(self, mark):
+        self.serving = False
+
+    def lost(self, endpoint_id):
+        self.serving = False
+
+    def may_take_new_work(self, endpoint_id, now_ms):
+        return self.serving
+
+
+class NaiveEvidenceMachine(EvidenceMachine):
+    book_class = NaiveBook
+
+
+def test_the_naive_version_gives_a_leaving_endpoint_new_work():
+    with pytest.raises(AssertionError):
+        run_state_machine_as_test(NaiveEvidenceMachine, settings=until_broken())
+
+
 def test_a_leaving_endpoint_gets_no_new_work_whatever_arrives_late():
     run_state_machine_as_test(EvidenceMachine, settings=schedules(300))
 
@@ -123,11 +159,13 @@
 class LeaseMachine(RuleBasedStateMachine):
     """Two instances, one lease, a table that loses answers; each may be paused."""
 
+    lease_class: type = GroupLease
+
     def __init__(self):
         super().__init__()
         self.platform = FakePlatform()
         self.now_ms = 0.0
-        self.leases = [GroupLease("lease", name, TERMS) for name in "ab"]
+        self.leases = [self.lease_class("lease", name, TERMS) for name in "ab"]
         self.watches = [LapseWatch(TERMS, 100.0) for _ in "ab"]
 
     @rule(index=st.integers(0, 1), lost=st.booleans())
@@ -148,6 +186,13 @@
         if isinstance(outcome, Committed) and not lost:
             assert lease.state == "held"
 
+    @rule(index=st.integers(0, 1), rounds=st.integers(1, 20))
+    def works_while_the_other_is_paused(self, index, rounds):
+        """Long enough for the other's lease to lapse, which single steps never were."""
+        for _ in range(rounds):
+            self.now_ms += 90
+            self.works(index, lost=False)
+
     @rule(index=st.integers(0, 1))
     def hands_back(self, index):
         lease = self.leases[index]
@@ -171,6 +216,22 @@
             assert epochs[0] == self.platform.rows["lease"].value["epoch"]
 
 
+class NaiveLease(GroupLease):
+    """Holds the lease until somebody says otherwise."""
+
+    def surely_held(self, now_ms, need_ms=0.0):
+        return self.state == "held"
+
+
+class NaiveLeaseMachine(LeaseMachine):
+    lease_class = NaiveLease
+
+
+def test_the_naive_version_has_two_holders_at_once():
+    with pytest.raises(AssertionError):
+        run_state_machine_as_test(NaiveLeaseMachine, settings=until_broken(60))
+
+
 def test_two_holders_are_never_both_sure():
     run_state_machine_as_test(LeaseMachine, settings=schedules(300, steps=60))
 
