Under a caller's key nothing is called not run without proof

Cause: reading the refusals: a request with the caller's own key that this entry turned away (bad body, draining, unknown route) was called not_run, though another entry may have run one under the same key.

Change: such a refusal says unknown unless the table holds the proof. Seen failing before (test_with_a_callers_key_...), passing after; 36 tests of calls and bad input pass.

Conclusion: a refusal that says not run is now true for keyed requests as well.

--- a/src/coursekeel/entry/_answer_task.py
+++ b/src/coursekeel/entry/_answer_task.py
@@ -25,6 +25,7 @@
     NothingFree,
     OpenAttempt,
     ReadingResumed,
+    RunState,
     SeekEndpoint,
     SetAlarm,
     Started,
@@ -300,7 +301,7 @@
                 self.refusal = Refusal(
                     action.code,
                     _MESSAGES.get(action.code, action.code),
-                    action.run,
+                    self._known_run(action.run),
                     action.retry_after_ms,
                     action.held_tokens,
                 )
@@ -359,7 +360,7 @@
             self.refusal = Refusal(
                 decision.code,
                 _MESSAGES.get(decision.code, decision.code),
-                self.core.run_state,
+                self._known_run(self.core.run_state),
                 decision.retry_after_ms,
             )
             self.tell(NothingFree(decision.retry_after_ms))
@@ -371,6 +372,12 @@
             return
         self.tell(Granted(decision.endpoint_id))
 
+    def _known_run(self, run: RunState) -> RunState:
+        """Under a caller's key only a stored row proves that nobody else runs it."""
+        if run is RunState.NOT_RUN and self.request.keyed and not self.stored:
+            return RunState.UNKNOWN
+        return run
+
     def _refused_by_routing(self) -> None:
         """Routing refuses only what never ran, and the refusal is final."""
         self.core.withdraw()
--- a/src/coursekeel/entry/_http_api.py
+++ b/src/coursekeel/entry/_http_api.py
@@ -9,7 +9,7 @@
 
 from coursekeel.answers import EventId, RunState
 from coursekeel.entry._answers_desk import AnswersDesk
-from coursekeel.entry._http_common import not_run, refuse, send_json
+from coursekeel.entry._http_common import caller_key, not_run, refuse, send_json
 from coursekeel.entry._http_gate import Gate, check_id
 from coursekeel.entry._http_sinks import EventStream, WholeAnswer
 from coursekeel.entry._late_stream import LateStream
@@ -61,9 +61,7 @@
         return await self._serve(request, wanted)
 
     def _generation(self, request: Any, team: TeamIntent) -> GenerationRequest:
-        given = request.getHeader("idempotency-key") or request.getHeader(
-            "x-request-id"
-        )
+        given = caller_key(request)
         if given is not None:
             check_id(given)
         request_id = given or f"{self.settings.instance_id}~{uuid4().hex}"
--- a/src/coursekeel/entry/_http_calls.py
+++ b/src/coursekeel/entry/_http_calls.py
@@ -107,6 +107,6 @@
             request.setHeader("idempotent-replayed", "true")
         return reply.reply.body
     message = _CALL_MESSAGES.get(reply.code, reply.code)
-    return refuse(
-        request, Refusal(reply.code, message, reply.run, reply.retry_after_ms)
-    )
+    # The call's core says "not run" only with its proof.
+    refusal = Refusal(reply.code, message, reply.run, reply.retry_after_ms)
+    return refuse(request, refusal, proved=True)
--- a/src/coursekeel/entry/_http_common.py
+++ b/src/coursekeel/entry/_http_common.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 import orjson
-from attrs import frozen
+from attrs import evolve, frozen
 
 from coursekeel.answers import RunState
 from coursekeel.entry._sinks import Refusal
@@ -16,6 +16,7 @@
 __all__ = [
     "Answer",
     "bearer_key",
+    "caller_key",
     "error_body",
     "key_hash",
     "not_run",
@@ -104,8 +105,20 @@
     return orjson.dumps(body)
 
 
-def refuse(request: Any, refusal: Refusal) -> bytes:
-    """Answer with a typed error, and with when to come back."""
+def caller_key(request: Any) -> str | None:
+    """The id that the caller gave its request, under which others may know it."""
+    given = request.getHeader("idempotency-key") or request.getHeader("x-request-id")
+    return None if given is None else str(given)
+
+
+def refuse(request: Any, refusal: Refusal, proved: bool = False) -> bytes:
+    """Answer with a typed error, and with when to come back.
+
+    Of a request with a caller's key this entry knows only its own part: another may
+    have run it. "Not run" is then said only if ``proved`` by what the table holds.
+    """
+    if refusal.run is RunState.NOT_RUN and not proved and caller_key(request):
+        refusal = evolve(refusal, run=RunState.UNKNOWN)
     if refusal.retry_after_ms:
         seconds = math.ceil(refusal.retry_after_ms / 1000)
         request.setHeader("retry-after", str(seconds))
--- a/tests/nocover/test_bad_input.py
+++ b/tests/nocover/test_bad_input.py
@@ -77,6 +77,19 @@
     assert (status, answer["error"]["code"]) == (400, "bad_request")
 
 
+def test_with_a_callers_key_no_entry_says_not_run_without_proof(entry):
+    """Another entry may have run what this one only turns away."""
+    headers = {"idempotency-key": "known-elsewhere"}
+    for path, body in (
+        ("/v1/completions", b"not json"),
+        ("/services/booking/nothing", {}),
+    ):
+        _, answer = entry.ask("POST", path, body, headers=headers)
+        assert answer["error"]["run"] == "unknown"
+        _, answer = entry.ask("POST", path, body)
+        assert answer["error"]["run"] == "not_run"
+
+
 def raw(entry, data: bytes) -> bytes:
     with socket.create_connection(("127.0.0.1", entry.port), timeout=30) as connection:
         connection.sendall(data)
