--- a/bench/policy.py
+++ b/bench/policy.py
@@ -31,7 +31,6 @@
     team: str
     arrived_ms: float
     tokens: int
-    sent_ms: float = 0.0
     first_ms: float = float("inf")
     refused_ms: float = float("inf")
 
@@ -96,7 +95,6 @@
 
     def send(self, job: Job, name: str) -> None:
         endpoint = self.endpoints[name]
-        job.sent_ms = self.now_ms
         if endpoint.running < SLOTS:
             self.begin(job, endpoint)
         else:
@@ -106,13 +104,12 @@
         endpoint.running += 1
         job.first_ms = self.now_ms + PREFILL_MS
         took_ms = PREFILL_MS + job.tokens * TOKEN_MS
-        self.at(job.first_ms, lambda: self.first(endpoint, job.sent_ms))
+        self.at(job.first_ms, lambda: self.first(endpoint))
         self.at(self.now_ms + took_ms, lambda: self.end(endpoint, took_ms))
 
-    def first(self, endpoint: Endpoint, sent_ms: float) -> None:
+    def first(self, endpoint: Endpoint) -> None:
         if self.router is not None:
-            took_ms = self.now_ms - sent_ms
-            self.router.gave_first_token(endpoint.name, "c", took_ms, self.now_ms)
+            self.router.gave_first_token(endpoint.name, "c")
 
     def end(self, endpoint: Endpoint, took_ms: float) -> None:
         endpoint.running -= 1
--- a/src/coursekeel/entry/_answer_task.py
+++ b/src/coursekeel/entry/_answer_task.py
@@ -261,9 +261,7 @@
         self.ports.pulse.opened(opened.endpoint_id, now_ms)
         if opened.holds_place:
             router = self.ports.routing.router
-            took_ms = now_ms - opened.opened_ms
-            class_name = self.request.policy.name
-            router.gave_first_token(opened.endpoint_id, class_name, took_ms, now_ms)
+            router.gave_first_token(opened.endpoint_id, self.request.policy.name)
 
     def stream_ended(self, attempt: int, loss: Loss) -> None:
         """A stream is over."""
--- a/src/coursekeel/intents/_model.py
+++ b/src/coursekeel/intents/_model.py
@@ -203,6 +203,7 @@
         "defect_review",
         rank=2,
         durable=True,
+        delivery=Delivery.AFTER_JOURNAL,
         silence_ms=4_000,
         races=False,
         patience_ms=300_000,
--- a/src/coursekeel/routing/_candidates.py
+++ b/src/coursekeel/routing/_candidates.py
@@ -30,7 +30,6 @@
     report: LoadReport | None = None
     sent_since_report: int = 0
     usual_run_ms: float = _USUAL_RUN_MS
-    usual_first_ms: float = 0.0
     _prompts: dict[str, None] = field(factory=dict)
 
     def reported(self, report: LoadReport) -> None:
@@ -52,19 +51,6 @@
             if len(self._prompts) > _CACHED_KEPT:
                 del self._prompts[next(iter(self._prompts))]
 
-    def first_token_slow(self, took_ms: float, factor: float) -> bool:
-        """Learn the usual time to a first token; say whether this one was far off.
-
-        The usual time follows slow ones ten times more slowly than quick ones, or an
-        endpoint that fills up would soon pass for one that was always slow.
-        """
-        share = _NEWEST_SHARE if took_ms < self.usual_first_ms else _NEWEST_SHARE / 10
-        if not self.usual_first_ms:
-            share = 1.0
-        slow = bool(self.usual_first_ms) and took_ms > factor * self.usual_first_ms
-        self.usual_first_ms += share * (took_ms - self.usual_first_ms)
-        return slow
-
     def ended(self, run_ms: float) -> None:
         """A run ended after ``run_ms``."""
         self.limit.ended()
--- a/src/coursekeel/routing/_limits.py
+++ b/src/coursekeel/routing/_limits.py
@@ -57,10 +57,6 @@
         """The endpoint turned a run away; one burst of refusals counts once."""
         self._shrink(_AFTER_REFUSAL, now_ms, hold_ms)
 
-    def slowed(self, now_ms: float, hold_ms: float) -> None:
-        """A first token came far later than expected."""
-        self._shrink(_AFTER_SLOWNESS, now_ms, hold_ms)
-
     def _shrink(self, factor: float, now_ms: float, hold_ms: float) -> None:
         if now_ms < self._held_until_ms:
             return
--- a/src/coursekeel/routing/_router.py
+++ b/src/coursekeel/routing/_router.py
@@ -16,7 +16,6 @@
 _JITTER = 0.25
 _RATE_SHARE = 0.05
 _HOPEFUL_SHARE = 0.8
-_SLOW_FACTOR = 3.0
 
 
 @define(frozen=True)
@@ -149,14 +148,14 @@
             load.reported(report)
         return self.review(now_ms)
 
-    def gave_first_token(
-        self, endpoint_id: str, request_class: str, took_ms: float, now_ms: float
-    ) -> None:
-        """A run gave its first token after ``took_ms``; far more than usual is slow."""
+    def gave_first_token(self, endpoint_id: str, request_class: str) -> None:
+        """A run gave its first token.
+
+        How long that took says nothing here: when this process is short of time every
+        endpoint looks slow, and limits that fell for it turned callers away.
+        """
         load = self._loads.get(endpoint_id)
-        if load is not None and load.first_token_slow(took_ms, _SLOW_FACTOR):
-            load.limit.slowed(now_ms, self.settings.refusal_hold_ms)
-        elif load is not None:
+        if load is not None:
             load.limit.succeeded()
         self._budget(request_class).succeeded()
 
