--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -11,6 +11,7 @@
 from twisted.web.server import Site  # noqa: E402
 
 from standins._engine import Engine, EngineSpeed  # noqa: E402
+from standins._link import serve_link  # noqa: E402
 from standins._platform import PlatformStandIn  # noqa: E402
 from standins._service import ServiceStandIn  # noqa: E402
 
@@ -19,8 +20,9 @@
 
 def _parse(arguments: list[str]) -> argparse.Namespace:
     parser = argparse.ArgumentParser(prog="standins")
-    parser.add_argument("kind", choices=["engine", "service", "platform"])
+    parser.add_argument("kind", choices=["engine", "service", "platform", "link"])
     parser.add_argument("--port", type=int, default=0)
+    parser.add_argument("--to", type=int, default=0, help="a link's other end")
     parser.add_argument("--name", default="stand-in")
     parser.add_argument("--model", default="dossier")
     parser.add_argument("--adapter", default="")
@@ -65,6 +67,11 @@
 def main() -> None:
     """Serve until the process is ended."""
     options = _parse(sys.argv[1:])
+    if options.kind == "link":
+        ports = serve_link(reactor, options.to)
+        print("listening", *ports, flush=True)
+        reactor.run()
+        return
     site = Site(_build(options).resource(), timeout=_LONG_TIMEOUT_S)
     port = reactor.listenTCP(options.port, site, interface="127.0.0.1", backlog=512)
     print(f"listening {port.getHost().port}", flush=True)
--- a/standins/site.py
+++ b/standins/site.py
@@ -126,6 +126,7 @@
         self.entries: dict[str, Http] = {}
         self.engines: dict[str, Http] = {}
         self.services: dict[str, Http] = {}
+        self.links: dict[str, int] = {}
         self.platform = Http(0)
 
     def __enter__(self) -> "Site":
@@ -193,13 +194,22 @@
         for name in names:
             self.entry_listening(name)
 
+    def start_link(self, name: str) -> Http:
+        """A link of its own from the entry ``name`` to the platform."""
+        to = str(self.platform.port)
+        process = self.start(f"link-{name}", "standins", "link", "--to", to)
+        port, control = process.listening()
+        self.links[name] = port
+        return Http(control)
+
     def launch_entry(self, name: str, **timers: int) -> None:
         zone = ZONES[(int(name.split("-")[1]) - 1) % len(ZONES)]
+        port = self.links.get(name, self.platform.port)
         settings = {
             "instance_id": name,
             "zone": zone,
             "platform": {
-                "base_url": f"http://127.0.0.1:{self.platform.port}",
+                "base_url": f"http://127.0.0.1:{port}",
                 "timeout_ms": 500,
             },
             "operators": [
