An overtaken revision is not called accepted before the newer one

Cause: confirming an older plan again said accepted as soon as a newer revision was committed, though an entry might still run neither.

Change: a revision is called accepted once the newest one is.

Conclusion: accepted now means in force everywhere on that path as well.

--- a/src/coursekeel/entry/_http_common.py
+++ b/src/coursekeel/entry/_http_common.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 import orjson
-from attrs import evolve, frozen
+from attrs import evolve
 
 from coursekeel.answers import RunState
 from coursekeel.entry._sinks import Refusal
@@ -14,7 +14,6 @@
 from coursekeel.settings import EntrySettings, OperatorKey
 
 __all__ = [
-    "Answer",
     "bearer_key",
     "caller_key",
     "error_body",
@@ -26,7 +25,7 @@
     "team_of",
 ]
 
-STATUS_OF_CODE = {
+_STATUS_OF_CODE = {
     "bad_request": 400,
     "bad_key": 401,
     "forbidden": 403,
@@ -44,14 +43,6 @@
 _DEFAULT_STATUS = 503
 
 
-@frozen
-class Answer:
-    """A JSON answer and its status."""
-
-    status: int
-    body: Any
-
-
 def key_hash(key: str) -> str:
     """The form in which a bearer key is kept: its SHA-256 in hexadecimal."""
     return hashlib.sha256(key.encode()).hexdigest()
@@ -122,7 +113,7 @@
     if refusal.retry_after_ms:
         seconds = math.ceil(refusal.retry_after_ms / 1000)
         request.setHeader("retry-after", str(seconds))
-    status = STATUS_OF_CODE.get(refusal.code, _DEFAULT_STATUS)
+    status = _STATUS_OF_CODE.get(refusal.code, _DEFAULT_STATUS)
     return send_json(request, status, error_body(refusal))
 
 
--- a/src/coursekeel/entry/_http_operator.py
+++ b/src/coursekeel/entry/_http_operator.py
@@ -105,8 +105,9 @@
         return send_json(request, 409, body)
 
     def _state(self, revision: int) -> dict[str, Any]:
+        """An older revision is in force everywhere once the newest one is."""
         rollout = self.configuration.rollout_of_current()
-        accepted = rollout.revision > revision or rollout.state == "accepted"
+        accepted = rollout.state == "accepted"
         return {
             "revision": revision,
             "state": "accepted" if accepted else "committed",
--- a/tests/nocover/test_configuration.py
+++ b/tests/nocover/test_configuration.py
@@ -62,6 +62,18 @@
     assert applied(site, "entry-3") == 2
 
 
+def test_an_overtaken_revision_is_not_called_accepted_before_the_newer_one(site):
+    """Whoever lacks the newer one may lack the older one too."""
+    site.processes["entry-3"].signal(signal.SIGSTOP)
+    first = plan(site, loads=5)
+    assert confirm(site, first)[0] == 200
+    assert confirm(site, plan(site, loads=6))[0] == 200
+    status, body = confirm(site, first)
+    assert (status, body["revision"], body["state"]) == (200, 2, "committed")
+    site.processes["entry-3"].signal(signal.SIGCONT)
+    wait_until(lambda: confirm(site, first)[1]["state"] == "accepted", "accepted")
+
+
 def test_an_entry_known_to_be_stopped_is_not_waited_for(site):
     site.processes["entry-3"].signal(signal.SIGSTOP)
     body = {"known_stopped": ["entry-3"]}
