A stopping entry adopts nothing

Cause: reading the stop: adoption went on while the entry finished what it had, so it could take answers of minutes over and not come to its end.

Change: adoption stops first. Seen failing before (test_a_stopping_entry_adopts_nothing_...), passing after: the orphan is adopted by the next entry that starts, and the caller's answer is whole.

Conclusion: a planned stop now only ever has less to do.

--- a/src/coursekeel/entry/_entry.py
+++ b/src/coursekeel/entry/_entry.py
@@ -293,6 +293,7 @@
         """Finish what runs, hand leases back, and close; no caller sees a cut."""
         log_event("entry_stopping", open_answers=len(self._unfinished()))
         self.gate.draining = True
+        self.adoption.stop()
         give_up_ms = self.clock.now_ms() + self.settings.timers.drain_ms
         while self._unfinished() or self.gate.open_requests:
             if self.clock.now_ms() > give_up_ms:
--- a/tests/nocover/test_entry_faults.py
+++ b/tests/nocover/test_entry_faults.py
@@ -101,6 +101,26 @@
     check(caller)
 
 
+def test_a_stopping_entry_adopts_nothing_and_the_next_one_does(site):
+    site.processes["entry-3"].kill()
+    caller, thread = begun(site, tokens=200)
+    last = dossier(400)
+    last_thread = reading(last, site.entries["entry-2"].port)
+    until_holding(last, 10)
+    site.processes["entry-2"].signal(signal.SIGTERM)
+    wait_until(lambda: "event=entry_stopping" in site.log_of("entry-2"), "stopping")
+    site.processes["entry-1"].kill()
+    thread.join(10)
+    last_thread.join(20)
+    check(last)
+    wait_until(lambda: not site.processes["entry-2"].running, "entry-2 ends")
+    assert "event=answer_adopted" not in site.log_of("entry-2")
+    site.launch_entry("entry-3", **FAST)
+    site.entry_listening("entry-3")
+    site.until_ready_at("entry-3")
+    check(comes_back(caller, site.entries["entry-3"].port))
+
+
 def test_an_entry_that_never_reached_the_store_can_be_stopped():
     with Site() as site:
         site.platform = Http(1)
