A slow reader of a relayed answer holds up the peer, not memory

Cause: reading the relay: replies of the owning entry were written to the caller however slow it was, so a slow reader filled the relaying entry's memory. A reader of an answer driven here never did.

Change: nothing is read from the peer while the reader has no room.

--- a/src/coursekeel/entry/_peers_task.py
+++ b/src/coursekeel/entry/_peers_task.py
@@ -23,6 +23,7 @@
 _GREETING_TIMEOUT_S = 1.0
 _BODY_LIMIT_BYTES = 32 << 20
 _KEEPALIVE_MS = 1_000
+_SLOW_READER_S = 0.02
 _OPTIONS = [
     ("grpc.max_receive_message_length", _BODY_LIMIT_BYTES),
     ("grpc.keepalive_time_ms", 2 * _KEEPALIVE_MS),
@@ -183,16 +184,28 @@
         return Configuration.from_json(orjson.loads(reply.body))
 
     async def follow(
-        self, instance_id: str, request: Any, took: Callable[[Any], bool]
+        self,
+        instance_id: str,
+        request: Any,
+        took: Callable[[Any], bool],
+        has_room: Callable[[], bool],
     ) -> PeerRefused | None:
-        """Follow an answer at a peer; ``took`` says whether to go on."""
+        """Follow an answer at a peer; ``took`` says whether to go on.
+
+        Nothing is read while ``has_room`` says no: a slow reader holds up the peer by
+        HTTP/2's flow control, and not this entry's memory.
+        """
         refused: PeerRefused | None = await as_deferred(
-            self._follow(instance_id, request, took)
+            self._follow(instance_id, request, took, has_room)
         )
         return refused
 
     async def _follow(
-        self, instance_id: str, request: Any, took: Callable[[Any], bool]
+        self,
+        instance_id: str,
+        request: Any,
+        took: Callable[[Any], bool],
+        has_room: Callable[[], bool],
     ) -> PeerRefused | None:
         stub = self._stub(instance_id)
         if stub is None:
@@ -203,6 +216,8 @@
                 if not took(reply):
                     call.cancel()
                     return None
+                while not has_room():
+                    await asyncio.sleep(_SLOW_READER_S)
         except grpc.aio.AioRpcError as failure:
             return PeerRefused(_is_refusal(failure), str(failure.details()))
         except asyncio.CancelledError:
--- a/src/coursekeel/entry/_reader.py
+++ b/src/coursekeel/entry/_reader.py
@@ -150,7 +150,7 @@
         """Read through the entry that drives the answer."""
         relay = _Relay(self.sink)
         request = relay_request(self.team, self.request_id, self.sink.held)
-        following = self.ports.peers.follow(owner, request, relay.took)
+        following = self.ports.peers.follow(owner, request, relay.took, relay.has_room)
         timer = self.ports.reactor.callLater(_FIRST_REPLY_S, relay.give_up)
         done: Deferred[Any] = Deferred.fromCoroutine(following)
         relay.call = done
@@ -231,6 +231,9 @@
             return False
         return take_reply(reply, self.sink)
 
+    def has_room(self) -> bool:
+        return getattr(self.sink, "over", False) or not self.sink.full
+
     def give_up(self) -> None:
         if not self.first and self.call is not None:
             self.call.cancel()
