--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -12,7 +12,7 @@
 
 import pygal
 
-from bench import capacity, control, delivery, policy, relay, resume
+from bench import capacity, control, delivery, faulted, policy, relay, resume
 
 ROOT = Path(__file__).parent.parent
 OUT = ROOT / "bench" / "out"
@@ -28,7 +28,8 @@
         ("relay", lambda: relay.measure((80, 160, 320))),
         ("resume", lambda: resume.measure(runs=6)),
         ("delivery", lambda: delivery.measure(runs=5)),
-        ("control", lambda: _control()),
+        ("faulted", lambda: faulted.measure(rounds=5)),
+        ("control", _control),
     ):
         found[name] = measure()
         print(f"{name}: {len(found[name])} rows, {_since(started)} s", flush=True)
--- a/bench/control.py
+++ b/bench/control.py
@@ -67,6 +67,33 @@
     return {"changes": count, "entries": entries, "accepted_ms": percentiles(took)}
 
 
+def restarts(rounds: int = 34, entries: int = 3) -> dict:
+    """Entries killed and started again between changes, one by one and all at once."""
+    reverts = restarted = 0
+    with Site() as site:
+        _start(site, entries)
+        http_name = "entry-1"
+        intent = sample_intent(list(site.engines), [])
+        for number in range(rounds):
+            intent["loads_per_minute"] = 7 + number % 2
+            accepted = site.put_in_force(intent, http_name)
+            names = list(site.entries)
+            if number % 2:
+                names = [names[number % entries]]
+            for name in names:
+                site.processes[name].kill()
+            for name in names:
+                site.launch_entry(name)
+            for name in names:
+                site.entry_listening(name)
+            site.until_ready()
+            restarted += len(names)
+            for each in site.entries.values():
+                applied = each.get("/operator/status")["applied_revision"]
+                reverts += applied < accepted
+    return {"restarts": restarted, "changes": rounds, "reverts": reverts}
+
+
 def leaving(tries: int = 10) -> list[dict]:
     """From an endpoint's leaving to the last new request that it was given."""
     rows = []
@@ -154,5 +181,5 @@
 
 
 if __name__ == "__main__":
-    for row in [*idle(), changes(), *leaving(), store()]:
+    for row in [*idle(), changes(), restarts(), *leaving(), store()]:
         print(row)
--- a/bench/resume.py
+++ b/bench/resume.py
@@ -167,14 +167,14 @@
     process.kill()
     thread.join(60)
     port = site.engines[name].port
-    _until_free(port)
+    until_free(port)
     options = ["--name", name, "--gap-ms", str(GAP_MS), "--port", str(port)]
     site.start(name, "standins", "engine", *options).listening()
     site.until_serving()
     return int(counters["generated_tokens"])
 
 
-def _until_free(port: int) -> None:
+def until_free(port: int) -> None:
     def free() -> bool:
         with socket.socket() as probe:
             probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
