Demo counts thrown-away tokens from both engines

Cause: the demo subtracted the moment of the kill twice, so it could only ever print 0 tokens made and thrown away.

Change: the killed engine's own count, read just before the kill, plus the survivor's, less the answer.

--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -16,9 +16,9 @@
     """Run the demonstration; 0 only if every token came exactly once."""
     with Site() as site:
         _start(site)
-        caller, killed = _long_generation(site)
+        caller, killed, made_before = _long_generation(site)
         confirmed = _confirm_slot(site)
-        return 0 if _report(site, caller, killed) and confirmed else 1
+        return 0 if _report(site, caller, killed, made_before) and confirmed else 1
 
 
 def _start(site: Site) -> None:
@@ -34,7 +34,8 @@
     print(f"intent planned, confirmed and accepted everywhere: revision {revision}")
 
 
-def _long_generation(site: Site) -> tuple[Caller, str]:
+def _long_generation(site: Site) -> tuple[Caller, str, int]:
+    """The caller, the engine that was killed, and how many tokens that had made."""
     request = {
         "model": "summary",
         "prompt": "Summarise the applicant's file.",
@@ -48,9 +49,14 @@
     wait_until(lambda: len(caller.tokens) >= _KILL_AT, "the answer is under way")
     killed = wait_until(lambda: _busy_engine(site), "an engine runs it")
     print(f"killing {killed} after {len(caller.tokens)} tokens")
+    made_before = _counters(site, killed)["generated_tokens"]
     site.processes[killed].kill()
     reading.join(60)
-    return caller, killed
+    return caller, killed, made_before
+
+
+def _counters(site: Site, engine: str) -> dict[str, int]:
+    return dict(site.engines[engine].get("/status")["counters"])
 
 
 def _busy_engine(site: Site) -> str:
@@ -71,19 +77,18 @@
     return ran == 1 and [status for status, _ in answers] == [200, 200]
 
 
-def _report(site: Site, caller: Caller, killed: str) -> bool:
+def _report(site: Site, caller: Caller, killed: str, made_before: int) -> bool:
     gaps = [after - before for before, after in pairwise(caller.times)]
-    survivor = next(each for name, each in site.engines.items() if name != killed)
-    counters = survivor.get("/status")["counters"]
-    made = counters["generated_tokens"]
-    extra = made - (_TOKENS - _KILL_AT)
+    survivor = next(name for name in site.engines if name != killed)
+    counters = _counters(site, survivor)
+    extra = made_before + counters["generated_tokens"] - _TOKENS
     print(f"answer whole, each token exactly once: {caller.whole}")
     print(
         f"resume latency: {max(gaps, default=0) * 1000:.0f} ms (one gap is {_GAP_MS})"
     )
     print(
         f"extra use: {counters['prefilled_tokens']} tokens prefilled again on the "
-        f"surviving engine, {max(0, extra - _KILL_AT)} tokens made and thrown away"
+        f"surviving engine, {max(0, extra)} tokens made and thrown away"
     )
     return caller.whole
 
