Event streams open in one place

Cause: read again as a whole, the late stream set up its parent's fields a second time and called the parent's constructor on the first event, saving and restoring what had been set meanwhile.

Change: the parent's constructor sets fields and `open` sends the headers; the late stream calls it with the first event. Behaviour is the same.

Conclusion: one set of fields, in one place.

--- a/src/coursekeel/entry/_http_sinks.py
+++ b/src/coursekeel/entry/_http_sinks.py
@@ -39,9 +39,14 @@
             orjson.dumps(model),
         )
         self._text = b'"delta":{"content":%s}' if chat else b'"text":%s'
+        self._request_id = request_id
+
+    def open(self) -> None:
+        """Send the headers; from here on every word is an event."""
+        request = self._request
         request.setHeader("content-type", "text/event-stream")
         request.setHeader("cache-control", "no-store")
-        request.setHeader("x-request-id", request_id)
+        request.setHeader("x-request-id", self._request_id)
         request.registerProducer(self, True)
         request.write(b": open\n\n")
 
--- a/src/coursekeel/entry/_late_stream.py
+++ b/src/coursekeel/entry/_late_stream.py
@@ -28,23 +28,16 @@
         open_streams: set[EventStream],
         result: "Deferred[Any]",
     ) -> None:
-        self._late = (request, request_id, model, chat)
+        super().__init__(request, request_id, model, chat)
         self._open_streams = open_streams
         self._result = result
         self._begun = False
-        self._paused = False
-        self.over = False
-        self.held: EventId | None = None
-        self.wake: Any = None
-        self.source_moved: Any = None
 
     def _begin(self) -> None:
         if self._begun:
             return
         self._begun = True
-        held, wake, moved = self.held, self.wake, self.source_moved
-        super().__init__(*self._late)
-        self.held, self.wake, self.source_moved = held, wake, moved
+        self.open()
         self._open_streams.add(self)
 
     def stored(self) -> None:
@@ -59,8 +52,7 @@
 
     def tokens(self, upto: EventId, tokens: list[int], text: str) -> None:
         """Write tokens as one event."""
-        if not self._begun:
-            self._begin()
+        self._begin()
         super().tokens(upto, tokens, text)
 
     def finish(self, reason: str, upto: EventId) -> None:
@@ -74,7 +66,7 @@
             super().refuse(refusal)
             return
         self.over = True
-        self._result.callback(refuse(self._late[0], refusal))
+        self._result.callback(refuse(self._request, refusal))
 
     def _close(self) -> None:
         self._open_streams.discard(self)
