The storage interface is called storage

Cause: the adapter for the users' platform lives in a root folder platform/, and coursekeel.platform (the product's interface to tables and objects) could be taken for it. Change: the package is coursekeel.storage; nothing else. Ruled out: naming the adapter's folder otherwise, since the users gave its name.

--- a/src/coursekeel/calls/_call.py
+++ b/src/coursekeel/calls/_call.py
@@ -12,7 +12,7 @@
 from coursekeel.answers import RunState
 from coursekeel.calls._claims import ClaimRow, ClaimState
 from coursekeel.charts import Machine, load_chart
-from coursekeel.platform import (
+from coursekeel.storage import (
     Committed,
     Conflict,
     Row,
--- a/src/coursekeel/entry/_adoption_task.py
+++ b/src/coursekeel/entry/_adoption_task.py
@@ -31,7 +31,9 @@
 from coursekeel.errors import RequestInvalid
 from coursekeel.membership import LapseWatch, LeaseTerms
 from coursekeel.observe import log_event
-from coursekeel.platform import (
+from coursekeel.reactor import Reactor
+from coursekeel.settings import Limits, Timers
+from coursekeel.storage import (
     Committed,
     Platform,
     Row,
@@ -39,8 +41,6 @@
     Transaction,
     Unavailable,
 )
-from coursekeel.reactor import Reactor
-from coursekeel.settings import Limits, Timers
 
 __all__ = ["AdoptionTask"]
 
--- a/src/coursekeel/entry/_answer_store.py
+++ b/src/coursekeel/entry/_answer_store.py
@@ -7,7 +7,7 @@
 
 from coursekeel.answers import AnswerRecord, Ledger, RecordState, answer_key
 from coursekeel.entry._journal_task import JournalTask
-from coursekeel.platform import (
+from coursekeel.storage import (
     Batcher,
     Committed,
     Conflict,
--- a/src/coursekeel/entry/_answers_desk.py
+++ b/src/coursekeel/entry/_answers_desk.py
@@ -22,13 +22,13 @@
 from coursekeel.entry._requests import GenerationRequest
 from coursekeel.intents import Delivery
 from coursekeel.observe import log_event
-from coursekeel.platform import (
+from coursekeel.reactor import Reactor
+from coursekeel.storage import (
     Committed,
     Conflict,
     TransactOutcome,
     Unavailable,
 )
-from coursekeel.reactor import Reactor
 
 __all__ = ["AnswersDesk"]
 
--- a/src/coursekeel/entry/_calls_task.py
+++ b/src/coursekeel/entry/_calls_task.py
@@ -36,15 +36,15 @@
 from coursekeel.fetch import Reply as HttpReply
 from coursekeel.intents import ClassPolicy, RouteIntent, ServiceIntent, TeamIntent
 from coursekeel.observe import log_event
-from coursekeel.platform import (
+from coursekeel.reactor import Reactor
+from coursekeel.routing import Decision, Grant, Seek
+from coursekeel.storage import (
     Batcher,
     Committed,
     Platform,
     Transaction,
     TransactOutcome,
 )
-from coursekeel.reactor import Reactor
-from coursekeel.routing import Decision, Grant, Seek
 
 __all__ = ["CallRequest", "CallsTask"]
 
--- a/src/coursekeel/entry/_configuration_task.py
+++ b/src/coursekeel/entry/_configuration_task.py
@@ -21,8 +21,8 @@
 )
 from coursekeel.membership import Isolation
 from coursekeel.observe import log_event
-from coursekeel.platform import Platform, Unavailable
 from coursekeel.reactor import Reactor
+from coursekeel.storage import Platform, Unavailable
 
 __all__ = ["ConfigurationTask"]
 
--- a/src/coursekeel/entry/_endpoints_task.py
+++ b/src/coursekeel/entry/_endpoints_task.py
@@ -20,10 +20,10 @@
 from coursekeel.intents import EndpointKind, Intent
 from coursekeel.membership import Isolation
 from coursekeel.observe import log_event
-from coursekeel.platform import InstanceList, ListedInstance, Platform
 from coursekeel.reactor import Reactor
 from coursekeel.routing import LoadReport, subset
 from coursekeel.settings import EntrySettings
+from coursekeel.storage import InstanceList, ListedInstance, Platform
 
 __all__ = ["EndpointsTask"]
 
--- a/src/coursekeel/entry/_entry.py
+++ b/src/coursekeel/entry/_entry.py
@@ -39,9 +39,9 @@
 from coursekeel.intents import Configuration
 from coursekeel.membership import Greeting, Isolation, PeerBook
 from coursekeel.observe import Metrics, log_event
-from coursekeel.platform import Batcher, HttpPlatform
 from coursekeel.routing import Router
 from coursekeel.settings import EntrySettings
+from coursekeel.storage import Batcher, HttpPlatform
 
 __all__ = ["Entry"]
 
--- a/src/coursekeel/entry/_expiry_task.py
+++ b/src/coursekeel/entry/_expiry_task.py
@@ -7,8 +7,8 @@
 from coursekeel.entry._clock import Clock
 from coursekeel.entry._periodic import Periodic
 from coursekeel.observe import log_event
-from coursekeel.platform import Platform, Row, Transaction, Unavailable
 from coursekeel.reactor import Reactor
+from coursekeel.storage import Platform, Row, Transaction, Unavailable
 
 __all__ = ["ExpiryTask"]
 
--- a/src/coursekeel/entry/_journal_task.py
+++ b/src/coursekeel/entry/_journal_task.py
@@ -13,7 +13,9 @@
 from coursekeel.entry._clock import Clock
 from coursekeel.entry._periodic import Periodic, spawn
 from coursekeel.observe import log_event
-from coursekeel.platform import (
+from coursekeel.reactor import Reactor
+from coursekeel.settings import Timers
+from coursekeel.storage import (
     Committed,
     Conflict,
     Platform,
@@ -21,8 +23,6 @@
     Transaction,
     Unavailable,
 )
-from coursekeel.reactor import Reactor
-from coursekeel.settings import Timers
 
 __all__ = [
     "LEASES_PREFIX",
--- a/src/coursekeel/entry/_orders_task.py
+++ b/src/coursekeel/entry/_orders_task.py
@@ -9,9 +9,9 @@
 from coursekeel.entry._periodic import Periodic
 from coursekeel.membership import GroupLease, LapseWatch, LeaseTerms
 from coursekeel.observe import log_event
-from coursekeel.platform import Platform, Unavailable
 from coursekeel.reactor import Reactor
 from coursekeel.settings import Timers
+from coursekeel.storage import Platform, Unavailable
 
 __all__ = ["OrdersTask"]
 
--- a/src/coursekeel/entry/_overview.py
+++ b/src/coursekeel/entry/_overview.py
@@ -11,9 +11,9 @@
 from coursekeel.entry._endpoints_task import EndpointsTask
 from coursekeel.entry._orders_task import OrdersTask
 from coursekeel.entry._peers_task import PeersTask
-from coursekeel.platform import HttpPlatform
 from coursekeel.routing import Router
 from coursekeel.settings import EntrySettings
+from coursekeel.storage import HttpPlatform
 
 __all__ = ["Overview"]
 
--- a/src/coursekeel/entry/_reader.py
+++ b/src/coursekeel/entry/_reader.py
@@ -17,8 +17,8 @@
 from coursekeel.entry._relay import relay_request, take_reply
 from coursekeel.entry._sinks import AnswerSink, Refusal
 from coursekeel.observe import log_event
-from coursekeel.platform import Unavailable
 from coursekeel.reactor import Reactor
+from coursekeel.storage import Unavailable
 
 __all__ = ["AnswerReader", "CallerSink", "ReaderPorts", "instance_of"]
 
--- a/src/coursekeel/entry/_rollout_task.py
+++ b/src/coursekeel/entry/_rollout_task.py
@@ -10,8 +10,8 @@
 from coursekeel.entry._periodic import Periodic
 from coursekeel.intents import PeerEvidence, waits_for
 from coursekeel.observe import log_event
-from coursekeel.platform import Platform, Unavailable
 from coursekeel.reactor import Reactor
+from coursekeel.storage import Platform, Unavailable
 
 __all__ = ["RolloutTask"]
 
--- a/src/coursekeel/intents/_store.py
+++ b/src/coursekeel/intents/_store.py
@@ -3,7 +3,7 @@
 from attrs import define, frozen
 
 from coursekeel.intents._plan import Change, Configuration, Plan, make_plan
-from coursekeel.platform import (
+from coursekeel.storage import (
     Committed,
     Conflict,
     Platform,
--- a/src/coursekeel/membership/_lease.py
+++ b/src/coursekeel/membership/_lease.py
@@ -10,7 +10,7 @@
 from attrs import define, field, frozen
 
 from coursekeel.charts import Machine, load_chart
-from coursekeel.platform import (
+from coursekeel.storage import (
     Committed,
     Conflict,
     Row,
--- a/src/coursekeel/platform/__init__.py
+++ b/src/coursekeel/storage/__init__.py
@@ -1,8 +1,8 @@
 """The platform's table, objects and instance list: interfaces and their clients."""
 
-from coursekeel.platform._batcher import Batcher
-from coursekeel.platform._http import HttpPlatform
-from coursekeel.platform._interface import (
+from coursekeel.storage._batcher import Batcher
+from coursekeel.storage._http import HttpPlatform
+from coursekeel.storage._interface import (
     Committed,
     Conflict,
     Fetched,
--- a/src/coursekeel/platform/_batcher.py
+++ b/src/coursekeel/storage/_batcher.py
@@ -9,13 +9,13 @@
 from attrs import define, field
 from twisted.internet.defer import Deferred, ensureDeferred
 
-from coursekeel.platform._interface import (
+from coursekeel.reactor import Reactor
+from coursekeel.storage._interface import (
     Conflict,
     Platform,
     Transaction,
     TransactOutcome,
 )
-from coursekeel.reactor import Reactor
 
 __all__ = ["Batcher"]
 
--- a/src/coursekeel/platform/_http.py
+++ b/src/coursekeel/storage/_http.py
@@ -7,7 +7,8 @@
 from attrs import field, mutable
 
 from coursekeel.fetch import AnswerLost, Fetcher, FetchOutcome, Reply
-from coursekeel.platform._interface import (
+from coursekeel.reactor import Reactor
+from coursekeel.storage._interface import (
     Committed,
     Conflict,
     Fetched,
@@ -21,7 +22,6 @@
     Unavailable,
     Unsure,
 )
-from coursekeel.reactor import Reactor
 
 __all__ = ["HttpPlatform", "StoreCounters"]
 
--- a/tests/common/fake_platform.py
+++ b/tests/common/fake_platform.py
@@ -7,7 +7,7 @@
 from attrs import define, field
 from twisted.internet.defer import Deferred
 
-from coursekeel.platform import (
+from coursekeel.storage import (
     Committed,
     Conflict,
     Fetched,
--- a/tests/cover/test_calls_under_faults.py
+++ b/tests/cover/test_calls_under_faults.py
@@ -27,7 +27,7 @@
     ServiceReply,
     WriteClaim,
 )
-from coursekeel.platform import Transaction
+from coursekeel.storage import Transaction
 from tests.common.examples import schedules, until_broken
 from tests.common.fake_platform import WAYS, FakePlatform
 from tests.common.naive import NaiveCall
--- a/tests/cover/test_configuration_under_faults.py
+++ b/tests/cover/test_configuration_under_faults.py
@@ -23,7 +23,7 @@
     plan_key,
     waits_for,
 )
-from coursekeel.platform import Row
+from coursekeel.storage import Row
 from tests.common.examples import schedules, until_broken
 from tests.common.fake_platform import WAYS, FakePlatform
 
--- a/tests/cover/test_endpoints.py
+++ b/tests/cover/test_endpoints.py
@@ -11,7 +11,7 @@
 
 from coursekeel.endpoints import EvidenceBook, FleetPulse, LeavingMark
 from coursekeel.membership import GroupLease, Isolation, LapseWatch, LeaseTerms
-from coursekeel.platform import Committed, Row, Unsure
+from coursekeel.storage import Committed, Row, Unsure
 from tests.common.examples import schedules, until_broken
 from tests.common.fake_platform import FakePlatform
 
