--- a/src/coursekeel/answers/__init__.py
+++ b/src/coursekeel/answers/__init__.py
@@ -1,6 +1,6 @@
 """One generation: its ledger, its attempts, and how it goes on after a loss."""
 
-from coursekeel.answers._answer import AnswerCore
+from coursekeel.answers._answer import AnswerCore, PieceLedger
 from coursekeel.answers._attempt import Attempt, Expected
 from coursekeel.answers._events import (
     Action,
@@ -8,6 +8,7 @@
     CancelAttempt,
     Cancelled,
     Complete,
+    CopyPlaced,
     Deliver,
     EndpointSilent,
     Event,
@@ -57,6 +58,7 @@
     "CancelAttempt",
     "Cancelled",
     "Complete",
+    "CopyPlaced",
     "Deliver",
     "EndpointSilent",
     "Event",
@@ -76,6 +78,7 @@
     "Offer",
     "OfferKind",
     "OpenAttempt",
+    "PieceLedger",
     "PriorJournal",
     "ReadingResumed",
     "RecordState",
--- a/src/coursekeel/answers/_answer.py
+++ b/src/coursekeel/answers/_answer.py
@@ -7,6 +7,7 @@
 """
 
 import math
+from typing import Any, Generic, Protocol, TypeVar
 
 from coursekeel.answers._attempt import Attempt, Expected
 from coursekeel.answers._events import (
@@ -15,6 +16,7 @@
     CancelAttempt,
     Cancelled,
     Complete,
+    CopyPlaced,
     Deliver,
     EndpointSilent,
     Event,
@@ -36,18 +38,32 @@
     TokensArrived,
     Way,
 )
-from coursekeel.answers._ledger import Ledger, OfferKind
+from coursekeel.answers._ledger import Offer, OfferKind
 from coursekeel.answers._policy import AnswerPolicy
 from coursekeel.charts import load_chart
 from coursekeel.errors import InvariantBroken
 
-__all__ = ["AnswerCore"]
+__all__ = ["AnswerCore", "PieceLedger"]
 
 _AT_MOST_RACING = 2
 _ENDED = ("finished", "interrupted", "cancelled", "fenced")
 
 
-class AnswerCore:
+class PieceLedger(Protocol):
+    """What an answer is kept in: tokens, or events that carry their own number."""
+
+    @property
+    def next_position(self) -> int:
+        """Where the next piece stands."""
+
+    def offer(self, position: int, tokens: list[int], texts: list[Any]) -> Offer:
+        """Take the pieces that stand at ``position`` and after, each once."""
+
+
+_LedgerT = TypeVar("_LedgerT", bound=PieceLedger)
+
+
+class AnswerCore(Generic[_LedgerT]):
     """Decides what happens to one answer.
 
     ``label`` is the answer's identity, ``team/request_id``; engines echo it with the
@@ -55,7 +71,7 @@
     """
 
     def __init__(
-        self, label: str, expected: Expected, policy: AnswerPolicy, ledger: Ledger
+        self, label: str, expected: Expected, policy: AnswerPolicy, ledger: _LedgerT
     ) -> None:
         self.label = label
         self.expected = expected
@@ -111,6 +127,9 @@
                 return self._reading_resumed(now_ms)
             case Granted():
                 return self._granted(event, now_ms)
+            case CopyPlaced():
+                self._known(event.attempt).copy_id = event.endpoint_id
+                return []
             case NothingFree():
                 self._machine.feed("nothing_free")
                 self._retry_after_ms = event.retry_after_ms
@@ -287,6 +306,19 @@
             return self._recover_from(attempt, now_ms)
         return self._died(attempt, now_ms)
 
+    def _copy_or_else(self, lost: Attempt, now_ms: float) -> list[Action]:
+        """A copy of the run's memory goes on without reading the prompt again."""
+        if not lost.copy_id or lost.copy_id in self._bad_endpoints or self._live():
+            return self._recover(now_ms)
+        self._mark_lost()
+        if self._waiting_since_ms is None:
+            self._waiting_since_ms = now_ms
+        self._machine.feed("granted")
+        # A grant that is still on its way finds a live attempt and opens nothing.
+        return self._open(
+            lost.copy_id, Way.COPY, now_ms, lost.run_id or lost.label, lost.label
+        )
+
     def _own_stream_or_else(self, attempt: Attempt, now_ms: float) -> list[Action]:
         """The engine's own run is the cheapest way on, if the engine still lives."""
         if not attempt.run_id or self._own_stream_tries >= self.policy.own_stream_tries:
@@ -311,7 +343,7 @@
         self._bad_endpoints.add(attempt.endpoint_id)
         if self.deaths >= self.policy.deaths_before_stop:
             return self._interrupt("request_stops_engines", "unstoppable")
-        return self._recover(now_ms)
+        return self._copy_or_else(attempt, now_ms)
 
     def _recover(self, now_ms: float) -> list[Action]:
         if self._live():
@@ -343,7 +375,10 @@
         if self.policy.races:
             return [*self._seek(), self._alarm()]
         attempt.machine.feed("lost")
-        return [CancelAttempt(attempt.number), *self._recover(now_ms)]
+        return [
+            CancelAttempt(attempt.number),
+            *self._copy_or_else(attempt, now_ms),
+        ]
 
     def _tick(self, now_ms: float) -> list[Action]:
         if self._patience_over(now_ms):
@@ -366,6 +401,8 @@
     def _due_ms(self, attempt: Attempt) -> float:
         if attempt.progressed:
             return attempt.heard_ms + self.policy.silence_ms
+        if attempt.way is Way.COPY:
+            return attempt.opened_ms + self.policy.copy_first_ms
         return attempt.opened_ms + self.policy.first_token_ms
 
     def _alarm(self) -> SetAlarm:
--- a/src/coursekeel/answers/_attempt.py
+++ b/src/coursekeel/answers/_attempt.py
@@ -30,7 +30,8 @@
     """Book-keeping of one attempt; its chart says what may still come of it.
 
     ``label`` is what the engine must echo, so that a stream that belongs to another
-    request is refused before its first token.
+    request is refused before its first token. ``copy_id`` names the endpoint that
+    keeps a copy of the run's memory, empty if none does.
     """
 
     number: int
@@ -40,6 +41,7 @@
     label: str
     opened_ms: float
     run_id: str = ""
+    copy_id: str = ""
     heard_ms: float = field(init=False)
     progressed: bool = False
     doubted: bool = False
--- a/src/coursekeel/answers/_events.py
+++ b/src/coursekeel/answers/_events.py
@@ -5,6 +5,7 @@
 """
 
 from enum import Enum
+from typing import Any
 
 from attrs import frozen
 
@@ -14,6 +15,7 @@
     "CancelAttempt",
     "Cancelled",
     "Complete",
+    "CopyPlaced",
     "Deliver",
     "EndpointSilent",
     "Event",
@@ -42,6 +44,7 @@
     """How an attempt takes a generation up, cheapest first."""
 
     OWN_STREAM = "own_stream"
+    COPY = "copy"
     PREFILL = "prefill"
 
 
@@ -95,6 +98,14 @@
     endpoint_id: str
 
 
+@frozen
+class CopyPlaced:
+    """The attempt's endpoint sends a copy of the run's memory to another endpoint."""
+
+    attempt: int
+    endpoint_id: str
+
+
 @frozen
 class NothingFree:
     """Routing has no endpoint now; it will grant one later if patience lasts."""
@@ -112,7 +123,7 @@
 
 @frozen
 class TokensArrived:
-    """An engine sent tokens that stand at ``position`` and after.
+    """An engine sent pieces (tokens, or numbered events) at ``position`` and after.
 
     ``run_id`` comes with every line, so that a line of another run is known for one.
     """
@@ -121,7 +132,7 @@
     run_id: str
     position: int
     tokens: list[int]
-    texts: list[str]
+    texts: list[Any]
 
 
 @frozen
@@ -172,6 +183,7 @@
 Event = (
     Started
     | Granted
+    | CopyPlaced
     | NothingFree
     | HeadArrived
     | TokensArrived
@@ -196,7 +208,11 @@
 
 @frozen
 class OpenAttempt:
-    """Open a stream; with `Way.OWN_STREAM` take up the engine's run ``run_id``."""
+    """Open a stream.
+
+    With `Way.OWN_STREAM` take up the engine's run ``run_id``; with `Way.COPY` the copy
+    that the endpoint keeps of that run.
+    """
 
     attempt: int
     endpoint_id: str
--- a/src/coursekeel/answers/_policy.py
+++ b/src/coursekeel/answers/_policy.py
@@ -12,11 +12,14 @@
     ``silence_ms`` is how long one stream may be silent before it is doubted;
     ``races`` says whether a doubted stream keeps running beside its successor (head
     office buys latency) or is cancelled first (Paysandú saves engine work).
+    ``copy_first_ms`` is the longest wait for the first piece from a copy, which has
+    little left to read.
     """
 
     patience_ms: int = 30_000
-    first_token_ms: int = 10_000
-    silence_ms: int = 1_000
+    first_token_ms: float = 10_000
+    copy_first_ms: float = 1_500
+    silence_ms: float = 1_000
     races: bool = True
     deaths_before_stop: int = 3
     own_stream_tries: int = 2
--- a/src/coursekeel/calls/_call.py
+++ b/src/coursekeel/calls/_call.py
@@ -43,28 +43,46 @@
 ]
 
 
+_FIRST_FAILURE = 500
+
+
 @frozen
 class CallPolicy:
-    """How often an endpoint may be tried, by whether the route may be repeated."""
+    """How often an endpoint may be tried, by whether the route may be repeated.
+
+    ``tries`` bounds the endpoints that are sent the call, and ``unreached_tries``
+    those that can't be reached while one looks for the first.
+    """
 
     repeatable: bool
     tries: int = 3
+    unreached_tries: int = 3
     retry_after_ms: int = 2_000
 
 
 @frozen
 class ServiceReply:
-    """What the service answered."""
+    """What the service answered; ``headers`` are those to pass on, if any are."""
 
     status: int
     content_type: str
     body: bytes
+    headers: tuple[tuple[bytes, bytes], ...] = ()
+
+    @property
+    def failed(self) -> bool:
+        """Say whether the service itself failed, so that another may do better."""
+        return self.status >= _FIRST_FAILURE
 
 
 class SendOutcome(Enum):
-    """How a send ended that brought no reply."""
+    """How a send ended that brought no reply.
+
+    A call that was turned away reached an endpoint, which says it didn't run.
+    """
 
     NOT_SENT = "not_sent"
+    TURNED_AWAY = "turned_away"
     MAYBE_SENT = "maybe_sent"
     NO_ENDPOINT = "no_endpoint"
 
@@ -163,6 +181,9 @@
     _machine: Machine = field(factory=lambda: load_chart("call").machine())
     _version: int = 0
     _tries: int = 0
+    _unreached: int = 0
+    _failure: ServiceReply | None = None
+    may_have_run: bool = False
     _reply: CallReply | None = None
 
     @property
@@ -227,12 +248,20 @@
         return [Reply(self._other(row))]
 
     def _send(self) -> list[CallAction]:
-        self._tries += 1
         return [Send()]
 
     def _sent(self, outcome: ServiceReply | SendOutcome) -> list[CallAction]:
+        if outcome is SendOutcome.NOT_SENT:
+            self._unreached += 1
+        else:
+            self._tries += 1
+        if isinstance(outcome, ServiceReply) and outcome.failed:
+            self._failure = outcome
         if self._may_try_again(outcome):
             return self._send()
+        if self._failure is not None:
+            # A failure that the service gave says more than the loss of a later try.
+            outcome = outcome if isinstance(outcome, ServiceReply) else self._failure
         match outcome:
             case ServiceReply():
                 self._machine.feed("answered")
@@ -240,6 +269,9 @@
             case SendOutcome.MAYBE_SENT:
                 self._machine.feed("maybe_sent")
                 return self._settle(self._unknown("answer_lost"))
+            case _ if self.may_have_run:
+                self._machine.feed("maybe_sent")
+                return self._settle(self._unknown("answer_lost"))
             case _:
                 self._machine.feed("not_sent")
                 return self._settle(
@@ -251,11 +283,21 @@
                 )
 
     def _may_try_again(self, outcome: ServiceReply | SendOutcome) -> bool:
+        if outcome is SendOutcome.MAYBE_SENT:
+            self.may_have_run = True
         if self._tries >= self.policy.tries:
             return False
-        if outcome is SendOutcome.NOT_SENT:
-            return True
-        return outcome is SendOutcome.MAYBE_SENT and self.policy.repeatable
+        match outcome:
+            case SendOutcome.NOT_SENT:
+                return self._unreached < self.policy.unreached_tries
+            case SendOutcome.TURNED_AWAY:
+                return True
+            case SendOutcome.MAYBE_SENT:
+                return self.policy.repeatable
+            case ServiceReply():
+                return self.policy.repeatable and outcome.failed
+            case _:
+                return False
 
     def _settle(self, reply: CallReply) -> list[CallAction]:
         """A claimed call's fate is recorded before a refusal is given out.
--- a/src/coursekeel/entry/_adoption_task.py
+++ b/src/coursekeel/entry/_adoption_task.py
@@ -17,7 +17,6 @@
     segment_key,
 )
 from coursekeel.entry._answers_desk import AnswersDesk
-from coursekeel.entry._clock import Clock
 from coursekeel.entry._configuration_task import ConfigurationTask
 from coursekeel.entry._journal_task import (
     LEASES_PREFIX,
@@ -26,12 +25,12 @@
     orphan_key,
     seal,
 )
-from coursekeel.entry._periodic import Periodic, spawn
 from coursekeel.entry._requests import GenerationRequest, read_generation
 from coursekeel.errors import RequestInvalid
 from coursekeel.membership import LapseWatch, LeaseTerms
 from coursekeel.observe import log_event
 from coursekeel.reactor import Reactor
+from coursekeel.runtime import Clock, Periodic, spawn
 from coursekeel.settings import Limits, Timers
 from coursekeel.storage import (
     Committed,
--- a/src/coursekeel/entry/_answer_task.py
+++ b/src/coursekeel/entry/_answer_task.py
@@ -42,15 +42,13 @@
     GenerationOrder,
     StreamListener,
 )
-from coursekeel.entry._clock import Clock
 from coursekeel.entry._follower import Follower
-from coursekeel.entry._periodic import spawn
 from coursekeel.entry._requests import GenerationRequest
-from coursekeel.entry._routing_task import RoutingTask
 from coursekeel.entry._sinks import Refusal
 from coursekeel.observe import Metrics, log_event
 from coursekeel.reactor import Reactor
 from coursekeel.routing import Decision, Grant, Seek
+from coursekeel.runtime import Clock, RoutingTask, spawn
 
 __all__ = ["AnswerPorts", "AnswerTask"]
 
@@ -128,7 +126,7 @@
     """One answer at work. Messages are taken one at a time, in order."""
 
     request: GenerationRequest
-    core: AnswerCore
+    core: AnswerCore[Ledger]
     ports: AnswerPorts
     durable_gate: Callable[[], bool] | None = None
     journal_end: Callable[[], int] | None = None
--- a/src/coursekeel/entry/_answers_desk.py
+++ b/src/coursekeel/entry/_answers_desk.py
@@ -18,11 +18,11 @@
 from coursekeel.entry._answer_store import AnswerStore, ended_already, is_own
 from coursekeel.entry._answer_task import AnswerPorts, AnswerTask
 from coursekeel.entry._journal_task import JournalTask
-from coursekeel.entry._periodic import spawn
 from coursekeel.entry._requests import GenerationRequest
 from coursekeel.intents import Delivery
 from coursekeel.observe import log_event
 from coursekeel.reactor import Reactor
+from coursekeel.runtime import spawn
 from coursekeel.storage import (
     Committed,
     Conflict,
--- a/src/coursekeel/entry/_calls_task.py
+++ b/src/coursekeel/entry/_calls_task.py
@@ -29,15 +29,13 @@
     claim_key,
     fingerprint_of,
 )
-from coursekeel.entry._clock import Clock
-from coursekeel.entry._periodic import spawn
-from coursekeel.entry._routing_task import RoutingTask
 from coursekeel.fetch import AnswerLost, Fetcher, NotReached
 from coursekeel.fetch import Reply as HttpReply
 from coursekeel.intents import ClassPolicy, RouteIntent, ServiceIntent, TeamIntent
 from coursekeel.observe import log_event
 from coursekeel.reactor import Reactor
 from coursekeel.routing import Decision, Grant, Seek
+from coursekeel.runtime import Clock, RoutingTask, spawn
 from coursekeel.storage import (
     Batcher,
     Committed,
--- a/src/coursekeel/entry/_configuration_task.py
+++ b/src/coursekeel/entry/_configuration_task.py
@@ -5,8 +5,6 @@
 
 from attrs import define, field
 
-from coursekeel.entry._clock import Clock
-from coursekeel.entry._periodic import Periodic
 from coursekeel.intents import (
     Configuration,
     ConfigurationStore,
@@ -22,6 +20,7 @@
 from coursekeel.membership import Isolation
 from coursekeel.observe import log_event
 from coursekeel.reactor import Reactor
+from coursekeel.runtime import Clock, Periodic
 from coursekeel.storage import Platform, Unavailable
 
 __all__ = ["ConfigurationTask"]
--- a/src/coursekeel/entry/_endpoints_task.py
+++ b/src/coursekeel/entry/_endpoints_task.py
@@ -14,14 +14,12 @@
     PulseSettings,
 )
 from coursekeel.endpoints._http_engine import HttpEngine
-from coursekeel.entry._clock import Clock
-from coursekeel.entry._periodic import Periodic, spawn
-from coursekeel.entry._routing_task import RoutingTask
 from coursekeel.intents import EndpointKind, Intent
 from coursekeel.membership import Isolation
 from coursekeel.observe import log_event
 from coursekeel.reactor import Reactor
 from coursekeel.routing import LoadReport, subset
+from coursekeel.runtime import Clock, Periodic, RoutingTask, spawn
 from coursekeel.settings import EntrySettings
 from coursekeel.storage import InstanceList, ListedInstance, Platform
 
--- a/src/coursekeel/entry/_entry.py
+++ b/src/coursekeel/entry/_entry.py
@@ -16,7 +16,6 @@
 from coursekeel.entry._answer_task import AnswerPorts
 from coursekeel.entry._answers_desk import AnswersDesk
 from coursekeel.entry._calls_task import CallsTask
-from coursekeel.entry._clock import Clock
 from coursekeel.entry._configuration_task import ConfigurationTask
 from coursekeel.entry._endpoints_task import EndpointsTask
 from coursekeel.entry._expiry_task import ExpiryTask
@@ -29,17 +28,16 @@
 from coursekeel.entry._orders_task import OrdersTask
 from coursekeel.entry._overview import Overview
 from coursekeel.entry._peers_task import PeersTask
-from coursekeel.entry._periodic import Periodic
 from coursekeel.entry._reader import ReaderPorts
 from coursekeel.entry._relay import serve_follow
 from coursekeel.entry._rollout_task import RolloutTask
-from coursekeel.entry._routing_task import RoutingTask
 from coursekeel.entry._site import bounded_site
 from coursekeel.errors import SettingsInvalid
 from coursekeel.intents import Configuration
 from coursekeel.membership import Greeting, Isolation, PeerBook
 from coursekeel.observe import Metrics, log_event
 from coursekeel.routing import Router
+from coursekeel.runtime import Clock, Periodic, Role, RoutingTask
 from coursekeel.settings import EntrySettings
 from coursekeel.storage import Batcher, HttpPlatform
 
@@ -52,7 +50,7 @@
 
 
 @define(eq=False, slots=False)
-class Entry:
+class Entry(Role):
     """The role that serves. Every instance runs one, and all are the same."""
 
     reactor: Any
@@ -275,6 +273,7 @@
         for task in self._tasks():
             task.start()
         log_event("entry_started", http_port=self.http_port, peer_port=peer_port)
+        print(f"listening {self.http_port} {self.peers.port}", flush=True)
 
     def _tasks(self) -> list[Any]:
         return [
--- a/src/coursekeel/entry/_expiry_task.py
+++ b/src/coursekeel/entry/_expiry_task.py
@@ -4,10 +4,9 @@
 
 from attrs import define, field
 
-from coursekeel.entry._clock import Clock
-from coursekeel.entry._periodic import Periodic
 from coursekeel.observe import log_event
 from coursekeel.reactor import Reactor
+from coursekeel.runtime import Clock, Periodic
 from coursekeel.storage import Platform, Row, Transaction, Unavailable
 
 __all__ = ["ExpiryTask"]
--- a/src/coursekeel/entry/_http_api.py
+++ b/src/coursekeel/entry/_http_api.py
@@ -13,12 +13,12 @@
 from coursekeel.entry._http_gate import Gate, check_id
 from coursekeel.entry._http_sinks import EventStream, WholeAnswer
 from coursekeel.entry._late_stream import LateStream
-from coursekeel.entry._periodic import spawn
 from coursekeel.entry._reader import AnswerReader, ReaderPorts
 from coursekeel.entry._requests import GenerationRequest, read_generation
 from coursekeel.entry._sinks import Refusal
 from coursekeel.errors import RequestInvalid
 from coursekeel.intents import TeamIntent
+from coursekeel.runtime import spawn
 from coursekeel.settings import EntrySettings
 
 __all__ = ["CallerApi"]
--- a/src/coursekeel/entry/_journal_task.py
+++ b/src/coursekeel/entry/_journal_task.py
@@ -10,10 +10,9 @@
 from attrs import define, field
 
 from coursekeel.answers import JournalWriter, Segment
-from coursekeel.entry._clock import Clock
-from coursekeel.entry._periodic import Periodic, spawn
 from coursekeel.observe import log_event
 from coursekeel.reactor import Reactor
+from coursekeel.runtime import Clock, Periodic, spawn
 from coursekeel.settings import Timers
 from coursekeel.storage import (
     Committed,
--- a/src/coursekeel/entry/_orders_task.py
+++ b/src/coursekeel/entry/_orders_task.py
@@ -3,13 +3,12 @@
 from attrs import define, field
 
 from coursekeel.endpoints import LoadPacer, Order, OrderOutcome, orders_due
-from coursekeel.entry._clock import Clock
 from coursekeel.entry._configuration_task import ConfigurationTask
 from coursekeel.entry._endpoints_task import EndpointsTask
-from coursekeel.entry._periodic import Periodic
 from coursekeel.membership import GroupLease, LapseWatch, LeaseTerms
 from coursekeel.observe import log_event
 from coursekeel.reactor import Reactor
+from coursekeel.runtime import Clock, Periodic
 from coursekeel.settings import Timers
 from coursekeel.storage import Platform, Unavailable
 
--- a/src/coursekeel/entry/_overview.py
+++ b/src/coursekeel/entry/_overview.py
@@ -6,12 +6,12 @@
 from attrs import define
 
 from coursekeel.entry._answers_desk import AnswersDesk
-from coursekeel.entry._clock import Clock
 from coursekeel.entry._configuration_task import ConfigurationTask
 from coursekeel.entry._endpoints_task import EndpointsTask
 from coursekeel.entry._orders_task import OrdersTask
 from coursekeel.entry._peers_task import PeersTask
 from coursekeel.routing import Router
+from coursekeel.runtime import Clock
 from coursekeel.settings import EntrySettings
 from coursekeel.storage import HttpPlatform
 
--- a/src/coursekeel/entry/_peers_task.py
+++ b/src/coursekeel/entry/_peers_task.py
@@ -10,13 +10,12 @@
 from twisted.internet.defer import Deferred
 
 from coursekeel.endpoints import LeavingMark
-from coursekeel.entry._clock import Clock
-from coursekeel.entry._periodic import Periodic
 from coursekeel.intents import Configuration
 from coursekeel.membership import Greeting, Isolation, PeerBook
 from coursekeel.observe import log_event
 from coursekeel.peers import peer_pb2, peer_pb2_grpc
 from coursekeel.reactor import Reactor
+from coursekeel.runtime import Clock, Periodic
 
 __all__ = ["FollowServer", "PeerRefused", "PeersTask"]
 
--- a/src/coursekeel/entry/_reader.py
+++ b/src/coursekeel/entry/_reader.py
@@ -11,13 +11,13 @@
 from coursekeel.entry._adoption_task import AdoptionTask
 from coursekeel.entry._answer_task import AnswerTask
 from coursekeel.entry._answers_desk import AnswersDesk
-from coursekeel.entry._clock import Clock
 from coursekeel.entry._follower import Follower
 from coursekeel.entry._peers_task import PeersTask
 from coursekeel.entry._relay import relay_request, take_reply
 from coursekeel.entry._sinks import AnswerSink, Refusal
 from coursekeel.observe import log_event
 from coursekeel.reactor import Reactor
+from coursekeel.runtime import Clock
 from coursekeel.storage import Unavailable
 
 __all__ = ["AnswerReader", "CallerSink", "ReaderPorts", "instance_of"]
--- a/src/coursekeel/entry/_rollout_task.py
+++ b/src/coursekeel/entry/_rollout_task.py
@@ -7,10 +7,10 @@
 from coursekeel.entry._configuration_task import ConfigurationTask
 from coursekeel.entry._journal_task import LEASES_PREFIX
 from coursekeel.entry._peers_task import PeersTask
-from coursekeel.entry._periodic import Periodic
 from coursekeel.intents import PeerEvidence, waits_for
 from coursekeel.observe import log_event
 from coursekeel.reactor import Reactor
+from coursekeel.runtime import Periodic
 from coursekeel.storage import Platform, Unavailable
 
 __all__ = ["RolloutTask"]
--- a/src/coursekeel/fetch/__init__.py
+++ b/src/coursekeel/fetch/__init__.py
@@ -1,10 +1,22 @@
 """Whole HTTP requests, sent at most once, whose outcomes are values."""
 
 from coursekeel.fetch._agent import direct_agent
+from coursekeel.fetch._exchange import (
+    Ending,
+    Exchange,
+    ExchangeHead,
+    ExchangeRequest,
+    ExchangeSink,
+)
 from coursekeel.fetch._fetch import AnswerLost, Fetcher, FetchOutcome, NotReached, Reply
 
 __all__ = [
     "AnswerLost",
+    "Ending",
+    "Exchange",
+    "ExchangeHead",
+    "ExchangeRequest",
+    "ExchangeSink",
     "FetchOutcome",
     "Fetcher",
     "NotReached",
--- /dev/null
+++ b/src/coursekeel/forwarding/_belief.py
@@ -0,0 +1,60 @@
+"""How old what this instance believes is, by its own steady clock.
+
+An answer of the store proves the state of one moment, and nothing of what came after.
+What an instance may do rests on the age of the last proven moment: a process that was
+frozen or cut off finds out by this age, whatever it last read.
+"""
+
+import math
+
+from attrs import define, field
+
+__all__ = ["Belief", "StoreClock", "proof_moment"]
+
+_TIMER_SLACK_MS = 5.0
+
+
+def proof_moment(sent_ms: float, received_ms: float, held_ms: float) -> float:
+    """The latest moment that an answer surely proves.
+
+    A reading sent at ``sent_ms`` proves that moment. One that the store was asked to
+    hold for ``held_ms`` until something changes, and whose empty answer came no
+    earlier, proves the end of that time as well.
+    """
+    if held_ms and received_ms - sent_ms >= held_ms - _TIMER_SLACK_MS:
+        return sent_ms + held_ms - _TIMER_SLACK_MS
+    return sent_ms
+
+
+@define
+class StoreClock:
+    """Relates the store's steady clock to this process's.
+
+    The smallest difference seen between receiving an answer and the store's time in
+    it is the one with the least delay, so a later answer whose store time lies
+    further back is an old one, held up on the way or read from a copy that lags.
+    """
+
+    _least_offset_ms: float = math.inf
+
+    def local_ms(self, store_ms: float, received_ms: float) -> float:
+        """The local time at which the store made an answer, at the latest."""
+        offset_ms = received_ms - store_ms
+        self._least_offset_ms = min(self._least_offset_ms, offset_ms)
+        return store_ms + self._least_offset_ms
+
+
+@define
+class Belief:
+    """The last proven moment of each table that this instance follows."""
+
+    _proven_ms: dict[str, float] = field(factory=dict)
+
+    def proved(self, table: str, moment_ms: float) -> None:
+        """An answer proved the table's state at a moment."""
+        if moment_ms > self._proven_ms.get(table, -math.inf):
+            self._proven_ms[table] = moment_ms
+
+    def age_ms(self, table: str, now_ms: float) -> float:
+        """How long ago the last proven moment was; infinite if there is none."""
+        return now_ms - self._proven_ms.get(table, -math.inf)
--- /dev/null
+++ b/src/coursekeel/forwarding/_directory.py
@@ -0,0 +1,116 @@
+"""The endpoints an instance knows, and which of them may take new work now."""
+
+from collections.abc import Iterable
+
+from attrs import define, field
+
+from coursekeel.forwarding._model import EndpointRecord
+
+__all__ = ["EndpointDirectory"]
+
+_FIRST_EJECTION_MS = 700.0
+_LONGEST_EJECTION_MS = 6_000.0
+_TRUST_AGAIN_MS = 5_000.0
+
+
+@define
+class _Standing:
+    """What this instance's own requests told of one incarnation."""
+
+    ejected_until_ms: float = float("-inf")
+    ejection_ms: float = 0.0
+    replaced: bool = False
+
+
+@define
+class EndpointDirectory:
+    """Records by endpoint id, with this instance's own evidence beside them.
+
+    The list says who is leaving or gone. Own requests say who doesn't answer: that
+    ejects an endpoint for a time that doubles with each proof, because the list may
+    name a dead endpoint for seconds.
+    """
+
+    _records: dict[str, EndpointRecord] = field(factory=dict)
+    _versions: dict[str, int] = field(factory=dict)
+    _standing: dict[str, _Standing] = field(factory=dict)
+
+    def put(self, record: EndpointRecord, version: int) -> None:
+        """Take a record; one older than what is known is passed over."""
+        if version < self._versions.get(record.endpoint_id, 0):
+            return
+        self._versions[record.endpoint_id] = version
+        self._records[record.endpoint_id] = record
+
+    def remove(self, endpoint_id: str, version: int) -> None:
+        """The list dropped the endpoint: it is gone, or about to be."""
+        if version < self._versions.get(endpoint_id, 0):
+            return
+        self._records.pop(endpoint_id, None)
+        self._standing.pop(endpoint_id, None)
+        self._versions.pop(endpoint_id, None)
+
+    def replace_all(self, records: Iterable[tuple[EndpointRecord, int]]) -> None:
+        """Take a whole list; what it doesn't name is gone."""
+        listed = {record.endpoint_id: (record, ver) for record, ver in records}
+        for endpoint_id in [each for each in self._records if each not in listed]:
+            self.remove(endpoint_id, self._versions.get(endpoint_id, 0))
+        for record, version in listed.values():
+            self.put(record, version)
+
+    def record(self, endpoint_id: str) -> EndpointRecord | None:
+        """The endpoint's record, if it is still listed."""
+        return self._records.get(endpoint_id)
+
+    def pools(self) -> dict[str, list[str]]:
+        """The ids of the endpoints of each pool.
+
+        Of two incarnations at one address only the newer is served: the list keeps a
+        crashed one for some heartbeats after its successor registered.
+        """
+        newest: dict[str, EndpointRecord] = {}
+        for record in self._records.values():
+            other = newest.get(record.address)
+            if other is None or self._version(record) > self._version(other):
+                newest[record.address] = record
+        pools: dict[str, list[str]] = {}
+        for record in newest.values():
+            pools.setdefault(record.pool, []).append(record.endpoint_id)
+        return pools
+
+    def zones(self) -> dict[str, str]:
+        """The availability zone of each endpoint."""
+        return {name: record.zone for name, record in self._records.items()}
+
+    def records(self) -> list[EndpointRecord]:
+        """Every record."""
+        return list(self._records.values())
+
+    def failed(self, endpoint_id: str, now_ms: float) -> float:
+        """A request found the endpoint dead; returns for how long it is ejected."""
+        standing = self._standing.setdefault(endpoint_id, _Standing())
+        if now_ms < standing.ejected_until_ms:
+            return standing.ejected_until_ms - now_ms
+        recent = now_ms - standing.ejected_until_ms < _TRUST_AGAIN_MS
+        longer_ms = 2 * standing.ejection_ms if recent else 0.0
+        bounded_ms = min(max(longer_ms, _FIRST_EJECTION_MS), _LONGEST_EJECTION_MS)
+        standing.ejection_ms = bounded_ms
+        standing.ejected_until_ms = now_ms + bounded_ms
+        return bounded_ms
+
+    def replaced(self, endpoint_id: str) -> None:
+        """Another incarnation answered at the address: this one is over."""
+        self._standing.setdefault(endpoint_id, _Standing()).replaced = True
+
+    def may_take(self, endpoint_id: str, now_ms: float) -> bool:
+        """Say whether new work may go to the endpoint."""
+        record = self._records.get(endpoint_id)
+        if record is None or record.leaving:
+            return False
+        standing = self._standing.get(endpoint_id)
+        if standing is None:
+            return True
+        return not standing.replaced and now_ms >= standing.ejected_until_ms
+
+    def _version(self, record: EndpointRecord) -> int:
+        return self._versions.get(record.endpoint_id, 0)
--- /dev/null
+++ b/src/coursekeel/gateway/_adapters.py
@@ -0,0 +1,185 @@
+"""What a gateway asks of the site it runs on: three interfaces, each an ABC.
+
+Header names, row names and body forms belong to the site; what is done with what they
+say is decided here.
+"""
+
+from abc import ABC, abstractmethod
+from collections.abc import Sequence
+from enum import Enum
+
+from attrs import frozen
+
+from coursekeel.fetch import ExchangeHead
+from coursekeel.forwarding import EndpointRecord, ForwardingConfiguration
+
+__all__ = [
+    "CallerDialect",
+    "CallerHeaders",
+    "EndpointDialect",
+    "EndpointReport",
+    "HeaderPairs",
+    "HistoryGone",
+    "Reading",
+    "Removed",
+    "RunState",
+    "Send",
+    "Source",
+    "SourceFailed",
+    "Table",
+    "Versioned",
+]
+
+HeaderPairs = Sequence[tuple[bytes, bytes]]
+
+
+@frozen
+class CallerHeaders:
+    """What a caller's headers say; the rest of them is passed on as it came.
+
+    ``resume_after`` is the number of the last event that the caller holds, None if it
+    asks from the start. ``prompt_key`` names the prompt, empty if none is named.
+    """
+
+    request_id: str
+    key: str
+    deadline_ms: float | None
+    resume_after: int | None
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    prompt_key: str = ""
+
+
+class CallerDialect(ABC):
+    """How callers say who they are and what they want."""
+
+    readiness_path: str
+
+    @abstractmethod
+    def read(self, headers: HeaderPairs) -> CallerHeaders:
+        """Read a request's headers, whose names are lower case."""
+
+
+@frozen
+class Send:
+    """One request to one endpoint, in the product's words.
+
+    ``copy_to`` is the address of an endpoint that shall keep a copy of the run;
+    ``copy_from`` that of one that keeps a copy of ``copied_run``.
+    """
+
+    endpoint: EndpointRecord
+    request_id: str
+    team: str
+    remaining_ms: float
+    resume_after: int | None = None
+    copy_to: str = ""
+    copy_from: str = ""
+    copied_run: str = ""
+    urgent: bool = False
+
+
+class RunState(Enum):
+    """What an endpoint's answer says of the request."""
+
+    RAN = "ran"
+    NOT_RUN = "not_run"
+    OTHER_INSTANCE = "other_instance"
+    FOREIGN = "foreign"
+
+
+@frozen
+class EndpointReport:
+    """An endpoint's own word on its load.
+
+    ``unread_runs`` wait there or have their prompt read; ``runs`` are the ids at work.
+    """
+
+    running: int
+    queued: int
+    free_tokens: int | None = None
+    unread_runs: int | None = None
+    runs: frozenset[str] = frozenset()
+
+
+class EndpointDialect(ABC):
+    """How endpoints are spoken to."""
+
+    report_path: bytes
+
+    @abstractmethod
+    def headers(self, received: HeaderPairs, send: Send) -> list[tuple[bytes, bytes]]:
+        """The headers of a request, made from the caller's."""
+
+    @abstractmethod
+    def state(self, head: ExchangeHead, request_id: str) -> RunState:
+        """What an answer's head says of the request; foreign if it isn't its own."""
+
+    @abstractmethod
+    def answer_headers(self, head: ExchangeHead) -> list[tuple[bytes, bytes]]:
+        """The headers that go back to the caller."""
+
+    @abstractmethod
+    def read_report(self, body: bytes) -> EndpointReport | None:
+        """Read a report; None if it can't be read."""
+
+
+class Table(Enum):
+    """What a gateway follows in the site's store."""
+
+    CONFIGURATION = "configuration"
+    ENDPOINTS = "endpoints"
+
+
+@frozen
+class Removed:
+    """The entry of this id is gone."""
+
+    entry_id: str
+
+
+@frozen
+class Versioned:
+    """An entry as of a version of the store."""
+
+    entry: ForwardingConfiguration | EndpointRecord | Removed
+    version: int
+
+
+@frozen
+class Reading:
+    """What the store said: entries, the version to go on from, and its own time.
+
+    A ``whole`` reading names everything there is.
+    """
+
+    entries: tuple[Versioned, ...]
+    version: int
+    store_ms: float
+    whole: bool
+
+
+@frozen
+class HistoryGone:
+    """The store no longer has the changes since that version: read it whole."""
+
+
+@frozen
+class SourceFailed:
+    """The store gave no answer, or one that can't be used."""
+
+    reason: str
+
+
+class Source(ABC):
+    """Where configuration and endpoints are read."""
+
+    @abstractmethod
+    async def read(self, table: Table, timeout_ms: float) -> Reading | SourceFailed:
+        """Read a table whole."""
+
+    @abstractmethod
+    async def follow(
+        self, table: Table, version: int, hold_ms: float, timeout_ms: float
+    ) -> Reading | HistoryGone | SourceFailed:
+        """Read what changed since ``version``, held until something did."""
--- /dev/null
+++ b/src/coursekeel/gateway/_gateway.py
@@ -0,0 +1,242 @@
+"""One gateway: every task, made and joined, started and stopped in order."""
+
+from random import Random
+from typing import Any
+
+from attrs import define, field
+from twisted.internet.task import deferLater
+
+from coursekeel.forwarding import (
+    Belief,
+    EndpointDirectory,
+    EndpointRecord,
+    ForwardingConfiguration,
+    RequestLimits,
+    RouteTable,
+    StoreClock,
+)
+from coursekeel.gateway._adapters import (
+    CallerDialect,
+    EndpointDialect,
+    Reading,
+    Removed,
+    Source,
+    Table,
+)
+from coursekeel.gateway._belief_task import BeliefTask
+from coursekeel.gateway._desk import Desk
+from coursekeel.gateway._metrics import GatewayMetrics
+from coursekeel.gateway._ports import ForwardingPorts
+from coursekeel.gateway._report_task import ReportTask
+from coursekeel.gateway._site import caller_site, status_site
+from coursekeel.observe import log_event
+from coursekeel.reactor import Reactor
+from coursekeel.routing import Router, RouterSettings
+from coursekeel.runtime import Clock, Role, RoutingTask
+from coursekeel.settings import GatewaySettings
+
+__all__ = ["Gateway"]
+
+_BACKLOG = 512
+_DRAIN_LOOK_S = 0.05
+_LEAST_DRAIN_MS = 2_600.0
+_LAST_SHARE = 0.1
+_HOLD_SHARE = 0.6
+
+
+@define(eq=False)
+class Gateway(Role):
+    """The role that forwards. Every instance runs one, and all are the same."""
+
+    reactor: Reactor
+    settings: GatewaySettings
+    source: Source
+    callers: CallerDialect
+    endpoints: EndpointDialect
+    clock: Clock = field(factory=Clock)
+    desk: Desk = field(init=False)
+    _tasks: list[BeliefTask] = field(factory=list)
+    _listeners: list[Any] = field(factory=list)
+    _stopping: bool = False
+
+    def __attrs_post_init__(self) -> None:
+        self.random = Random(self.settings.seed)
+        self.directory = EndpointDirectory()
+        self.belief = Belief()
+        self.metrics = GatewayMetrics(self.clock)
+        self.router = Router(
+            self.settings.zone,
+            self.random,
+            self.directory.may_take,
+            RouterSettings(retry_after_least_ms=50, avoid_ms=100),
+        )
+        self.routing = RoutingTask(self.reactor, self.clock, self.router)
+        ports = ForwardingPorts(
+            self.reactor,
+            self.clock,
+            self.settings,
+            self.directory,
+            self.routing,
+            self.endpoints,
+            self.metrics,
+            self.random,
+            lambda call: self.desk.belief_fits(call),
+            self._endpoints_changed,
+        )
+        self.reports = ReportTask(ports)
+        self.desk = Desk(ports, self.reports, self.callers, self.belief, self.metrics)
+        self._make_belief()
+        self._add_gauges()
+
+    def _make_belief(self) -> None:
+        timers = self.settings.timers
+        store_clock = StoreClock()
+        kinds = (
+            (Table.CONFIGURATION, _HOLD_SHARE * timers.belief_ms, self._configured),
+            (Table.ENDPOINTS, timers.endpoints_hold_ms, self._listed),
+        )
+        for table, hold_ms, apply in kinds:
+            task = BeliefTask(
+                self.reactor,
+                self.clock,
+                self.source,
+                table,
+                hold_ms,
+                timers.store_ms,
+                self.belief,
+                store_clock,
+                self.random,
+                apply,
+            )
+            self._tasks.append(task)
+
+    def _add_gauges(self) -> None:
+        gauge = self.metrics.gauge
+        gauge(
+            "coursekeel_store_reads",
+            "Store reads so far",
+            lambda: sum(each.calls for each in self._tasks),
+        )
+        gauge("coursekeel_waiting", "Requests that wait", lambda: self.router.waiting)
+        gauge(
+            "coursekeel_refused", "Requests refused so far", lambda: self.router.refused
+        )
+        gauge(
+            "coursekeel_belief_age_seconds",
+            "Age of what is known of routes and keys",
+            lambda: self.desk.belief_age_ms() / 1000,
+        )
+        gauge(
+            "coursekeel_open_requests",
+            "Requests at work",
+            lambda: self.desk.open_requests,
+        )
+
+    # What the store says.
+
+    def _configured(self, reading: Reading) -> None:
+        for each in reading.entries:
+            if isinstance(each.entry, ForwardingConfiguration):
+                self._take_configuration(each.entry)
+
+    def _take_configuration(self, configuration: ForwardingConfiguration) -> None:
+        table = self.desk.table
+        if table is not None and configuration.version <= table.configuration.version:
+            return
+        self.desk.table = RouteTable(configuration)
+        log_event(
+            "configuration_applied",
+            version=configuration.version,
+            routes=len(configuration.routes),
+        )
+        self._endpoints_changed()
+
+    def _listed(self, reading: Reading) -> None:
+        if reading.whole:
+            pairs = [
+                (each.entry, each.version)
+                for each in reading.entries
+                if isinstance(each.entry, EndpointRecord)
+            ]
+            self.directory.replace_all(pairs)
+        else:
+            for each in reading.entries:
+                self._take_record(each.entry, each.version)
+        self._endpoints_changed()
+
+    def _take_record(self, entry: object, version: int) -> None:
+        match entry:
+            case EndpointRecord():
+                if entry.leaving:
+                    log_event("endpoint_leaving", endpoint=entry.endpoint_id)
+                self.directory.put(entry, version)
+            case Removed():
+                log_event("endpoint_gone", endpoint=entry.entry_id)
+                self.directory.remove(entry.entry_id, version)
+
+    def _endpoints_changed(self) -> None:
+        self.router.configure(self.directory.pools(), self.directory.zones())
+        self.routing.review()
+
+    # Starting and stopping.
+
+    async def start(self) -> None:
+        """Open the sockets and begin to follow the store."""
+        listen = self.settings.listen
+        self._listen(listen.callers, caller_site(self.desk.take, self._limits))
+        if listen.readiness:
+            self._listen(listen.readiness, status_site(self._readiness))
+        if listen.metrics:
+            self._listen(listen.metrics, status_site(self._metrics_page))
+        for task in self._tasks:
+            task.start()
+        log_event("gateway_started", callers=listen.callers, zone=self.settings.zone)
+
+    def _listen(self, address: str, site: Any) -> None:
+        host, _, port = address.rpartition(":")
+        listener = self.reactor.listenTCP(
+            int(port), site, backlog=_BACKLOG, interface=host
+        )
+        self._listeners.append(listener)
+
+    def _limits(self) -> RequestLimits:
+        table = self.desk.table
+        return table.configuration.limits if table else RequestLimits()
+
+    @property
+    def ready(self) -> bool:
+        """Say whether the balancer should give this instance new connections."""
+        fresh = self.desk.belief_age_ms() <= self.settings.timers.belief_ms
+        return self.desk.table is not None and fresh and not self._stopping
+
+    def _readiness(self, path: str) -> "tuple[int, bytes]":
+        if path != self.callers.readiness_path:
+            return 404, b""
+        return (200, b"ready") if self.ready else (503, b"not ready")
+
+    def _metrics_page(self, _path: str) -> "tuple[int, bytes]":
+        content, _ = self.metrics.metrics.render([""])
+        return 200, content
+
+    async def stop(self) -> None:
+        """Finish what runs, within the grace that is given, and close."""
+        if self._stopping:
+            return
+        self._stopping = True
+        now_ms = self.clock.now_ms()
+        self.desk.stopping_ms = now_ms
+        log_event("gateway_stopping", open_requests=self.desk.open_requests)
+        least_ms = now_ms + min(_LEAST_DRAIN_MS, self.settings.timers.grace_ms / 2)
+        last_ms = now_ms + (1 - _LAST_SHARE) * self.settings.timers.grace_ms
+        while self._must_wait(least_ms, last_ms):
+            await deferLater(self.reactor, _DRAIN_LOOK_S)
+        for task in self._tasks:
+            task.stop()
+        log_event("gateway_stopped", open_requests=self.desk.open_requests)
+
+    def _must_wait(self, least_ms: float, last_ms: float) -> bool:
+        """The balancer sends new connections until it has asked twice."""
+        now_ms = self.clock.now_ms()
+        if now_ms < least_ms:
+            return True
+        return self.desk.open_requests > 0 and now_ms < last_ms
--- /dev/null
+++ b/src/coursekeel/gateway/_metrics.py
@@ -0,0 +1,113 @@
+"""What a gateway counts and logs; nothing else writes its log events."""
+
+import logging
+from collections.abc import Callable, Sequence
+from typing import Any
+
+from attrs import define, field
+
+from coursekeel.gateway._ports import Forwarded
+from coursekeel.observe import Metrics, log_event
+from coursekeel.runtime import Clock
+
+__all__ = ["GatewayMetrics"]
+
+_MS_A_SECOND = 1000
+
+
+@define(eq=False)
+class GatewayMetrics:
+    """Turns what happened into one log line and the metrics it moves."""
+
+    clock: Clock
+    metrics: Metrics = field(factory=Metrics)
+
+    def ended(
+        self,
+        call: Forwarded,
+        code: str,
+        status: int,
+        sends: int,
+        first_ms: float | None = None,
+        ways: Sequence[str] = (),
+    ) -> None:
+        """A request came to its end."""
+        now_ms = self.clock.now_ms()
+        labels = {"team": call.team_name, "class": call.route.name, "outcome": code}
+        self.metrics.requests.inc(labels)
+        timed = {"team": call.team_name, "class": call.route.name}
+        if first_ms is not None:
+            first_s = (first_ms - call.arrived_ms) / _MS_A_SECOND
+            self.metrics.first_token_s.observe(timed, first_s)
+        else:
+            taken_s = (now_ms - call.arrived_ms) / _MS_A_SECOND
+            self.metrics.call_s.observe(timed, taken_s)
+        fields: dict[str, Any] = {
+            "request": call.caller.request_id,
+            "route": call.route.name,
+            "pool": call.pool,
+            "team": call.team_name,
+            "outcome": code,
+            "status": status,
+            "sends": sends,
+            "took_ms": round(now_ms - call.arrived_ms),
+        }
+        if first_ms is not None:
+            fields["first_ms"] = round(first_ms - call.arrived_ms)
+        if ways:
+            fields["ways"] = ",".join(ways)
+        level = logging.DEBUG if code == "answered" else logging.INFO
+        log_event("request_ended", level, **fields)
+
+    def refused(self, request_id: str, code: str, status: int, age_ms: float) -> None:
+        """A request was refused before it was looked at further."""
+        self.metrics.requests.inc({"team": "", "class": "", "outcome": code})
+        age = round(age_ms) if age_ms < _NEVER_MS else "none"
+        log_event(
+            "request_refused",
+            request=request_id,
+            outcome=code,
+            status=status,
+            belief_age_ms=age,
+        )
+
+    def run_lost(
+        self, call: Forwarded, endpoint_id: str, why: str, position: int
+    ) -> None:
+        """A run was lost before its answer was whole."""
+        self.metrics.attempts.inc({"way": "lost"})
+        log_event(
+            "run_lost",
+            request=call.caller.request_id,
+            endpoint=endpoint_id,
+            reason=why,
+            position=position,
+        )
+
+    def resumed(self, call: Forwarded, way: str, waited_ms: float) -> None:
+        """An answer went on after a loss."""
+        labels = {"team": call.team_name, "class": call.route.name}
+        self.metrics.resume_s.observe(labels, waited_ms / _MS_A_SECOND)
+        log_event(
+            "run_resumed",
+            request=call.caller.request_id,
+            way=way,
+            waited_ms=round(waited_ms),
+        )
+
+    def ejected(self, endpoint_id: str, reason: str, ejected_ms: float) -> None:
+        """An endpoint takes no new work for a while."""
+        self.metrics.attempts.inc({"way": "ejected"})
+        log_event(
+            "endpoint_ejected",
+            endpoint=endpoint_id,
+            reason=reason,
+            for_ms=round(ejected_ms),
+        )
+
+    def gauge(self, name: str, doc: str, read: Callable[[], float]) -> None:
+        """Add a gauge that is read when the metrics are asked for."""
+        self.metrics.gauge(name, doc, read)
+
+
+_NEVER_MS = 1e12
--- /dev/null
+++ b/src/coursekeel/gateway/_reply.py
@@ -0,0 +1,82 @@
+"""One caller's request and the reply to it, over Twisted's HTTP server."""
+
+from collections.abc import Callable
+from typing import Any
+
+from attrs import define, field
+
+from coursekeel.gateway._adapters import HeaderPairs
+
+__all__ = ["CallerReply"]
+
+_MS_A_SECOND = 1000
+
+
+@define(eq=False)
+class CallerReply:
+    """Gives one reply; whatever comes after its end does nothing."""
+
+    request: Any
+    closing: Callable[[], bool]
+    head_sent: bool = False
+    ended: bool = False
+    gone: bool = False
+    _on_gone: list[Callable[[], None]] = field(factory=list)
+
+    def __attrs_post_init__(self) -> None:
+        self.request.notifyFinish().addErrback(self._caller_left)
+
+    def on_gone(self, told: Callable[[], None]) -> None:
+        """Call ``told`` if the caller leaves before the reply has ended."""
+        self._on_gone.append(told)
+
+    def head(self, status: int, headers: HeaderPairs) -> None:
+        """Send status and headers; without a length the body is chunked."""
+        if self.ended or self.head_sent:
+            return
+        self.head_sent = True
+        request = self.request
+        request.setResponseCode(status)
+        for name, value in headers:
+            request.responseHeaders.addRawHeader(name, value)
+        if self.closing():
+            request.responseHeaders.setRawHeaders(b"connection", [b"close"])
+
+    def write(self, data: bytes) -> None:
+        """Send a part of the body."""
+        if not self.ended and data:
+            self.request.write(data)
+
+    def finish(self) -> None:
+        """The reply is whole."""
+        if not self.ended:
+            self.ended = True
+            self.request.finish()
+
+    def whole(self, status: int, headers: HeaderPairs, body: bytes) -> None:
+        """Send a whole reply."""
+        length = str(len(body)).encode()
+        self.head(status, [*headers, (b"content-length", length)])
+        self.write(body)
+        self.finish()
+
+    def refuse(self, status: int, code: str, retry_after_ms: float = 0) -> None:
+        """Send a final word of the gateway's own, with when to come back."""
+        headers = [(b"content-type", b"text/plain")]
+        if retry_after_ms:
+            after_s = f"{retry_after_ms / _MS_A_SECOND:.3f}"
+            headers.append((b"retry-after", after_s.encode()))
+        self.whole(status, headers, code.encode())
+
+    def cut(self) -> None:
+        """End an answer that isn't whole so that it looks like one that isn't."""
+        if not self.ended:
+            self.ended = True
+            self.request.channel.loseConnection()
+
+    def _caller_left(self, _: object) -> None:
+        if self.ended:
+            return
+        self.ended = self.gone = True
+        for told in self._on_gone:
+            told()
--- /dev/null
+++ b/src/coursekeel/gateway/_stream_task.py
@@ -0,0 +1,510 @@
+"""The task of one answer that is a stream of numbered events.
+
+An `AnswerCore` decides, as it does for generations on the product's own engines: here
+a piece is an event, a copy of a run's memory is kept by an endpoint of another
+availability zone, and a lost run goes on from it.
+"""
+
+from collections import deque
+from typing import Any
+
+from attrs import define, evolve, field
+
+from coursekeel.answers import (
+    Action,
+    AnswerCore,
+    AnswerPolicy,
+    AttemptEnded,
+    CancelAttempt,
+    Cancelled,
+    Complete,
+    CopyPlaced,
+    Deliver,
+    EndpointSilent,
+    Event,
+    Expected,
+    FinishArrived,
+    Granted,
+    HeadArrived,
+    Interrupt,
+    Loss,
+    OpenAttempt,
+    ReadingResumed,
+    SeekEndpoint,
+    SetAlarm,
+    Started,
+    StopWork,
+    StreamHead,
+    Tick,
+    TokensArrived,
+    Way,
+)
+from coursekeel.answers import RunState as Run
+from coursekeel.fetch import Ending, Exchange, ExchangeHead, ExchangeSink
+from coursekeel.forwarding import EventLedger, RouteKind, event_number, split_events
+from coursekeel.gateway import _adapters as adapters
+from coursekeel.gateway._ports import Forwarded, ForwardingPorts
+from coursekeel.gateway._reply import CallerReply
+from coursekeel.gateway._report_task import ReportTask
+from coursekeel.routing import Decision, Grant, Seek
+
+__all__ = ["StreamTask"]
+
+_ASKED = 3
+_RETRY_AFTER_MS = 150.0
+_FIRST_LOOK_MS = 450.0
+_LOOK_AGAIN_MS = 400.0
+_OWN_PAUSE_MS = 100.0
+_NEVER_MS = 1e12
+_OK = 200
+_FIRST_FAILURE = 500
+
+
+@define(eq=False)
+class StreamTask:
+    """Drives one stream from its request to its last event."""
+
+    ports: ForwardingPorts
+    reports: ReportTask
+    call: Forwarded
+    reply: CallerReply
+    core: AnswerCore[EventLedger] = field(init=False)
+    _messages: deque[Event] = field(factory=deque)
+    _busy: bool = False
+    _open: dict[int, "_Attempt"] = field(factory=dict)
+    _ticket: int | None = None
+    _seeking: bool = False
+    _seek: Seek | None = None
+    _alarm: Any = None
+    _refused: str = ""
+    _retry_after_ms: float = _RETRY_AFTER_MS
+    _lost_ms: float | None = None
+    _ways: list[str] = field(factory=list)
+    _first_ms: float | None = None
+
+    def __attrs_post_init__(self) -> None:
+        call, timers = self.call, self.ports.settings.timers
+        resumable = call.route.kind is RouteKind.RESUMABLE
+        now_ms = self.ports.clock.now_ms()
+        policy = AnswerPolicy(
+            patience_ms=max(int(call.due_ms - now_ms), 1),
+            first_token_ms=_NEVER_MS,
+            silence_ms=timers.silence_ms if resumable else _NEVER_MS,
+            races=False,
+            deaths_before_stop=max(call.route.tries, 1) if resumable else 1,
+            own_stream_tries=0,
+            retry_after_ms=int(_RETRY_AFTER_MS),
+        )
+        self.core = AnswerCore(
+            call.caller.request_id,
+            Expected(call.pool, "", ""),
+            policy,
+            EventLedger(call.caller.resume_after or 0),
+        )
+
+    def start(self) -> None:
+        """Begin; the reply comes by itself."""
+        self.reply.on_gone(self._caller_left)
+        self.ports.budget(self.call.pool).succeeded()
+        self.tell(Started())
+
+    def tell(self, event: Event) -> None:
+        """Take an event; what comes while one is being taken waits its turn."""
+        self._messages.append(event)
+        if self._busy:
+            return
+        self._busy = True
+        while self._messages:
+            self._take_one(self._messages.popleft())
+        self._busy = False
+
+    def _take_one(self, event: Event) -> None:
+        actions = self.core.handle(event, self.ports.clock.now_ms())
+        if isinstance(event, Granted) and not _opens(actions):
+            # A copy took the run up meanwhile, so the place isn't needed.
+            self.ports.routing.released(event.endpoint_id, 0.0)
+        for action in actions:
+            self._carry_out(action)
+
+    def _carry_out(self, action: Action) -> None:
+        match action:
+            case SeekEndpoint():
+                self._begin_seek(action)
+            case OpenAttempt():
+                self._open_attempt(action)
+            case CancelAttempt():
+                self._cancel(action.attempt)
+            case Deliver():
+                self._deliver()
+            case Complete():
+                self._complete()
+            case Interrupt():
+                self._interrupt(action)
+            case SetAlarm():
+                self._set_alarm(action.at_ms)
+            case StopWork():
+                self._stop_work()
+
+    # Finding an endpoint.
+
+    def _begin_seek(self, action: SeekEndpoint) -> None:
+        now_ms = self.ports.clock.now_ms()
+        call, caller = self.call, self.call.caller
+        continuing = action.continuing or action.held_tokens > 0
+        waits_ms = call.due_ms if continuing else now_ms + call.route.target_ms / 4
+        self._seek = Seek(
+            ticket=0,
+            team=call.team_name,
+            request_class=call.route.name,
+            rank=call.rank,
+            model=call.pool,
+            cost_tokens=float(caller.prompt_tokens + caller.output_tokens) or 1.0,
+            deadline_ms=min(call.due_ms, waits_ms),
+            prompt_tokens=caller.prompt_tokens,
+            prompt_key=caller.prompt_key or caller.request_id,
+            excluded=action.excluded,
+        )
+        self._seeking = True
+        asked = self.ports.routing.router.to_ask(self._seek, now_ms, _ASKED)
+        if asked:
+            self.reports.ask_all(asked, lambda: self._asked(asked))
+        else:
+            self._asked([])
+
+    def _asked(self, asked: list[str]) -> None:
+        if self.core.ended or not self._seeking:
+            return
+        assert self._seek is not None
+        self._seek = evolve(self._seek, candidates=frozenset(asked))
+        self._ticket = self.ports.routing.seek(self._seek, self._decided)
+
+    def _decided(self, decision: Decision) -> None:
+        self._ticket = None
+        self._seeking = False
+        if isinstance(decision, Grant):
+            self.tell(Granted(decision.endpoint_id))
+            return
+        self._refused = decision.code
+        self._retry_after_ms = decision.retry_after_ms
+        self._refuse()
+
+    # Attempts.
+
+    def _open_attempt(self, action: OpenAttempt) -> None:
+        ports, call = self.ports, self.call
+        now_ms = ports.clock.now_ms()
+        record = ports.directory.record(action.endpoint_id)
+        if self._ways and not ports.budget(call.pool).take(now_ms):
+            self._refused = "retry_budget"
+            self._refuse()
+            return
+        if record is None or not ports.belief_fits(call):
+            self._messages.append(AttemptEnded(action.attempt, Loss.NOT_SENT))
+            return
+        self._ways.append(action.way.value)
+        if action.way is Way.COPY:
+            ports.routing.router.adopt(action.endpoint_id)
+        copy = self._place_copy(action, now_ms)
+        position = self.core.ledger.next_position
+        from_copy = action.way is Way.COPY
+        send = adapters.Send(
+            record,
+            call.caller.request_id,
+            call.team_name,
+            call.due_ms - now_ms,
+            resume_after=position if position or from_copy else None,
+            copy_to=copy,
+            copy_from=record.address if from_copy else "",
+            copied_run=call.caller.request_id if from_copy else "",
+            urgent=len(self._ways) > 1,
+        )
+        attempt = _Attempt(self, action.attempt, action.endpoint_id, now_ms)
+        self._open[action.attempt] = attempt
+        attempt.open(send)
+
+    def _place_copy(self, action: OpenAttempt, now_ms: float) -> str:
+        """Choose who keeps a copy of this run, and return the address."""
+        resumable = self.call.route.kind is RouteKind.RESUMABLE
+        if not self.call.copies or not resumable or self._seek is None:
+            return ""
+        place = self.ports.routing.router.place_for_copy(
+            self._seek, action.endpoint_id, now_ms
+        )
+        record = self.ports.directory.record(place)
+        if record is None:
+            return ""
+        self._messages.append(CopyPlaced(action.attempt, place))
+        return record.address
+
+    def _cancel(self, number: int) -> None:
+        attempt = self._open.pop(number, None)
+        if attempt is not None:
+            attempt.close()
+
+    def attempt_over(self, number: int) -> None:
+        """The attempt's connection ended by itself."""
+        self._open.pop(number, None)
+
+    def opened(self, attempt: int, head: ExchangeHead) -> None:
+        """An endpoint answered with a stream of this request."""
+        if not self.reply.head_sent:
+            self._first_ms = self.ports.clock.now_ms()
+            headers = self.ports.dialect.answer_headers(head)
+            self.reply.head(head.status, headers)
+        label = self.core.attempts[attempt].label
+        position = self.core.attempts[attempt].from_position
+        self.tell(
+            HeadArrived(
+                attempt,
+                StreamHead(label, label, self.call.pool, "", "", "", position),
+            )
+        )
+
+    def answered_otherwise(self, attempt: int, head: ExchangeHead, body: bytes) -> None:
+        """An endpoint gave a final answer that isn't a stream."""
+        self._say("answered", head.status)
+        if self.reply.head_sent:
+            self.reply.cut()
+        else:
+            headers = self.ports.dialect.answer_headers(head)
+            self.reply.whole(head.status, headers, body)
+        self.tell(Cancelled())
+
+    # What the caller gets.
+
+    def _deliver(self) -> None:
+        if self._lost_ms is not None:
+            waited_ms = self.ports.clock.now_ms() - self._lost_ms
+            self.ports.metrics.resumed(self.call, self._ways[-1], waited_ms)
+            self._lost_ms = None
+        self.reply.write(self.core.ledger.take())
+
+    def lost(self, endpoint_id: str, why: str) -> None:
+        """An attempt that had sent events was lost."""
+        if self._lost_ms is None:
+            self._lost_ms = self.ports.clock.now_ms()
+        position = self.core.ledger.next_position
+        self.ports.metrics.run_lost(self.call, endpoint_id, why, position)
+
+    def _complete(self) -> None:
+        self._say("answered", _OK)
+        self._stop_work()
+        self.reply.finish()
+
+    def _interrupt(self, action: Interrupt) -> None:
+        code = "timeout" if action.code == "interrupted" else action.code
+        self._stop_work()
+        if self.reply.head_sent:
+            self._say(code, 0)
+            self.reply.cut()
+        elif action.run is Run.NOT_RUN:
+            self._say(code, 503)
+            self.reply.refuse(503, code, self._retry_after_ms)
+        else:
+            status = 504 if code == "timeout" else 502
+            self._say(code, status)
+            self.reply.refuse(status, code)
+
+    def _refuse(self) -> None:
+        """Routing has nothing for the request, and it is told so at once."""
+        may_refuse = self.core.run_state is Run.NOT_RUN or (
+            self.call.route.kind is RouteKind.RESUMABLE
+        )
+        if self.reply.head_sent:
+            self._say(self._refused, 0)
+            self.reply.cut()
+        elif may_refuse:
+            self._say(self._refused, 503)
+            self.reply.refuse(503, self._refused, self._retry_after_ms)
+        else:
+            self._say(self._refused, 502)
+            self.reply.refuse(502, self._refused)
+        self.tell(Cancelled())
+
+    def _caller_left(self) -> None:
+        if not self.core.ended:
+            self._say("caller_left", 0)
+            self.tell(Cancelled())
+
+    def _stop_work(self) -> None:
+        self._seeking = False
+        if self._ticket is not None:
+            self.ports.routing.withdraw(self._ticket)
+            self._ticket = None
+        for number in list(self._open):
+            self._cancel(number)
+        if self._alarm is not None and self._alarm.active():
+            self._alarm.cancel()
+
+    # Time.
+
+    def _set_alarm(self, at_ms: float) -> None:
+        if self._alarm is not None and self._alarm.active():
+            self._alarm.cancel()
+        if at_ms >= _NEVER_MS:
+            return
+        wait_ms = max(at_ms - self.ports.clock.now_ms(), 0.0)
+        self._alarm = self.ports.reactor.callLater(wait_ms / 1000, self._ring, at_ms)
+
+    def _ring(self, due_ms: float) -> None:
+        if self.core.ended:
+            return
+        late_ms = self.ports.clock.now_ms() - due_ms
+        # A process that stood still hasn't read what came meanwhile.
+        self.tell(ReadingResumed() if late_ms > _OWN_PAUSE_MS else Tick())
+
+    def _say(self, code: str, status: int) -> None:
+        self.ports.metrics.ended(
+            self.call, code, status, len(self._ways), self._first_ms, self._ways
+        )
+
+
+def _opens(actions: list[Action]) -> bool:
+    return any(isinstance(each, OpenAttempt) for each in actions)
+
+
+@define(eq=False)
+class _Attempt(ExchangeSink):
+    """One run at one endpoint: reads its events and watches over its silence."""
+
+    task: StreamTask
+    number: int
+    endpoint_id: str
+    started_ms: float
+    _exchange: Exchange | None = None
+    _head: ExchangeHead | None = None
+    _streaming: bool = False
+    _spoke: bool = False
+    _buffer: bytearray = field(factory=bytearray)
+    _look: Any = None
+    _missed: int = 0
+
+    def open(self, send: adapters.Send) -> None:
+        """Send the request."""
+        ports = self.task.ports
+        self._exchange = ports.open(
+            self.task.call, send, self, ports.settings.timers.connect_ms
+        )
+        if self.task.call.route.kind is RouteKind.RESUMABLE:
+            self._look_after(_FIRST_LOOK_MS)
+
+    def close(self) -> None:
+        """End the run; the endpoint stops when its connection closes."""
+        if self._exchange is not None:
+            self._exchange.abort()
+        self._release(failed=False)
+
+    # Until the first event, the endpoint's report is the only sign of its life.
+
+    def _look_after(self, wait_ms: float) -> None:
+        reactor = self.task.ports.reactor
+        self._look = reactor.callLater(wait_ms / 1000, self._ask)
+
+    def _ask(self) -> None:
+        if not self._spoke:
+            self.task.reports.ask(self.endpoint_id, self._reported)
+
+    def _reported(self, report: adapters.EndpointReport | None) -> None:
+        if self._spoke or self.number not in self.task._open:
+            return
+        self._missed = self._missed + 1 if report is None else 0
+        if self._missed >= 2:
+            self.task.lost(self.endpoint_id, "no_report")
+            self.task.tell(EndpointSilent(self.endpoint_id))
+            return
+        self._look_after(_LOOK_AGAIN_MS if report is not None else 0.0)
+
+    # The answer.
+
+    def head_arrived(self, head: ExchangeHead) -> None:
+        self._head = head
+        task = self.task
+        state = task.ports.dialect.state(head, task.call.caller.request_id)
+        if state is adapters.RunState.RAN and head.status == _OK:
+            self._streaming = True
+            task.opened(self.number, head)
+
+    def data_arrived(self, data: bytes) -> None:
+        self._buffer += data
+        if not self._streaming:
+            return
+        events = split_events(self._buffer)
+        numbered = [(event_number(each), each) for each in events]
+        numbers = [number for number, _ in numbered if number is not None]
+        if len(numbers) < len(events):
+            self._lost("event_without_number")
+            return
+        if numbers:
+            self._spoke = True
+            self._take(numbers, events)
+
+    def _take(self, numbers: list[int], events: list[bytes]) -> None:
+        label = self.task.core.attempts[self.number].label
+        position = numbers[0] - 1
+        self.task.tell(TokensArrived(self.number, label, position, numbers, events))
+
+    def ended(self, ending: Ending, reason: str) -> None:
+        task = self.task
+        if ending is Ending.NOT_SENT:
+            task.ports.endpoint_failed(self.endpoint_id, reason)
+            self._over(Loss.NOT_SENT)
+        elif self._head is None:
+            self._lost(reason)
+        elif not self._streaming:
+            self._other_answer(self._head, ending)
+        elif ending is Ending.WHOLE and not self._buffer:
+            self._finished()
+        else:
+            self._lost(reason or "torn_event")
+
+    def _finished(self) -> None:
+        task = self.task
+        label = task.core.attempts[self.number].label
+        position = task.core.ledger.next_position
+        self._release(failed=False)
+        task.attempt_over(self.number)
+        task.tell(FinishArrived(self.number, label, position, "end"))
+
+    def _other_answer(self, head: ExchangeHead, ending: Ending) -> None:
+        task = self.task
+        state = task.ports.dialect.state(head, task.call.caller.request_id)
+        if state is adapters.RunState.OTHER_INSTANCE:
+            task.ports.endpoint_replaced(self.endpoint_id)
+            self._over(Loss.REFUSED)
+        elif state is adapters.RunState.NOT_RUN:
+            ports = task.ports
+            ports.routing.router.turned_away(self.endpoint_id, ports.clock.now_ms())
+            self._over(Loss.REFUSED)
+        elif self._is_final(state, head, ending):
+            self._release(failed=False)
+            task.attempt_over(self.number)
+            task.answered_otherwise(self.number, head, bytes(self._buffer))
+        else:
+            self._lost(f"status_{head.status}")
+
+    def _is_final(
+        self, state: adapters.RunState, head: ExchangeHead, ending: Ending
+    ) -> bool:
+        """An endpoint's own failure is passed on only if no other can do better."""
+        if state is not adapters.RunState.RAN or ending is not Ending.WHOLE:
+            return False
+        once = self.task.call.route.kind is not RouteKind.RESUMABLE
+        return once or head.status < _FIRST_FAILURE
+
+    def _lost(self, why: str) -> None:
+        self.task.lost(self.endpoint_id, why)
+        if self._exchange is not None:
+            self._exchange.abort()
+        self._over(Loss.CUT, failed=True)
+
+    def _over(self, loss: Loss, failed: bool = False) -> None:
+        self._release(failed)
+        self.task.attempt_over(self.number)
+        self.task.tell(AttemptEnded(self.number, loss))
+
+    def _release(self, failed: bool) -> None:
+        if self._look is not None and self._look.active():
+            self._look.cancel()
+        ports = self.task.ports
+        run_ms = ports.clock.now_ms() - self.started_ms
+        ports.routing.released(self.endpoint_id, run_ms, failed)
--- a/src/coursekeel/routing/__init__.py
+++ b/src/coursekeel/routing/__init__.py
@@ -5,6 +5,7 @@
     EndpointLoad,
     expected_first_token_ms,
     pick,
+    preference,
     subset,
 )
 from coursekeel.routing._limits import ConcurrencyLimit
@@ -26,5 +27,6 @@
     "Seek",
     "expected_first_token_ms",
     "pick",
+    "preference",
     "subset",
 ]
--- a/src/coursekeel/routing/_messages.py
+++ b/src/coursekeel/routing/_messages.py
@@ -12,6 +12,8 @@
     ``cost_tokens`` is prompt and output together, as far as known. ``rank`` orders the
     classes. A continuing request has tokens already, and goes before new work.
     ``prompt_key`` names the prompt, salted by team, for prefix affinity.
+    ``candidates`` are the endpoints whose load was asked for just now; while one of
+    them has room, no other is chosen.
     """
 
     ticket: int
@@ -27,17 +29,24 @@
     prompt_tokens: int = 0
     prompt_key: str = ""
     excluded: frozenset[str] = field(factory=frozenset)
+    candidates: frozenset[str] = field(factory=frozenset)
 
 
 @frozen
 class LoadReport:
-    """An endpoint's own report of its load, which lags."""
+    """An endpoint's own report of its load, which lags.
+
+    ``unread_runs`` are requests that wait there or whose prompt is being read, and
+    ``free_tokens`` is the memory for more; both are None if it doesn't say.
+    """
 
     endpoint_id: str
     running: int
     queued: int
     slots: int
     asked_ms: float
+    unread_runs: int | None = None
+    free_tokens: int | None = None
 
 
 @frozen
--- a/src/coursekeel/routing/_router.py
+++ b/src/coursekeel/routing/_router.py
@@ -4,10 +4,10 @@
 from collections.abc import Callable, Iterable
 from random import Random
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from coursekeel.routing._budget import RetryBudget
-from coursekeel.routing._candidates import EndpointLoad, pick
+from coursekeel.routing._candidates import EndpointLoad, pick, preference
 from coursekeel.routing._messages import Decision, Grant, LoadReport, Refuse, Seek
 from coursekeel.routing._queue import FairQueue
 
@@ -108,6 +108,55 @@
             if shares.get(name) == budget.share
         }
 
+    def adopt(self, endpoint_id: str) -> None:
+        """A run goes to an endpoint that routing didn't choose, such as a copy's."""
+        load = self._loads.get(endpoint_id)
+        if load is not None:
+            load.sent("")
+
+    def to_ask(self, seek: Seek, now_ms: float, count: int) -> list[str]:
+        """Endpoints whose load is worth asking for before this request is placed.
+
+        The prompt's own endpoint and some at random, the first of them in another
+        availability zone, since a copy of the run will be kept there.
+        """
+        usable = [
+            load
+            for load in self._candidates(seek.model, now_ms)
+            if load.endpoint_id not in seek.excluded
+        ]
+        if len(usable) <= count:
+            return [load.endpoint_id for load in usable]
+        own = max(
+            usable, key=lambda each: preference(seek.prompt_key, each.endpoint_id)
+        )
+        others = [load for load in usable if load is not own]
+        self.random.shuffle(others)
+        others.sort(key=lambda load: load.zone == own.zone)
+        far, rest = others[:1], others[1:]
+        self.random.shuffle(rest)
+        return [load.endpoint_id for load in [own, *far, *rest[: count - 2]]]
+
+    def place_for_copy(self, seek: Seek, endpoint_id: str, now_ms: float) -> str:
+        """The endpoint to keep a copy of a run; empty if there is none.
+
+        It lies in another availability zone if one has room, because endpoints of one
+        zone die together.
+        """
+        load = self._loads.get(endpoint_id)
+        usable = [
+            each
+            for each in self._candidates(seek.model, now_ms)
+            if each.endpoint_id != endpoint_id and each.endpoint_id not in seek.excluded
+        ]
+        far = [each for each in usable if load is None or each.zone != load.zone]
+        places = far or usable
+        if not places:
+            return ""
+        asked = [each for each in places if each.endpoint_id in seek.candidates]
+        best = pick(asked or places, evolve(seek, prompt_key=""), "", self.random)
+        return best.endpoint_id
+
     def load(self, endpoint_id: str) -> EndpointLoad | None:
         """What is known of an endpoint's load."""
         return self._loads.get(endpoint_id)
@@ -166,12 +215,12 @@
             load.limit.refused(now_ms, self.settings.refusal_hold_ms)
 
     def released(
-        self, endpoint_id: str, run_ms: float, now_ms: float
+        self, endpoint_id: str, run_ms: float, now_ms: float, failed: bool = False
     ) -> list[Decision]:
-        """A granted place is free again."""
+        """A granted place is free again; ``failed`` if the endpoint failed the run."""
         load = self._loads.get(endpoint_id)
         if load is not None:
-            load.ended(run_ms)
+            load.ended(run_ms, failed)
         return self.review(now_ms)
 
     def review(self, now_ms: float) -> list[Decision]:
@@ -222,7 +271,7 @@
         return decisions
 
     def _grant(self, seek: Seek, load: EndpointLoad) -> Grant:
-        load.sent(seek.prompt_key)
+        load.sent(seek.prompt_key, seek.prompt_tokens)
         return Grant(seek.ticket, load.endpoint_id)
 
     def _choose(
--- /dev/null
+++ b/src/coursekeel/runtime/__init__.py
@@ -0,0 +1,16 @@
+"""What every role needs: the process, the clock, periodic work, routing's task."""
+
+from coursekeel.runtime._clock import Clock
+from coursekeel.runtime._periodic import Periodic, spawn
+from coursekeel.runtime._process import Role, install_reactor, run_role
+from coursekeel.runtime._routing_task import RoutingTask
+
+__all__ = [
+    "Clock",
+    "Periodic",
+    "Role",
+    "RoutingTask",
+    "install_reactor",
+    "run_role",
+    "spawn",
+]
--- /dev/null
+++ b/src/coursekeel/runtime/_process.py
@@ -0,0 +1,107 @@
+"""Run one role on the asyncio reactor until a signal ends it."""
+
+import gc
+import logging
+import signal
+from abc import ABC, abstractmethod
+from typing import Any
+
+from attrs import define
+
+from coursekeel.errors import InvariantBroken
+from coursekeel.observe import log_event
+from coursekeel.reactor import Reactor
+from coursekeel.runtime._periodic import spawn
+
+__all__ = ["Role", "install_reactor", "run_role"]
+
+EXIT_BROKEN = 70
+_COLLECT_AFTER = 20_000
+
+
+class Role(ABC):
+    """What a process does between its start and its end."""
+
+    @abstractmethod
+    async def start(self) -> None:
+        """Open the sockets and begin."""
+
+    @abstractmethod
+    async def stop(self) -> None:
+        """Finish what runs, and close."""
+
+    def reload(self) -> None:
+        """Read the settings again; a role that can't keeps what it has."""
+        log_event("reload_ignored")
+
+
+@define
+class _FailureWatch:
+    """Hears what Twisted caught; a broken invariant ends the process.
+
+    Twisted closes the connection in whose callback an exception rose and goes on. For
+    an invariant that isn't enough: what else this process holds can't be trusted.
+    """
+
+    reactor: Reactor
+    broken: bool = False
+
+    def __call__(self, event: dict[str, Any]) -> None:
+        failure = event.get("log_failure")
+        if failure is None:
+            return
+        trace = failure.getTraceback()
+        log_event("unhandled_failure", logging.ERROR, error=trace)
+        if failure.check(InvariantBroken) and not self.broken:
+            self.broken = True
+            self.reactor.callFromThread(self.reactor.stop)
+
+
+def install_reactor() -> Reactor:
+    """Choose the asyncio reactor, before anything imports the default one.
+
+    gRPC needs the asyncio loop, so it is that one.
+    """
+    from twisted.internet import asyncioreactor
+
+    asyncioreactor.install()
+    from twisted.internet import reactor
+
+    return reactor
+
+
+def run_role(reactor: Reactor, role: Role) -> int:
+    """Serve until SIGTERM or SIGINT; returns the exit code."""
+    from twisted.logger import globalLogBeginner
+
+    watch = _FailureWatch(reactor)
+    observer: Any = watch
+    globalLogBeginner.beginLoggingTo([observer], redirectStandardIO=False)
+
+    async def end() -> None:
+        await role.stop()
+        reactor.stop()
+
+    def told(number: int, _frame: object) -> None:
+        log_event("signal", number=number)
+        if number == signal.SIGHUP:
+            reactor.callFromThread(role.reload)
+        else:
+            reactor.callFromThread(lambda: spawn(end(), "stop", reactor))
+
+    def listen() -> None:
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            signal.signal(number, told)
+
+    reactor.callWhenRunning(lambda: spawn(role.start(), "start", reactor))
+    reactor.callWhenRunning(listen)
+    _calm_collector()
+    reactor.run()
+    return EXIT_BROKEN if watch.broken else 0
+
+
+def _calm_collector() -> None:
+    """Collect seldom: what lives long is frozen, what doesn't is freed by count."""
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(_COLLECT_AFTER, 10, 10)
--- a/src/coursekeel/entry/_routing_task.py
+++ b/src/coursekeel/runtime/_routing_task.py
@@ -5,9 +5,9 @@
 
 from attrs import define, evolve, field
 
-from coursekeel.entry._clock import Clock
 from coursekeel.reactor import Reactor
 from coursekeel.routing import Decision, LoadReport, Router, Seek
+from coursekeel.runtime._clock import Clock
 
 __all__ = ["RoutingTask"]
 
@@ -42,10 +42,10 @@
         if self._waiting.pop(ticket, None) is not None:
             self.router.withdraw(ticket)
 
-    def released(self, endpoint_id: str, run_ms: float) -> None:
-        """A granted place is free again."""
+    def released(self, endpoint_id: str, run_ms: float, failed: bool = False) -> None:
+        """A granted place is free again; ``failed`` if the endpoint failed the run."""
         now_ms = self.clock.now_ms()
-        self._tell(self.router.released(endpoint_id, run_ms, now_ms))
+        self._tell(self.router.released(endpoint_id, run_ms, now_ms, failed))
 
     def reported(self, report: LoadReport) -> None:
         """An endpoint's load report came."""
--- a/src/coursekeel/settings/__init__.py
+++ b/src/coursekeel/settings/__init__.py
@@ -1,7 +1,15 @@
 """An entry's settings: one checked, frozen value read from JSON with comments."""
 
+from coursekeel.settings._gateway import (
+    GatewayListen,
+    GatewaySettings,
+    GatewayTimers,
+    RetryShare,
+)
 from coursekeel.settings._load import (
+    load_gateway_settings,
     load_settings,
+    parse_gateway_settings,
     parse_settings,
     read_json_with_comments,
 )
@@ -18,12 +26,18 @@
 __all__ = [
     "PROFILES",
     "EntrySettings",
+    "GatewayListen",
+    "GatewaySettings",
+    "GatewayTimers",
     "Limits",
     "ListenSettings",
     "OperatorKey",
     "PlatformSettings",
+    "RetryShare",
     "Timers",
+    "load_gateway_settings",
     "load_settings",
+    "parse_gateway_settings",
     "parse_settings",
     "read_json_with_comments",
 ]
--- a/src/coursekeel/settings/_load.py
+++ b/src/coursekeel/settings/_load.py
@@ -3,13 +3,19 @@
 from collections.abc import Mapping
 from pathlib import Path
 from string import hexdigits
-from typing import Any
+from typing import Any, TypeVar
 
 import attrs
 import json5
 
 from coursekeel.errors import SettingsInvalid
 from coursekeel.intents import faults_of, strict_converter
+from coursekeel.settings._gateway import (
+    GatewayListen,
+    GatewaySettings,
+    GatewayTimers,
+    RetryShare,
+)
 from coursekeel.settings._model import (
     PROFILES,
     EntrySettings,
@@ -20,12 +26,29 @@
     Timers,
 )
 
-__all__ = ["load_settings", "parse_settings", "read_json_with_comments"]
+__all__ = [
+    "load_gateway_settings",
+    "load_settings",
+    "parse_gateway_settings",
+    "parse_settings",
+    "read_json_with_comments",
+]
 
 _UNITS = ("_ms", "_s", "_bytes", "_tokens")
 _HASH_CHARACTERS = 64
+_MOST_PORT = 65_535
+_Settings = TypeVar("_Settings")
 _CONVERTER = strict_converter(
-    ListenSettings, PlatformSettings, OperatorKey, Timers, Limits, EntrySettings
+    ListenSettings,
+    PlatformSettings,
+    OperatorKey,
+    Timers,
+    Limits,
+    EntrySettings,
+    GatewayListen,
+    GatewayTimers,
+    RetryShare,
+    GatewaySettings,
 )
 
 
@@ -58,8 +81,28 @@
     # hide them until the next try.
     faults += _out_of_range(filled, EntrySettings, "")
     faults += _operator_faults(filled)
+    return _structured(filled, EntrySettings, faults, source)
+
+
+def load_gateway_settings(path: Path) -> GatewaySettings:
+    """Read a gateway's settings; raises `SettingsInvalid` with every fault found."""
+    return parse_gateway_settings(read_json_with_comments(path), str(path))
+
+
+def parse_gateway_settings(value: Any, source: str) -> GatewaySettings:
+    """Check a gateway's settings value; ``source`` names it in faults."""
+    if not isinstance(value, dict):
+        raise SettingsInvalid(f"{source}: expected an object, got {value!r:.40}")
+    faults = _out_of_range(value, GatewaySettings, "")
+    faults += _address_faults(value)
+    return _structured(value, GatewaySettings, faults, source)
+
+
+def _structured(
+    value: dict[str, Any], kind: type[_Settings], faults: list[str], source: str
+) -> _Settings:
     try:
-        settings = _CONVERTER.structure(filled, EntrySettings)
+        settings = _CONVERTER.structure(value, kind)
     except Exception as failure:
         faults += [_with_unit_hint(each) for each in faults_of(failure)]
     if faults:
@@ -67,6 +110,23 @@
     return settings
 
 
+def _address_faults(raw: dict[str, Any]) -> list[str]:
+    listen = raw.get("listen")
+    given = {"store": raw.get("store")}
+    if isinstance(listen, dict):
+        given |= {f"listen.{name}": text for name, text in listen.items()}
+    return [
+        f"{name}: got {text!r}, expected an address such as 127.0.0.1:8080"
+        for name, text in given.items()
+        if isinstance(text, str) and text and not _is_address(text)
+    ]
+
+
+def _is_address(text: str) -> bool:
+    host, _, port = text.rpartition(":")
+    return bool(host) and port.isdigit() and int(port) <= _MOST_PORT
+
+
 def _with_profile(value: dict[str, Any]) -> tuple[dict[str, Any], list[str]]:
     name = value.pop("profile", None)
     if name is None:
