The alarm for silence is set at an answer's first piece

Cause: a stream's alarm stood at the limit for its first piece; after the first event nothing set it anew, so an endpoint that went dark mid-stream was seen only by the caller's own patience (document-check, run at 5.1 s, dark at 11.0 s, deadline at 28.7 s). Ruled out: the copies themselves, which take a run up within 13 to 50 ms.

--- a/src/coursekeel/answers/_answer.py
+++ b/src/coursekeel/answers/_answer.py
@@ -248,7 +248,10 @@
 
     def _extended(self, winner: Attempt) -> list[Action]:
         actions: list[Action] = [Deliver(self.ledger.next_position)]
-        winner.progressed = True
+        if not winner.progressed:
+            winner.progressed = True
+            # The alarm that stands is for the first piece, which may take long.
+            actions.append(self._alarm())
         self._waiting_since_ms = None
         self._own_stream_tries = 0
         self.deaths = 0
--- a/src/coursekeel/gateway/_stream_task.py
+++ b/src/coursekeel/gateway/_stream_task.py
@@ -238,8 +238,11 @@
 
     def _cancel(self, number: int) -> None:
         attempt = self._open.pop(number, None)
-        if attempt is not None:
-            attempt.close()
+        if attempt is None:
+            return
+        if not self.core.ended and self._lost_ms is None:
+            self.lost(attempt.endpoint_id, "silent")
+        attempt.close()
 
     def attempt_over(self, number: int) -> None:
         """The attempt's connection ended by itself."""
