--- a/src/coursekeel/gateway/_gateway.py
+++ b/src/coursekeel/gateway/_gateway.py
@@ -191,6 +191,8 @@
         for task in self._tasks:
             task.start()
         log_event("gateway_started", callers=listen.callers, zone=self.settings.zone)
+        ports = (str(each.getHost().port) for each in self._listeners)
+        print("listening", *ports, flush=True)
 
     def _listen(self, address: str, site: Any) -> None:
         host, _, port = address.rpartition(":")
--- /dev/null
+++ b/tests/platform/site.py
@@ -0,0 +1,257 @@
+"""A gateway's process before the stand-in's, and callers that speak to it."""
+
+import itertools
+import os
+import subprocess
+import sys
+import tempfile
+from collections.abc import Iterator
+from contextlib import contextmanager
+from http.client import HTTPConnection, HTTPException
+from pathlib import Path
+from typing import Any
+
+import orjson
+from attrs import define, field, frozen
+
+from standins.site import Http, wait_until
+
+ROOT = Path(__file__).parents[2]
+HOST = "site.example"
+ZONES = ("ikeja", "lekki", "yaba")
+KEY = "key-1"
+_IDS = itertools.count(1)
+
+
+@frozen
+class Answer:
+    """What a caller got; ``whole`` says whether the answer looked complete."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    whole: bool
+
+
+def route(name: str, kind: str, pool: str, **more: Any) -> dict[str, Any]:
+    return {
+        "name": name,
+        "host": HOST,
+        "path-prefix": f"/{name}/",
+        "route-type": kind,
+        "timeout-ms": 4_000,
+        "target-latency-ms": 1_000,
+        "service": pool,
+        "max-attempts": 2,
+        "anonymous": False,
+    } | more
+
+
+def configuration(version: int = 1, keys: tuple[str, ...] = (KEY,)) -> dict[str, Any]:
+    return {
+        "version": version,
+        "routes": [
+            route(
+                "stream", "streaming", "engines", resumable=True, **{"max-attempts": 5}
+            ),
+            route("once", "non_idempotent", "plain", **{"max-attempts": 1}),
+            route("again", "idempotent", "plain"),
+            route("open", "idempotent", "plain", anonymous=True),
+            route("hasty", "idempotent", "plain", **{"timeout-ms": 300}),
+        ],
+        "services": [
+            {"name": "engines", "engine": {"slots": 8, "backups": True}},
+            {"name": "plain"},
+        ],
+        "limits": {"max-body-bytes": 2_000},
+        "tenants": [{"name": "team-1", "api-keys": list(keys), "priority": 1}],
+    }
+
+
+@define
+class GatewaySite:
+    """Everything that runs for one test module."""
+
+    folder: Path
+    control: Http = field(init=False)
+    store_port: int = 0
+    server_ports: list[int] = field(factory=list)
+    ports: list[int] = field(factory=list)
+    processes: list[subprocess.Popen[bytes]] = field(factory=list)
+    version: int = 1
+
+    def start(self, servers: int) -> None:
+        standin = self._start(["-m", "tests.platform.standin", str(servers)], "standin")
+        control, self.store_port, *self.server_ports = standin
+        self.control = Http(control)
+        self.put([("op", "config", configuration())])
+        for number in range(servers):
+            self.put_server(number)
+        self.ports = self.start_gateway("g1")
+
+    def start_gateway(self, name: str, **timers: int) -> list[int]:
+        settings = {
+            "instance_id": name,
+            "zone": "ikeja",
+            "listen": {
+                "callers": "127.0.0.1:0",
+                "readiness": "127.0.0.1:0",
+                "metrics": "127.0.0.1:0",
+            },
+            "store": f"127.0.0.1:{self.store_port}",
+            "timers": {
+                "belief_ms": 1_000,
+                "configuration_ms": 1_000,
+                "grace_ms": 6_000,
+            }
+            | timers,
+            "retries": {"ratio": 1.0, "slack": 1_500},
+            "seed": 1,
+        }
+        file = self.folder / f"{name}.json"
+        file.write_bytes(orjson.dumps(settings))
+        ports = self._start(["platform/serve.py"], name, COURSEKEEL_SETTINGS=str(file))
+        wait_until(lambda: self.ready(ports), "the gateway is ready")
+        return ports
+
+    def _start(self, arguments: list[str], name: str, **variables: str) -> list[int]:
+        log = self.folder / f"{name}.log"
+        process = subprocess.Popen(
+            [sys.executable, *arguments],
+            stdout=log.open("ab"),
+            stderr=subprocess.STDOUT,
+            cwd=ROOT,
+            env=os.environ | variables,
+        )
+        self.processes.append(process)
+
+        def listening() -> list[int]:
+            assert process.poll() is None, log.read_text()[-3_000:]
+            for line in log.read_text().splitlines():
+                if line.startswith("listening "):
+                    return [int(each) for each in line.split()[1:]]
+            return []
+
+        return list(wait_until(listening, f"{name} listens"))
+
+    def stop(self) -> None:
+        for process in self.processes:
+            if process.poll() is None:
+                process.kill()
+            process.wait()
+
+    def ready(self, ports: list[int] | None = None) -> bool:
+        status, _ = self._raw((ports or self.ports)[1], "/coursekeel/ready")
+        return status == 200
+
+    def _raw(self, port: int, path: str) -> tuple[int, bytes]:
+        connection = HTTPConnection("127.0.0.1", port, timeout=10)
+        connection.request("GET", path)
+        response = connection.getresponse()
+        return response.status, response.read()
+
+    def metrics(self) -> str:
+        return self._raw(self.ports[2], "/metrics")[1].decode()
+
+    def log(self, name: str = "g1") -> str:
+        return (self.folder / f"{name}.log").read_text()
+
+    # The platform's side.
+
+    def put(self, rows: list[tuple[str, str, Any]]) -> None:
+        self.control.ask("POST", "/rows", [list(each) for each in rows])
+
+    def put_server(self, number: int, state: str = "ready", **more: Any) -> None:
+        row = {
+            "service": "plain" if number >= 3 else "engines",
+            "address": f"127.0.0.1:{self.server_ports[number]}",
+            "zone": ZONES[number % 3],
+            "slots": 8,
+            "state": state,
+        }
+        self.put([("servers", f"s{number}", row | more)])
+
+    def configure(self, **more: Any) -> None:
+        self.version += 1
+        self.put([("op", "config", configuration(self.version, **more))])
+
+    def store(self, **state: Any) -> None:
+        self.control.ask("POST", "/store", state)
+
+    def faults(self, name: str, **faults: Any) -> None:
+        self.control.ask("POST", f"/servers/{name}", faults)
+
+    def plain_faults(self, **faults: Any) -> None:
+        for name in ("s3", "s4", "s5"):
+            self.faults(name, **faults)
+
+    def ran(self, request_id: str) -> list[dict[str, Any]]:
+        servers = self.control.get("/servers")
+        return [
+            each | {"server": name}
+            for name, state in servers.items()
+            for each in state["ran"]
+            if each["headers"]["request-id"] == request_id
+        ]
+
+    def open_runs(self) -> list[str]:
+        servers = self.control.get("/servers")
+        return [run for state in servers.values() for run in state["open"]]
+
+    def forget(self) -> None:
+        self.control.ask("POST", "/forget", {})
+
+    # The callers' side.
+
+    def open(
+        self,
+        path: str,
+        body: bytes = b"",
+        port: int = 0,
+        request_id: str = "",
+        key: str = KEY,
+        **headers: str,
+    ) -> tuple[HTTPConnection, str]:
+        connection = HTTPConnection("127.0.0.1", port or self.ports[0], timeout=20)
+        request_id = request_id or f"r{next(_IDS)}"
+        sent = {"host": HOST, "request-id": request_id, "deadline-ms": "5000"}
+        if key:
+            sent["authorization"] = f"Bearer {key}"
+        sent |= {name.replace("_", "-"): value for name, value in headers.items()}
+        connection.request("POST" if body else "GET", path, body or None, sent)
+        return connection, request_id
+
+    def ask(self, path: str, body: bytes = b"", **more: Any) -> Answer:
+        connection, _ = self.open(path, body, **more)
+        return read(connection)
+
+
+def read(connection: HTTPConnection) -> Answer:
+    response = connection.getresponse()
+    headers = {name.lower(): value for name, value in response.getheaders()}
+    try:
+        data, whole = response.read(), True
+    except (HTTPException, OSError) as failure:
+        data, whole = getattr(failure, "partial", b""), False
+    connection.close()
+    return Answer(response.status, headers, data, whole)
+
+
+def events(upto: int, start: int = 1) -> bytes:
+    return b"".join(
+        b"id: %d\ndata: piece-%d\n\n" % (number, number)
+        for number in range(start, upto + 1)
+    )
+
+
+@contextmanager
+def running_gateway(servers: int = 6) -> Iterator[GatewaySite]:
+    with tempfile.TemporaryDirectory() as folder:
+        site = GatewaySite(Path(folder))
+        try:
+            site.start(servers)
+            yield site
+            for word in ("unhandled_failure", "task_failed", "Traceback"):
+                assert word not in site.log(), site.log()[-3_000:]
+        finally:
+            site.stop()
--- /dev/null
+++ b/tests/platform/standin.py
@@ -0,0 +1,319 @@
+"""A small stand-in of the users' platform: its store and its servers, one process.
+
+`python -m tests.platform.standin SERVERS` prints the ports of its control site, its
+store and its servers. Faults are set over the control site; what ran is read there.
+"""
+
+import sys
+from base64 import b64encode
+from typing import Any
+
+from twisted.internet import asyncioreactor
+
+asyncioreactor.install()
+
+import orjson  # noqa: E402
+from klein import Klein  # noqa: E402
+from twisted.internet import reactor  # noqa: E402
+from twisted.internet.defer import Deferred  # noqa: E402
+from twisted.internet.task import deferLater  # noqa: E402
+from twisted.web.server import Site  # noqa: E402
+
+_EVENT_GAP_S = 0.02
+
+
+class Store:
+    """Tables of rows with one rising version; the history may be forgotten."""
+
+    def __init__(self) -> None:
+        self.rows: dict[tuple[str, str], dict[str, Any]] = {}
+        self.version = 1
+        self.oldest = 0
+        self.fault = ""
+        self.calls = 0
+        self.waiting: list[tuple[str, int, Deferred[bytes]]] = []
+        self.app = self._routes()
+
+    def put(self, table: str, key: str, value: Any) -> None:
+        self.version += 1
+        row: dict[str, Any] = {"table": table, "part": "", "key": key}
+        if value is None:
+            row["gone"] = True
+        else:
+            row["value"] = b64encode(orjson.dumps(value)).decode()
+        self.rows[table, key] = row | {"ver": self.version}
+        for waiter in list(self.waiting):
+            if waiter[0] == table:
+                self.waiting.remove(waiter)
+                waiter[2].callback(self.changes(table, waiter[1]))
+
+    def changes(self, table: str, since: int) -> bytes:
+        rows = [
+            row
+            for (name, _), row in self.rows.items()
+            if name == table and row["ver"] > since
+        ]
+        return self._answer(sorted(rows, key=lambda row: row["ver"]))
+
+    def _answer(self, rows: list[dict[str, Any]], more: bool = False) -> bytes:
+        now_ms = reactor.seconds() * 1000
+        body = {"rows": rows, "more": more, "ver": self.version, "now_ms": now_ms}
+        return orjson.dumps(body)
+
+    def _routes(self) -> Klein:
+        app = Klein()
+
+        @app.route("/coursekeel/rows-get")
+        def get(request: Any) -> Any:
+            if (fault := self._faulted(request)) is not None:
+                return fault
+            table = request.args[b"table"][0].decode()
+            start = request.args.get(b"from", [b""])[0].decode()
+            limit = min(int(request.args[b"limit"][0]), 3)
+            rows = sorted(
+                (row for (name, _), row in self.rows.items() if name == table),
+                key=lambda row: row["key"],
+            )
+            rows = [r for r in rows if r["key"] >= start and "gone" not in r]
+            return self._answer(rows[:limit], len(rows) > limit)
+
+        @app.route("/coursekeel/rows-feed")
+        def feed(request: Any) -> Any:
+            if (fault := self._faulted(request)) is not None:
+                return fault
+            table = request.args[b"table"][0].decode()
+            since = int(request.args[b"since-rev"][0])
+            if since < self.oldest:
+                request.setResponseCode(410)
+                return b"{}"
+            if any(r["ver"] > since for (t, _), r in self.rows.items() if t == table):
+                return self.changes(table, since)
+            held: Deferred[bytes] = Deferred()
+            waiter = (table, since, held)
+            self.waiting.append(waiter)
+            wait_s = int(request.args[b"wait-ms"][0]) / 1000
+            reactor.callLater(wait_s, self._wait_over, waiter)
+            return held
+
+        return app
+
+    def _wait_over(self, waiter: tuple[str, int, "Deferred[bytes]"]) -> None:
+        if waiter in self.waiting:
+            self.waiting.remove(waiter)
+            waiter[2].callback(self._answer([]))
+
+    def _faulted(self, request: Any) -> Any:
+        self.calls += 1
+        if self.fault.isdigit():
+            request.setResponseCode(int(self.fault))
+            return b"{}"
+        if self.fault == "reset":
+            request.transport.abortConnection()
+            return Deferred()
+        return Deferred() if self.fault == "silent" else None
+
+    def set_fault(self, fault: str) -> None:
+        self.fault = fault
+        if fault == "silent":
+            self.waiting.clear()
+
+
+class Server:
+    """One server: whole answers, or streams of numbered events, and copies."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.peers: dict[str, Server] = {}
+        self.address = ""
+        self.faults: dict[str, Any] = {}
+        self.ran: list[dict[str, Any]] = []
+        self.copies: set[str] = set()
+        self.open: dict[str, Any] = {}
+        self.app = self._routes()
+
+    def _routes(self) -> Klein:
+        app = Klein()
+
+        @app.route("/coursekeel/report")
+        def report(request: Any) -> Any:
+            if self.faults.get("dark"):
+                return Deferred()
+            runs = [[each, 10, 1, 5] for each in self.open]
+            return orjson.dumps(
+                {
+                    "queued": 0,
+                    "running": len(runs),
+                    "kv-used": 0,
+                    "kv-total": 90_000,
+                    "runs": runs,
+                }
+            )
+
+        @app.route("/<path:path>", methods=["GET", "POST"])
+        def call(request: Any, path: str) -> Any:
+            return self._call(request, path)
+
+        return app
+
+    def _call(self, request: Any, path: str) -> Any:
+        if request.getHeader("expect-instance") != self.name:
+            request.setResponseCode(421)
+            return b""
+        if self._take("shed"):
+            request.setResponseCode(503)
+            request.setHeader("not-executed", "1")
+            return b""
+        seen = {
+            name.decode().lower(): values[0].decode()
+            for name, values in request.requestHeaders.getAllRawHeaders()
+        }
+        run_id = seen["request-id"]
+        if "kv-from" in seen and run_id not in self.copies:
+            request.setResponseCode(503)
+            request.setHeader("not-executed", "1")
+            return b""
+        body = request.content.read().decode()
+        self.ran.append({"path": request.uri.decode(), "headers": seen, "body": body})
+        if self._take("mute") or self.faults.get("dark"):
+            return self._until_closed(request)
+        if self._take("reset"):
+            request.transport.abortConnection()
+            return Deferred()
+        answered = "f" * 16 if self._take("foreign") else run_id
+        request.setHeader("request-id", answered)
+        request.setHeader("response-signature", f"sig-{self.name}")
+        if path.startswith("stream"):
+            return self._stream(request, seen, int(path.rpartition("/")[2]))
+        return self._whole(request, run_id)
+
+    def _whole(self, request: Any, run_id: str) -> Any:
+        if self._take("unsigned"):
+            request.responseHeaders.removeHeader(b"response-signature")
+        if self._take("fail"):
+            request.setResponseCode(500)
+            return b"failed"
+        body = f"{self.name} {run_id}".encode()
+        if self._take("torn"):
+            request.setHeader("content-length", str(len(body) + 5))
+            request.write(body)
+            request.transport.loseConnection()
+            return Deferred()
+        if self._take("unframed_reset") or self.faults.get("unframed"):
+            request.clientproto = b"HTTP/1.0"
+            request.write(body)
+            if self.faults.get("unframed"):
+                request.transport.loseConnection()
+            else:
+                reactor.callLater(0.01, request.transport.abortConnection)
+            return Deferred()
+        delay_s = self.faults.get("delay_ms", 0) / 1000
+        return deferLater(reactor, delay_s, lambda: body)
+
+    def _stream(self, request: Any, seen: dict[str, str], last: int) -> Any:
+        run_id = seen["request-id"]
+        self.open[run_id] = request
+        if "kv-backup" in seen:
+            self.peers[seen["kv-backup"]].copies.add(run_id)
+        request.setHeader("content-type", "text/event-stream")
+        request.notifyFinish().addErrback(lambda _: self.open.pop(run_id, None))
+        self._event(request, run_id, int(seen.get("last-event-id", 0)) + 1, last)
+        return Deferred()
+
+    def _event(self, request: Any, run_id: str, number: int, last: int) -> None:
+        if run_id not in self.open or self.faults.get("dark"):
+            return
+        if number > last:
+            del self.open[run_id]
+            request.finish()
+            return
+        event = b"id: %d\ndata: piece-%d\n\n" % (number, number)
+        if self.faults.get("cut_at") == number:
+            self.faults.pop("cut_at")
+            del self.open[run_id]
+            request.write(event[:9])
+            reactor.callLater(0.005, request.transport.abortConnection)
+            return
+        if self.faults.get("dark_at") == number:
+            self.faults["dark"] = True
+            return
+        request.write(event)
+        reactor.callLater(_EVENT_GAP_S, self._event, request, run_id, number + 1, last)
+
+    def _until_closed(self, request: Any) -> Any:
+        run_id = request.getHeader("request-id")
+        self.open[run_id] = request
+        request.notifyFinish().addErrback(lambda _: self.open.pop(run_id, None))
+        return Deferred()
+
+    def _take(self, fault: str) -> bool:
+        """Use up one of a fault's times."""
+        if self.faults.get(fault, 0) <= 0:
+            return False
+        self.faults[fault] -= 1
+        return True
+
+
+def _control(store: Store, servers: dict[str, Server]) -> Klein:
+    app = Klein()
+
+    @app.route("/rows", methods=["POST"])
+    def rows(request: Any) -> bytes:
+        for table, key, value in orjson.loads(request.content.read()):
+            store.put(table, key, value)
+        return b"{}"
+
+    @app.route("/store", methods=["POST"])
+    def fault(request: Any) -> bytes:
+        body = orjson.loads(request.content.read())
+        if body.pop("compact", False):
+            store.oldest = store.version
+        if "fault" in body:
+            store.set_fault(body["fault"])
+        return b"{}"
+
+    @app.route("/store", methods=["GET"])
+    def state(request: Any) -> bytes:
+        return orjson.dumps({"calls": store.calls})
+
+    @app.route("/servers/<name>", methods=["POST"])
+    def server_faults(request: Any, name: str) -> bytes:
+        servers[name].faults = orjson.loads(request.content.read())
+        return b"{}"
+
+    @app.route("/servers", methods=["GET"])
+    def ran(request: Any) -> bytes:
+        told = {
+            name: {"ran": each.ran, "open": list(each.open)}
+            for name, each in servers.items()
+        }
+        return orjson.dumps(told)
+
+    @app.route("/forget", methods=["POST"])
+    def forget(request: Any) -> bytes:
+        for each in servers.values():
+            each.ran.clear()
+            each.faults.clear()
+        return b"{}"
+
+    return app
+
+
+def main() -> None:
+    """Serve until the process is ended."""
+    store = Store()
+    servers = {f"s{number}": Server(f"s{number}") for number in range(int(sys.argv[1]))}
+    apps = [_control(store, servers), store.app, *(s.app for s in servers.values())]
+    ports = [
+        reactor.listenTCP(0, Site(app.resource()), interface="127.0.0.1").getHost().port
+        for app in apps
+    ]
+    for server, port in zip(servers.values(), ports[2:], strict=True):
+        server.address = f"127.0.0.1:{port}"
+    for server in servers.values():
+        server.peers = {each.address: each for each in servers.values()}
+    print("listening", *ports, flush=True)
+    reactor.run()
+
+
+if __name__ == "__main__":
+    main()
