Failing zones are left alone; every decision on a request is logged; coursekeel explain

Ruled out: the take-up itself, 13 to 63 ms. Change: ZoneTrouble, and zones a request was lost in, keep copies and new work away; a prompt's own endpoint is preferred by more, and more still for a resumed request; changes of the store are gathered for 200 ms. Logs go to standard output through a bounded queue that never blocks (a test with a reader that stops, which stood in write before), with a line for each choice, try and end; coursekeel explain tells a request's life and cause.

--- a/src/coursekeel/cli/_main.py
+++ b/src/coursekeel/cli/_main.py
@@ -69,13 +69,33 @@
 
     def __call__(self) -> int:
         """Check."""
-        from coursekeel.settings import load_settings
+        from coursekeel.settings import check_settings
 
-        checked = load_settings(self.settings)
+        checked = check_settings(self.settings)
         print(f"{self.settings}: good, for instance {checked.instance_id}")
         return 0
 
 
+@cappa.command(
+    name="explain", help="Tell the life of one request from logs, and its cause."
+)
+@define
+class ExplainCommand:
+    """Explain a request."""
+
+    request_id: Annotated[str, cappa.Arg(help="The request's id.")]
+    logs: Annotated[
+        list[Path],
+        cappa.Arg(help="Log files; standard input if none."),
+    ] = field(factory=list)
+
+    def __call__(self) -> int:
+        """Explain."""
+        from coursekeel.cli._explain import explain_request
+
+        return explain_request(self.request_id, self.logs)
+
+
 @cappa.command(name="plan", help="Show what an intent would change; changes nothing.")
 @define
 class PlanCommand:
@@ -207,6 +227,7 @@
     command: cappa.Subcommands[
         EntryCommand
         | CheckCommand
+        | ExplainCommand
         | IntentCommand
         | EndpointsCommand
         | StatusCommand
--- a/src/coursekeel/errors.py
+++ b/src/coursekeel/errors.py
@@ -9,6 +9,7 @@
     "ChartError",
     "CoursekeelError",
     "InvariantBroken",
+    "LogUnreadable",
     "RequestInvalid",
     "SettingsInvalid",
 ]
@@ -33,6 +34,10 @@
         self.path = path
 
 
+class LogUnreadable(CoursekeelError):
+    """A log file that was named and can't be read."""
+
+
 class ChartError(CoursekeelError):
     """A state chart that is incomplete or names what doesn't exist."""
 
--- a/src/coursekeel/gateway/_belief_task.py
+++ b/src/coursekeel/gateway/_belief_task.py
@@ -23,6 +23,8 @@
 _FIRST_PAUSE_MS = 150.0
 _LONGEST_PAUSE_MS = 800.0
 _ANSWER_SLACK_MS = 600.0
+# Changes come in flocks, and each call of the store is paid for.
+_GATHERING_S = 0.2
 
 
 @define(eq=False)
@@ -46,6 +48,7 @@
     _version: int | None = None
     _stopped: bool = False
     _failures: int = 0
+    _changes: int = 0
     calls: int = 0
 
     def start(self) -> None:
@@ -58,12 +61,14 @@
 
     async def _run(self) -> None:
         while not self._stopped:
-            failed = await self._once()
-            if failed:
+            failures, changes = self._failures, self._changes
+            await self._once()
+            if self._failures > failures:
                 await deferLater(self.reactor, self._pause_s())
+            elif self._changes > changes:
+                await deferLater(self.reactor, _GATHERING_S)
 
-    async def _once(self) -> bool:
-        """Ask once; returns whether the store failed to answer."""
+    async def _once(self) -> None:
         sent_ms = self.clock.now_ms()
         held_ms = 0.0
         self.calls += 1
@@ -78,14 +83,11 @@
         match outcome:
             case Reading():
                 self._take(outcome, sent_ms, held_ms)
-                return False
             case HistoryGone():
                 log_event("history_gone", table=self.table.value, since=self._version)
                 self._version = None
-                return False
             case SourceFailed():
                 self._lost(outcome.reason)
-                return True
 
     def _take(self, reading: Reading, sent_ms: float, held_ms: float) -> None:
         now_ms = self.clock.now_ms()
@@ -97,6 +99,7 @@
         self._failures = 0
         self._version = reading.version
         if reading.entries or reading.whole:
+            self._changes += 1
             self.apply(reading)
 
     def _lost(self, reason: str) -> None:
--- a/src/coursekeel/gateway/_metrics.py
+++ b/src/coursekeel/gateway/_metrics.py
@@ -1,6 +1,5 @@
 """What a gateway counts and logs; nothing else writes its log events."""
 
-import logging
 from collections.abc import Callable, Sequence
 from typing import Any
 
@@ -8,6 +7,7 @@
 
 from coursekeel.gateway._ports import Forwarded
 from coursekeel.observe import Metrics, log_event
+from coursekeel.routing import EndpointLoad
 from coursekeel.runtime import Clock
 
 __all__ = ["GatewayMetrics"]
@@ -56,8 +56,7 @@
             fields["first_ms"] = round(first_ms - call.arrived_ms)
         if ways:
             fields["ways"] = ",".join(ways)
-        level = logging.DEBUG if code == "answered" else logging.INFO
-        log_event("request_ended", level, **fields)
+        log_event("request_ended", **fields)
 
     def refused(self, request_id: str, code: str, status: int, age_ms: float) -> None:
         """A request was refused before it was looked at further."""
@@ -71,6 +70,47 @@
             belief_age_ms=age,
         )
 
+    def chosen(
+        self,
+        call: Forwarded,
+        endpoint_id: str,
+        way: str,
+        load: EndpointLoad | None,
+        candidates: int = 0,
+        copy_id: str = "",
+    ) -> None:
+        """A request is sent to an endpoint, for these reasons."""
+        now_ms = self.clock.now_ms()
+        fields: dict[str, Any] = {
+            "request": call.caller.request_id,
+            "endpoint": endpoint_id,
+            "way": way,
+            "remaining_ms": round(call.due_ms - now_ms),
+        }
+        if copy_id:
+            fields["copy"] = copy_id
+        if load is not None:
+            fields["own_running"] = load.limit.running
+            fields["limit"] = int(load.limit.limit)
+            fields["failing"] = round(load.failing, 2)
+        if load is not None and load.report is not None:
+            fields["report_age_ms"] = round(now_ms - load.report.asked_ms)
+            fields["reported_running"] = load.report.running
+            fields["reported_queued"] = load.report.queued
+        if candidates:
+            fields["candidates"] = candidates
+        log_event("endpoint_chosen", **fields)
+
+    def try_ended(self, call: Forwarded, endpoint_id: str, outcome: str) -> None:
+        """A send came back without an answer to give out."""
+        self.metrics.attempts.inc({"way": outcome})
+        log_event(
+            "try_ended",
+            request=call.caller.request_id,
+            endpoint=endpoint_id,
+            outcome=outcome,
+        )
+
     def run_lost(
         self, call: Forwarded, endpoint_id: str, why: str, position: int
     ) -> None:
--- a/src/coursekeel/gateway/_plain_task.py
+++ b/src/coursekeel/gateway/_plain_task.py
@@ -126,6 +126,8 @@
         send = adapters.Send(
             record, call.caller.request_id, call.team_name, remaining_ms
         )
+        load = ports.routing.router.load(endpoint_id)
+        ports.metrics.chosen(call, endpoint_id, "whole", load)
         self._current = _Try(self, endpoint_id, now_ms)
         self._current.open(send, self._try_limit_ms(remaining_ms))
 
@@ -224,12 +226,22 @@
         self._stop_limit()
         outcome = self._outcome(ending, reason)
         failed = not isinstance(outcome, ServiceReply) or outcome.failed
+        self._say(outcome)
         self._release(failed)
         if outcome is SendOutcome.TURNED_AWAY:
             ports = self.task.ports
             ports.routing.router.turned_away(self.endpoint_id, ports.clock.now_ms())
         self.task.try_ended(outcome)
 
+    def _say(self, outcome: ServiceReply | SendOutcome) -> None:
+        if isinstance(outcome, SendOutcome):
+            word = outcome.value
+        elif outcome.failed:
+            word = f"status_{outcome.status}"
+        else:
+            return
+        self.task.ports.metrics.try_ended(self.task.call, self.endpoint_id, word)
+
     def _outcome(self, ending: Ending, reason: str) -> ServiceReply | SendOutcome:
         ports = self.task.ports
         if ending is Ending.NOT_SENT:
@@ -258,6 +270,7 @@
         assert self._exchange is not None
         self._exchange.abort()
         self._release(failed=True)
+        self._say(SendOutcome.MAYBE_SENT)
         self.task.try_ended(SendOutcome.MAYBE_SENT)
 
     def abandon(self) -> None:
--- a/src/coursekeel/gateway/_ports.py
+++ b/src/coursekeel/gateway/_ports.py
@@ -88,7 +88,11 @@
 
     def endpoint_failed(self, endpoint_id: str, reason: str) -> None:
         """An endpoint didn't answer at all: no new work for a while."""
-        ejected_ms = self.directory.failed(endpoint_id, self.clock.now_ms())
+        now_ms = self.clock.now_ms()
+        ejected_ms = self.directory.failed(endpoint_id, now_ms)
+        record = self.directory.record(endpoint_id)
+        if record is not None:
+            self.routing.router.lost(record.pool, endpoint_id, now_ms)
         self.metrics.ejected(endpoint_id, reason, ejected_ms)
 
     def endpoint_replaced(self, endpoint_id: str) -> None:
--- a/src/coursekeel/gateway/_stream_task.py
+++ b/src/coursekeel/gateway/_stream_task.py
@@ -80,6 +80,7 @@
     _retry_after_ms: float = _RETRY_AFTER_MS
     _lost_ms: float | None = None
     _ways: list[str] = field(factory=list)
+    _lost_zones: set[str] = field(factory=set)
     _first_ms: float | None = None
 
     def __attrs_post_init__(self) -> None:
@@ -163,6 +164,8 @@
             prompt_tokens=caller.prompt_tokens,
             prompt_key=caller.prompt_key or caller.request_id,
             excluded=action.excluded,
+            shunned_zones=frozenset(self._lost_zones),
+            resumes=caller.resume_after is not None,
         )
         self._seeking = True
         asked = self.ports.routing.router.to_ask(self._seek, now_ms, _ASKED)
@@ -207,6 +210,11 @@
         copy = self._place_copy(action, now_ms)
         position = self.core.ledger.next_position
         from_copy = action.way is Way.COPY
+        candidates = len(self._seek.candidates) if self._seek else 0
+        load = ports.routing.router.load(action.endpoint_id)
+        ports.metrics.chosen(
+            call, action.endpoint_id, action.way.value, load, candidates, copy
+        )
         send = adapters.Send(
             record,
             call.caller.request_id,
@@ -227,8 +235,9 @@
         resumable = self.call.route.kind is RouteKind.RESUMABLE
         if not self.call.copies or not resumable or self._seek is None:
             return ""
+        seek = evolve(self._seek, shunned_zones=frozenset(self._lost_zones))
         place = self.ports.routing.router.place_for_copy(
-            self._seek, action.endpoint_id, now_ms
+            seek, action.endpoint_id, now_ms
         )
         record = self.ports.directory.record(place)
         if record is None:
@@ -288,6 +297,11 @@
             self._lost_ms = self.ports.clock.now_ms()
         position = self.core.ledger.next_position
         self.ports.metrics.run_lost(self.call, endpoint_id, why, position)
+        now_ms = self.ports.clock.now_ms()
+        self.ports.routing.router.lost(self.call.pool, endpoint_id, now_ms)
+        record = self.ports.directory.record(endpoint_id)
+        if record is not None:
+            self._lost_zones.add(record.zone)
 
     def _complete(self) -> None:
         self._say("answered", _OK)
@@ -501,6 +515,9 @@
         self._over(Loss.CUT, failed=True)
 
     def _over(self, loss: Loss, failed: bool = False) -> None:
+        if loss is not Loss.CUT:
+            ports = self.task.ports
+            ports.metrics.try_ended(self.task.call, self.endpoint_id, loss.value)
         self._release(failed)
         self.task.attempt_over(self.number)
         self.task.tell(AttemptEnded(self.number, loss))
--- a/src/coursekeel/observe/__init__.py
+++ b/src/coursekeel/observe/__init__.py
@@ -1,6 +1,7 @@
 """Logs and metrics."""
 
-from coursekeel.observe._logs import log_event, set_up_logging
+from coursekeel.observe._logs import flush_logs, log_event, set_up_logging
 from coursekeel.observe._metrics import Metrics
+from coursekeel.observe._queue import LogQueue
 
-__all__ = ["Metrics", "log_event", "set_up_logging"]
+__all__ = ["LogQueue", "Metrics", "flush_logs", "log_event", "set_up_logging"]
--- a/src/coursekeel/routing/__init__.py
+++ b/src/coursekeel/routing/__init__.py
@@ -12,6 +12,7 @@
 from coursekeel.routing._messages import Decision, Grant, LoadReport, Refuse, Seek
 from coursekeel.routing._queue import FairQueue
 from coursekeel.routing._router import Router, RouterSettings
+from coursekeel.routing._trouble import ZoneTrouble
 
 __all__ = [
     "ConcurrencyLimit",
@@ -25,6 +26,7 @@
     "Router",
     "RouterSettings",
     "Seek",
+    "ZoneTrouble",
     "expected_first_token_ms",
     "pick",
     "preference",
--- a/src/coursekeel/routing/_candidates.py
+++ b/src/coursekeel/routing/_candidates.py
@@ -25,8 +25,10 @@
 _PREFILL_MS_PER_TOKEN = 0.05
 _OTHER_ZONE_MS = 2.0
 _MEMORY_FULL_MS = 5_000.0
-_KEEPER_SHARE = 0.5
+_KEEPER_SHARE = 0.9
+_RESUMED_KEEPER_SHARE = 2.0
 _FAILING_MS = 4_000.0
+_FAILING_SHARE = 0.3
 _EXPLORED_SHARE = 0.03
 
 
@@ -132,7 +134,8 @@
     asked = [each for each in loads if each.endpoint_id in seek.candidates]
     if asked:
         return min(asked, key=lambda each: _asked_ms(each, asked, seek, zone))
-    if random.random() < _EXPLORED_SHARE:
+    failing = any(each.failing > _FAILING_SHARE for each in loads)
+    if failing and random.random() < _EXPLORED_SHARE:
         # An endpoint that failed is never the better one; without a try now and then
         # nobody would find out that it works again.
         return random.choice(loads)
@@ -154,7 +157,8 @@
     if seek.prompt_key and load is max(
         asked, key=lambda each: _weight(each, seek.prompt_key)
     ):
-        wait_ms -= _KEEPER_SHARE * seek.prompt_tokens * _PREFILL_MS_PER_TOKEN
+        share = _RESUMED_KEEPER_SHARE if seek.resumes else _KEEPER_SHARE
+        wait_ms -= share * seek.prompt_tokens * _PREFILL_MS_PER_TOKEN
     return wait_ms
 
 
--- a/src/coursekeel/routing/_messages.py
+++ b/src/coursekeel/routing/_messages.py
@@ -13,7 +13,9 @@
     classes. A continuing request has tokens already, and goes before new work.
     ``prompt_key`` names the prompt, salted by team, for prefix affinity.
     ``candidates`` are the endpoints whose load was asked for just now; while one of
-    them has room, no other is chosen.
+    them has room, no other is chosen. ``shunned_zones`` are those where this request
+    was lost; ``resumes`` says that the caller holds a part of the answer already, so
+    that its prompt lies in some endpoint's cache.
     """
 
     ticket: int
@@ -30,6 +32,8 @@
     prompt_key: str = ""
     excluded: frozenset[str] = field(factory=frozenset)
     candidates: frozenset[str] = field(factory=frozenset)
+    shunned_zones: frozenset[str] = field(factory=frozenset)
+    resumes: bool = False
 
 
 @frozen
--- a/src/coursekeel/routing/_router.py
+++ b/src/coursekeel/routing/_router.py
@@ -10,6 +10,7 @@
 from coursekeel.routing._candidates import EndpointLoad, pick, preference
 from coursekeel.routing._messages import Decision, Grant, LoadReport, Refuse, Seek
 from coursekeel.routing._queue import FairQueue
+from coursekeel.routing._trouble import ZoneTrouble
 
 __all__ = ["Router", "RouterSettings"]
 
@@ -87,6 +88,7 @@
     _budgets: dict[str, RetryBudget] = field(factory=dict)
     _shares: dict[str, float] = field(factory=dict)
     _rates: dict[str, "_Rate"] = field(factory=dict)
+    _trouble: dict[str, ZoneTrouble] = field(factory=dict)
     refused: int = 0
 
     def configure(self, serving: dict[str, list[str]], zones: dict[str, str]) -> None:
@@ -120,11 +122,7 @@
         The prompt's own endpoint and some at random, the first of them in another
         availability zone, since a copy of the run will be kept there.
         """
-        usable = [
-            load
-            for load in self._candidates(seek.model, now_ms)
-            if load.endpoint_id not in seek.excluded
-        ]
+        usable = self._wanted(seek, self._candidates(seek.model, now_ms), now_ms)
         if len(usable) <= count:
             return [load.endpoint_id for load in usable]
         own = max(
@@ -144,11 +142,9 @@
         zone die together.
         """
         load = self._loads.get(endpoint_id)
-        usable = [
-            each
-            for each in self._candidates(seek.model, now_ms)
-            if each.endpoint_id != endpoint_id and each.endpoint_id not in seek.excluded
-        ]
+        candidates = self._candidates(seek.model, now_ms)
+        others = [each for each in candidates if each.endpoint_id != endpoint_id]
+        usable = self._wanted(seek, others, now_ms)
         far = [each for each in usable if load is None or each.zone != load.zone]
         places = far or usable
         if not places:
@@ -281,11 +277,34 @@
         free = [
             load for load in self._candidates(seek.model, now_ms) if load.limit.free
         ]
-        wanted = [load for load in free if load.endpoint_id not in seek.excluded]
+        wanted = self._wanted(seek, free, now_ms)
         if not wanted and avoid_over:
             wanted = free
         return pick(wanted, seek, self.zone, self.random) if wanted else None
 
+    def _wanted(
+        self, seek: Seek, loads: Iterable[EndpointLoad], now_ms: float
+    ) -> list[EndpointLoad]:
+        """Those that the request may go to, without failing zones if it can be."""
+        allowed = [each for each in loads if each.endpoint_id not in seek.excluded]
+        trouble = self._trouble_of(seek.model)
+        calm = [
+            each
+            for each in allowed
+            if each.zone not in seek.shunned_zones
+            and not trouble.shunned(each.zone, now_ms)
+        ]
+        return calm or allowed
+
+    def lost(self, model: str, endpoint_id: str, now_ms: float) -> None:
+        """An endpoint was found dead, or lost a run; its zone may be failing."""
+        load = self._loads.get(endpoint_id)
+        if load is not None:
+            self._trouble_of(model).lost(load.zone, endpoint_id, now_ms)
+
+    def _trouble_of(self, model: str) -> ZoneTrouble:
+        return self._trouble.setdefault(model, ZoneTrouble())
+
     def _candidates(self, model: str, now_ms: float) -> Iterable[EndpointLoad]:
         names = self._serving.get(model, [])
         return (self._loads[name] for name in names if self.may_take(name, now_ms))
--- a/src/coursekeel/runtime/_process.py
+++ b/src/coursekeel/runtime/_process.py
@@ -9,14 +9,15 @@
 from attrs import define
 
 from coursekeel.errors import InvariantBroken
-from coursekeel.observe import log_event
+from coursekeel.observe import flush_logs, log_event
 from coursekeel.reactor import Reactor
-from coursekeel.runtime._periodic import spawn
+from coursekeel.runtime._periodic import Periodic, spawn
 
 __all__ = ["Role", "install_reactor", "run_role"]
 
 EXIT_BROKEN = 70
 _COLLECT_AFTER = 20_000
+_FLUSH_MS = 500
 
 
 class Role(ABC):
@@ -93,6 +94,9 @@
         for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
             signal.signal(number, told)
 
+    # What a slow reader of the log left unwritten.
+    flushing = Periodic(reactor, "flush_logs", _FLUSH_MS, _flush)
+    reactor.callWhenRunning(flushing.start)
     reactor.callWhenRunning(lambda: spawn(role.start(), "start", reactor))
     reactor.callWhenRunning(listen)
     _calm_collector()
@@ -100,6 +104,10 @@
     return EXIT_BROKEN if watch.broken else 0
 
 
+async def _flush() -> None:
+    flush_logs()
+
+
 def _calm_collector() -> None:
     """Collect seldom: what lives long is frozen, what doesn't is freed by count."""
     gc.collect()
--- a/src/coursekeel/settings/__init__.py
+++ b/src/coursekeel/settings/__init__.py
@@ -7,6 +7,7 @@
     RetryShare,
 )
 from coursekeel.settings._load import (
+    check_settings,
     load_gateway_settings,
     load_settings,
     parse_gateway_settings,
@@ -35,6 +36,7 @@
     "PlatformSettings",
     "RetryShare",
     "Timers",
+    "check_settings",
     "load_gateway_settings",
     "load_settings",
     "parse_gateway_settings",
--- a/src/coursekeel/settings/_load.py
+++ b/src/coursekeel/settings/_load.py
@@ -27,6 +27,7 @@
 )
 
 __all__ = [
+    "check_settings",
     "load_gateway_settings",
     "load_settings",
     "parse_gateway_settings",
@@ -98,6 +99,16 @@
     return _structured(value, GatewaySettings, faults, source)
 
 
+def check_settings(path: Path) -> EntrySettings | GatewaySettings:
+    """Read the settings of whichever role the file is for; only a gateway's have
+    ``listen``.
+    """
+    value = read_json_with_comments(path)
+    if isinstance(value, dict) and "listen" in value:
+        return parse_gateway_settings(value, str(path))
+    return parse_settings(value, str(path))
+
+
 def _structured(
     value: dict[str, Any], kind: type[_Settings], faults: list[str], source: str
 ) -> _Settings:
--- a/standins/site.py
+++ b/standins/site.py
@@ -78,9 +78,10 @@
 
     def __init__(self, arguments: list[str], log: Path) -> None:
         self._log = log.open("ab")
+        self._before = len(log.read_text())
         self._process = subprocess.Popen(
             [sys.executable, "-m", *arguments],
-            stdout=subprocess.PIPE,
+            stdout=self._log,
             stderr=self._log,
             cwd=Path(__file__).parent.parent,
         )
@@ -92,13 +93,18 @@
         return self._process.pid
 
     def listening(self) -> list[int]:
-        assert self._process.stdout is not None
-        line = self._process.stdout.readline().decode()
-        if not line.startswith("listening"):
-            raise RuntimeError(f"didn't start: {self.log.read_text()[-2000:]}")
-        self.ports = [int(each) for each in line.split()[1:]]
+        self.ports = wait_until(self._said_ports, f"{self.log.name}: listens")
         return self.ports
 
+    def _said_ports(self) -> list[int]:
+        text = self.log.read_text()[self._before :]
+        if self._process.poll() is not None:
+            raise RuntimeError(f"didn't start: {text[-2000:]}")
+        for line in text.splitlines():
+            if line.startswith("listening "):
+                return [int(each) for each in line.split()[1:]]
+        return []
+
     def signal(self, number: int) -> None:
         self._process.send_signal(number)
 
--- /dev/null
+++ b/tests/cover/test_logs.py
@@ -0,0 +1,142 @@
+"""Log lines are bounded, never block, and can be read back."""
+
+import os
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from coursekeel.explain import explain, parse_line
+from coursekeel.observe import LogQueue, log_event
+from coursekeel.observe import _logs as logs
+
+LOW, HIGH = 20, 40
+
+
+@given(st.lists(st.tuples(st.sampled_from([LOW, HIGH]), st.integers(1, 40))))
+def test_a_queue_keeps_its_bound_and_drops_the_least_important_first(lines):
+    queue = LogQueue(100)
+    for level, length in lines:
+        queue.add(level, b"%d" % (level // 10) * length)
+    kept = []
+    while not queue.empty:
+        kept.append(queue.take())
+    assert sum(map(len, kept)) <= 100
+    assert len(kept) + queue.take_dropped() == len(lines)
+    high = [b"4" * length for level, length in lines if level == HIGH]
+    if sum(map(len, high)) <= 100:
+        assert [line for line in kept if line[:1] == b"4"] == high
+
+
+def test_lines_leave_in_the_order_they_came():
+    queue = LogQueue(100)
+    for level, line in ((LOW, b"a"), (HIGH, b"b"), (LOW, b"c")):
+        queue.add(level, line)
+    assert [queue.take(), queue.take(), queue.take()] == [b"a", b"b", b"c"]
+
+
+@pytest.fixture
+def pipe(monkeypatch):
+    """Logging set up on a pipe whose reader reads only when told to."""
+    reader, writer = os.pipe()
+    os.set_blocking(reader, False)
+    before = list(logs._LOGGER.handlers)
+    # Held here: pytest puts its own stdout back, and a file nobody holds is closed.
+    output = os.fdopen(writer, "w")
+    monkeypatch.setattr(logs.sys, "stdout", output)
+    logs.set_up_logging("i1", most_bytes=4_000)
+    yield reader
+    logs._LOGGER.handlers[:] = before
+    output.close()
+    os.close(reader)
+
+
+def read_all(pipe: int) -> bytes:
+    read = b""
+    while True:
+        try:
+            read += os.read(pipe, 1 << 16)
+        except BlockingIOError:
+            return read
+        logs.flush_logs()
+
+
+def test_a_reader_that_stops_reading_holds_nothing_up(pipe):
+    """Before the queue, the thousandth line stood in `write` for ever."""
+    for number in range(5_000):
+        log_event("filler", number=number, text="x" * 60)
+    read = read_all(pipe)
+    numbers = [
+        int(line.get("number"))
+        for line in map(parse_line, read.decode().splitlines())
+        if line is not None and line.event == "filler"
+    ]
+    assert numbers == sorted(numbers)
+    assert numbers[-1] == 4_999
+    dropped = [parse_line(each) for each in read.decode().splitlines()][-1]
+    assert int(dropped.get("lines")) == 5_000 - len(numbers)
+
+
+def test_a_reader_that_is_gone_holds_nothing_up(pipe, monkeypatch):
+    def closed(*_):
+        raise BrokenPipeError
+
+    monkeypatch.setattr(logs.os, "write", closed)
+    log_event("unheard")
+
+
+@given(st.dictionaries(st.sampled_from("abc"), st.text(max_size=12), min_size=1))
+def test_whatever_is_logged_is_read_back(fields):
+    record = " ".join(f"{key}={logs._text(value)}" for key, value in fields.items())
+    line = parse_line(f"12.5 host time=t event=e {record}")
+    if any("\r" in v or "\n" in v or "\\" in v for v in fields.values()):
+        return  # escapes are kept as they were written
+    assert {key: line.get(key) for key in fields} == fields
+
+
+def lines(*events: str) -> list[str]:
+    return [
+        f"time=2026-01-01T00:00:{number:02d}.000Z level=INFO instance=i1 {event}"
+        for number, event in enumerate(events)
+    ]
+
+
+def test_an_old_belief_is_traced_to_the_store():
+    told = explain(
+        "r1",
+        lines(
+            "event=store_lost table=configuration reason=Timeout belief_age_ms=900",
+            "event=request_refused request=r1 outcome=belief_old status=503 "
+            "belief_age_ms=4100",
+        ),
+    )
+    assert "4100 ms old" in told.cause and "Timeout" in told.cause
+
+
+def test_a_lost_answer_names_the_endpoint_that_took_the_request():
+    told = explain(
+        "r1",
+        lines(
+            "event=endpoint_chosen request=r1 endpoint=s3",
+            "event=try_ended request=r1 endpoint=s3 outcome=maybe_sent",
+            "event=request_ended request=r1 outcome=answer_lost status=502 sends=1",
+            "event=request_ended request=r2 outcome=answered status=200 sends=1",
+        ),
+    )
+    assert len(told.lines) == 3
+    assert "may have run" in told.cause and "s3: maybe_sent" in told.cause
+
+
+def test_a_request_of_a_killed_instance_ends_without_a_word():
+    told = explain("r1", lines("event=endpoint_chosen request=r1 endpoint=s3"))
+    assert "stopped before it gave a final word" in told.cause
+
+
+def test_lines_of_several_instances_are_put_in_order():
+    first, second = lines("event=a request=r1", "event=request_ended request=r1")
+    told = explain("r1", [second, first])
+    assert [each.event for each in told.lines] == ["a", "request_ended"]
+
+
+def test_a_request_that_no_line_names():
+    assert "never reached" in explain("r9", ["noise", "time=1 event=x"]).cause
