--- a/Makefile
+++ b/Makefile
@@ -35,3 +35,4 @@
 	$(BIN)/pip install -q pip-tools
 	$(BIN)/pip-compile -q --extra dev --generate-hashes --no-emit-index-url --no-emit-find-links --strip-extras --allow-unsafe --no-header -o requirements.lock pyproject.toml
 	$(BIN)/pip-compile -q --generate-hashes --no-emit-index-url --no-emit-find-links --strip-extras --allow-unsafe --no-header -o requirements-runtime.lock pyproject.toml
+	$(BIN)/python -m tools.gateway_lock
--- a/src/coursekeel/gateway/_gateway.py
+++ b/src/coursekeel/gateway/_gateway.py
@@ -42,6 +42,9 @@
 _LEAST_DRAIN_MS = 2_600.0
 _LAST_SHARE = 0.1
 _HOLD_SHARE = 0.6
+_LEAST_RETRY_MS = 50
+_MOST_RETRY_MS = 1_000
+_AVOID_MS = 100
 
 
 @define(eq=False)
@@ -58,6 +61,7 @@
     _tasks: list[BeliefTask] = field(factory=list)
     _listeners: list[Any] = field(factory=list)
     _stopping: bool = False
+    _endpoints_known: bool = False
 
     def __attrs_post_init__(self) -> None:
         self.random = Random(self.settings.seed)
@@ -68,7 +72,11 @@
             self.settings.zone,
             self.random,
             self.directory.may_take,
-            RouterSettings(retry_after_least_ms=50, avoid_ms=100),
+            RouterSettings(
+                retry_after_least_ms=_LEAST_RETRY_MS,
+                retry_after_most_ms=_MOST_RETRY_MS,
+                avoid_ms=_AVOID_MS,
+            ),
         )
         self.routing = RoutingTask(self.reactor, self.clock, self.router)
         ports = ForwardingPorts(
@@ -152,6 +160,7 @@
         self._endpoints_changed()
 
     def _listed(self, reading: Reading) -> None:
+        self._endpoints_known = True
         if reading.whole:
             pairs = [
                 (each.entry, each.version)
@@ -209,7 +218,8 @@
     def ready(self) -> bool:
         """Say whether the balancer should give this instance new connections."""
         fresh = self.desk.belief_age_ms() <= self.settings.timers.belief_ms
-        return self.desk.table is not None and fresh and not self._stopping
+        known = self.desk.table is not None and self._endpoints_known
+        return known and fresh and not self._stopping
 
     def _readiness(self, path: str) -> "tuple[int, bytes]":
         if path != self.callers.readiness_path:
--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -89,7 +89,7 @@
             self.put_server(number)
         self.ports = self.start_gateway("g1")
 
-    def start_gateway(self, name: str, **timers: int) -> list[int]:
+    def start_gateway(self, name: str, wait: bool = True, **timers: int) -> list[int]:
         settings = {
             "instance_id": name,
             "zone": "ikeja",
@@ -111,7 +111,8 @@
         file = self.folder / f"{name}.json"
         file.write_bytes(orjson.dumps(settings))
         ports = self._start(["platform/serve.py"], name, COURSEKEEL_SETTINGS=str(file))
-        wait_until(lambda: self.ready(ports), "the gateway is ready")
+        if wait:
+            wait_until(lambda: self.ready(ports), "the gateway is ready")
         return ports
 
     def _start(self, arguments: list[str], name: str, **variables: str) -> list[int]:
--- /dev/null
+++ b/tests/platform/test_start.py
@@ -0,0 +1,85 @@
+"""A gateway that can't start says why; one without a store waits and refuses."""
+
+import os
+import subprocess
+import sys
+
+import orjson
+import pytest
+
+from standins.site import wait_until
+from tests.platform.site import ROOT, GatewaySite
+
+GOOD = {
+    "instance_id": "g1",
+    "zone": "ikeja",
+    "listen": {"callers": "127.0.0.1:0", "readiness": "127.0.0.1:0"},
+    "store": "127.0.0.1:1",
+}
+
+
+def start(tmp_path, text: str) -> subprocess.CompletedProcess:
+    file = tmp_path / "settings.json"
+    file.write_text(text)
+    return subprocess.run(
+        [sys.executable, "platform/serve.py"],
+        cwd=ROOT,
+        env=os.environ | {"COURSEKEEL_SETTINGS": str(file)},
+        capture_output=True,
+        text=True,
+        timeout=30,
+    )
+
+
+@pytest.mark.parametrize(
+    ("change", "said"),
+    [
+        ({"store": "nowhere"}, "store: got 'nowhere', expected an address"),
+        ({"timers": {"belief_ms": 5}}, "timers.belief_ms: got 5, expected at least"),
+        ({"timers": {"belief": 5}}, "belief has no unit, write belief_ms"),
+        ({"listen": {"callers": "127.0.0.1:99999"}}, "listen.callers: got"),
+        ({"surprise": 1}, "surprise"),
+        ({"zone": None}, "zone"),
+    ],
+)
+def test_bad_settings_are_named_without_a_traceback(tmp_path, change, said):
+    done = start(tmp_path, orjson.dumps(GOOD | change).decode())
+    assert done.returncode == 64
+    assert said in done.stderr
+    assert "Traceback" not in done.stderr
+
+
+def test_every_bad_key_is_named_at_once(tmp_path):
+    bad = GOOD | {"store": "nowhere", "timers": {"belief_ms": 5}, "surprise": 1}
+    done = start(tmp_path, orjson.dumps(bad).decode())
+    for name in ("store", "belief_ms", "surprise"):
+        assert name in done.stderr
+
+
+def test_a_missing_file_is_named(tmp_path):
+    done = subprocess.run(
+        [sys.executable, "platform/serve.py"],
+        cwd=ROOT,
+        env=os.environ | {"COURSEKEEL_SETTINGS": str(tmp_path / "none.json")},
+        capture_output=True,
+        text=True,
+        timeout=30,
+    )
+    assert done.returncode == 64
+    assert "none.json: can't be read" in done.stderr
+
+
+def test_without_a_store_it_refuses_and_serves_once_there_is_one(tmp_path):
+    site = GatewaySite(tmp_path)
+    try:
+        site.start(6)
+        site.store(fault="silent")
+        ports = site.start_gateway("g2", wait=False)
+        answer = site.ask("/again/x", port=ports[0])
+        assert answer.status == 503 and "retry-after" in answer.headers
+        assert not site.ready(ports)
+        site.store(fault="")
+        wait_until(lambda: site.ready(ports), "the store is read", 10)
+        assert site.ask("/again/x", port=ports[0]).status == 200
+    finally:
+        site.stop()
