A stop sends what was written before the process ends

Around each SIGTERM of its roll_term the process ended as soon as no request was open, while an ended reply could still lie in its buffers. Ruled out: streams cut at the end of the grace (excused while their server works), new streams late in a stop (refused). Change: after the last request the listener closes, idle connections are closed once flushed, and the process waits for that within its grace. The test with a slow reader of 24 MB fails without it (the answer comes short) and passes with it.

--- a/src/coursekeel/gateway/_gateway.py
+++ b/src/coursekeel/gateway/_gateway.py
@@ -28,7 +28,7 @@
 from coursekeel.gateway._metrics import GatewayMetrics
 from coursekeel.gateway._ports import ForwardingPorts
 from coursekeel.gateway._report_task import ReportTask
-from coursekeel.gateway._site import caller_site, status_site
+from coursekeel.gateway._site import OpenConnections, caller_site, status_site
 from coursekeel.observe import log_event
 from coursekeel.reactor import Reactor
 from coursekeel.routing import Router, RouterSettings
@@ -60,6 +60,7 @@
     desk: Desk = field(init=False)
     _tasks: list[BeliefTask] = field(factory=list)
     _listeners: list[Any] = field(factory=list)
+    _connections: OpenConnections = field(factory=OpenConnections)
     _stopping: bool = False
     _endpoints_known: bool = False
 
@@ -192,7 +193,8 @@
     async def start(self) -> None:
         """Open the sockets and begin to follow the store."""
         listen = self.settings.listen
-        self._listen(listen.callers, caller_site(self.desk.take, self._limits))
+        site = caller_site(self.desk.take, self._limits, self._connections)
+        self._listen(listen.callers, site)
         if listen.readiness:
             self._listen(listen.readiness, status_site(self._readiness))
         if listen.metrics:
@@ -242,10 +244,19 @@
         last_ms = now_ms + (1 - _LAST_SHARE) * self.settings.timers.grace_ms
         while self._must_wait(least_ms, last_ms):
             await deferLater(self.reactor, _DRAIN_LOOK_S)
+        log_event("gateway_drained", open_requests=self.desk.open_requests)
+        await self._close_connections(last_ms)
         for task in self._tasks:
             task.stop()
         log_event("gateway_stopped", open_requests=self.desk.open_requests)
 
+    async def _close_connections(self, last_ms: float) -> None:
+        """Take no new ones, and wait until what was written to the others is sent."""
+        self._listeners[0].stopListening()
+        while len(self._connections) and self.clock.now_ms() < last_ms:
+            self._connections.close_idle()
+            await deferLater(self.reactor, _DRAIN_LOOK_S)
+
     def _must_wait(self, least_ms: float, last_ms: float) -> bool:
         """The balancer sends new connections until it has asked twice."""
         now_ms = self.clock.now_ms()
--- a/src/coursekeel/gateway/_site.py
+++ b/src/coursekeel/gateway/_site.py
@@ -4,11 +4,12 @@
 from io import BytesIO
 from typing import Any
 
+from twisted.internet.protocol import connectionDone
 from twisted.web.http import HTTPChannel, HTTPFactory, Request
 
 from coursekeel.forwarding import RequestLimits
 
-__all__ = ["caller_site", "status_site"]
+__all__ = ["OpenConnections", "caller_site", "status_site"]
 
 _Limits = Callable[[], RequestLimits]
 
@@ -49,15 +50,51 @@
         type(self).take(self)
 
 
+class OpenConnections:
+    """The connections of a server, so that a stop loses nothing that was written.
+
+    A reply that has ended may still lie in this process's buffers, and a process that
+    ends takes it along.
+    """
+
+    def __init__(self) -> None:
+        self._channels: set[_Channel] = set()
+
+    def __len__(self) -> int:
+        return len(self._channels)
+
+    def opened(self, channel: "_Channel") -> None:
+        """A connection was made."""
+        self._channels.add(channel)
+
+    def closed(self, channel: "_Channel") -> None:
+        """A connection is gone."""
+        self._channels.discard(channel)
+
+    def close_idle(self) -> None:
+        """Close those that wait for no reply, once what was written is sent."""
+        for channel in list(self._channels):
+            if not channel.requests:
+                channel.loseConnection()
+
+
 class _Channel(HTTPChannel):
     limits: _Limits
+    connections: OpenConnections
 
     def connectionMade(self) -> None:
         self.totalHeadersSize = self.limits().header_bytes
+        self.connections.opened(self)
         super().connectionMade()
 
+    def connectionLost(self, reason: Any = connectionDone) -> None:
+        self.connections.closed(self)
+        super().connectionLost(reason)
+
 
-def caller_site(take: Callable[[Any], None], limits: _Limits) -> Any:
+def caller_site(
+    take: Callable[[Any], None], limits: _Limits, connections: OpenConnections
+) -> Any:
     """The callers' server: ``take`` gets each whole request.
 
     ``limits`` are asked for at each connection and body, since they change.
@@ -67,7 +104,11 @@
     channel = type(
         "CallerChannel",
         (_Channel,),
-        {"limits": staticmethod(limits), "requestFactory": request},
+        {
+            "limits": staticmethod(limits),
+            "requestFactory": request,
+            "connections": connections,
+        },
     )
     site: Any = HTTPFactory(timeout=limits().idle_timeout_ms / 1000)
     site.protocol = channel
@@ -86,4 +127,4 @@
         request.write(body)
         request.finish()
 
-    return caller_site(take, RequestLimits)
+    return caller_site(take, RequestLimits, OpenConnections())
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -193,6 +193,7 @@
             request.setResponseCode(500)
             return b"failed"
         body = f"{self.name} {run_id}".encode()
+        body += b"x" * self.faults.get("more_bytes", 0)
         if self._take("torn"):
             request.setHeader("content-length", str(len(body) + 5))
             request.write(body)
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -253,6 +253,33 @@
     assert process.wait(10) == 0
 
 
+def test_a_stop_waits_for_a_slow_reader_of_a_whole_answer(site):
+    """Seen on a played day as a lost request: the answer lay in the process's buffer
+    when it ended."""
+    size = 24 << 20
+    site.plain_faults(more_bytes=size)
+    ports = site.start_gateway("g3")
+    process = site.processes[-1]
+    connection, request_id = site.open("/once/x", b"b", port=ports[0])
+    ended = f"event=request_ended request={request_id}"
+    wait_until(lambda: ended in site.log("g3"), "the answer is handed over", 10)
+    process.send_signal(signal.SIGTERM)
+    wait_until(lambda: "gateway_drained" in site.log("g3"), "nothing is at work", 10)
+    answer = read(connection)
+    assert answer.whole and len(answer.body) > size
+    assert process.wait(10) == 0
+
+
+def test_a_stop_closes_kept_connections_that_wait_for_nothing(site):
+    ports = site.start_gateway("g4")
+    process = site.processes[-1]
+    connection, _ = site.open("/again/x", port=ports[0])
+    assert connection.getresponse().read()
+    process.send_signal(signal.SIGTERM)
+    assert process.wait(10) == 0
+    assert connection.sock is None or connection.sock.recv(1) == b""
+
+
 def test_sighup_changes_nothing_that_runs(site):
     process = site.processes[1]
     answers = []
