Settings of a gateway take the platform's bounds as they are; limits by slots; reload

Change: revoke_ms and grace_s as given, derived times are shares of them; slots bound an endpoint's limit; timers and retries are read again on SIGHUP, bad ones refused. Ruled out: a second reader of the platform's own settings form.

--- a/src/coursekeel/explain/_explain.py
+++ b/src/coursekeel/explain/_explain.py
@@ -98,14 +98,19 @@
     code, age = last.get("outcome"), last.get("belief_age_ms")
     sentence = _REFUSALS.get(code, f"It was refused: {code}.")
     if code == "belief_old":
-        lost = [each for each in belief if each.event == "store_lost"]
-        since = f" since {lost[-1].get('time')}" if lost else ""
-        reason = f" ({lost[-1].get('reason')})" if lost else ""
-        was = f"The belief was {age} ms old; the store was lost"
-        return f"{sentence} {was}{since}{reason}."
+        return f"{sentence} The belief was {age} ms old; {_store_state(belief)}."
     return sentence
 
 
+def _store_state(belief: list[LogLine]) -> str:
+    """What the last word on the store was before the refusal."""
+    if not belief or belief[-1].event == "store_back":
+        return "no newer answer of the store had come"
+    last = belief[-1]
+    what = last.get("reason") or last.event
+    return f"the store was lost since {last.get('time')} ({what})"
+
+
 _REFUSALS = {
     "belief_old": "It was refused because what is known of keys was too old to act on.",
     "no_route": "No route of the configuration in force names its host and path.",
--- a/src/coursekeel/forwarding/_directory.py
+++ b/src/coursekeel/forwarding/_directory.py
@@ -82,6 +82,10 @@
         """The availability zone of each endpoint."""
         return {name: record.zone for name, record in self._records.items()}
 
+    def slots(self) -> dict[str, int]:
+        """How many requests each endpoint works on at once, 0 if it doesn't say."""
+        return {name: record.slots for name, record in self._records.items()}
+
     def records(self) -> list[EndpointRecord]:
         """Every record."""
         return list(self._records.values())
--- a/src/coursekeel/gateway/_desk.py
+++ b/src/coursekeel/gateway/_desk.py
@@ -96,7 +96,7 @@
         path = request.uri.split(b"?", 1)[0].decode("latin-1")
         route = table.route(host.rpartition(":")[0] or host, path)
         age_ms = self.belief_age_ms()
-        current = age_ms <= timers.configuration_ms
+        current = age_ms <= timers.unknown_ms
         if route is None:
             self._refuse_unknown(reply, caller, 404, "no_route", current)
             return None
--- a/src/coursekeel/gateway/_gateway.py
+++ b/src/coursekeel/gateway/_gateway.py
@@ -1,11 +1,14 @@
 """One gateway: every task, made and joined, started and stopped in order."""
 
+import logging
+from collections.abc import Callable
 from random import Random
 from typing import Any
 
-from attrs import define, field
+from attrs import define, evolve, field
 from twisted.internet.task import deferLater
 
+from coursekeel.errors import SettingsInvalid
 from coursekeel.forwarding import (
     Belief,
     EndpointDirectory,
@@ -41,7 +44,6 @@
 _DRAIN_LOOK_S = 0.05
 _LEAST_DRAIN_MS = 2_600.0
 _LAST_SHARE = 0.1
-_HOLD_SHARE = 0.6
 _LEAST_RETRY_MS = 50
 _MOST_RETRY_MS = 1_000
 _AVOID_MS = 100
@@ -56,6 +58,7 @@
     source: Source
     callers: CallerDialect
     endpoints: EndpointDialect
+    read_settings: Callable[[], GatewaySettings] | None = None
     clock: Clock = field(factory=Clock)
     desk: Desk = field(init=False)
     _tasks: list[BeliefTask] = field(factory=list)
@@ -63,6 +66,7 @@
     _connections: OpenConnections = field(factory=OpenConnections)
     _stopping: bool = False
     _endpoints_known: bool = False
+    _ports: ForwardingPorts = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.random = Random(self.settings.seed)
@@ -80,7 +84,7 @@
             ),
         )
         self.routing = RoutingTask(self.reactor, self.clock, self.router)
-        ports = ForwardingPorts(
+        self._ports = ports = ForwardingPorts(
             self.reactor,
             self.clock,
             self.settings,
@@ -101,7 +105,7 @@
         timers = self.settings.timers
         store_clock = StoreClock()
         kinds = (
-            (Table.CONFIGURATION, _HOLD_SHARE * timers.belief_ms, self._configured),
+            (Table.CONFIGURATION, timers.configuration_hold_ms, self._configured),
             (Table.ENDPOINTS, timers.endpoints_hold_ms, self._listed),
         )
         for table, hold_ms, apply in kinds:
@@ -185,7 +189,8 @@
                 self.directory.remove(entry.entry_id, version)
 
     def _endpoints_changed(self) -> None:
-        self.router.configure(self.directory.pools(), self.directory.zones())
+        directory = self.directory
+        self.router.configure(directory.pools(), directory.zones(), directory.slots())
         self.routing.review()
 
     # Starting and stopping.
@@ -232,6 +237,24 @@
         content, _ = self.metrics.metrics.render([""])
         return 200, content
 
+    def reload(self) -> None:
+        """Read the settings again; faults are logged, and the old ones stay.
+
+        Addresses and identity can't change while the process runs.
+        """
+        if self.read_settings is None:
+            return
+        try:
+            fresh = self.read_settings()
+        except SettingsInvalid as fault:
+            log_event("reload_refused", logging.ERROR, error=fault)
+            return
+        if _fixed(fresh) != _fixed(self.settings):
+            log_event("reload_needs_restart", logging.WARNING)
+        kept = evolve(self.settings, timers=fresh.timers, retries=fresh.retries)
+        self.settings = self._ports.settings = kept
+        log_event("reloaded")
+
     async def stop(self) -> None:
         """Finish what runs, within the grace that is given, and close."""
         if self._stopping:
@@ -263,3 +286,8 @@
         if now_ms < least_ms:
             return True
         return self.desk.open_requests > 0 and now_ms < last_ms
+
+
+def _fixed(settings: GatewaySettings) -> tuple[object, ...]:
+    """What can't change while the process runs."""
+    return settings.instance_id, settings.zone, settings.listen, settings.store
--- a/src/coursekeel/routing/_limits.py
+++ b/src/coursekeel/routing/_limits.py
@@ -34,11 +34,15 @@
         Its slots bound the limit. Runs that wait inside the endpoint wait behind
         everyone's, out of reach of fairness and deadlines, so they count as slowness.
         """
+        self.bound(slots)
+        if queued and self.running:
+            self._shrink(_AFTER_SLOWNESS, now_ms, hold_ms)
+
+    def bound(self, slots: int) -> None:
+        """The endpoint works on so many runs at once; an untried limit begins there."""
         fresh = self.most == _MOST
         self.most = float(max(slots, 1))
         self.limit = self.most if fresh else min(self.limit, self.most)
-        if queued and self.running:
-            self._shrink(_AFTER_SLOWNESS, now_ms, hold_ms)
 
     def started(self) -> None:
         """A run was sent."""
--- a/src/coursekeel/routing/_router.py
+++ b/src/coursekeel/routing/_router.py
@@ -91,8 +91,16 @@
     _trouble: dict[str, ZoneTrouble] = field(factory=dict)
     refused: int = 0
 
-    def configure(self, serving: dict[str, list[str]], zones: dict[str, str]) -> None:
-        """Take the endpoints that serve each model; loads known already are kept."""
+    def configure(
+        self,
+        serving: dict[str, list[str]],
+        zones: dict[str, str],
+        slots: dict[str, int] | None = None,
+    ) -> None:
+        """Take the endpoints that serve each model; loads known already are kept.
+
+        ``slots`` bounds the runs at endpoints that say how many they work on at once.
+        """
         self._serving = serving
         names = {name for each in serving.values() for name in each}
         self._loads = {
@@ -100,6 +108,8 @@
         }
         for name, load in self._loads.items():
             load.zone = zones.get(name, "")
+            if slots and slots.get(name):
+                load.limit.bound(slots[name])
 
     def set_retry_shares(self, shares: dict[str, float]) -> None:
         """Set how many retries a class earns by one success."""
--- a/src/coursekeel/settings/_gateway.py
+++ b/src/coursekeel/settings/_gateway.py
@@ -5,6 +5,12 @@
 __all__ = ["GatewayListen", "GatewaySettings", "GatewayTimers", "RetryShare"]
 
 
+_BELIEF_SHARE = 0.78
+_HOLD_SHARE = 0.46
+_UNKNOWN_SHARE = 0.52
+_MS_A_SECOND = 1_000
+
+
 @frozen
 class GatewayListen:
     """Addresses to listen at, each ``host:port``; one left empty is not opened."""
@@ -16,22 +22,43 @@
 
 @frozen
 class GatewayTimers:
-    """Bounds of time, in milliseconds.
+    """Bounds of time, each in the unit its name ends with.
 
-    ``belief_ms`` is the greatest age of what is known of keys at which a keyed
-    request is still taken; ``configuration_ms`` that at which an unknown route or key
-    is called unknown; ``grace_ms`` is the time from SIGTERM to the end.
+    ``revoke_ms`` after a key was taken away no request with it may run, whatever this
+    instance could learn; ``grace_s`` is the time from SIGTERM to the end.
     """
 
-    belief_ms: int = field(default=3_900, metadata={"least": 100})
-    configuration_ms: int = field(default=2_000, metadata={"least": 100})
-    grace_ms: int = field(default=8_000, metadata={"least": 500})
+    revoke_ms: float = field(default=5_000, metadata={"least": 100})
+    grace_s: float = field(default=8, metadata={"least": 1})
     connect_ms: int = field(default=250, metadata={"least": 10, "most": 60_000})
     store_ms: int = field(default=1_000, metadata={"least": 10, "most": 60_000})
     report_ms: int = field(default=150, metadata={"least": 10, "most": 10_000})
     silence_ms: int = field(default=280, metadata={"least": 20})
     endpoints_hold_ms: int = field(default=4_000, metadata={"least": 100})
 
+    @property
+    def belief_ms(self) -> float:
+        """The greatest age of what is known of keys at which one is still acted on.
+
+        The rest of ``revoke_ms`` is for the way to the endpoint.
+        """
+        return _BELIEF_SHARE * self.revoke_ms
+
+    @property
+    def configuration_hold_ms(self) -> float:
+        """How long the store holds a question for changes of the configuration."""
+        return _HOLD_SHARE * self.revoke_ms
+
+    @property
+    def unknown_ms(self) -> float:
+        """The greatest age at which an unknown route or key is called unknown."""
+        return _UNKNOWN_SHARE * self.revoke_ms
+
+    @property
+    def grace_ms(self) -> float:
+        """The grace in milliseconds."""
+        return self.grace_s * _MS_A_SECOND
+
 
 @frozen
 class RetryShare:
@@ -41,8 +68,8 @@
     """
 
     ratio: float = 0.2
-    slack: int = 10
-    window_s: int = field(default=10, metadata={"least": 1})
+    slack: float = 10
+    window_s: float = field(default=10, metadata={"least": 1})
 
 
 @frozen
--- a/src/coursekeel/settings/_load.py
+++ b/src/coursekeel/settings/_load.py
@@ -175,12 +175,12 @@
         at = f"{path}.{each.name}".lstrip(".")
         if attrs.has(each.type) and isinstance(given, dict):
             faults += _out_of_range(given, each.type, at)
-        if type(given) is int:
+        if isinstance(given, int | float) and not isinstance(given, bool):
             faults += _bounds(given, each.metadata, at)
     return faults
 
 
-def _bounds(given: int, metadata: Mapping[str, int], at: str) -> list[str]:
+def _bounds(given: float, metadata: Mapping[str, int], at: str) -> list[str]:
     least, most = metadata.get("least"), metadata.get("most")
     if least is not None and given < least:
         return [f"{at}: got {given}, expected at least {least}"]
--- a/tests/cover/test_zone_trouble.py
+++ b/tests/cover/test_zone_trouble.py
@@ -98,3 +98,11 @@
     )
     (decision,) = again.seek(resumed, 0.0)
     assert decision.endpoint_id == own
+
+
+def test_an_endpoint_gets_no_more_runs_than_it_has_slots():
+    """Seen in a played day's log: limits stood at 64 before servers of 6 slots."""
+    made = Router("a", Random(1), lambda *_: True)
+    made.configure({"m": ["a0"]}, {"a0": "a"}, {"a0": 6})
+    decisions = [made.seek(seek(ticket), 0.0) for ticket in range(9)]
+    assert [len(each) for each in decisions] == [1] * 6 + [0] * 3
--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -100,9 +100,8 @@
             },
             "store": f"127.0.0.1:{self.store_port}",
             "timers": {
-                "belief_ms": 1_000,
-                "configuration_ms": 1_000,
-                "grace_ms": 6_000,
+                "revoke_ms": 1_300,
+                "grace_s": 6,
             }
             | timers,
             "retries": {"ratio": 1.0, "slack": 1_500},
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -292,6 +292,20 @@
     assert answers[0].whole and answers[0].body == events(20)
 
 
+def test_settings_are_read_again_on_sighup_and_bad_ones_refused(site):
+    site.start_gateway("g5")
+    process = site.processes[-1]
+    file = site.folder / "g5.json"
+    good = file.read_text()
+    file.write_text(good.replace('"revoke_ms":1300', '"revoke_ms":5'))
+    process.send_signal(signal.SIGHUP)
+    wait_until(lambda: "event=reload_refused" in site.log("g5"), "it is refused", 5)
+    file.write_text(good.replace('"revoke_ms":1300', '"revoke_ms":1400'))
+    process.send_signal(signal.SIGHUP)
+    wait_until(lambda: "event=reloaded" in site.log("g5"), "it is taken", 5)
+    assert "reload_needs_restart" not in site.log("g5")
+
+
 def test_figures_are_served(site):
     site.ask("/again/x")
     figures = site.metrics()
--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -7,6 +7,7 @@
 import orjson
 import pytest
 
+from coursekeel.settings import parse_gateway_settings
 from standins.site import wait_until
 from tests.platform.site import ROOT, GatewaySite
 
@@ -35,8 +36,8 @@
     ("change", "said"),
     [
         ({"store": "nowhere"}, "store: got 'nowhere', expected an address"),
-        ({"timers": {"belief_ms": 5}}, "timers.belief_ms: got 5, expected at least"),
-        ({"timers": {"belief": 5}}, "belief has no unit, write belief_ms"),
+        ({"timers": {"revoke_ms": 5}}, "timers.revoke_ms: got 5, expected at least"),
+        ({"timers": {"revoke": 5}}, "revoke has no unit, write revoke_ms"),
         ({"listen": {"callers": "127.0.0.1:99999"}}, "listen.callers: got"),
         ({"surprise": 1}, "surprise"),
         ({"zone": None}, "zone"),
@@ -50,12 +51,21 @@
 
 
 def test_every_bad_key_is_named_at_once(tmp_path):
-    bad = GOOD | {"store": "nowhere", "timers": {"belief_ms": 5}, "surprise": 1}
+    bad = GOOD | {"store": "nowhere", "timers": {"revoke_ms": 5}, "surprise": 1}
     done = start(tmp_path, orjson.dumps(bad).decode())
-    for name in ("store", "belief_ms", "surprise"):
+    for name in ("store", "revoke_ms", "surprise"):
         assert name in done.stderr
 
 
+def test_fractions_are_taken_where_the_platform_may_give_them():
+    timers = {"revoke_ms": 4_500.5, "grace_s": 7.5}
+    retries = {"ratio": 1, "slack": 99.5, "window_s": 10}
+    given = GOOD | {"timers": timers, "retries": retries}
+    settings = parse_gateway_settings(given, "test")
+    assert settings.timers.grace_ms == 7_500
+    assert settings.timers.configuration_hold_ms < settings.timers.belief_ms < 4_500
+
+
 def test_a_missing_file_is_named(tmp_path):
     done = subprocess.run(
         [sys.executable, "platform/serve.py"],
