Prompts being read are seen in reports; a run that was never begun is left

Taken for none, prompts were piled on endpoints that looked free; and nine streams waited up to 18 s at healthy servers that never began them. Ruled out: a limit on the time to the first event, which would cut prompts that are read. Change: running less listed is what is being read; two reports without a trace of a run end it.

--- a/src/coursekeel/gateway/_stream_task.py
+++ b/src/coursekeel/gateway/_stream_task.py
@@ -54,6 +54,8 @@
 _RETRY_AFTER_MS = 150.0
 _FIRST_LOOK_MS = 450.0
 _LOOK_AGAIN_MS = 400.0
+_REPORTS_MISSED = 2
+_SURELY_TAKEN_MS = 700.0
 _OWN_PAUSE_MS = 100.0
 _NEVER_MS = 1e12
 _OK = 200
@@ -424,13 +426,32 @@
     def _reported(self, report: adapters.EndpointReport | None) -> None:
         if self._spoke or self.number not in self.task._open:
             return
-        self._missed = self._missed + 1 if report is None else 0
-        if self._missed >= 2:
-            self.task.lost(self.endpoint_id, "no_report")
-            self.task.tell(EndpointSilent(self.endpoint_id))
+        missing = report is None or self._is_absent(report)
+        self._missed = self._missed + 1 if missing else 0
+        if self._missed >= _REPORTS_MISSED:
+            self._given_up(report)
             return
         self._look_after(_LOOK_AGAIN_MS if report is not None else 0.0)
 
+    def _is_absent(self, report: adapters.EndpointReport) -> bool:
+        """Say whether the endpoint shows no trace of a run it has long been sent.
+
+        Seen on a played day: an endpoint in good health took requests and never ran
+        them; the caller's own patience was the only end, after 18 s.
+        """
+        waited_ms = self.task.ports.clock.now_ms() - self.started_ms
+        if waited_ms < _SURELY_TAKEN_MS or report.unread_runs is None:
+            return False
+        listed = self.task.call.caller.request_id in report.runs
+        return not listed and report.unread_runs == 0
+
+    def _given_up(self, report: adapters.EndpointReport | None) -> None:
+        if report is None:
+            self.task.lost(self.endpoint_id, "no_report")
+            self.task.tell(EndpointSilent(self.endpoint_id))
+        else:
+            self._lost("not_running")
+
     # The answer.
 
     def head_arrived(self, head: ExchangeHead) -> None:
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -176,6 +176,8 @@
         self.ran.append({"path": request.uri.decode(), "headers": seen, "body": body})
         if self._take("mute") or self.faults.get("dark"):
             return self._until_closed(request)
+        if self._take("hang"):
+            return Deferred()
         if self._take("reset"):
             request.transport.abortConnection()
             return Deferred()
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -156,6 +156,15 @@
     assert (answer.body, answer.whole) == (events(5), True)
 
 
+def test_a_stream_leaves_a_server_that_took_it_and_never_runs_it(site):
+    for name in ("s0", "s1"):
+        site.faults(name, hang=9)
+    connection, request_id = site.open("/stream/5")
+    answer = read(connection)
+    assert (answer.body, answer.whole) == (events(5), True)
+    assert site.ran(request_id)[-1]["server"] == "s2"
+
+
 # What is believed.
 
 
