--- a/src/coursekeel/forwarding/_directory.py
+++ b/src/coursekeel/forwarding/_directory.py
@@ -62,6 +62,11 @@
         """The endpoint's record, if it is still listed."""
         return self._records.get(endpoint_id)
 
+    def at_address(self, address: str) -> EndpointRecord | None:
+        """The newest incarnation listed at an address."""
+        there = [each for each in self._records.values() if each.address == address]
+        return max(there, key=self._version, default=None)
+
     def pools(self) -> dict[str, list[str]]:
         """The ids of the endpoints of each pool.
 
--- a/src/coursekeel/gateway/_belief_task.py
+++ b/src/coursekeel/gateway/_belief_task.py
@@ -23,8 +23,6 @@
 _FIRST_PAUSE_MS = 150.0
 _LONGEST_PAUSE_MS = 800.0
 _ANSWER_SLACK_MS = 600.0
-# Changes come in flocks, and each call of the store is paid for.
-_GATHERING_S = 0.2
 
 
 @define(eq=False)
@@ -33,6 +31,8 @@
 
     A change is told as soon as the store has it; between changes the store is asked
     once every ``hold_ms``, and its empty answer is the proof that nothing changed.
+    Changes come in flocks and each call is paid for, so after one the task waits for
+    ``gathering_ms`` before it asks for the next.
     """
 
     reactor: Reactor
@@ -44,6 +44,7 @@
     belief: Belief
     store_clock: StoreClock
     random: Random
+    gathering_ms: float
     apply: Callable[[Reading], None]
     _version: int | None = None
     _stopped: bool = False
@@ -66,7 +67,7 @@
             if self._failures > failures:
                 await deferLater(self.reactor, self._pause_s())
             elif self._changes > changes:
-                await deferLater(self.reactor, _GATHERING_S)
+                await deferLater(self.reactor, self.gathering_ms / 1000)
 
     async def _once(self) -> None:
         sent_ms = self.clock.now_ms()
--- a/src/coursekeel/gateway/_gateway.py
+++ b/src/coursekeel/gateway/_gateway.py
@@ -105,10 +105,20 @@
         timers = self.settings.timers
         store_clock = StoreClock()
         kinds = (
-            (Table.CONFIGURATION, timers.configuration_hold_ms, self._configured),
-            (Table.ENDPOINTS, timers.endpoints_hold_ms, self._listed),
+            (
+                Table.CONFIGURATION,
+                timers.configuration_hold_ms,
+                timers.configuration_gathering_ms,
+                self._configured,
+            ),
+            (
+                Table.ENDPOINTS,
+                timers.endpoints_hold_ms,
+                timers.endpoints_gathering_ms,
+                self._listed,
+            ),
         )
-        for table, hold_ms, apply in kinds:
+        for table, hold_ms, gathering_ms, apply in kinds:
             task = BeliefTask(
                 self.reactor,
                 self.clock,
@@ -119,6 +129,7 @@
                 self.belief,
                 store_clock,
                 self.random,
+                gathering_ms,
                 apply,
             )
             self._tasks.append(task)
--- a/src/coursekeel/gateway/_stream_task.py
+++ b/src/coursekeel/gateway/_stream_task.py
@@ -41,7 +41,13 @@
 )
 from coursekeel.answers import RunState as Run
 from coursekeel.fetch import Ending, Exchange, ExchangeHead, ExchangeSink
-from coursekeel.forwarding import EventLedger, RouteKind, event_number, split_events
+from coursekeel.forwarding import (
+    EndpointRecord,
+    EventLedger,
+    RouteKind,
+    event_number,
+    split_events,
+)
 from coursekeel.gateway import _adapters as adapters
 from coursekeel.gateway._ports import Forwarded, ForwardingPorts
 from coursekeel.gateway._reply import CallerReply
@@ -83,6 +89,7 @@
     _lost_ms: float | None = None
     _ways: list[str] = field(factory=list)
     _lost_zones: set[str] = field(factory=set)
+    _copies: dict[str, str] = field(factory=dict)
     _first_ms: float | None = None
 
     def __attrs_post_init__(self) -> None:
@@ -198,7 +205,7 @@
     def _open_attempt(self, action: OpenAttempt) -> None:
         ports, call = self.ports, self.call
         now_ms = ports.clock.now_ms()
-        record = ports.directory.record(action.endpoint_id)
+        record = self._record_for(action)
         if self._ways and not ports.budget(call.pool).take(now_ms):
             self._refused = "retry_budget"
             self._refuse()
@@ -228,10 +235,21 @@
             copied_run=call.caller.request_id if from_copy else "",
             urgent=len(self._ways) > 1,
         )
-        attempt = _Attempt(self, action.attempt, action.endpoint_id, now_ms)
+        attempt = _Attempt(self, action.attempt, action.endpoint_id, from_copy, now_ms)
         self._open[action.attempt] = attempt
         attempt.open(send)
 
+    def _record_for(self, action: OpenAttempt) -> EndpointRecord | None:
+        """The endpoint to send to.
+
+        A copy lies at an address: when it was placed, the list may still have named
+        the incarnation before the one that took it.
+        """
+        directory = self.ports.directory
+        if action.way is Way.COPY:
+            return directory.at_address(self._copies.get(action.endpoint_id, ""))
+        return directory.record(action.endpoint_id)
+
     def _place_copy(self, action: OpenAttempt, now_ms: float) -> str:
         """Choose who keeps a copy of this run, and return the address."""
         resumable = self.call.route.kind is RouteKind.RESUMABLE
@@ -244,6 +262,7 @@
         record = self.ports.directory.record(place)
         if record is None:
             return ""
+        self._copies[place] = record.address
         self._messages.append(CopyPlaced(action.attempt, place))
         return record.address
 
@@ -389,6 +408,7 @@
     task: StreamTask
     number: int
     endpoint_id: str
+    from_copy: bool
     started_ms: float
     _exchange: Exchange | None = None
     _head: ExchangeHead | None = None
@@ -510,9 +530,7 @@
             task.ports.endpoint_replaced(self.endpoint_id)
             self._over(Loss.REFUSED)
         elif state is adapters.RunState.NOT_RUN:
-            ports = task.ports
-            ports.routing.router.turned_away(self.endpoint_id, ports.clock.now_ms())
-            self._over(Loss.REFUSED)
+            self._turned_away()
         elif self._is_final(state, head, ending):
             self._release(failed=False)
             task.attempt_over(self.number)
@@ -520,6 +538,13 @@
         else:
             self._lost(f"status_{head.status}")
 
+    def _turned_away(self) -> None:
+        """A copy that isn't there says nothing of the endpoint's room."""
+        if not self.from_copy:
+            ports = self.task.ports
+            ports.routing.router.turned_away(self.endpoint_id, ports.clock.now_ms())
+        self._over(Loss.REFUSED)
+
     def _is_final(
         self, state: adapters.RunState, head: ExchangeHead, ending: Ending
     ) -> bool:
--- a/src/coursekeel/settings/_gateway.py
+++ b/src/coursekeel/settings/_gateway.py
@@ -35,6 +35,8 @@
     report_ms: int = field(default=150, metadata={"least": 10, "most": 10_000})
     silence_ms: int = field(default=280, metadata={"least": 20})
     endpoints_hold_ms: int = field(default=4_000, metadata={"least": 100})
+    configuration_gathering_ms: int = field(default=200, metadata={"least": 0})
+    endpoints_gathering_ms: int = field(default=450, metadata={"least": 0})
 
     @property
     def belief_ms(self) -> float:
--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -79,6 +79,7 @@
     ports: list[int] = field(factory=list)
     processes: list[subprocess.Popen[bytes]] = field(factory=list)
     version: int = 1
+    identities: dict[int, str] = field(factory=dict)
 
     def start(self, servers: int) -> None:
         standin = self._start(["-m", "tests.platform.standin", str(servers)], "standin")
@@ -169,7 +170,16 @@
             "slots": 8,
             "state": state,
         }
-        self.put([("servers", f"s{number}", row | more)])
+        identity = self.identities.get(number, f"s{number}")
+        self.put([("servers", identity, row | more)])
+
+    def rename(self, number: int, identity: str) -> None:
+        """Another incarnation has the server's address; its row replaces the old."""
+        old = self.identities.get(number, f"s{number}")
+        self.control.ask("POST", f"/servers/s{number}/identity", identity)
+        self.put([("servers", old, None)])
+        self.identities[number] = identity
+        self.put_server(number)
 
     def configure(self, **more: Any) -> None:
         self.version += 1
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -283,6 +283,11 @@
         servers[name].faults = orjson.loads(request.content.read())
         return b"{}"
 
+    @app.route("/servers/<name>/identity", methods=["POST"])
+    def identity(request: Any, name: str) -> bytes:
+        servers[name].name = orjson.loads(request.content.read())
+        return b"{}"
+
     @app.route("/servers", methods=["GET"])
     def ran(request: Any) -> bytes:
         told = {
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -141,6 +141,29 @@
     assert second["server"] != first
 
 
+def test_a_copy_is_found_at_its_address_under_another_incarnation(site):
+    """Seen on a played day: the copy was placed while the list still named the
+    incarnation before, and nobody looked for it once that was gone."""
+    for number in range(3):
+        site.faults(f"s{number}", cut_at=40)
+    connection, request_id = site.open("/stream/45")
+    wait_until(lambda: site.ran(request_id), "it runs")
+    first = site.ran(request_id)[0]
+    keeper = first["headers"]["kv-backup"]
+    number = site.server_ports.index(int(keeper.split(":")[1]))
+    for other in {0, 1, 2} - {int(first["server"][1:])}:
+        site.faults(f"s{other}")
+    site.rename(number, f"t{number}")
+    answer = read(connection)
+    site.rename(number, f"s{number}")
+    gone = f"event=endpoint_gone endpoint=t{number}"
+    wait_until(lambda: gone in site.log(), "the list is read", 5)
+    assert (answer.body, answer.whole) == (events(45), True)
+    second = site.ran(request_id)[1]
+    assert second["headers"]["kv-from"] == f"{keeper}/{request_id}"
+    assert second["headers"]["expect-instance"] == f"t{number}"
+
+
 def test_a_stream_whose_caller_leaves_is_not_taken_up_again(site):
     connection, request_id = site.open("/stream/200")
     wait_until(lambda: site.ran(request_id), "it runs")
