--- a/src/coursekeel/gateway/_ports.py
+++ b/src/coursekeel/gateway/_ports.py
@@ -17,13 +17,14 @@
 from coursekeel.reactor import Reactor
 from coursekeel.routing import RetryBudget
 from coursekeel.runtime import Clock, RoutingTask
-from coursekeel.settings import GatewaySettings
+from coursekeel.settings import GatewaySettings, RetryShare
 
-__all__ = ["Forwarded", "ForwardingPorts"]
+__all__ = ["Forwarded", "ForwardingPorts", "shared_budget"]
 
 # How many instances may share a pool is told to nobody; a site with more of them
 # repeats less often than it might.
-_INSTANCES_RECKONED_WITH = 15
+_INSTANCES_RECKONED_WITH = 14
+_REFILLED_SHARE = 0.25
 
 
 @frozen
@@ -102,20 +103,26 @@
         self.endpoints_changed()
 
     def budget(self, pool: str) -> RetryBudget:
-        """The repeats that this instance may send to a pool.
-
-        The bound holds for all instances together, and they don't talk about it: each
-        earns its share by its own requests, and the reserve is small.
-        """
+        """The repeats that this instance may send to a pool."""
         budget = self._budgets.get(pool)
         if budget is None:
-            share = self.settings.retries
-            reserve = share.slack / _INSTANCES_RECKONED_WITH
-            budget = self._budgets[pool] = RetryBudget(
-                share.ratio / 2,
-                reserve,
-                refill_per_s=reserve / share.window_s,
-                tokens=reserve,
-                most=reserve,
-            )
+            budget = self._budgets[pool] = shared_budget(self.settings.retries)
         return budget
+
+
+def shared_budget(share: RetryShare) -> RetryBudget:
+    """One instance's part of a budget that holds for all instances together.
+
+    They don't talk about it: each earns half of the ratio by its own requests, and what
+    it may save up and gets back in a window is its part of the slack.
+    """
+    part = share.slack / _INSTANCES_RECKONED_WITH
+    refilled = _REFILLED_SHARE * part
+    saved = part - refilled
+    return RetryBudget(
+        share.ratio / 2,
+        reserve=saved,
+        refill_per_s=refilled / share.window_s,
+        tokens=saved,
+        most=saved,
+    )
--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -162,7 +162,10 @@
     def put(self, rows: list[tuple[str, str, Any]]) -> None:
         self.control.ask("POST", "/rows", [list(each) for each in rows])
 
-    def put_server(self, number: int, state: str = "ready", **more: Any) -> None:
+    def put_server(self, number: int, state: str = "ready") -> None:
+        self.put([self.server_row(number, state)])
+
+    def server_row(self, number: int, state: str = "ready") -> tuple[str, str, Any]:
         row = {
             "service": "plain" if number >= 3 else "engines",
             "address": f"127.0.0.1:{self.server_ports[number]}",
@@ -171,15 +174,14 @@
             "state": state,
         }
         identity = self.identities.get(number, f"s{number}")
-        self.put([("servers", identity, row | more)])
+        return "servers", identity, row
 
     def rename(self, number: int, identity: str) -> None:
         """Another incarnation has the server's address; its row replaces the old."""
         old = self.identities.get(number, f"s{number}")
         self.control.ask("POST", f"/servers/s{number}/identity", identity)
-        self.put([("servers", old, None)])
         self.identities[number] = identity
-        self.put_server(number)
+        self.put([("servers", old, None), self.server_row(number)])
 
     def configure(self, **more: Any) -> None:
         self.version += 1
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -42,6 +42,11 @@
         else:
             row["value"] = b64encode(orjson.dumps(value)).decode()
         self.rows[table, key] = row | {"ver": self.version}
+
+    def of(self, table: str) -> list[dict[str, Any]]:
+        return [row for (name, _), row in self.rows.items() if name == table]
+
+    def wake(self, table: str) -> None:
         for waiter in list(self.waiting):
             if waiter[0] == table:
                 self.waiting.remove(waiter)
@@ -261,8 +266,12 @@
 
     @app.route("/rows", methods=["POST"])
     def rows(request: Any) -> bytes:
+        before = store.version
         for table, key, value in orjson.loads(request.content.read()):
             store.put(table, key, value)
+        for table in ("op", "servers"):
+            if any(row["ver"] > before for row in store.of(table)):
+                store.wake(table)
         return b"{}"
 
     @app.route("/store", methods=["POST"])
