--- a/src/coursekeel/gateway/_desk.py
+++ b/src/coursekeel/gateway/_desk.py
@@ -18,8 +18,8 @@
 
 _ELSEWHERE_MS = 50.0
 _NOT_YET_MS = 300.0
-# A stream takes some six seconds of the usual grace of eight. Seen on a played day: those
-# that began 1.5 s into a stop were cut at its end, and their prompts read once more.
+# A stream takes some six seconds of the usual grace of eight. Seen on a played day:
+# those that began 1.5 s into a stop were cut at its end, and read anew elsewhere.
 _LATE_STREAM_SHARE = 0.09
 _CONFIGURATION = Table.CONFIGURATION.value
 
