--- a/tests/quality/test_documented.py
+++ b/tests/quality/test_documented.py
@@ -3,6 +3,8 @@
 import re
 from pathlib import Path
 
+from tools.settings_reference import settings_reference
+
 ROOT = Path(__file__).parents[2]
 SOURCES = [file for file in (ROOT / "src").rglob("*.py") if "peer_pb2" not in file.name]
 GUIDE = (ROOT / "docs" / "operators" / "index.md").read_text()
@@ -36,6 +38,10 @@
     assert [page for page in pages if page not in index and page != "index.md"] == []
 
 
+def test_the_settings_page_is_made_from_the_settings():
+    assert (ROOT / "docs" / "settings.md").read_text() == settings_reference()
+
+
 def test_every_module_says_what_it_gives_out():
     silent = [
         file.name
