Bench: recovery at size through the cores, with copies, without, and naive

Cause: what copies are worth at hundreds of endpoints can't be shown with processes here. Ruled out: nothing of networks or budgets is claimed.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -12,7 +12,16 @@
 
 import pygal
 
-from bench import capacity, control, delivery, faulted, policy, relay, resume
+from bench import (
+    capacity,
+    control,
+    delivery,
+    faulted,
+    policy,
+    recovery,
+    relay,
+    resume,
+)
 
 ROOT = Path(__file__).parent.parent
 OUT = ROOT / "bench" / "out"
@@ -25,6 +34,7 @@
     for name, measure in (
         ("capacity", capacity.measure),
         ("policy", policy.measure),
+        ("recovery", recovery.measure),
         ("relay", lambda: relay.measure((80, 160, 320))),
         ("resume", lambda: resume.measure(runs=6)),
         ("delivery", lambda: delivery.measure(runs=5)),
@@ -105,6 +115,14 @@
         mine = [row["resume_ms"]["p95"] for row in rows if row["way"] == way]
         chart.add(way, mine)
     (OUT / "resume.svg").write_bytes(chart.render())
+    chart = pygal.Bar(title="A zone dies: resume latency at p95, milliseconds")
+    rows = found["recovery"]
+    sizes = dict.fromkeys((row["endpoints"], row["streams"]) for row in rows)
+    chart.x_labels = [f"{streams} at {endpoints}" for endpoints, streams in sizes]
+    for way in ("copies", "no copies", "naive"):
+        mine = [row["resume_ms"]["p95"] for row in rows if row["way"] == way]
+        chart.add(way, mine)
+    (OUT / "recovery.svg").write_bytes(chart.render())
 
 
 main()
