--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -55,7 +55,6 @@
 
     random: Random
     endpoints: int
-    copies: bool
     shuns: bool
     now_ms: float = 0.0
     dead_zone: str = "a"
@@ -206,7 +205,7 @@
 
 
 def cored(endpoints: int, streams: int, copies: bool, shuns: bool, seed: int) -> dict:
-    world = World(Random(seed), endpoints, copies, shuns)
+    world = World(Random(seed), endpoints, shuns)
     names = list(world.zone_of)
     for number in range(streams):
         endpoint = names[number % endpoints]
@@ -220,7 +219,7 @@
 
 
 def naive(endpoints: int, streams: int, seed: int) -> dict:
-    world = World(Random(seed), endpoints, copies=False, shuns=False)
+    world = World(Random(seed), endpoints, shuns=False)
     living = [name for name in world.zone_of if world.alive(name)]
     for number in range(streams):
         if world.alive(f"e{number % endpoints}"):
--- a/src/coursekeel/forwarding/_directory.py
+++ b/src/coursekeel/forwarding/_directory.py
@@ -91,10 +91,6 @@
         """How many requests each endpoint works on at once, 0 if it doesn't say."""
         return {name: record.slots for name, record in self._records.items()}
 
-    def records(self) -> list[EndpointRecord]:
-        """Every record."""
-        return list(self._records.values())
-
     def failed(self, endpoint_id: str, now_ms: float) -> float:
         """A request found the endpoint dead; returns for how long it is ejected."""
         standing = self._standing.setdefault(endpoint_id, _Standing())
--- a/src/coursekeel/gateway/_reply.py
+++ b/src/coursekeel/gateway/_reply.py
@@ -20,7 +20,6 @@
     closing: Callable[[], bool]
     head_sent: bool = False
     ended: bool = False
-    gone: bool = False
     _on_gone: list[Callable[[], None]] = field(factory=list)
 
     def __attrs_post_init__(self) -> None:
@@ -77,6 +76,6 @@
     def _caller_left(self, _: object) -> None:
         if self.ended:
             return
-        self.ended = self.gone = True
+        self.ended = True
         for told in self._on_gone:
             told()
--- a/src/coursekeel/gateway/_report_task.py
+++ b/src/coursekeel/gateway/_report_task.py
@@ -26,7 +26,6 @@
     """
 
     ports: ForwardingPorts
-    asked: int = 0
 
     def ask_all(self, endpoint_ids: list[str], told: Callable[[], None]) -> None:
         """Ask several endpoints at once; ``told`` is called when all are done."""
@@ -46,7 +45,6 @@
         if record is None:
             told(None)
             return
-        self.asked += 1
         _Ask(self.ports, record, told).start()
 
 
