A place that is granted and not used is given back; explain tells an instance's own end

Cause: StreamTask._open_attempt left the granted place taken when the retry budget was spent, the belief too old or the record gone: the endpoint's limit shrank by one for this instance each time. With too old a belief it sought again and again until its time was over. And a stream that might have run was refused with 503, which promises that it hasn't. Ruled out: releasing as if a run had ended after 0 ms, since that pulls down the usual length of a run. Change: Router.returned gives the place back and learns nothing from it; a stream that may not be sent is refused at its next search with belief_old or retry_budget and when to come back; the answer core knows attempts that provably never ran, so 503 is said exactly then, else 502. coursekeel explain looks at the instance's own stop before it says that a caller left.

--- a/src/coursekeel/answers/_answer.py
+++ b/src/coursekeel/answers/_answer.py
@@ -104,7 +104,8 @@
         """What may truthfully be said of whether the request was run."""
         if self.ledger.next_position:
             return RunState.RAN
-        return RunState.UNKNOWN if self.sent else RunState.NOT_RUN
+        ran = any(each.may_have_run for each in self.attempts.values())
+        return RunState.UNKNOWN if ran else RunState.NOT_RUN
 
     def handle(self, event: Event, now_ms: float) -> list[Action]:
         """Take one event and say what is to be done."""
@@ -306,6 +307,7 @@
         if was_streaming:
             return self._own_stream_or_else(attempt, now_ms)
         if event.loss in (Loss.NOT_SENT, Loss.REFUSED):
+            attempt.may_have_run = False
             return self._recover_from(attempt, now_ms)
         return self._died(attempt, now_ms)
 
--- a/src/coursekeel/answers/_attempt.py
+++ b/src/coursekeel/answers/_attempt.py
@@ -31,7 +31,8 @@
 
     ``label`` is what the engine must echo, so that a stream that belongs to another
     request is refused before its first token. ``copy_id`` names the endpoint that
-    keeps a copy of the run's memory, empty if none does.
+    keeps a copy of the run's memory, empty if none does. ``may_have_run`` is false once
+    the attempt ended in a way that proves it never ran.
     """
 
     number: int
@@ -45,6 +46,7 @@
     heard_ms: float = field(init=False)
     progressed: bool = False
     doubted: bool = False
+    may_have_run: bool = True
     machine: Machine = field(factory=lambda: load_chart("attempt").machine())
 
     def __attrs_post_init__(self) -> None:
--- a/src/coursekeel/explain/_explain.py
+++ b/src/coursekeel/explain/_explain.py
@@ -53,47 +53,67 @@
 def explain(request_id: str, texts: Iterable[str]) -> Explanation:
     """Tell the life of a request over the lines of any number of instances."""
     about: list[LogLine] = []
-    belief: list[LogLine] = []
+    instance_lines: list[LogLine] = []
     for text in texts:
         line = parse_line(text)
         if line is None:
             continue
         if line.get("request") == request_id:
             about.append(line)
-        elif line.event in _BELIEF_EVENTS:
-            belief.append(line)
+        elif line.event in _BELIEF_EVENTS | _LIFE_EVENTS:
+            instance_lines.append(line)
     about.sort(key=_time)
     instances = {line.get("instance") for line in about}
     until = _time(about[-1]) if about else ""
     context = [
         line
-        for line in sorted(belief, key=_time)
+        for line in sorted(instance_lines, key=_time)
         if line.get("instance") in instances and _time(line) <= until
     ]
     return Explanation(tuple(about), _cause(about, context))
 
 
 _BELIEF_EVENTS = frozenset({"store_lost", "store_back", "history_gone"})
+_LIFE_EVENTS = frozenset({"gateway_started", "gateway_stopped"})
 
 
 def _time(line: LogLine) -> str:
     return line.get("time")
 
 
-def _cause(about: list[LogLine], belief: list[LogLine]) -> str:
+def _cause(about: list[LogLine], context: list[LogLine]) -> str:
     if not about:
         return "No line names this request: it never reached an instance of these logs."
     last = about[-1]
     if last.event == "request_refused":
+        belief = [line for line in context if line.event in _BELIEF_EVENTS]
         return _refused(last, belief)
     if last.event != "request_ended":
         return (
             f"The last line is {last.event} on {last.get('instance')}: the instance "
             "stopped before it gave a final word."
         )
+    if last.get("outcome") == "caller_left" and _had_stopped(last, context):
+        return (
+            f"Its instance {last.get('instance')} reached the end of its grace and "
+            f"closed its connections {last.get('took_ms')} ms after the request came."
+        )
     return _ended(last, about)
 
 
+def _had_stopped(last: LogLine, context: list[LogLine]) -> bool:
+    """Say whether the instance was stopped already when the request ended.
+
+    Closing its own connections looks to a stopped instance as if the callers left.
+    """
+    life = [
+        line.event
+        for line in context
+        if line.event in _LIFE_EVENTS and line.get("instance") == last.get("instance")
+    ]
+    return bool(life) and life[-1] == "gateway_stopped"
+
+
 def _refused(last: LogLine, belief: list[LogLine]) -> str:
     code, age = last.get("outcome"), last.get("belief_age_ms")
     sentence = _REFUSALS.get(code, f"It was refused: {code}.")
--- a/src/coursekeel/gateway/_stream_task.py
+++ b/src/coursekeel/gateway/_stream_task.py
@@ -54,6 +54,7 @@
 
 _ASKED = 3
 _RETRY_AFTER_MS = 150.0
+_ELSEWHERE_MS = 50.0
 _OWN_PAUSE_MS = 100.0
 _NEVER_MS = 1e12
 _OK = 200
@@ -123,7 +124,7 @@
         actions = self.core.handle(event, self.ports.clock.now_ms())
         if isinstance(event, Granted) and not _opens(actions):
             # A copy took the run up meanwhile, so the place isn't needed.
-            self.ports.routing.released(event.endpoint_id, 0.0)
+            self._return_place(event.endpoint_id)
         for action in actions:
             self._carry_out(action)
 
@@ -149,6 +150,9 @@
     # Finding an endpoint.
 
     def _begin_seek(self, action: SeekEndpoint) -> None:
+        if self._refused:
+            self._refuse()
+            return
         now_ms = self.ports.clock.now_ms()
         call, caller = self.call, self.call.caller
         continuing = action.continuing or action.held_tokens > 0
@@ -194,16 +198,39 @@
     # Attempts.
 
     def _open_attempt(self, action: OpenAttempt) -> None:
-        ports, call = self.ports, self.call
-        now_ms = ports.clock.now_ms()
         record = self._record_for(action)
-        if self._ways and not ports.budget(call.pool).take(now_ms):
-            self._refused = "retry_budget"
-            self._refuse()
-            return
-        if record is None or not ports.belief_fits(call):
-            self._messages.append(AttemptEnded(action.attempt, Loss.NOT_SENT))
+        if record is not None and self._may_send():
+            self._send(action, record)
             return
+        self._give_back(action)
+        self._messages.append(AttemptEnded(action.attempt, Loss.NOT_SENT))
+
+    def _may_send(self) -> bool:
+        """Say whether a run may be sent now; if not, the next search is refused."""
+        if self._refused:
+            return False
+        budget = self.ports.budget(self.call.pool)
+        if not self.ports.belief_fits(self.call):
+            self._refused = "belief_old"
+        elif self._ways and not budget.take(self.ports.clock.now_ms()):
+            self._refused = "retry_budget"
+        self._retry_after_ms = _ELSEWHERE_MS
+        return not self._refused
+
+    def _give_back(self, action: OpenAttempt) -> None:
+        """Nothing is sent to the endpoint, so its place is free again.
+
+        A copy's place wasn't granted: it is taken when the run is sent there.
+        """
+        if action.way is not Way.COPY:
+            self._return_place(action.endpoint_id)
+
+    def _return_place(self, endpoint_id: str) -> None:
+        self.ports.routing.returned(endpoint_id, self.call.caller.prompt_tokens)
+
+    def _send(self, action: OpenAttempt, record: EndpointRecord) -> None:
+        ports, call = self.ports, self.call
+        now_ms = ports.clock.now_ms()
         self._ways.append(action.way.value)
         if action.way is Way.COPY:
             ports.routing.router.adopt(action.endpoint_id)
@@ -342,18 +369,14 @@
 
     def _refuse(self) -> None:
         """Routing has nothing for the request, and it is told so at once."""
-        may_refuse = self.core.run_state is Run.NOT_RUN or (
-            self.call.route.kind is RouteKind.RESUMABLE
-        )
         if self.reply.head_sent:
             self._say(self._refused, 0)
             self.reply.cut()
-        elif may_refuse:
-            self._say(self._refused, 503)
-            self.reply.refuse(503, self._refused, self._retry_after_ms)
         else:
-            self._say(self._refused, 502)
-            self.reply.refuse(502, self._refused)
+            # Only 503 says that the request has not run.
+            status = 503 if self.core.run_state is Run.NOT_RUN else 502
+            self._say(self._refused, status)
+            self.reply.refuse(status, self._refused, self._retry_after_ms)
         self.tell(Cancelled())
 
     def _caller_left(self) -> None:
--- a/src/coursekeel/routing/_candidates.py
+++ b/src/coursekeel/routing/_candidates.py
@@ -74,6 +74,12 @@
         self.sent_since_report -= 1
         self.usual_run_ms += _NEWEST_SHARE * (run_ms - self.usual_run_ms)
 
+    def returned(self, prompt_tokens: int = 0) -> None:
+        """A granted place wasn't used: nothing was sent after all."""
+        self.limit.ended()
+        self.sent_since_report -= 1
+        self.unread_since_report -= prompt_tokens
+
     def has_cached(self, prompt_key: str) -> bool:
         """Say whether this entry sent the prompt there lately; a hint, no more."""
         return bool(prompt_key) and prompt_key in self._prompts
--- a/src/coursekeel/routing/_router.py
+++ b/src/coursekeel/routing/_router.py
@@ -229,6 +229,15 @@
             load.ended(run_ms, failed)
         return self.review(now_ms)
 
+    def returned(
+        self, endpoint_id: str, prompt_tokens: int, now_ms: float
+    ) -> list[Decision]:
+        """A granted place wasn't used: it is free again, and tells nothing of runs."""
+        load = self._loads.get(endpoint_id)
+        if load is not None:
+            load.returned(prompt_tokens)
+        return self.review(now_ms)
+
     def review(self, now_ms: float) -> list[Decision]:
         """Grant what can be granted and refuse what has waited too long."""
         decisions: list[Decision] = [
--- a/src/coursekeel/runtime/_routing_task.py
+++ b/src/coursekeel/runtime/_routing_task.py
@@ -47,6 +47,11 @@
         now_ms = self.clock.now_ms()
         self._tell(self.router.released(endpoint_id, run_ms, now_ms, failed))
 
+    def returned(self, endpoint_id: str, prompt_tokens: int) -> None:
+        """A granted place wasn't used, and is free again."""
+        now_ms = self.clock.now_ms()
+        self._tell(self.router.returned(endpoint_id, prompt_tokens, now_ms))
+
     def reported(self, report: LoadReport) -> None:
         """An endpoint's load report came."""
         self._tell(self.router.reported(report, self.clock.now_ms()))
--- a/tests/cover/test_logs.py
+++ b/tests/cover/test_logs.py
@@ -132,6 +132,38 @@
     assert "stopped before it gave a final word" in told.cause
 
 
+@pytest.mark.parametrize(
+    "before, said",
+    [
+        ("event=gateway_stopped open_requests=1", "end of its grace"),
+        ("event=gateway_drained open_requests=1", "caller left"),
+        ("event=gateway_stopped instance=g2", "caller left"),
+    ],
+)
+def test_a_stream_cut_by_its_own_instances_end_is_not_told_as_left(before, said):
+    told = explain(
+        "r1",
+        lines(
+            "event=endpoint_chosen request=r1 endpoint=s3",
+            before,
+            "event=request_ended request=r1 outcome=caller_left status=0 took_ms=900",
+        ),
+    )
+    assert said in told.cause
+
+
+def test_an_instance_that_started_again_has_not_stopped():
+    told = explain(
+        "r1",
+        lines(
+            "event=gateway_stopped",
+            "event=gateway_started",
+            "event=request_ended request=r1 outcome=caller_left status=0 took_ms=900",
+        ),
+    )
+    assert "caller left" in told.cause
+
+
 def test_lines_of_several_instances_are_put_in_order():
     first, second = lines("event=a request=r1", "event=request_ended request=r1")
     told = explain("r1", [second, first])
--- /dev/null
+++ b/tests/cover/test_stream_placement.py
@@ -0,0 +1,159 @@
+"""A place that routing granted is given back when nothing is sent to it."""
+
+from random import Random
+from unittest.mock import Mock
+
+import pytest
+from attrs import define, field
+from twisted.internet.task import Clock as FakeReactor
+
+from coursekeel.answers import Granted
+from coursekeel.fetch import Ending, ExchangeSink
+from coursekeel.forwarding import (
+    EndpointDirectory,
+    EndpointRecord,
+    PoolShare,
+    Route,
+    RouteKind,
+)
+from coursekeel.gateway._adapters import CallerHeaders, Send
+from coursekeel.gateway._ports import Forwarded, ForwardingPorts
+from coursekeel.gateway._stream_task import StreamTask
+from coursekeel.routing import Router
+from coursekeel.runtime import RoutingTask
+from coursekeel.settings import GatewayListen, GatewaySettings, RetryShare
+
+POOL = "engines"
+ROUTE = Route(
+    "stream",
+    "site.example",
+    "/stream/",
+    RouteKind.RESUMABLE,
+    (PoolShare(POOL),),
+    tries=5,
+    timeout_ms=20_000,
+    target_ms=4_000,
+)
+
+
+@define(eq=False)
+class ScriptedPorts(ForwardingPorts):
+    """Keeps what would be sent, and opens no socket."""
+
+    sent: list[Send] = field(factory=list)
+    sinks: list[ExchangeSink] = field(factory=list)
+
+    def open(self, call, send, sink, connect_ms):
+        self.sent.append(send)
+        self.sinks.append(sink)
+        return Mock()
+
+
+class Site:
+    """One stream's task before three endpoints, without sockets or real time."""
+
+    def __init__(self, slack: float = 1_500.0) -> None:
+        self.reactor = FakeReactor()
+        self.clock = Mock()
+        self.clock.now_ms = lambda: self.reactor.seconds() * 1000
+        self.directory = EndpointDirectory()
+        for number in range(3):
+            record = EndpointRecord(
+                f"e{number}", POOL, f"127.0.0.1:{number + 1}", f"zone-{number}", 8
+            )
+            self.directory.put(record, 1)
+        self.router = Router("zone-0", Random(1), self.directory.may_take)
+        self.router.configure(
+            self.directory.pools(), self.directory.zones(), self.directory.slots()
+        )
+        self.believed = True
+        self.ports = ScriptedPorts(
+            self.reactor,
+            self.clock,
+            GatewaySettings(
+                "g1",
+                "zone-0",
+                GatewayListen("127.0.0.1:0"),
+                "127.0.0.1:1",
+                retries=RetryShare(0.0, slack),
+            ),
+            self.directory,
+            RoutingTask(self.reactor, self.clock, self.router),
+            Mock(),
+            Mock(),
+            Random(1),
+            lambda call: self.believed,
+            Mock(),
+        )
+        self.reports = Mock()
+        self.reports.ask_all = lambda asked, told: told()
+        self.reply = Mock(head_sent=False)
+
+    def start(self) -> StreamTask:
+        caller = CallerHeaders("r1", "key", 20_000, None, 100, 100, "p1")
+        call = Forwarded(
+            b"POST", b"/stream/x", [], b"", caller, ROUTE, POOL, False, None, 0, 20_000
+        )
+        task = StreamTask(self.ports, self.reports, call, self.reply)
+        task.start()
+        return task
+
+    def held(self) -> int:
+        return sum(self.router.load(f"e{n}").limit.running for n in range(3))
+
+
+@pytest.fixture
+def site():
+    return Site()
+
+
+def test_a_stream_that_is_sent_holds_one_place(site):
+    site.start()
+    assert (len(site.ports.sent), site.held()) == (1, 1)
+
+
+def test_an_old_belief_refuses_at_once_and_holds_no_place(site):
+    site.believed = False
+    task = site.start()
+    assert not site.ports.sent
+    assert site.held() == 0
+    assert task.core.ended
+    status, code, retry_after_ms = site.reply.refuse.call_args.args
+    assert (status, code) == (503, "belief_old")
+    assert retry_after_ms > 0
+
+
+def test_a_belief_that_grows_old_between_sends_refuses_too(site):
+    site.start()
+    site.believed = False
+    site.ports.sinks[0].ended(Ending.NOT_SENT, "refused")
+    assert len(site.ports.sent) == 1
+    assert site.held() == 0
+    assert site.reply.refuse.call_args.args[:2] == (503, "belief_old")
+
+
+def test_a_spent_retry_budget_holds_no_place():
+    site = Site(slack=0.0)
+    site.start()
+    site.ports.sinks[0].ended(Ending.CUT, "reset")
+    assert len(site.ports.sent) == 1
+    assert site.held() == 0
+    assert site.reply.refuse.call_args.args[1] == "retry_budget"
+
+
+def test_an_endpoint_that_left_the_list_holds_no_place(site):
+    """Routing may grant what the list dropped in the same moment."""
+    task = StreamTask(
+        site.ports, site.reports, _call_of(site.start()), Mock(head_sent=False)
+    )
+    before = site.held()
+    site.reports.ask_all = Mock()
+    task.start()
+    site.directory.remove("e1", 2)
+    site.router.adopt("e1")
+    task.tell(Granted("e1"))
+    assert site.held() == before
+
+
+def _call_of(task: StreamTask) -> Forwarded:
+    return task.call
