Endpoints whose entries lapsed with the store serve until the list has settled

The gateway dropped them all at the first reading after an outage, and would have refused everything until they were back. Ruled out: keeping them whatever the list says (DRAIN); those that were leaving go at once, and own evidence (a refused connection, another incarnation) counts as ever. Change: EndpointDirectory.store_returned and settle; an outage of endpoints_lapse_ms or more opens endpoints_return_ms (both settings) in which a missing entry may still take work.

--- a/src/coursekeel/forwarding/_directory.py
+++ b/src/coursekeel/forwarding/_directory.py
@@ -34,6 +34,8 @@
     _records: dict[str, EndpointRecord] = field(factory=dict)
     _versions: dict[str, int] = field(factory=dict)
     _standing: dict[str, _Standing] = field(factory=dict)
+    _returning: bool = False
+    _lapsed: set[str] = field(factory=set)
 
     def put(self, record: EndpointRecord, version: int) -> None:
         """Take a record; one older than what is known is passed over."""
@@ -41,11 +43,36 @@
             return
         self._versions[record.endpoint_id] = version
         self._records[record.endpoint_id] = record
+        self._lapsed.discard(record.endpoint_id)
+
+    def store_returned(self) -> None:
+        """The list is read again after an outage, in which entries may have lapsed.
+
+        Endpoints that live register again within moments. Until `settle` one whose
+        entry is missing may still take work, unless it was leaving: dropping all of
+        them at once would refuse every request until they are back.
+        """
+        self._returning = True
+
+    def settle(self) -> list[str]:
+        """Endpoints still missing some time after an outage are gone; names them."""
+        self._returning = False
+        gone, self._lapsed = sorted(self._lapsed), set()
+        for endpoint_id in gone:
+            self._forget(endpoint_id)
+        return gone
 
     def remove(self, endpoint_id: str, version: int) -> None:
         """The list dropped the endpoint: it is gone, or about to be."""
         if version < self._versions.get(endpoint_id, 0):
             return
+        record = self._records.get(endpoint_id)
+        if self._returning and record is not None and not record.leaving:
+            self._lapsed.add(endpoint_id)
+            return
+        self._forget(endpoint_id)
+
+    def _forget(self, endpoint_id: str) -> None:
         self._records.pop(endpoint_id, None)
         self._standing.pop(endpoint_id, None)
         self._versions.pop(endpoint_id, None)
--- a/src/coursekeel/gateway/_belief_task.py
+++ b/src/coursekeel/gateway/_belief_task.py
@@ -32,7 +32,8 @@
     A change is told as soon as the store has it; between changes the store is asked
     once every ``hold_ms``, and its empty answer is the proof that nothing changed.
     Changes come in flocks and each call is paid for, so after one the task waits for
-    ``gathering_ms`` before it asks for the next.
+    ``gathering_ms`` before it asks for the next. After failures ``came_back`` is told
+    how old the last proof was, in milliseconds, before the reading is applied.
     """
 
     reactor: Reactor
@@ -46,6 +47,7 @@
     random: Random
     gathering_ms: float
     apply: Callable[[Reading], None]
+    came_back: Callable[[float], None]
     _version: int | None = None
     _stopped: bool = False
     _failures: int = 0
@@ -92,17 +94,21 @@
 
     def _take(self, reading: Reading, sent_ms: float, held_ms: float) -> None:
         now_ms = self.clock.now_ms()
+        if self._failures:
+            self._came_back(now_ms)
         moment_ms = proof_moment(sent_ms, now_ms, 0.0 if reading.entries else held_ms)
         made_ms = self.store_clock.local_ms(reading.store_ms, now_ms)
         self.belief.proved(self.table.value, min(moment_ms, made_ms))
-        if self._failures:
-            log_event("store_back", table=self.table.value, failures=self._failures)
-        self._failures = 0
         self._version = reading.version
         if reading.entries or reading.whole:
             self._changes += 1
             self.apply(reading)
 
+    def _came_back(self, now_ms: float) -> None:
+        log_event("store_back", table=self.table.value, failures=self._failures)
+        self._failures = 0
+        self.came_back(self.belief.age_ms(self.table.value, now_ms))
+
     def _lost(self, reason: str) -> None:
         self._failures += 1
         if self._failures == 1:
--- a/src/coursekeel/gateway/_gateway.py
+++ b/src/coursekeel/gateway/_gateway.py
@@ -12,17 +12,12 @@
 from coursekeel.forwarding import (
     Belief,
     EndpointDirectory,
-    EndpointRecord,
-    ForwardingConfiguration,
     RequestLimits,
-    RouteTable,
     StoreClock,
 )
 from coursekeel.gateway._adapters import (
     CallerDialect,
     EndpointDialect,
-    Reading,
-    Removed,
     Source,
     Table,
 )
@@ -30,6 +25,7 @@
 from coursekeel.gateway._desk import Desk, StopTimes
 from coursekeel.gateway._metrics import GatewayMetrics
 from coursekeel.gateway._ports import ForwardingPorts
+from coursekeel.gateway._readings import Readings
 from coursekeel.gateway._report_task import ReportTask
 from coursekeel.gateway._site import OpenConnections, caller_site, status_site
 from coursekeel.observe import log_event
@@ -67,8 +63,8 @@
     _listeners: list[Any] = field(factory=list)
     _connections: OpenConnections = field(factory=OpenConnections)
     _stopping: bool = False
-    _endpoints_known: bool = False
     _ports: ForwardingPorts = field(init=False)
+    _readings: Readings = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.random = Random(self.settings.seed)
@@ -96,10 +92,13 @@
             self.metrics,
             self.random,
             lambda call: self.desk.belief_fits(call),
-            self._endpoints_changed,
+            lambda: self._readings.endpoints_changed(),
         )
         self.reports = ReportTask(ports)
         self.desk = Desk(ports, self.reports, self.callers, self.belief, self.metrics)
+        self._readings = Readings(
+            self.reactor, lambda: self.settings, self.directory, self.routing, self.desk
+        )
         self._make_belief()
         self._add_gauges()
 
@@ -111,16 +110,18 @@
                 Table.CONFIGURATION,
                 timers.configuration_hold_ms,
                 timers.configuration_gathering_ms,
-                self._configured,
+                self._readings.configured,
+                _unconcerned,
             ),
             (
                 Table.ENDPOINTS,
                 timers.endpoints_hold_ms,
                 timers.endpoints_gathering_ms,
-                self._listed,
+                self._readings.listed,
+                self._readings.list_came_back,
             ),
         )
-        for table, hold_ms, gathering_ms, apply in kinds:
+        for table, hold_ms, gathering_ms, apply, came_back in kinds:
             task = BeliefTask(
                 self.reactor,
                 self.clock,
@@ -133,6 +134,7 @@
                 self.random,
                 gathering_ms,
                 apply,
+                came_back,
             )
             self._tasks.append(task)
 
@@ -158,54 +160,6 @@
             lambda: self.desk.open_requests,
         )
 
-    # What the store says.
-
-    def _configured(self, reading: Reading) -> None:
-        for each in reading.entries:
-            if isinstance(each.entry, ForwardingConfiguration):
-                self._take_configuration(each.entry)
-
-    def _take_configuration(self, configuration: ForwardingConfiguration) -> None:
-        table = self.desk.table
-        if table is not None and configuration.version <= table.configuration.version:
-            return
-        self.desk.table = RouteTable(configuration)
-        log_event(
-            "configuration_applied",
-            version=configuration.version,
-            routes=len(configuration.routes),
-        )
-        self._endpoints_changed()
-
-    def _listed(self, reading: Reading) -> None:
-        self._endpoints_known = True
-        if reading.whole:
-            pairs = [
-                (each.entry, each.version)
-                for each in reading.entries
-                if isinstance(each.entry, EndpointRecord)
-            ]
-            self.directory.replace_all(pairs)
-        else:
-            for each in reading.entries:
-                self._take_record(each.entry, each.version)
-        self._endpoints_changed()
-
-    def _take_record(self, entry: object, version: int) -> None:
-        match entry:
-            case EndpointRecord():
-                if entry.leaving:
-                    log_event("endpoint_leaving", endpoint=entry.endpoint_id)
-                self.directory.put(entry, version)
-            case Removed():
-                log_event("endpoint_gone", endpoint=entry.entry_id)
-                self.directory.remove(entry.entry_id, version)
-
-    def _endpoints_changed(self) -> None:
-        directory = self.directory
-        self.router.configure(directory.pools(), directory.zones(), directory.slots())
-        self.routing.review()
-
     # Starting and stopping.
 
     async def start(self) -> None:
@@ -238,7 +192,7 @@
     def ready(self) -> bool:
         """Say whether the balancer should give this instance new connections."""
         fresh = self.desk.belief_age_ms() <= self.settings.timers.belief_ms
-        known = self.desk.table is not None and self._endpoints_known
+        known = self.desk.table is not None and self._readings.list_known
         return known and fresh and not self._stopping
 
     def _readiness(self, path: str) -> "tuple[int, bytes]":
@@ -306,6 +260,10 @@
         return self.desk.open_requests > 0 and now_ms < times.last_ms
 
 
+def _unconcerned(_lost_for_ms: float) -> None:
+    """The configuration doesn't lapse while the store is away."""
+
+
 def _fixed(settings: GatewaySettings) -> tuple[object, ...]:
     """What can't change while the process runs."""
     return settings.instance_id, settings.zone, settings.listen, settings.store
--- a/src/coursekeel/settings/_gateway.py
+++ b/src/coursekeel/settings/_gateway.py
@@ -27,7 +27,9 @@
     """Bounds of time, each in the unit its name ends with.
 
     ``revoke_ms`` after a key was taken away no request with it may run, whatever this
-    instance could learn; ``grace_s`` is the time from SIGTERM to the end.
+    instance could learn; ``grace_s`` is the time from SIGTERM to the end. After an
+    outage of the store of ``endpoints_lapse_ms`` or more, endpoints whose entries are
+    missing count as gone only ``endpoints_return_ms`` after its return.
     """
 
     revoke_ms: float = field(default=5_000, metadata={"least": 100})
@@ -39,6 +41,8 @@
     endpoints_hold_ms: int = field(default=4_000, metadata={"least": 100})
     configuration_gathering_ms: int = field(default=200, metadata={"least": 0})
     endpoints_gathering_ms: int = field(default=450, metadata={"least": 0})
+    endpoints_lapse_ms: int = field(default=1_000, metadata={"least": 0})
+    endpoints_return_ms: int = field(default=2_000, metadata={"least": 0})
 
     @property
     def belief_ms(self) -> float:
--- a/tests/cover/test_forwarding.py
+++ b/tests/cover/test_forwarding.py
@@ -185,6 +185,39 @@
     assert directory.pools() == {"p": ["b"]}
 
 
+def test_entries_that_lapsed_in_an_outage_serve_until_the_list_settles():
+    directory = EndpointDirectory()
+    directory.put(endpoint("a"), 1)
+    directory.put(endpoint("b", port=2), 2)
+    directory.store_returned()
+    directory.remove("a", 3)
+    directory.replace_all([])
+    assert sorted(directory.pools()["p"]) == ["a", "b"]
+    assert directory.may_take("a", 0.0)
+    directory.put(endpoint("b", port=2), 4)
+    assert directory.settle() == ["a"]
+    assert directory.pools() == {"p": ["b"]}
+    directory.remove("b", 5)
+    assert directory.pools() == {}
+
+
+def test_an_endpoint_that_was_leaving_when_its_entry_lapsed_is_gone():
+    directory = EndpointDirectory()
+    directory.put(endpoint("a", leaving=True), 1)
+    directory.store_returned()
+    directory.remove("a", 2)
+    assert directory.record("a") is None
+
+
+def test_own_evidence_holds_for_an_entry_that_lapsed():
+    directory = EndpointDirectory()
+    directory.put(endpoint("a"), 1)
+    directory.store_returned()
+    directory.remove("a", 2)
+    directory.failed("a", 0.0)
+    assert not directory.may_take("a", 1.0)
+
+
 def test_an_ejection_doubles_while_proofs_follow_each_other():
     directory = EndpointDirectory()
     directory.put(endpoint("a"), 1)
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -240,6 +240,31 @@
     site.put_server(3)
 
 
+def test_servers_whose_entries_lapsed_with_the_store_serve_on(site):
+    """The users: such entries are back within some two seconds of its return; one that
+    is missing after that is gone."""
+    timers = {"endpoints_hold_ms": 300, "endpoints_lapse_ms": 0}
+    ports = site.start_gateway("g7", endpoints_return_ms=1_500, **timers)
+
+    def told(words: str) -> None:
+        wait_until(lambda: words in site.log("g7"), words, 10)
+
+    site.store(fault="503")
+    told("event=store_lost table=endpoints")
+    site.put([("servers", f"s{number}", None) for number in (3, 4, 5)])
+    site.store(fault="")
+    told("event=store_back table=endpoints")
+    assert site.ask("/open/x", key="", port=ports[0]).status == 200
+    site.put_server(3)
+    told("event=endpoint_gone endpoint=s5 reason=not_back")
+    for _ in range(4):
+        connection, request_id = site.open("/open/x", key="", port=ports[0])
+        assert read(connection).status == 200
+        assert {run["server"] for run in site.ran(request_id)} == {"s3"}
+    for number in (4, 5):
+        site.put_server(number)
+
+
 def test_a_draining_server_gets_nothing_new(site):
     for number in (3, 4):
         site.put_server(number, "draining")
