Answers go on from copies of their runs, on the product's own engines too; two faults of copies mended

Ruled out: waiting for the leaving endpoint within its bound (the moment of its word isn't known here to the millisecond); the prompt is read again instead. Change: GenerationOrder has copy_to and copy_of; the stand-in engines send memory as it grows and take runs up; AnswerTask places copies by routing. The core hands a copy on when the engine's own run can't be read, and races a silent run from its copy; after a racer is lost it seeks again (it waited for the doubted run before). A copy is not taken up at an endpoint that leaves, nor at an address that another pool has now. AnswerTask's streams moved to _open_stream.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -111,7 +111,7 @@
     chart.x_labels = [
         f"{row['profile']} {row['fault']}" for row in rows if row["way"] == "entry"
     ]
-    for way in ("entry", "naive"):
+    for way in ("entry", "entry_without_copies", "naive"):
         mine = [row["resume_ms"]["p95"] for row in rows if row["way"] == way]
         chart.add(way, mine)
     (OUT / "resume.svg").write_bytes(chart.render())
--- a/bench/resume.py
+++ b/bench/resume.py
@@ -1,5 +1,8 @@
 """How long callers wait when their engine dies or freezes, beside the naive way.
 
+An entry is measured with copies of its runs' memory kept by other engines, and
+without, where the prompt and what was made are read again.
+
 The naive caller runs in the same run against the same engines: round robin, one
 second of patience, the answer run again from its start and what was held skipped.
 """
@@ -9,6 +12,7 @@
 import socket
 import threading
 import time
+from collections import Counter
 from http.client import HTTPConnection, HTTPException
 
 from bench._tools import longest_ms, percentiles
@@ -18,6 +22,8 @@
 
 GAP_MS = 10
 TOKENS = 90
+PROMPT_WORDS = 6_000
+CHARACTERS_A_TOKEN = 4
 PROFILES = {
     "head_office": {"profile": "dossier"},
     "inspection": {"profile": "defect_review"},
@@ -66,11 +72,14 @@
     rows = []
     for profile, policy in PROFILES.items():
         for fault in ("killed", "frozen"):
-            rows += _fault_rows(profile, policy, fault, runs)
+            for copies in (True, False):
+                rows.append(_entry_row(profile, policy, fault, runs, copies))
+            rows.append(_naive_row(profile, policy, fault, runs))
     return rows
 
 
-def _start(site: Site, policy: dict) -> None:
+def _start(site: Site, policy: dict, copies: bool = True) -> None:
+    site.copies = copies
     site.start_platform()
     site.start_engines(4, "--gap-ms", str(GAP_MS))
     timers = {
@@ -85,41 +94,61 @@
     site.until_serving()
 
 
-def _fault_rows(profile: str, policy: dict, fault: str, runs: int) -> list[dict]:
-    ours, naive, extra_ours, extra_naive, whole = [], [], [], [], 0
+def _entry_row(profile: str, policy: dict, fault: str, runs: int, copies: bool) -> dict:
+    waits, made_again, read_again, whole = [], [], [], 0
     with Site() as site:
-        _start(site, policy)
+        _start(site, policy, copies)
         for number in range(runs):
             caller = Caller(_request(number), "ikeja-key", f"bench-{number}")
-            made = _made(site)
+            before = _work(site)
             lost = _one(site, caller, fault)
+            extra = _work(site) + lost - before
             whole += caller.whole
-            ours.append(longest_ms(caller.times))
-            extra_ours.append(_made(site) + lost - made - TOKENS)
+            waits.append(longest_ms(caller.times))
+            made_again.append(extra["generated_tokens"] - TOKENS)
+            read_again.append(extra["prefilled_tokens"] - _prompt_tokens(number))
+    return {
+        "profile": profile,
+        "fault": fault,
+        "runs": runs,
+        "way": "entry" if copies else "entry_without_copies",
+        "whole": whole,
+        "resume_ms": percentiles(waits),
+        "extra_tokens": percentiles(made_again),
+        "tokens_read_again": percentiles(read_again),
+    }
+
+
+def _naive_row(profile: str, policy: dict, fault: str, runs: int) -> dict:
+    waits, made_again = [], []
+    with Site() as site:
+        _start(site, policy)
+        for number in range(runs):
             rival = NaiveCaller(_request(number), _ports(site))
             _one_naive(site, rival, fault)
-            naive.append(longest_ms(rival.times))
-            extra_naive.append(rival.made - TOKENS)
-    shared = {"profile": profile, "fault": fault, "runs": runs}
-    return [
-        {
-            **shared,
-            "way": "entry",
-            "whole": whole,
-            "resume_ms": percentiles(ours),
-            "extra_tokens": percentiles(extra_ours),
-        },
-        {
-            **shared,
-            "way": "naive",
-            "resume_ms": percentiles(naive),
-            "extra_tokens": percentiles(extra_naive),
-        },
-    ]
+            waits.append(longest_ms(rival.times))
+            made_again.append(rival.made - TOKENS)
+    return {
+        "profile": profile,
+        "fault": fault,
+        "runs": runs,
+        "way": "naive",
+        "resume_ms": percentiles(waits),
+        "extra_tokens": percentiles(made_again),
+    }
+
+
+def _prompt(number: int) -> str:
+    return f"dossier {number} " + "page " * (PROMPT_WORDS - 2)
+
+
+def _prompt_tokens(number: int) -> int:
+    """As the entry reckons a text's tokens."""
+    return len(_prompt(number)) // CHARACTERS_A_TOKEN
 
 
 def _request(number: int) -> dict:
-    prompt = f"dossier {number}"
+    prompt = _prompt(number)
     return {"model": "summary", "prompt": prompt, "max_tokens": TOKENS, "seed": number}
 
 
@@ -127,15 +156,15 @@
     return [each.port for each in site.engines.values()]
 
 
-def _made(site: Site) -> int:
-    """Tokens that the engines made; one that was killed counts from nought again."""
-    return sum(
-        engine.get("/status")["counters"]["generated_tokens"]
-        for engine in site.engines.values()
-    )
+def _work(site: Site) -> Counter:
+    """What the engines did; one that was killed counts from nought again."""
+    work: Counter = Counter()
+    for engine in site.engines.values():
+        work.update(engine.get("/status")["counters"])
+    return work
 
 
-def _one(site: Site, caller: Caller, fault: str) -> int:
+def _one(site: Site, caller: Caller, fault: str) -> Counter:
     port = site.entries["entry-1"].port
     thread = threading.Thread(target=caller.post, args=(port, 60))
     thread.start()
@@ -150,10 +179,10 @@
     _harm(site, fault, thread)
 
 
-def _harm(site: Site, fault: str, thread: threading.Thread) -> int:
+def _harm(site: Site, fault: str, thread: threading.Thread) -> Counter:
     """Kill or freeze the engine that works, and mend it afterwards.
 
-    Returns how many tokens went out of the count with a killed engine.
+    Returns the work that went out of the count with a killed engine.
     """
     name = wait_until(lambda: _busy(site), "an engine is busy")
     process = site.processes[name]
@@ -162,7 +191,7 @@
         thread.join(60)
         process.signal(signal.SIGCONT)
         wait_until(lambda: not _busy(site), "engines are idle")
-        return 0
+        return Counter()
     counters = site.engines[name].get("/status")["counters"]
     process.kill()
     thread.join(60)
@@ -171,7 +200,7 @@
     options = ["--name", name, "--gap-ms", str(GAP_MS), "--port", str(port)]
     site.start(name, "standins", "engine", *options).listening()
     site.until_serving()
-    return int(counters["generated_tokens"])
+    return Counter(counters)
 
 
 def until_free(port: int) -> None:
--- a/src/coursekeel/answers/_answer.py
+++ b/src/coursekeel/answers/_answer.py
@@ -107,6 +107,11 @@
         ran = any(each.may_have_run for each in self.attempts.values())
         return RunState.UNKNOWN if ran else RunState.NOT_RUN
 
+    @property
+    def bad_endpoints(self) -> frozenset[str]:
+        """Endpoints that lost a run of this answer, or wouldn't take one."""
+        return frozenset(self._bad_endpoints)
+
     def handle(self, event: Event, now_ms: float) -> list[Action]:
         """Take one event and say what is to be done."""
         if self.ended:
@@ -175,18 +180,19 @@
 
     def _granted(self, event: Granted, now_ms: float) -> list[Action]:
         self._seeking = False
-        live = self._live()
-        if any(not each.doubted for each in live):
+        if self._undoubted():
             # A doubted stream spoke again, so it needs no successor.
             return []
-        given_up = live[: 1 - _AT_MOST_RACING]
+        given_up = self._give_up_racers()
+        self._machine.feed("granted")
+        return [*given_up, *self._open(event.endpoint_id, Way.PREFILL, now_ms)]
+
+    def _give_up_racers(self) -> list[Action]:
+        """Make room for one more run among those that may race."""
+        given_up = self._live()[: 1 - _AT_MOST_RACING]
         for each in given_up:
             each.machine.feed("superseded")
-        self._machine.feed("granted")
-        return [
-            *(CancelAttempt(each.number) for each in given_up),
-            *self._open(event.endpoint_id, Way.PREFILL, now_ms),
-        ]
+        return [CancelAttempt(each.number) for each in given_up]
 
     def _open(
         self,
@@ -313,29 +319,33 @@
 
     def _copy_or_else(self, lost: Attempt, now_ms: float) -> list[Action]:
         """A copy of the run's memory goes on without reading the prompt again."""
-        if not lost.copy_id or lost.copy_id in self._bad_endpoints or self._live():
+        if not self._has_copy(lost) or self._undoubted():
             return self._recover(now_ms)
-        self._mark_lost()
-        if self._waiting_since_ms is None:
-            self._waiting_since_ms = now_ms
-        self._machine.feed("granted")
+        self._mark_lost(now_ms)
+        return self._open_copy(lost, now_ms)
+
+    def _has_copy(self, attempt: Attempt) -> bool:
+        return bool(attempt.copy_id) and attempt.copy_id not in self._bad_endpoints
+
+    def _open_copy(self, attempt: Attempt, now_ms: float) -> list[Action]:
         # A grant that is still on its way finds a live attempt and opens nothing.
-        return self._open(
-            lost.copy_id, Way.COPY, now_ms, lost.run_id or lost.label, lost.label
-        )
+        self._machine.feed("granted")
+        run_id = attempt.run_id or attempt.label
+        return self._open(attempt.copy_id, Way.COPY, now_ms, run_id, attempt.label)
 
     def _own_stream_or_else(self, attempt: Attempt, now_ms: float) -> list[Action]:
         """The engine's own run is the cheapest way on, if the engine still lives."""
         if not attempt.run_id or self._own_stream_tries >= self.policy.own_stream_tries:
             return self._died(attempt, now_ms)
         self._own_stream_tries += 1
-        self._mark_lost()
-        if self._waiting_since_ms is None:
-            self._waiting_since_ms = now_ms
+        self._mark_lost(now_ms)
         self._machine.feed("granted")
-        return self._open(
+        opened = self._open(
             attempt.endpoint_id, Way.OWN_STREAM, now_ms, attempt.run_id, attempt.label
         )
+        # If the engine doesn't answer, the same run's copy is the next way on.
+        self.attempts[self._numbers].copy_id = attempt.copy_id
+        return opened
 
     def _recover_from(self, attempt: Attempt, now_ms: float) -> list[Action]:
         if attempt.way is Way.OWN_STREAM:
@@ -351,14 +361,14 @@
         return self._copy_or_else(attempt, now_ms)
 
     def _recover(self, now_ms: float) -> list[Action]:
-        if self._live():
+        if self._undoubted():
             return []
-        self._mark_lost()
-        if self._waiting_since_ms is None:
-            self._waiting_since_ms = now_ms
+        self._mark_lost(now_ms)
         return [*self._seek(), self._alarm()]
 
-    def _mark_lost(self) -> None:
+    def _mark_lost(self, now_ms: float) -> None:
+        if self._waiting_since_ms is None:
+            self._waiting_since_ms = now_ms
         if self._machine.state == "running" and not self._live():
             self._machine.feed("lost")
 
@@ -378,13 +388,19 @@
         if self._waiting_since_ms is None:
             self._waiting_since_ms = now_ms
         if self.policy.races:
-            return [*self._seek(), self._alarm()]
+            return self._race(attempt, now_ms)
         attempt.machine.feed("lost")
         return [
             CancelAttempt(attempt.number),
             *self._copy_or_else(attempt, now_ms),
         ]
 
+    def _race(self, doubted: Attempt, now_ms: float) -> list[Action]:
+        """A second run beside one that may speak again; from its copy if it has one."""
+        if not self._has_copy(doubted):
+            return [*self._seek(), self._alarm()]
+        return [*self._give_up_racers(), *self._open_copy(doubted, now_ms)]
+
     def _tick(self, now_ms: float) -> list[Action]:
         if self._patience_over(now_ms):
             return self._interrupt("interrupted", "patience_over")
@@ -438,6 +454,10 @@
     def _live(self) -> list[Attempt]:
         return [each for each in self.attempts.values() if each.live]
 
+    def _undoubted(self) -> bool:
+        """Say whether an attempt is at work that nothing speaks against."""
+        return any(not each.doubted for each in self._live())
+
     def _known(self, number: int) -> Attempt:
         attempt = self.attempts.get(number)
         if attempt is None:
--- a/src/coursekeel/endpoints/_adapter.py
+++ b/src/coursekeel/endpoints/_adapter.py
@@ -26,7 +26,9 @@
 
     ``request`` is the caller's request as it came, so that a batch of photographs is
     held once; ``prefix_tokens`` are what the answer holds already. ``cache_salt``
-    keeps one team's prompts out of another's cache.
+    keeps one team's prompts out of another's cache. ``copy_to`` is the address of an
+    engine that shall keep a copy of the run's memory, empty if none shall; ``copy_of``
+    is the run whose copy this engine keeps, empty if the prompt is to be read.
     """
 
     label: str
@@ -36,6 +38,8 @@
     prefix_tokens: list[int]
     priority: int
     cache_salt: str
+    copy_to: str = ""
+    copy_of: str = ""
 
 
 @frozen
@@ -106,7 +110,9 @@
 
 
 class EngineAdapter(ABC):
-    """One engine."""
+    """One engine; ``address`` is what other engines know it by."""
+
+    address: str
 
     @abstractmethod
     def open(self, order: GenerationOrder, listener: StreamListener) -> EngineStream:
--- a/src/coursekeel/endpoints/_http_engine.py
+++ b/src/coursekeel/endpoints/_http_engine.py
@@ -300,6 +300,8 @@
         "prefix_tokens": order.prefix_tokens,
         "priority": order.priority,
         "cache_salt": order.cache_salt,
+        "copy_to": order.copy_to,
+        "copy_of": order.copy_of,
     }
     head = orjson.dumps(envelope)[:-1] + b',"request":'
     return [head, order.request, b"}"]
--- a/src/coursekeel/entry/_answer_task.py
+++ b/src/coursekeel/entry/_answer_task.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from coursekeel.answers import (
     Action,
@@ -13,10 +13,10 @@
     AttemptEnded,
     CancelAttempt,
     Complete,
+    CopyPlaced,
     Deliver,
     EndpointSilent,
     Event,
-    FinishArrived,
     Granted,
     HeadArrived,
     Interrupt,
@@ -35,14 +35,9 @@
     TokensArrived,
     Way,
 )
-from coursekeel.endpoints import (
-    EngineAdapter,
-    EngineStream,
-    FleetPulse,
-    GenerationOrder,
-    StreamListener,
-)
+from coursekeel.endpoints import EngineAdapter, FleetPulse, GenerationOrder
 from coursekeel.entry._follower import Follower
+from coursekeel.entry._open_stream import AttemptListener, OpenStream, StreamOwner
 from coursekeel.entry._requests import GenerationRequest
 from coursekeel.entry._sinks import Refusal
 from coursekeel.observe import Metrics, log_event
@@ -69,8 +64,7 @@
 class AnswerPorts:
     """What an answer's task is given by its entry.
 
-    ``may_send`` says whether the entry may still speak for durable answers, and
-    ``durable_tokens`` how far the journal holds one.
+    ``copies`` says whether other engines keep copies of the runs' memory.
     """
 
     reactor: Reactor
@@ -82,47 +76,11 @@
     ended: Callable[["AnswerTask"], None]
     run_known: Callable[["AnswerTask", str, StreamHead], None]
     caller_lead_tokens: int
+    copies: bool
 
 
 @define(eq=False)
-class _Open:
-    """A stream under way, and the place at its endpoint that it holds."""
-
-    endpoint_id: str
-    stream: EngineStream
-    opened_ms: float
-    holds_place: bool
-    run_id: str = ""
-    pulsing: bool = False
-
-
-class _Listener(StreamListener):
-    """Turns a stream's calls into the task's messages."""
-
-    __slots__ = ("_attempt", "_task")
-
-    def __init__(self, task: "AnswerTask", attempt: int) -> None:
-        self._task = task
-        self._attempt = attempt
-
-    def head(self, head: StreamHead) -> None:
-        self._task.head(self._attempt, head)
-
-    def tokens(
-        self, run_id: str, position: int, tokens: list[int], texts: list[str]
-    ) -> None:
-        line = TokensArrived(self._attempt, run_id, position, tokens, texts)
-        self._task.line(self._attempt, line)
-
-    def finish(self, run_id: str, position: int, reason: str) -> None:
-        self._task.tell(FinishArrived(self._attempt, run_id, position, reason))
-
-    def ended(self, loss: Loss) -> None:
-        self._task.stream_ended(self._attempt, loss)
-
-
-@define(eq=False)
-class AnswerTask:
+class AnswerTask(StreamOwner):
     """One answer at work. Messages are taken one at a time, in order."""
 
     request: GenerationRequest
@@ -140,8 +98,9 @@
     arrived_ms: float = field(init=False)
     _messages: deque[Event] = field(factory=deque)
     _busy: bool = False
-    _open: dict[int, _Open] = field(factory=dict)
+    _open: dict[int, OpenStream] = field(factory=dict)
     _ticket: int | None = None
+    _seek_made: Seek | None = None
     _granted: str = ""
     _alarm: Any = None
     _alarm_ms: float = math.inf
@@ -254,7 +213,7 @@
             self._first_line(opened, now_ms)
         self.tell(line, now_ms)
 
-    def _first_line(self, opened: _Open, now_ms: float) -> None:
+    def _first_line(self, opened: OpenStream, now_ms: float) -> None:
         opened.pulsing = True
         self.ports.pulse.opened(opened.endpoint_id, now_ms)
         if opened.holds_place:
@@ -346,6 +305,7 @@
             excluded=action.excluded,
         )
         self._ticket = None
+        self._seek_made = seek
         ticket = self.ports.routing.seek(seek, self._decided)
         if self._granted == "":
             self._ticket = ticket
@@ -383,32 +343,62 @@
         """Give back a place that no attempt took."""
         if self._granted:
             endpoint_id, self._granted = self._granted, ""
-            self.ports.routing.released(endpoint_id, 0.0)
+            self.ports.routing.returned(endpoint_id, self.request.prompt_tokens)
 
     def _open_attempt(self, action: OpenAttempt) -> None:
-        holds_place = action.way is Way.PREFILL and self._granted == action.endpoint_id
-        if holds_place:
-            self._granted = ""
         engine = self.ports.engine(action.endpoint_id)
-        if engine is None:
-            if holds_place:
-                self.ports.routing.released(action.endpoint_id, 0.0)
+        if engine is None or not self._may_have(action):
+            self._return_grant()
             self.tell(AttemptEnded(action.attempt, Loss.NOT_SENT))
             return
+        holds_place = self._take_place(action)
         self._count_attempt(action)
-        listener = _Listener(self, action.attempt)
+        listener = AttemptListener(self, action.attempt)
         if action.way is Way.OWN_STREAM:
             position = action.from_position
             stream = engine.take_up(action.run_id, position, listener)
         else:
-            stream = engine.open(self._order(action), listener)
-        opened = _Open(
+            order = self._order(action, self._place_copy(action))
+            stream = engine.open(order, listener)
+        opened = OpenStream(
             action.endpoint_id, stream, self.ports.clock.now_ms(), holds_place
         )
         opened.run_id = action.run_id
         self._open[action.attempt] = opened
 
-    def _order(self, action: OpenAttempt) -> GenerationOrder:
+    def _may_have(self, action: OpenAttempt) -> bool:
+        """A copy is at an engine that routing didn't choose now; it may be leaving."""
+        router, now_ms = self.ports.routing.router, self.ports.clock.now_ms()
+        return action.way is not Way.COPY or router.may_take(action.endpoint_id, now_ms)
+
+    def _take_place(self, action: OpenAttempt) -> bool:
+        """Take the place that was granted, or one at the engine that keeps a copy."""
+        if action.way is Way.COPY:
+            self.ports.routing.router.adopt(action.endpoint_id)
+            return True
+        holds_place = action.way is Way.PREFILL and self._granted == action.endpoint_id
+        if holds_place:
+            self._granted = ""
+        return holds_place
+
+    def _place_copy(self, action: OpenAttempt) -> str:
+        """Choose who keeps a copy of this run, and return the engine's address."""
+        if not self.ports.copies or self._seek_made is None:
+            return ""
+        now_ms = self.ports.clock.now_ms()
+        router = self.ports.routing.router
+        seek = evolve(
+            self._seek_made,
+            excluded=self._seek_made.excluded | self.core.bad_endpoints,
+        )
+        place = router.place_for_copy(seek, action.endpoint_id, now_ms)
+        engine = self.ports.engine(place)
+        if engine is None:
+            return ""
+        self._messages.append(CopyPlaced(action.attempt, place))
+        return engine.address
+
+    def _order(self, action: OpenAttempt, copy_to: str) -> GenerationOrder:
         request = self.request
         return GenerationOrder(
             label=self.core.attempts[action.attempt].label,
@@ -418,6 +408,8 @@
             prefix_tokens=self.ledger.tokens_from(0),
             priority=-request.policy.rank,
             cache_salt=request.team.name,
+            copy_to=copy_to,
+            copy_of=action.run_id if action.way is Way.COPY else "",
         )
 
     def _count_attempt(self, action: OpenAttempt) -> None:
--- a/src/coursekeel/entry/_entry.py
+++ b/src/coursekeel/entry/_entry.py
@@ -149,6 +149,7 @@
             lambda task: self.desk.ended(task),
             lambda task, name, head: self.desk.run_known(task, name, head),
             settings.limits.caller_lead_tokens,
+            settings.copies,
         )
         self.desk = AnswersDesk(
             self.reactor,
--- a/src/coursekeel/gateway/_stream_task.py
+++ b/src/coursekeel/gateway/_stream_task.py
@@ -260,15 +260,17 @@
         attempt.open(send)
 
     def _record_for(self, action: OpenAttempt) -> EndpointRecord | None:
-        """The endpoint to send to.
-
-        A copy lies at an address: when it was placed, the list may still have named
-        the incarnation before the one that took it.
-        """
+        """The endpoint to send to, None if it may not have the run."""
         directory = self.ports.directory
-        if action.way is Way.COPY:
-            return directory.at_address(self._copies.get(action.endpoint_id, ""))
-        return directory.record(action.endpoint_id)
+        if action.way is not Way.COPY:
+            return directory.record(action.endpoint_id)
+        # A copy lies at an address: when it was placed, the list may still have named
+        # the incarnation before the one that took it. By now the endpoint may be
+        # leaving, or another pool's may have the address.
+        record = directory.at_address(self._copies.get(action.endpoint_id, ""))
+        if record is None or record.leaving or record.pool != self.call.pool:
+            return None
+        return record
 
     def _place_copy(self, action: OpenAttempt, now_ms: float) -> str:
         """Choose who keeps a copy of this run, and return the address."""
--- a/src/coursekeel/settings/_model.py
+++ b/src/coursekeel/settings/_model.py
@@ -79,7 +79,12 @@
 
 @frozen
 class EntrySettings:
-    """Everything an entry is told. ``zone`` is its availability zone."""
+    """Everything an entry is told. ``zone`` is its availability zone.
+
+    With ``copies`` each run's memory is kept by a second engine as it grows, so that
+    an answer goes on without reading its prompt again; engines that keep none ignore
+    it.
+    """
 
     instance_id: str
     zone: str
@@ -89,6 +94,7 @@
     peer: ListenSettings = field(factory=ListenSettings)
     timers: Timers = field(factory=Timers)
     limits: Limits = field(factory=Limits)
+    copies: bool = True
     seed: int | None = None
 
 
--- a/standins/_engine.py
+++ b/standins/_engine.py
@@ -10,6 +10,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import LoopingCall
 
+from standins._copies import CopySender, KeptCopies
 from standins._tokens import SALTS, Chain, prompt_digest, text_of
 
 
@@ -41,6 +42,8 @@
         self.order = order
         request = order["request"]
         self.start = len(order["prefix_tokens"])
+        self.prompt_tokens = int(order.get("prompt_tokens", 0))
+        self.copied_tokens = 0
         self.limit = int(request.get("max_tokens", 16))
         self.chain = Chain(
             prompt_digest(request), request.get("seed", 0), order["prefix_tokens"]
@@ -97,10 +100,13 @@
         self.counters = {
             "generated_tokens": 0,
             "prefilled_tokens": 0,
+            "copied_tokens": 0,
             "runs": 0,
             "cancelled": 0,
             "refused": 0,
         }
+        self.kept = KeptCopies(reactor)
+        self.sender = CopySender(reactor, self.counters)
         self.faults: dict[str, Any] = {}
         self.app = _routes(self)
         self.ticks = 0
@@ -111,9 +117,19 @@
         if len(self.queue) >= self.speed.queue:
             self.counters["refused"] += 1
             return None
+        copied = 0
+        if order.get("copy_of"):
+            taken = self.kept.take(order["copy_of"])
+            if taken is None:
+                self.counters["refused"] += 1
+                return None
+            copied = taken
         self.counters["runs"] += 1
         run_id = f"{self.incarnation}-{self.counters['runs']}"
         run = Run(run_id, order, self.random.randrange(SALTS))
+        run.copied_tokens = copied
+        if order.get("copy_to"):
+            self.sender.follow(run, order["copy_to"])
         run.phase = self.counters["runs"] % self.speed.phases
         self.runs[run_id] = run
         self.queue.append(run)
@@ -130,8 +146,10 @@
     def _prefill_s(self, run: Run) -> float:
         prompt = prompt_digest(run.order["request"])
         key = (str(run.order.get("cache_salt", "")), prompt)
-        count = int(run.order.get("prompt_tokens", 0)) + run.start
+        count = run.prompt_tokens + run.start
         uncached = run.start if key in self.cached else count
+        if run.copied_tokens:
+            uncached = max(count - run.copied_tokens, 0)
         self.cached.add(key)
         self.counters["prefilled_tokens"] += uncached
         return (
@@ -160,10 +178,12 @@
     def _retire(self, run: Run) -> None:
         if run in self.active:
             self.active.remove(run)
+        self.sender.forget(run.run_id)
         self.reactor.callLater(30, self.runs.pop, run.run_id, None)
 
     def cancel(self, run: Run) -> None:
         self.counters["cancelled"] += 1
+        self.sender.forget(run.run_id)
         self.runs.pop(run.run_id, None)
         if run in self.queue:
             self.queue.remove(run)
@@ -267,6 +287,7 @@
             "queued": len(self.queue),
             "slots": self.speed.slots,
             "epochs": self.highest_epoch,
+            "kept_tokens": self.kept.tokens,
             "counters": self.counters,
         }
 
@@ -324,6 +345,16 @@
             engine.cancel(run)
         return b"{}"
 
+    @app.route("/copies/<run_id>", methods=["POST"])
+    def keep_copy(request: Any, run_id: str) -> bytes:
+        engine.kept.put(run_id, int(orjson.loads(request.content.read())["tokens"]))
+        return b"{}"
+
+    @app.route("/copies/<run_id>", methods=["DELETE"])
+    def drop_copy(request: Any, run_id: str) -> bytes:
+        engine.kept.drop(run_id)
+        return b"{}"
+
     @app.route("/status")
     def status(request: Any) -> bytes:
         return orjson.dumps(engine.status())
--- a/standins/site.py
+++ b/standins/site.py
@@ -126,6 +126,7 @@
     """Starts and ends everything; used as a context."""
 
     def __init__(self) -> None:
+        self.copies = True
         self._folder = tempfile.TemporaryDirectory(prefix="coursekeel-")
         self.folder = Path(self._folder.name)
         self.processes: dict[str, Process] = {}
@@ -226,6 +227,7 @@
                 }
             ],
             "timers": timers,
+            "copies": self.copies,
         }
         file = self.folder / f"{name}.json"
         file.write_bytes(orjson.dumps(settings))
--- a/tests/common/sites.py
+++ b/tests/common/sites.py
@@ -51,10 +51,10 @@
 _IDS = iter(range(1, 1_000_000))
 
 
-def dossier(tokens: int = 100, team: str = "ikeja") -> Caller:
+def dossier(tokens: int = 100, team: str = "ikeja", words: int = 2) -> Caller:
     """A caller with a request of its own."""
     number = next(_IDS)
-    prompt = f"dossier {number}"
+    prompt = f"dossier {number}" + " page" * (words - 2)
     request = {"model": "summary", "prompt": prompt, "max_tokens": tokens, "seed": 1}
     return Caller(request, f"{team}-key", f"request-{number}")
 
--- a/tests/cover/test_answers_from_copies.py
+++ b/tests/cover/test_answers_from_copies.py
@@ -1,5 +1,6 @@
 """An answer goes on from a copy of its run; its prompt is read again at last."""
 
+from attrs import evolve
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -39,8 +40,8 @@
 class Driver:
     """One answer, with the actions of the last event."""
 
-    def __init__(self) -> None:
-        self.core = AnswerCore("r", Expected("p", "", ""), POLICY, EventLedger())
+    def __init__(self, policy: AnswerPolicy = POLICY) -> None:
+        self.core = AnswerCore("r", Expected("p", "", ""), policy, EventLedger())
         self.now_ms = 0.0
         self.actions = self.core.handle(Started(), 0.0)
 
@@ -111,6 +112,46 @@
     assert driver.opened().way is Way.PREFILL
 
 
+def test_a_copy_follows_where_the_engines_own_run_cannot_be_read():
+    """Seen in the demo: the killed engine was asked for its run first, and the copy
+    was forgotten with the answer."""
+    driver = Driver(evolve(POLICY, own_stream_tries=1))
+    driver.tell(Granted("a"))
+    driver.tell(CopyPlaced(1, "b"))
+    driver.stream(1, 5)
+    driver.tell(AttemptEnded(1, Loss.CUT))
+    assert driver.opened().way is Way.OWN_STREAM
+    driver.tell(AttemptEnded(2, Loss.NOT_SENT))
+    opened = driver.opened()
+    assert (opened.endpoint_id, opened.way) == ("b", Way.COPY)
+    assert opened.run_id == driver.core.attempts[1].run_id
+
+
+def racing() -> Driver:
+    driver = Driver(evolve(POLICY, races=True))
+    driver.tell(Granted("a"))
+    driver.tell(CopyPlaced(1, "b"))
+    driver.stream(1, 5)
+    driver.tell(EndpointSilent("a"))
+    return driver
+
+
+def test_a_silent_run_that_may_speak_again_is_raced_from_its_copy():
+    driver = racing()
+    assert driver.opened().way is Way.COPY
+    assert not any(isinstance(each, CancelAttempt) for each in driver.actions)
+    driver.stream(1, 6)
+    assert CancelAttempt(2) in driver.actions
+
+
+def test_a_racing_copy_that_is_not_there_is_followed_by_reading_again():
+    driver = racing()
+    driver.tell(AttemptEnded(2, Loss.REFUSED))
+    assert any(isinstance(each, SeekEndpoint) for each in driver.actions)
+    driver.tell(Granted("c"))
+    assert driver.opened().way is Way.PREFILL
+
+
 def test_the_alarm_is_set_for_silence_once_events_came():
     """Seen on a played day: dark endpoints were waited for to the deadline."""
     driver = begun()
--- a/tests/cover/test_stream_placement.py
+++ b/tests/cover/test_stream_placement.py
@@ -4,7 +4,7 @@
 from unittest.mock import Mock
 
 import pytest
-from attrs import define, field
+from attrs import define, evolve, field
 from twisted.internet.task import Clock as FakeReactor
 
 from coursekeel.answers import Granted
@@ -89,10 +89,10 @@
         self.reports.ask_all = lambda asked, told: told()
         self.reply = Mock(head_sent=False)
 
-    def start(self) -> StreamTask:
+    def start(self, copies: bool = False) -> StreamTask:
         caller = CallerHeaders("r1", "key", 20_000, None, 100, 100, "p1")
         call = Forwarded(
-            b"POST", b"/stream/x", [], b"", caller, ROUTE, POOL, False, None, 0, 20_000
+            b"POST", b"/stream/x", [], b"", caller, ROUTE, POOL, copies, None, 0, 20_000
         )
         task = StreamTask(self.ports, self.reports, call, self.reply)
         task.start()
@@ -157,3 +157,36 @@
 
 def _call_of(task: StreamTask) -> Forwarded:
     return task.call
+
+
+def test_a_run_goes_on_at_its_copy(site):
+    site.start(copies=True)
+    keeper = site.ports.sent[0].copy_to
+    site.ports.sinks[0].ended(Ending.CUT, "reset")
+    assert site.ports.sent[1].copy_from == site.ports.sent[1].endpoint.address == keeper
+    assert site.held() == 1
+
+
+def _keeper(site: Site) -> EndpointRecord:
+    return site.directory.at_address(site.ports.sent[0].copy_to)
+
+
+def test_a_copy_at_an_endpoint_that_leaves_is_not_taken_up(site):
+    """Seen on a played day: a run was lost 3.2 s after the endpoint that kept its copy
+    had said that it leaves, and went there."""
+    site.start(copies=True)
+    site.directory.put(evolve(_keeper(site), leaving=True), 2)
+    site.ports.sinks[0].ended(Ending.CUT, "reset")
+    assert not site.ports.sent[1].copy_from
+    assert site.ports.sent[1].endpoint.endpoint_id != _keeper(site).endpoint_id
+    assert site.held() == 1
+
+
+def test_a_copys_address_that_another_pool_has_now_is_not_sent_to(site):
+    """Addresses of endpoints that are gone are given to endpoints of other pools."""
+    site.start(copies=True)
+    old = _keeper(site)
+    site.directory.remove(old.endpoint_id, 2)
+    site.directory.put(evolve(old, endpoint_id="other", pool="plain"), 3)
+    site.ports.sinks[0].ended(Ending.CUT, "reset")
+    assert {send.endpoint.pool for send in site.ports.sent} == {POOL}
