--- a/src/coursekeel/answers/_events.py
+++ b/src/coursekeel/answers/_events.py
@@ -55,6 +55,7 @@
     REFUSED = "refused"
     CUT = "cut"
     GONE = "gone"
+    MOVED = "moved"
     CLOSED_EARLY = "closed_early"
 
 
--- a/src/coursekeel/gateway/_readings.py
+++ b/src/coursekeel/gateway/_readings.py
@@ -1,6 +1,7 @@
 """What readings of the store change: routes, keys, and the list of endpoints."""
 
 from collections.abc import Callable
+from typing import Any
 
 from attrs import define
 
@@ -30,6 +31,7 @@
     routing: RoutingTask
     desk: Desk
     list_known: bool = False
+    _settling: Any = None
 
     def configured(self, reading: Reading) -> None:
         """Take a configuration; one that isn't newer is passed over."""
@@ -80,7 +82,11 @@
         if lost_for_ms < timers.endpoints_lapse_ms:
             return
         self.directory.store_returned()
-        self.reactor.callLater(timers.endpoints_return_ms / 1000, self._list_settled)
+        if self._settling is not None and self._settling.active():
+            self._settling.cancel()
+        self._settling = self.reactor.callLater(
+            timers.endpoints_return_ms / 1000, self._list_settled
+        )
 
     def _list_settled(self) -> None:
         for endpoint_id in self.directory.settle():
--- /dev/null
+++ b/tests/cover/test_belief_machine.py
@@ -0,0 +1,164 @@
+"""What an instance believes of endpoints and keys, while the store comes and goes."""
+
+from unittest.mock import Mock
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+from twisted.internet.task import Clock as FakeReactor
+
+from coursekeel.forwarding import (
+    Belief,
+    EndpointDirectory,
+    EndpointRecord,
+    ForwardingConfiguration,
+    Team,
+    proof_moment,
+)
+from coursekeel.gateway._adapters import Reading, Removed, Versioned
+from coursekeel.gateway._readings import Readings
+from coursekeel.settings import GatewayListen, GatewaySettings
+
+NAMES = ("a", "b", "c")
+KEYS = ("k1", "k2", "k3")
+HOLD_MS = 400.0
+SETTINGS = GatewaySettings("g", "z", GatewayListen("h:1"), "s:1")
+TIMERS = SETTINGS.timers
+
+
+def record(name: str, leaving: bool = False) -> EndpointRecord:
+    port = NAMES.index(name) + 1
+    return EndpointRecord(name, "p", "127.0.0.1", port, "z", 4, leaving)
+
+
+class BeliefMachine(RuleBasedStateMachine):
+    """The store's rows change, history is lost, answers are late, the store is away."""
+
+    @initialize()
+    def begin(self) -> None:
+        self.reactor = FakeReactor()
+        self.directory = EndpointDirectory()
+        self.desk = Mock(table=None)
+        self.readings = Readings(
+            self.reactor, lambda: SETTINGS, self.directory, Mock(), self.desk
+        )
+        self.belief = Belief()
+        self.version = 0
+        self.rows: dict[str, Versioned] = {}
+        self.seen = 0
+        self.away = False
+        self.lost_for_ms = 0.0
+        self.keys = frozenset(KEYS)
+        self.revoked_ms: dict[str, float] = {}
+        self.configuration = 0
+        self.take_configuration()
+        for name in NAMES:
+            self.write(record(name))
+        self.follow(0)
+
+    @property
+    def now_ms(self) -> float:
+        return self.reactor.seconds() * 1000
+
+    def write(self, entry: EndpointRecord | Removed) -> None:
+        self.version += 1
+        name = entry.entry_id if isinstance(entry, Removed) else entry.endpoint_id
+        self.rows[name] = Versioned(entry, self.version)
+
+    @rule(name=st.sampled_from(NAMES), leaving=st.booleans())
+    def an_endpoint_writes_its_row(self, name: str, leaving: bool) -> None:
+        known = self.rows[name].entry
+        if isinstance(known, EndpointRecord) and known.leaving:
+            leaving = True
+        self.write(record(name, leaving))
+
+    @rule(name=st.sampled_from(NAMES))
+    def a_row_is_dropped(self, name: str) -> None:
+        self.write(Removed(name))
+
+    @rule()
+    def the_store_goes_away(self) -> None:
+        self.away = True
+
+    @rule()
+    def the_store_returns(self) -> None:
+        self.away = False
+
+    @rule(late_ms=st.integers(0, 300))
+    def follow(self, late_ms: int) -> None:
+        """One question for changes; its answer may be late."""
+        if self.away:
+            self.lost_for_ms += HOLD_MS
+            self.reactor.advance(HOLD_MS / 1000)
+            return
+        rows = [each for each in self.rows.values() if each.version > self.seen]
+        self.read(rows, whole=False, late_ms=late_ms)
+
+    @rule(late_ms=st.integers(0, 300))
+    def the_history_is_gone(self, late_ms: int) -> None:
+        if self.away:
+            return
+        kept = [e for e in self.rows.values() if isinstance(e.entry, EndpointRecord)]
+        self.read(kept, whole=True, late_ms=late_ms)
+
+    def read(self, rows: list[Versioned], whole: bool, late_ms: float) -> None:
+        sent_ms, version = self.now_ms, self.version
+        self.reactor.advance(late_ms / 1000)
+        if self.lost_for_ms:
+            self.readings.list_came_back(self.lost_for_ms)
+            self.lost_for_ms = 0.0
+        self.belief.proved("list", proof_moment(sent_ms, self.now_ms, 0.0))
+        self.seen = version
+        self.readings.listed(Reading(tuple(rows), version, self.now_ms, whole))
+
+    @rule(key=st.sampled_from(KEYS))
+    def a_key_is_taken_away(self, key: str) -> None:
+        if key in self.keys:
+            self.keys -= {key}
+            self.revoked_ms[key] = self.now_ms
+
+    @rule()
+    def take_configuration(self) -> None:
+        """The configuration of this moment is read, and then an older one again."""
+        if self.away:
+            return
+        self.configuration += 1
+        self.belief.proved("keys", self.now_ms)
+        for version, keys in (
+            (self.configuration, tuple(sorted(self.keys))),
+            (self.configuration - 1, KEYS),
+        ):
+            read = ForwardingConfiguration(
+                version=version, teams=(Team("t", keys),), keyed=True
+            )
+            entry = Versioned(read, version)
+            self.readings.configured(Reading((entry,), version, self.now_ms, False))
+
+    @rule(wait_ms=st.integers(1, 3_000))
+    def time_passes_or_the_process_is_frozen(self, wait_ms: int) -> None:
+        self.reactor.advance(wait_ms / 1000)
+
+    @invariant()
+    def a_key_is_never_acted_on_past_its_bound(self) -> None:
+        if self.belief.age_ms("keys", self.now_ms) > TIMERS.belief_ms:
+            return
+        for key, revoked_ms in self.revoked_ms.items():
+            if self.desk.table.team(key) is not None:
+                assert self.now_ms - revoked_ms <= TIMERS.revoke_ms
+
+    @invariant()
+    def what_was_read_as_leaving_takes_nothing(self) -> None:
+        for name, row in self.rows.items():
+            if row.version > self.seen or not isinstance(row.entry, EndpointRecord):
+                continue
+            taken = self.directory.may_take(name, self.now_ms)
+            assert taken is not row.entry.leaving
+
+    @invariant()
+    def what_was_read_as_gone_is_used_only_while_the_list_settles(self) -> None:
+        for name, row in self.rows.items():
+            gone = isinstance(row.entry, Removed) and row.version <= self.seen
+            if gone and self.directory.may_take(name, self.now_ms):
+                assert self.reactor.getDelayedCalls()
+
+
+TestBelief = BeliefMachine.TestCase
--- a/tests/cover/test_relay.py
+++ b/tests/cover/test_relay.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from coursekeel.entry._peers_task import PeersTask
+from coursekeel.entry.control._peers_task import PeersTask
 
 
 class Call:
