Rooms in entry/, no import circles

Ruled out: rooms that re-export their modules, since answers and control need modules of each other.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -11,7 +11,7 @@
 import orjson
 
 from coursekeel.answers import JournalWriter, Ledger
-from coursekeel.entry._http_common import key_hash, team_of
+from coursekeel.entry.http._common import key_hash, team_of
 from coursekeel.intents import (
     Configuration,
     EndpointIntent,
--- a/src/coursekeel/calls/__init__.py
+++ b/src/coursekeel/calls/__init__.py
@@ -16,10 +16,10 @@
     Send,
     SendEnded,
     SendOutcome,
-    ServiceReply,
     WriteClaim,
 )
 from coursekeel.calls._claims import ClaimRow, ClaimState, claim_key, fingerprint_of
+from coursekeel.calls._reply import ServiceReply
 
 __all__ = [
     "Begin",
--- a/src/coursekeel/calls/_call.py
+++ b/src/coursekeel/calls/_call.py
@@ -11,6 +11,7 @@
 
 from coursekeel.answers import RunState
 from coursekeel.calls._claims import ClaimRow, ClaimState
+from coursekeel.calls._reply import ServiceReply
 from coursekeel.charts import Machine, load_chart
 from coursekeel.storage import (
     Committed,
@@ -38,14 +39,10 @@
     "Send",
     "SendEnded",
     "SendOutcome",
-    "ServiceReply",
     "WriteClaim",
 ]
 
 
-_FIRST_FAILURE = 500
-
-
 @frozen
 class CallPolicy:
     """How often an endpoint may be tried, by whether the route may be repeated.
@@ -60,21 +57,6 @@
     retry_after_ms: int = 2_000
 
 
-@frozen
-class ServiceReply:
-    """What the service answered; ``headers`` are those to pass on, if any are."""
-
-    status: int
-    content_type: str
-    body: bytes
-    headers: tuple[tuple[bytes, bytes], ...] = ()
-
-    @property
-    def failed(self) -> bool:
-        """Say whether the service itself failed, so that another may do better."""
-        return self.status >= _FIRST_FAILURE
-
-
 class SendOutcome(Enum):
     """How a send ended that brought no reply.
 
--- a/src/coursekeel/calls/_claims.py
+++ b/src/coursekeel/calls/_claims.py
@@ -2,15 +2,13 @@
 
 from base64 import b64decode, b64encode
 from enum import Enum
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import xxhash
 from attrs import evolve, frozen
 
 from coursekeel.answers import RunState
-
-if TYPE_CHECKING:
-    from coursekeel.calls._call import ServiceReply
+from coursekeel.calls._reply import ServiceReply
 
 __all__ = ["ClaimRow", "ClaimState", "claim_key", "fingerprint_of"]
 
@@ -59,7 +57,7 @@
     body: bytes = b""
     expires_at_s: int = 0
 
-    def settled(self, run: RunState, reply: "ServiceReply | None") -> "ClaimRow":
+    def settled(self, run: RunState, reply: ServiceReply | None) -> "ClaimRow":
         """The row that keeps the call's fate for a second call with the key."""
         if reply is None:
             return evolve(self, state=_AFTER[run])
--- /dev/null
+++ b/src/coursekeel/calls/_reply.py
@@ -0,0 +1,22 @@
+"""What a service answered."""
+
+from attrs import frozen
+
+__all__ = ["ServiceReply"]
+
+_FIRST_FAILURE = 500
+
+
+@frozen
+class ServiceReply:
+    """What the service answered; ``headers`` are those to pass on, if any are."""
+
+    status: int
+    content_type: str
+    body: bytes
+    headers: tuple[tuple[bytes, bytes], ...] = ()
+
+    @property
+    def failed(self) -> bool:
+        """Say whether the service itself failed, so that another may do better."""
+        return self.status >= _FIRST_FAILURE
--- a/src/coursekeel/entry/_entry.py
+++ b/src/coursekeel/entry/_entry.py
@@ -11,27 +11,27 @@
 from twisted.internet.task import deferLater
 
 from coursekeel.endpoints import EngineAdapter, LeavingMark
-from coursekeel.entry._adoption_task import AdoptionTask
-from coursekeel.entry._answer_store import AnswerStore
-from coursekeel.entry._answer_task import AnswerPorts
-from coursekeel.entry._answers_desk import AnswersDesk
 from coursekeel.entry._calls_task import CallsTask
-from coursekeel.entry._configuration_task import ConfigurationTask
-from coursekeel.entry._endpoints_task import EndpointsTask
-from coursekeel.entry._expiry_task import ExpiryTask
-from coursekeel.entry._http_api import CallerApi
-from coursekeel.entry._http_calls import ServiceApi
-from coursekeel.entry._http_common import send_json
-from coursekeel.entry._http_gate import Gate
-from coursekeel.entry._http_operator import OperatorApi
-from coursekeel.entry._journal_task import JournalTask
-from coursekeel.entry._orders_task import OrdersTask
-from coursekeel.entry._overview import Overview
-from coursekeel.entry._peers_task import PeersTask
-from coursekeel.entry._reader import ReaderPorts
-from coursekeel.entry._relay import serve_follow
-from coursekeel.entry._rollout_task import RolloutTask
-from coursekeel.entry._site import bounded_site
+from coursekeel.entry.answers._adoption_task import AdoptionTask
+from coursekeel.entry.answers._answer_store import AnswerStore
+from coursekeel.entry.answers._answer_task import AnswerPorts
+from coursekeel.entry.answers._answers_desk import AnswersDesk
+from coursekeel.entry.answers._expiry_task import ExpiryTask
+from coursekeel.entry.answers._journal_task import JournalTask
+from coursekeel.entry.answers._reader import ReaderPorts
+from coursekeel.entry.answers._relay import serve_follow
+from coursekeel.entry.control._configuration_task import ConfigurationTask
+from coursekeel.entry.control._endpoints_task import EndpointsTask
+from coursekeel.entry.control._orders_task import OrdersTask
+from coursekeel.entry.control._peers_task import PeersTask
+from coursekeel.entry.control._rollout_task import RolloutTask
+from coursekeel.entry.http._api import CallerApi
+from coursekeel.entry.http._calls import ServiceApi
+from coursekeel.entry.http._common import send_json
+from coursekeel.entry.http._gate import Gate
+from coursekeel.entry.http._operator import OperatorApi
+from coursekeel.entry.http._overview import Overview
+from coursekeel.entry.http._site import bounded_site
 from coursekeel.errors import SettingsInvalid
 from coursekeel.intents import Configuration
 from coursekeel.membership import Greeting, Isolation, PeerBook
--- a/src/coursekeel/entry/_adoption_task.py
+++ b/src/coursekeel/entry/answers/_adoption_task.py
@@ -16,16 +16,16 @@
     answer_key,
     segment_key,
 )
-from coursekeel.entry._answers_desk import AnswersDesk
-from coursekeel.entry._configuration_task import ConfigurationTask
-from coursekeel.entry._journal_task import (
+from coursekeel.entry.answers._answers_desk import AnswersDesk
+from coursekeel.entry.answers._journal_task import (
     LEASES_PREFIX,
     ORPHANS_PREFIX,
     lease_key,
     orphan_key,
     seal,
 )
-from coursekeel.entry._requests import GenerationRequest, read_generation
+from coursekeel.entry.answers._requests import GenerationRequest, read_generation
+from coursekeel.entry.control._configuration_task import ConfigurationTask
 from coursekeel.errors import RequestInvalid
 from coursekeel.membership import LapseWatch, LeaseTerms
 from coursekeel.observe import log_event
--- a/src/coursekeel/entry/_answer_store.py
+++ b/src/coursekeel/entry/answers/_answer_store.py
@@ -6,7 +6,7 @@
 from attrs import define, evolve, frozen
 
 from coursekeel.answers import AnswerRecord, Ledger, RecordState, answer_key
-from coursekeel.entry._journal_task import JournalTask
+from coursekeel.entry.answers._journal_task import JournalTask
 from coursekeel.storage import (
     Batcher,
     Committed,
--- a/src/coursekeel/entry/_answer_task.py
+++ b/src/coursekeel/entry/answers/_answer_task.py
@@ -36,10 +36,14 @@
     Way,
 )
 from coursekeel.endpoints import EngineAdapter, FleetPulse, GenerationOrder
-from coursekeel.entry._follower import Follower
-from coursekeel.entry._open_stream import AttemptListener, OpenStream, StreamOwner
-from coursekeel.entry._requests import GenerationRequest
-from coursekeel.entry._sinks import Refusal
+from coursekeel.entry.answers._follower import FollowedAnswer, Follower
+from coursekeel.entry.answers._open_stream import (
+    AttemptListener,
+    OpenStream,
+    StreamOwner,
+)
+from coursekeel.entry.answers._requests import GenerationRequest
+from coursekeel.entry.answers._sinks import Refusal
 from coursekeel.observe import Metrics, log_event
 from coursekeel.reactor import Reactor
 from coursekeel.routing import Decision, Grant, Seek
@@ -80,7 +84,7 @@
 
 
 @define(eq=False)
-class AnswerTask(StreamOwner):
+class AnswerTask(StreamOwner, FollowedAnswer):
     """One answer at work. Messages are taken one at a time, in order."""
 
     request: GenerationRequest
--- a/src/coursekeel/entry/_answers_desk.py
+++ b/src/coursekeel/entry/answers/_answers_desk.py
@@ -15,10 +15,10 @@
     StreamHead,
     answer_key,
 )
-from coursekeel.entry._answer_store import AnswerStore, ended_already, is_own
-from coursekeel.entry._answer_task import AnswerPorts, AnswerTask
-from coursekeel.entry._journal_task import JournalTask
-from coursekeel.entry._requests import GenerationRequest
+from coursekeel.entry.answers._answer_store import AnswerStore, ended_already, is_own
+from coursekeel.entry.answers._answer_task import AnswerPorts, AnswerTask
+from coursekeel.entry.answers._journal_task import JournalTask
+from coursekeel.entry.answers._requests import GenerationRequest
 from coursekeel.intents import Delivery
 from coursekeel.observe import log_event
 from coursekeel.reactor import Reactor
--- a/src/coursekeel/entry/_follower.py
+++ b/src/coursekeel/entry/answers/_follower.py
@@ -1,21 +1,59 @@
 """Brings one reader up to an answer's end, at the reader's own pace."""
 
-from typing import TYPE_CHECKING
+from abc import ABC, abstractmethod
 
 from attrs import define
 
-from coursekeel.answers import EventId
-from coursekeel.entry._sinks import AnswerSink
+from coursekeel.answers import EventId, Ledger
+from coursekeel.entry.answers._sinks import AnswerSink, Refusal
 
-if TYPE_CHECKING:
-    from coursekeel.entry._answer_task import AnswerTask
-
-__all__ = ["Follower"]
+__all__ = ["FollowedAnswer", "Follower"]
 
 _MOST_TOKENS_AN_EVENT = 512
 _WAIT_AT_MOST_TOKENS = 256
 
 
+class FollowedAnswer(ABC):
+    """What a reader sees of an answer.
+
+    ``stored`` says that the answer outlives its entry, ``gone`` that it isn't this
+    entry's any more, ``fenced`` that another has taken it over.
+    """
+
+    stored: bool
+    gone: bool
+    fenced: bool
+    refusal: Refusal | None
+
+    @property
+    @abstractmethod
+    def ledger(self) -> Ledger:
+        """The answer's tokens."""
+
+    @property
+    @abstractmethod
+    def ended(self) -> bool:
+        """Say whether nothing more will come."""
+
+    @property
+    @abstractmethod
+    def finish_reason(self) -> str:
+        """Why a finished answer ended where it did."""
+
+    @property
+    @abstractmethod
+    def deliverable_end(self) -> int:
+        """How many tokens may leave for readers now."""
+
+    @abstractmethod
+    def may_send(self) -> bool:
+        """Say whether this entry may speak for the answer now."""
+
+    @abstractmethod
+    def left(self, follower: "Follower") -> None:
+        """A reader left or has everything."""
+
+
 @define(eq=False)
 class Follower:
     """A cursor on a ledger: nothing is buffered for a slow reader but its place.
@@ -24,7 +62,7 @@
     reached that place and the digests agree.
     """
 
-    task: "AnswerTask"
+    task: FollowedAnswer
     sink: AnswerSink
     held: EventId | None = None
     cursor: int = 0
--- a/src/coursekeel/entry/_reader.py
+++ b/src/coursekeel/entry/answers/_reader.py
@@ -8,13 +8,13 @@
 from twisted.internet.task import deferLater
 
 from coursekeel.answers import AnswerRecord, EventId, RecordState, RunState, digest_of
-from coursekeel.entry._adoption_task import AdoptionTask
-from coursekeel.entry._answer_task import AnswerTask
-from coursekeel.entry._answers_desk import AnswersDesk
-from coursekeel.entry._follower import Follower
-from coursekeel.entry._peers_task import PeersTask
-from coursekeel.entry._relay import relay_request, take_reply
-from coursekeel.entry._sinks import AnswerSink, Refusal
+from coursekeel.entry.answers._adoption_task import AdoptionTask
+from coursekeel.entry.answers._answer_task import AnswerTask
+from coursekeel.entry.answers._answers_desk import AnswersDesk
+from coursekeel.entry.answers._follower import Follower
+from coursekeel.entry.answers._relay import relay_request, take_reply
+from coursekeel.entry.answers._sinks import AnswerSink, Refusal
+from coursekeel.entry.control._peers_task import PeersTask
 from coursekeel.observe import log_event
 from coursekeel.reactor import Reactor
 from coursekeel.runtime import Clock
@@ -68,6 +68,7 @@
     request_id: str
     sink: Any
     _follower: Follower | None = None
+    _followed: AnswerTask | None = None
     _moved: "Deferred[None] | None" = field(default=None)
 
     async def read(self) -> bool:
@@ -96,25 +97,25 @@
         ended: Deferred[None] = Deferred()
         self._moved = ended
         follower = Follower(task, self.sink, self.sink.held)
-        self._follower = follower
-        self.sink.wake = lambda: self._wake(follower)
+        self._follower, self._followed = follower, task
+        self.sink.wake = lambda: self._wake(follower, task)
         self.sink.source_moved = lambda: self._leave(ended)
         task.follow(follower)
         if self.sink.over:
             self._leave(ended)
         await ended
 
-    def _wake(self, follower: Follower) -> None:
+    def _wake(self, follower: Follower, task: AnswerTask) -> None:
         follower.wake()
-        follower.task.left_behind()
+        task.left_behind()
 
     def sink_closed(self) -> None:
         """The caller left, or has its final word."""
         follower, self._follower = self._follower, None
-        if follower is not None:
+        if follower is not None and self._followed is not None:
             follower.over = True
-            follower.task.left(follower)
-            self.ports.desk.left(follower.task)
+            self._followed.left(follower)
+            self.ports.desk.left(self._followed)
         if self._moved is not None:
             self._leave(self._moved)
 
--- a/src/coursekeel/entry/_relay.py
+++ b/src/coursekeel/entry/answers/_relay.py
@@ -5,9 +5,9 @@
 from typing import Any
 
 from coursekeel.answers import EventId, RunState
-from coursekeel.entry._answer_task import AnswerTask
-from coursekeel.entry._follower import Follower
-from coursekeel.entry._sinks import AnswerSink, Refusal
+from coursekeel.entry.answers._answer_task import AnswerTask
+from coursekeel.entry.answers._follower import Follower
+from coursekeel.entry.answers._sinks import AnswerSink, Refusal
 from coursekeel.peers import peer_pb2
 
 __all__ = ["RelaySink", "held_in", "relay_request", "serve_follow", "take_reply"]
--- a/src/coursekeel/entry/_orders_task.py
+++ b/src/coursekeel/entry/control/_orders_task.py
@@ -3,8 +3,8 @@
 from attrs import define, field
 
 from coursekeel.endpoints import LoadPacer, Order, OrderOutcome, orders_due
-from coursekeel.entry._configuration_task import ConfigurationTask
-from coursekeel.entry._endpoints_task import EndpointsTask
+from coursekeel.entry.control._configuration_task import ConfigurationTask
+from coursekeel.entry.control._endpoints_task import EndpointsTask
 from coursekeel.membership import GroupLease, LapseWatch, LeaseTerms
 from coursekeel.observe import log_event
 from coursekeel.reactor import Reactor
--- a/src/coursekeel/entry/_rollout_task.py
+++ b/src/coursekeel/entry/control/_rollout_task.py
@@ -4,9 +4,9 @@
 
 from attrs import define, field
 
-from coursekeel.entry._configuration_task import ConfigurationTask
-from coursekeel.entry._journal_task import LEASES_PREFIX
-from coursekeel.entry._peers_task import PeersTask
+from coursekeel.entry.answers._journal_task import LEASES_PREFIX
+from coursekeel.entry.control._configuration_task import ConfigurationTask
+from coursekeel.entry.control._peers_task import PeersTask
 from coursekeel.intents import PeerEvidence, waits_for
 from coursekeel.observe import log_event
 from coursekeel.reactor import Reactor
--- a/src/coursekeel/entry/_http_api.py
+++ b/src/coursekeel/entry/http/_api.py
@@ -8,14 +8,14 @@
 from twisted.internet.defer import Deferred
 
 from coursekeel.answers import EventId, RunState
-from coursekeel.entry._answers_desk import AnswersDesk
-from coursekeel.entry._http_common import caller_key, not_run, refuse, send_json
-from coursekeel.entry._http_gate import Gate, check_id
-from coursekeel.entry._http_sinks import EventStream, WholeAnswer
-from coursekeel.entry._late_stream import LateStream
-from coursekeel.entry._reader import AnswerReader, ReaderPorts
-from coursekeel.entry._requests import GenerationRequest, read_generation
-from coursekeel.entry._sinks import Refusal
+from coursekeel.entry.answers._answers_desk import AnswersDesk
+from coursekeel.entry.answers._reader import AnswerReader, ReaderPorts
+from coursekeel.entry.answers._requests import GenerationRequest, read_generation
+from coursekeel.entry.answers._sinks import Refusal
+from coursekeel.entry.http._common import caller_key, not_run, refuse, send_json
+from coursekeel.entry.http._event_sinks import EventStream, WholeAnswer
+from coursekeel.entry.http._gate import Gate, check_id
+from coursekeel.entry.http._late_stream import LateStream
 from coursekeel.errors import RequestInvalid
 from coursekeel.intents import TeamIntent
 from coursekeel.runtime import spawn
--- a/src/coursekeel/entry/_http_calls.py
+++ b/src/coursekeel/entry/http/_calls.py
@@ -7,9 +7,9 @@
 
 from coursekeel.calls import CallReply
 from coursekeel.entry._calls_task import CallRequest, CallsTask
-from coursekeel.entry._http_common import not_run, refuse
-from coursekeel.entry._http_gate import Gate, check_id
-from coursekeel.entry._sinks import Refusal
+from coursekeel.entry.answers._sinks import Refusal
+from coursekeel.entry.http._common import not_run, refuse
+from coursekeel.entry.http._gate import Gate, check_id
 from coursekeel.errors import RequestInvalid
 from coursekeel.intents import Intent, ServiceIntent, TeamIntent
 from coursekeel.observe import Metrics
--- a/src/coursekeel/entry/_http_common.py
+++ b/src/coursekeel/entry/http/_common.py
@@ -9,7 +9,7 @@
 from attrs import evolve
 
 from coursekeel.answers import RunState
-from coursekeel.entry._sinks import Refusal
+from coursekeel.entry.answers._sinks import Refusal
 from coursekeel.intents import Intent, TeamIntent
 from coursekeel.settings import EntrySettings, OperatorKey
 
--- a/src/coursekeel/entry/_http_sinks.py
+++ b/src/coursekeel/entry/http/_event_sinks.py
@@ -5,8 +5,8 @@
 import orjson
 
 from coursekeel.answers import EventId, RunState
-from coursekeel.entry._http_common import error_body
-from coursekeel.entry._sinks import AnswerSink, Refusal
+from coursekeel.entry.answers._sinks import AnswerSink, Refusal
+from coursekeel.entry.http._common import error_body
 
 __all__ = ["EventStream", "WholeAnswer"]
 
--- a/src/coursekeel/entry/_http_gate.py
+++ b/src/coursekeel/entry/http/_gate.py
@@ -4,9 +4,9 @@
 
 from attrs import define
 
-from coursekeel.entry._configuration_task import ConfigurationTask
-from coursekeel.entry._http_common import not_run, team_of
-from coursekeel.entry._sinks import Refusal
+from coursekeel.entry.answers._sinks import Refusal
+from coursekeel.entry.control._configuration_task import ConfigurationTask
+from coursekeel.entry.http._common import not_run, team_of
 from coursekeel.errors import RequestInvalid
 from coursekeel.intents import TeamIntent
 from coursekeel.settings import EntrySettings
--- a/src/coursekeel/entry/_late_stream.py
+++ b/src/coursekeel/entry/http/_late_stream.py
@@ -5,9 +5,9 @@
 from twisted.internet.defer import Deferred
 
 from coursekeel.answers import EventId
-from coursekeel.entry._http_common import refuse
-from coursekeel.entry._http_sinks import EventStream
-from coursekeel.entry._sinks import Refusal
+from coursekeel.entry.answers._sinks import Refusal
+from coursekeel.entry.http._common import refuse
+from coursekeel.entry.http._event_sinks import EventStream
 
 __all__ = ["LateStream"]
 
--- a/src/coursekeel/entry/_http_operator.py
+++ b/src/coursekeel/entry/http/_operator.py
@@ -8,11 +8,11 @@
 from klein import Klein
 
 from coursekeel.answers import RunState
-from coursekeel.entry._configuration_task import ConfigurationTask
-from coursekeel.entry._http_common import not_run, operator_of, refuse, send_json
-from coursekeel.entry._overview import Overview
-from coursekeel.entry._rollout_task import RolloutTask
-from coursekeel.entry._sinks import Refusal
+from coursekeel.entry.answers._sinks import Refusal
+from coursekeel.entry.control._configuration_task import ConfigurationTask
+from coursekeel.entry.control._rollout_task import RolloutTask
+from coursekeel.entry.http._common import not_run, operator_of, refuse, send_json
+from coursekeel.entry.http._overview import Overview
 from coursekeel.errors import RequestInvalid
 from coursekeel.intents import (
     Confirmed,
--- a/src/coursekeel/entry/_overview.py
+++ b/src/coursekeel/entry/http/_overview.py
@@ -5,11 +5,11 @@
 
 from attrs import define
 
-from coursekeel.entry._answers_desk import AnswersDesk
-from coursekeel.entry._configuration_task import ConfigurationTask
-from coursekeel.entry._endpoints_task import EndpointsTask
-from coursekeel.entry._orders_task import OrdersTask
-from coursekeel.entry._peers_task import PeersTask
+from coursekeel.entry.answers._answers_desk import AnswersDesk
+from coursekeel.entry.control._configuration_task import ConfigurationTask
+from coursekeel.entry.control._endpoints_task import EndpointsTask
+from coursekeel.entry.control._orders_task import OrdersTask
+from coursekeel.entry.control._peers_task import PeersTask
 from coursekeel.routing import Router
 from coursekeel.runtime import Clock
 from coursekeel.settings import EntrySettings
--- a/src/coursekeel/entry/_site.py
+++ b/src/coursekeel/entry/http/_site.py
@@ -8,7 +8,7 @@
 from twisted.web.http import HTTPChannel
 from twisted.web.server import Request, Site
 
-from coursekeel.entry._http_common import error_body, not_run
+from coursekeel.entry.http._common import error_body, not_run
 from coursekeel.settings import EntrySettings
 
 __all__ = ["bounded_site"]
