Metrics of a gateway have a bound on their series

Change: LabelSets: the first 200 sets (64 for histograms) are counted as they are, the rest as other, with their outcome. Conclusion: the sum over all series stays right.

--- a/src/coursekeel/gateway/_metrics.py
+++ b/src/coursekeel/gateway/_metrics.py
@@ -6,13 +6,15 @@
 from attrs import define, field
 
 from coursekeel.gateway._ports import Forwarded
-from coursekeel.observe import Metrics, log_event
+from coursekeel.observe import LabelSets, Metrics, log_event
 from coursekeel.routing import EndpointLoad
 from coursekeel.runtime import Clock
 
 __all__ = ["GatewayMetrics"]
 
 _MS_A_SECOND = 1000
+_MOST_COUNTED = 200
+_MOST_TIMED = 64
 
 
 @define(eq=False)
@@ -21,6 +23,10 @@
 
     clock: Clock
     metrics: Metrics = field(factory=Metrics)
+    _counted: LabelSets = field(
+        factory=lambda: LabelSets(_MOST_COUNTED, kept=("outcome",))
+    )
+    _timed: LabelSets = field(factory=lambda: LabelSets(_MOST_TIMED))
 
     def ended(
         self,
@@ -33,9 +39,8 @@
     ) -> None:
         """A request came to its end."""
         now_ms = self.clock.now_ms()
-        labels = {"team": call.team_name, "class": call.route.name, "outcome": code}
-        self.metrics.requests.inc(labels)
-        timed = {"team": call.team_name, "class": call.route.name}
+        self._count(call.team_name, call.route.name, code)
+        timed = self._times(call)
         if first_ms is not None:
             first_s = (first_ms - call.arrived_ms) / _MS_A_SECOND
             self.metrics.first_token_s.observe(timed, first_s)
@@ -58,9 +63,16 @@
             fields["ways"] = ",".join(ways)
         log_event("request_ended", **fields)
 
+    def _count(self, team: str, request_class: str, code: str) -> None:
+        labels = {"team": team, "class": request_class, "outcome": code}
+        self.metrics.requests.inc(self._counted.of(**labels))
+
+    def _times(self, call: Forwarded) -> dict[str, str]:
+        return self._timed.of(**{"team": call.team_name, "class": call.route.name})
+
     def refused(self, request_id: str, code: str, status: int, age_ms: float) -> None:
         """A request was refused before it was looked at further."""
-        self.metrics.requests.inc({"team": "", "class": "", "outcome": code})
+        self._count("", "", code)
         age = round(age_ms) if age_ms < _NEVER_MS else "none"
         log_event(
             "request_refused",
@@ -126,8 +138,7 @@
 
     def resumed(self, call: Forwarded, way: str, waited_ms: float) -> None:
         """An answer went on after a loss."""
-        labels = {"team": call.team_name, "class": call.route.name}
-        self.metrics.resume_s.observe(labels, waited_ms / _MS_A_SECOND)
+        self.metrics.resume_s.observe(self._times(call), waited_ms / _MS_A_SECOND)
         log_event(
             "run_resumed",
             request=call.caller.request_id,
