--- a/src/coursekeel/gateway/_stream_task.py
+++ b/src/coursekeel/gateway/_stream_task.py
@@ -8,7 +8,7 @@
 from collections import deque
 from typing import Any
 
-from attrs import define, evolve, field
+from attrs import define, field
 
 from coursekeel.answers import (
     Action,
@@ -44,15 +44,15 @@
     RouteKind,
 )
 from coursekeel.gateway import _adapters as adapters
+from coursekeel.gateway._placement import Placement
 from coursekeel.gateway._ports import Forwarded, ForwardingPorts
 from coursekeel.gateway._reply import CallerReply
 from coursekeel.gateway._report_task import ReportTask
 from coursekeel.gateway._stream_attempt import AttemptOwner, StreamAttempt
-from coursekeel.routing import Decision, Grant, Seek
+from coursekeel.routing import Decision, Grant
 
 __all__ = ["StreamTask"]
 
-_ASKED = 3
 _RETRY_AFTER_MS = 150.0
 _ELSEWHERE_MS = 50.0
 _OWN_PAUSE_MS = 100.0
@@ -72,20 +72,17 @@
     _messages: deque[Event] = field(factory=deque)
     _busy: bool = False
     _open: dict[int, StreamAttempt] = field(factory=dict)
-    _ticket: int | None = None
-    _seeking: bool = False
-    _seek: Seek | None = None
     _alarm: Any = None
     _refused: str = ""
     _retry_after_ms: float = _RETRY_AFTER_MS
     _lost_ms: float | None = None
     _ways: list[str] = field(factory=list)
-    _lost_zones: set[str] = field(factory=set)
-    _copies: dict[str, str] = field(factory=dict)
+    _placement: Placement = field(init=False)
     _first_ms: float | None = None
 
     def __attrs_post_init__(self) -> None:
         call, timers = self.call, self.ports.settings.timers
+        self._placement = Placement(self.ports, self.reports, call)
         resumable = call.route.kind is RouteKind.RESUMABLE
         now_ms = self.ports.clock.now_ms()
         policy = AnswerPolicy(
@@ -124,7 +121,7 @@
         actions = self.core.handle(event, self.ports.clock.now_ms())
         if isinstance(event, Granted) and not _opens(actions):
             # A copy took the run up meanwhile, so the place isn't needed.
-            self._return_place(event.endpoint_id)
+            self._placement.give_back(event.endpoint_id)
         for action in actions:
             self._carry_out(action)
 
@@ -147,47 +144,13 @@
             case StopWork():
                 self._stop_work()
 
-    # Finding an endpoint.
-
     def _begin_seek(self, action: SeekEndpoint) -> None:
         if self._refused:
             self._refuse()
-            return
-        now_ms = self.ports.clock.now_ms()
-        call, caller = self.call, self.call.caller
-        continuing = action.continuing or action.held_tokens > 0
-        waits_ms = call.due_ms if continuing else now_ms + call.route.target_ms / 4
-        self._seek = Seek(
-            ticket=0,
-            team=call.team_name,
-            request_class=call.route.name,
-            rank=call.rank,
-            model=call.pool,
-            cost_tokens=float(caller.prompt_tokens + caller.output_tokens) or 1.0,
-            deadline_ms=min(call.due_ms, waits_ms),
-            prompt_tokens=caller.prompt_tokens,
-            prompt_key=caller.prompt_key or caller.request_id,
-            excluded=action.excluded,
-            shunned_zones=frozenset(self._lost_zones),
-            resumes=caller.resume_after is not None,
-        )
-        self._seeking = True
-        asked = self.ports.routing.router.to_ask(self._seek, now_ms, _ASKED)
-        if asked:
-            self.reports.ask_all(asked, lambda: self._asked(asked))
         else:
-            self._asked([])
-
-    def _asked(self, asked: list[str]) -> None:
-        if self.core.ended or not self._seeking:
-            return
-        assert self._seek is not None
-        self._seek = evolve(self._seek, candidates=frozenset(asked))
-        self._ticket = self.ports.routing.seek(self._seek, self._decided)
+            self._placement.seek(action, self._decided)
 
     def _decided(self, decision: Decision) -> None:
-        self._ticket = None
-        self._seeking = False
         if isinstance(decision, Grant):
             self.tell(Granted(decision.endpoint_id))
             return
@@ -198,7 +161,7 @@
     # Attempts.
 
     def _open_attempt(self, action: OpenAttempt) -> None:
-        record = self._record_for(action)
+        record = self._placement.record_for(action)
         if record is not None and self._may_send():
             self._send(action, record)
             return
@@ -223,10 +186,7 @@
         A copy's place wasn't granted: it is taken when the run is sent there.
         """
         if action.way is not Way.COPY:
-            self._return_place(action.endpoint_id)
-
-    def _return_place(self, endpoint_id: str) -> None:
-        self.ports.routing.returned(endpoint_id, self.call.caller.prompt_tokens)
+            self._placement.give_back(action.endpoint_id)
 
     def _send(self, action: OpenAttempt, record: EndpointRecord) -> None:
         ports, call = self.ports, self.call
@@ -234,13 +194,20 @@
         self._ways.append(action.way.value)
         if action.way is Way.COPY:
             ports.routing.router.adopt(action.endpoint_id)
-        copy = self._place_copy(action, now_ms)
+        copy = self._placement.place_copy(
+            action,
+            lambda place: self._messages.append(CopyPlaced(action.attempt, place)),
+        )
         position = self.core.ledger.next_position
         from_copy = action.way is Way.COPY
-        candidates = len(self._seek.candidates) if self._seek else 0
         load = ports.routing.router.load(action.endpoint_id)
         ports.metrics.chosen(
-            call, action.endpoint_id, action.way.value, load, candidates, copy
+            call,
+            action.endpoint_id,
+            action.way.value,
+            load,
+            self._placement.candidates,
+            copy,
         )
         send = adapters.Send(
             record,
@@ -259,35 +226,6 @@
         self._open[action.attempt] = attempt
         attempt.open(send)
 
-    def _record_for(self, action: OpenAttempt) -> EndpointRecord | None:
-        """The endpoint to send to, None if it may not have the run."""
-        directory = self.ports.directory
-        if action.way is not Way.COPY:
-            return directory.record(action.endpoint_id)
-        # A copy lies at an address: when it was placed, the list may still have named
-        # the incarnation before the one that took it. By now the endpoint may be
-        # leaving, or another pool's may have the address.
-        record = directory.at_address(self._copies.get(action.endpoint_id, ""))
-        if record is None or record.leaving or record.pool != self.call.pool:
-            return None
-        return record
-
-    def _place_copy(self, action: OpenAttempt, now_ms: float) -> str:
-        """Choose who keeps a copy of this run, and return the address."""
-        resumable = self.call.route.kind is RouteKind.RESUMABLE
-        if not self.call.copies or not resumable or self._seek is None:
-            return ""
-        seek = evolve(self._seek, shunned_zones=frozenset(self._lost_zones))
-        place = self.ports.routing.router.place_for_copy(
-            seek, action.endpoint_id, now_ms
-        )
-        record = self.ports.directory.record(place)
-        if record is None:
-            return ""
-        self._copies[place] = record.address
-        self._messages.append(CopyPlaced(action.attempt, place))
-        return record.address
-
     def _cancel(self, number: int) -> None:
         attempt = self._open.pop(number, None)
         if attempt is None:
@@ -344,11 +282,7 @@
             self._lost_ms = self.ports.clock.now_ms()
         position = self.core.ledger.next_position
         self.ports.metrics.run_lost(self.call, endpoint_id, why, position)
-        now_ms = self.ports.clock.now_ms()
-        self.ports.routing.router.lost(self.call.pool, endpoint_id, now_ms)
-        record = self.ports.directory.record(endpoint_id)
-        if record is not None:
-            self._lost_zones.add(record.zone)
+        self._placement.lost(endpoint_id)
 
     def _complete(self) -> None:
         self._say("answered", _OK)
@@ -387,10 +321,7 @@
             self.tell(Cancelled())
 
     def _stop_work(self) -> None:
-        self._seeking = False
-        if self._ticket is not None:
-            self.ports.routing.withdraw(self._ticket)
-            self._ticket = None
+        self._placement.stop()
         for number in list(self._open):
             self._cancel(number)
         if self._alarm is not None and self._alarm.active():
