A gateway no longer loads the intents

Change: the reader is coursekeel.strict; a test names what a gateway must not load (it fails before).

--- a/src/coursekeel/intents/__init__.py
+++ b/src/coursekeel/intents/__init__.py
@@ -1,11 +1,6 @@
 """Intents, plans and the one configuration in force."""
 
-from coursekeel.intents._codec import (
-    faults_of,
-    intent_from_json,
-    intent_to_json,
-    strict_converter,
-)
+from coursekeel.intents._codec import intent_from_json, intent_to_json
 from coursekeel.intents._model import (
     CLASS_PROFILES,
     ClassPolicy,
@@ -61,11 +56,9 @@
     "TeamIntent",
     "UnknownPlan",
     "check_intent",
-    "faults_of",
     "intent_from_json",
     "intent_to_json",
     "make_plan",
     "plan_key",
-    "strict_converter",
     "waits_for",
 ]
--- a/src/coursekeel/settings/_load.py
+++ b/src/coursekeel/settings/_load.py
@@ -9,7 +9,6 @@
 import json5
 
 from coursekeel.errors import SettingsInvalid
-from coursekeel.intents import faults_of, strict_converter
 from coursekeel.settings._gateway import (
     GatewayListen,
     GatewaySettings,
@@ -25,6 +24,7 @@
     PlatformSettings,
     Timers,
 )
+from coursekeel.strict import faults_of, strict_converter
 
 __all__ = [
     "check_settings",
--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -93,3 +93,27 @@
         assert site.ask("/again/x", port=ports[0]).status == 200
     finally:
         site.stop()
+
+
+UNUSED = (
+    "coursekeel.entry",
+    "coursekeel.intents",
+    "coursekeel.membership",
+    "coursekeel.peers",
+    "grpc",
+    "klein",
+)
+
+
+def test_a_gateway_loads_nothing_that_it_does_not_run():
+    """Every instance pays for memory, and is away for as long as a start takes."""
+    code = "import sys, serve, coursekeel.gateway; print(*sys.modules)"
+    loaded = subprocess.run(
+        [sys.executable, "-c", code],
+        capture_output=True,
+        text=True,
+        check=True,
+        cwd=ROOT / "platform",
+    ).stdout.split()
+    assert "coursekeel.gateway" in loaded
+    assert not set(loaded) & set(UNUSED)
