--- a/bench/copy_relay.py
+++ b/bench/copy_relay.py
@@ -16,7 +16,7 @@
 from twisted.web.resource import Resource  # noqa: E402
 from twisted.web.server import NOT_DONE_YET, Site  # noqa: E402
 
-from coursekeel.endpoints._http_engine import ChunkedBody  # noqa: E402
+from coursekeel.endpoints._http_body import ChunkedBody  # noqa: E402
 from coursekeel.fetch import direct_agent  # noqa: E402
 
 
--- a/src/coursekeel/calls/__init__.py
+++ b/src/coursekeel/calls/__init__.py
@@ -1,9 +1,10 @@
 """Calls to plain services, and how those that may not be repeated run at most once."""
 
-from coursekeel.calls._call import (
+from coursekeel.calls._call import CallCore
+from coursekeel.calls._claims import ClaimRow, ClaimState, claim_key, fingerprint_of
+from coursekeel.calls._messages import (
     Begin,
     CallAction,
-    CallCore,
     CallEvent,
     CallPolicy,
     CallReply,
@@ -18,7 +19,6 @@
     SendOutcome,
     WriteClaim,
 )
-from coursekeel.calls._claims import ClaimRow, ClaimState, claim_key, fingerprint_of
 from coursekeel.calls._reply import ServiceReply
 
 __all__ = [
--- a/src/coursekeel/endpoints/_http_engine.py
+++ b/src/coursekeel/endpoints/_http_engine.py
@@ -1,19 +1,15 @@
 """Engines met over HTTP: JSON requests, streams of JSON lines."""
 
-from collections.abc import Iterator
 from typing import Any
 
 import orjson
 from attrs import define, field
 from twisted.internet import defer
 from twisted.internet.error import ConnectError
-from twisted.internet.task import CooperativeTask, cooperate
 from twisted.protocols.basic import LineOnlyReceiver
 from twisted.python.failure import Failure
 from twisted.web.client import ResponseDone
 from twisted.web.http_headers import Headers
-from twisted.web.iweb import IBodyProducer
-from zope.interface import implementer
 
 from coursekeel.answers import Loss, StreamHead
 from coursekeel.endpoints._adapter import (
@@ -25,6 +21,7 @@
     StreamListener,
     Unreachable,
 )
+from coursekeel.endpoints._http_body import ChunkedBody
 from coursekeel.endpoints._orders import Order
 from coursekeel.fetch import (
     AnswerLost,
@@ -36,55 +33,14 @@
 from coursekeel.intents import ModelName
 from coursekeel.reactor import Reactor
 
-__all__ = ["ChunkedBody", "HttpEngine"]
+__all__ = ["HttpEngine"]
 
 _OK = 200
 _OLD_EPOCH = 409
-_PIECE_BYTES = 64 * 1024
 _LINE_LIMIT_BYTES = 1 << 20
 _JSON = Headers({"content-type": ["application/json"]})
 
 
-@implementer(IBodyProducer)
-class ChunkedBody:
-    """Sends byte strings one after the other without joining them."""
-
-    def __init__(self, chunks: list[bytes]) -> None:
-        self._chunks = chunks
-        self.length = sum(len(each) for each in chunks)
-        self._task: CooperativeTask[Any] | None = None
-
-    def startProducing(self, consumer: Any) -> "defer.Deferred[None]":
-        """Start to write; fires when everything was written."""
-        self._task = cooperate(self._pieces(consumer))
-        done: defer.Deferred[Any] = self._task.whenDone()
-        # A task that is stopped fails its deferred; the connection's loss is told
-        # elsewhere.
-        return done.addCallbacks(lambda _: None, lambda _: None)
-
-    def _pieces(self, consumer: Any) -> Iterator[None]:
-        for chunk in self._chunks:
-            view = memoryview(chunk)
-            for start in range(0, len(chunk), _PIECE_BYTES):
-                consumer.write(bytes(view[start : start + _PIECE_BYTES]))
-                yield None
-
-    def pauseProducing(self) -> None:
-        """Wait until the connection has room."""
-        if self._task is not None:
-            self._task.pause()
-
-    def resumeProducing(self) -> None:
-        """Go on."""
-        if self._task is not None:
-            self._task.resume()
-
-    def stopProducing(self) -> None:
-        """The connection is lost."""
-        if self._task is not None:
-            self._task.stop()
-
-
 class _Lines(LineOnlyReceiver):
     """Turns a response's body into the listener's calls."""
 
--- a/src/coursekeel/routing/_router.py
+++ b/src/coursekeel/routing/_router.py
@@ -10,12 +10,12 @@
 from coursekeel.routing._candidates import EndpointLoad, pick, preference
 from coursekeel.routing._messages import Decision, Grant, LoadReport, Refuse, Seek
 from coursekeel.routing._queue import FairQueue
+from coursekeel.routing._rate import QueueRate
 from coursekeel.routing._trouble import ZoneTrouble
 
 __all__ = ["Router", "RouterSettings"]
 
 _JITTER = 0.25
-_RATE_SHARE = 0.05
 _HOPEFUL_SHARE = 0.8
 
 
@@ -31,44 +31,6 @@
     continuing_at_once: int = 64
 
 
-@define
-class _Rate:
-    """How fast a queue moves: averaged cost over averaged time.
-
-    Averaging each grant's own rate instead lets one pair of grants in the same moment
-    count for many; the estimate came out several times too high and nothing was
-    refused before its deadline.
-    """
-
-    tokens: float = 0.0
-    interval_ms: float = 0.0
-    _pending: float = 0.0
-    _at_ms: float | None = None
-
-    @property
-    def tokens_per_ms(self) -> float:
-        return self.tokens / self.interval_ms if self.interval_ms else 0.0
-
-    def moved(self, tokens: float, now_ms: float) -> None:
-        since_ms = 0.0 if self._at_ms is None else now_ms - self._at_ms
-        started = self._at_ms is not None
-        self._at_ms = now_ms
-        if not started:
-            return
-        self._pending += tokens
-        if since_ms <= 0:
-            return
-        share = _RATE_SHARE if self.interval_ms else 1.0
-        self.tokens += share * (self._pending - self.tokens)
-        self.interval_ms += share * (since_ms - self.interval_ms)
-        self._pending = 0.0
-
-    def pause(self) -> None:
-        """The queue is empty: what passes until it fills again is no waiting time."""
-        self._at_ms = None
-        self._pending = 0.0
-
-
 @define(eq=False)
 class Router:
     """One entry's routing: a core without clock or sockets.
@@ -87,7 +49,7 @@
     _continuing: dict[int, tuple[Seek, float]] = field(factory=dict)
     _budgets: dict[str, RetryBudget] = field(factory=dict)
     _shares: dict[str, float] = field(factory=dict)
-    _rates: dict[str, "_Rate"] = field(factory=dict)
+    _rates: dict[str, QueueRate] = field(factory=dict)
     _trouble: dict[str, ZoneTrouble] = field(factory=dict)
     refused: int = 0
 
@@ -357,7 +319,7 @@
             if seek.model in self._rates:
                 self._rates[seek.model].pause()
             return
-        self._rates.setdefault(seek.model, _Rate()).moved(seek.cost_tokens, now_ms)
+        self._rates.setdefault(seek.model, QueueRate()).moved(seek.cost_tokens, now_ms)
 
     def _refuse(self, seek: Seek, code: str, wait_ms: float) -> Refuse:
         self.refused += 1
