--- /dev/null
+++ b/src/coursekeel/entry/answers/_answer_measures.py
@@ -0,0 +1,68 @@
+"""What is counted, timed and logged of one answer."""
+
+from attrs import define
+
+from coursekeel.answers import OpenAttempt, Way
+from coursekeel.entry.answers._requests import GenerationRequest
+from coursekeel.observe import Metrics, log_event
+
+__all__ = ["AnswerMeasures"]
+
+_GAP_SAMPLE = 64
+_MS_A_SECOND = 1000
+
+
+@define(eq=False)
+class AnswerMeasures:
+    """First tokens, resumptions, one in many of the usual gaps, attempts, extra use."""
+
+    request: GenerationRequest
+    label: str
+    metrics: Metrics
+    arrived_ms: float
+    _last_token_ms: float = 0.0
+    _resuming: bool = False
+    _deliveries: int = 0
+
+    def delivered(self, now_ms: float) -> None:
+        """The ledger grew."""
+        if self._resuming or self._deliveries % _GAP_SAMPLE == 0:
+            self._observe(now_ms)
+        self._deliveries += 1
+        self._resuming = False
+        self._last_token_ms = now_ms
+
+    def resumes_if(self, held_tokens: int) -> None:
+        """An answer that holds tokens and seeks again goes on after a loss."""
+        self._resuming = self._resuming or held_tokens > 0
+
+    def attempt_opened(self, action: OpenAttempt) -> None:
+        """A run was asked for."""
+        labels = self._labels()
+        self.metrics.attempts.inc({**labels, "way": action.way.value})
+        self.resumes_if(action.from_position)
+        if action.way is Way.PREFILL and action.attempt > 1:
+            again = self.request.prompt_tokens + action.from_position
+            self.metrics.extra_tokens.add({**labels, "kind": "prefilled_again"}, again)
+        log_event(
+            "attempt_opened",
+            request=self.label,
+            attempt=action.attempt,
+            endpoint=action.endpoint_id,
+            way=action.way.value,
+            position=action.from_position,
+        )
+
+    def _observe(self, now_ms: float) -> None:
+        labels = self._labels()
+        since_s = (now_ms - self._last_token_ms) / _MS_A_SECOND
+        if not self._deliveries:
+            first_s = (now_ms - self.arrived_ms) / _MS_A_SECOND
+            self.metrics.first_token_s.observe(labels, first_s)
+        elif self._resuming:
+            self.metrics.resume_s.observe(labels, since_s)
+        else:
+            self.metrics.token_gap_s.observe(labels, since_s)
+
+    def _labels(self) -> dict[str, str]:
+        return {"team": self.request.team.name, "class": self.request.policy.name}
--- a/src/coursekeel/entry/answers/_answer_task.py
+++ b/src/coursekeel/entry/answers/_answer_task.py
@@ -36,6 +36,7 @@
     Way,
 )
 from coursekeel.endpoints import EngineAdapter, FleetPulse, GenerationOrder
+from coursekeel.entry.answers._answer_measures import AnswerMeasures
 from coursekeel.entry.answers._follower import FollowedAnswer, Follower
 from coursekeel.entry.answers._open_stream import (
     AttemptListener,
@@ -44,7 +45,7 @@
 )
 from coursekeel.entry.answers._requests import GenerationRequest
 from coursekeel.entry.answers._sinks import Refusal
-from coursekeel.observe import Metrics, log_event
+from coursekeel.observe import Metrics
 from coursekeel.reactor import Reactor
 from coursekeel.routing import Decision, Grant, Seek
 from coursekeel.runtime import Clock, RoutingTask, spawn
@@ -53,7 +54,6 @@
 
 _LATE_ALARM_MS = 250
 _HELD_LOOK_MS = 500
-_GAP_SAMPLE = 64
 _MESSAGES = {
     "interrupted": "no endpoint could go on with the answer in time",
     "request_stops_engines": "engines died while they ran this request",
@@ -108,13 +108,14 @@
     _granted: str = ""
     _alarm: Any = None
     _alarm_ms: float = math.inf
-    _last_token_ms: float = 0.0
-    _resuming: bool = False
-    _deliveries: int = 0
+    _measures: AnswerMeasures = field(init=False)
     _held: bool = False
 
     def __attrs_post_init__(self) -> None:
         self.arrived_ms = self.ports.clock.now_ms()
+        self._measures = AnswerMeasures(
+            self.request, self.core.label, self.ports.metrics, self.arrived_ms
+        )
 
     # What readers see.
 
@@ -269,30 +270,14 @@
                 self._end()
 
     def _delivered(self, now_ms: float) -> None:
-        if self._resuming or self._deliveries % _GAP_SAMPLE == 0:
-            self._observe(now_ms)
-        self._deliveries += 1
-        self._resuming = False
-        self._last_token_ms = now_ms
+        self._measures.delivered(now_ms)
         self.wake_followers()
 
-    def _observe(self, now_ms: float) -> None:
-        """Record first tokens, resumptions, and one in many of the usual gaps."""
-        labels = self._labels()
-        metrics = self.ports.metrics
-        since_s = (now_ms - self._last_token_ms) / 1000
-        if not self._deliveries:
-            metrics.first_token_s.observe(labels, (now_ms - self.arrived_ms) / 1000)
-        elif self._resuming:
-            metrics.resume_s.observe(labels, since_s)
-        else:
-            metrics.token_gap_s.observe(labels, since_s)
-
     def _seek(self, action: SeekEndpoint) -> None:
         request = self.request
         now_ms = self.ports.clock.now_ms()
         left = max(request.max_tokens - action.held_tokens, 1)
-        self._resuming = self._resuming or action.held_tokens > 0
+        self._measures.resumes_if(action.held_tokens)
         seek = Seek(
             ticket=0,
             team=request.team.name,
@@ -356,7 +341,7 @@
             self.tell(AttemptEnded(action.attempt, Loss.NOT_SENT))
             return
         holds_place = self._take_place(action)
-        self._count_attempt(action)
+        self._measures.attempt_opened(action)
         listener = AttemptListener(self, action.attempt)
         if action.way is Way.OWN_STREAM:
             position = action.from_position
@@ -416,23 +401,6 @@
             copy_of=action.run_id if action.way is Way.COPY else "",
         )
 
-    def _count_attempt(self, action: OpenAttempt) -> None:
-        metrics = self.ports.metrics
-        labels = self._labels()
-        metrics.attempts.inc({**labels, "way": action.way.value})
-        self._resuming = self._resuming or action.from_position > 0
-        if action.way is Way.PREFILL and action.attempt > 1:
-            again = self.request.prompt_tokens + action.from_position
-            metrics.extra_tokens.add({**labels, "kind": "prefilled_again"}, again)
-        log_event(
-            "attempt_opened",
-            request=self.core.label,
-            attempt=action.attempt,
-            endpoint=action.endpoint_id,
-            way=action.way.value,
-            position=action.from_position,
-        )
-
     def _cancel(self, action: CancelAttempt) -> None:
         opened = self._open.get(action.attempt)
         if opened is None:
@@ -507,6 +475,3 @@
         self._return_grant()
         self.ports.ended(self)
         self.wake_followers()
-
-    def _labels(self) -> dict[str, str]:
-        return {"team": self.request.team.name, "class": self.request.policy.name}
