--- a/src/coursekeel/settings/_gateway.py
+++ b/src/coursekeel/settings/_gateway.py
@@ -11,7 +11,7 @@
 _HOLD_SHARE = 0.34
 _UNKNOWN_SHARE = 0.52
 # The rest is for the store's answer, for the queue here, and for the way there.
-_GATHERING_SHARE = 0.4
+_GATHERING_SHARE = 0.225
 _MS_A_SECOND = 1_000
 
 
