A call that isn't sent gives its place back without telling of a run

Cause: read of the whole change: PlainTask released a place that it didn't use as a run of 0 ms, which pulls the endpoint's usual run length down by a fifth. Ruled out: passing the usual length instead; Router.returned is there for it. Change: PlainTask uses returned, as streams do. Conclusion: no place is given back as a run that never was.

--- a/src/coursekeel/gateway/_plain_task.py
+++ b/src/coursekeel/gateway/_plain_task.py
@@ -115,11 +115,11 @@
         record = ports.directory.record(endpoint_id)
         remaining_ms = call.due_ms - now_ms
         if record is None or remaining_ms < _LEAST_REMAINING_MS:
-            ports.routing.released(endpoint_id, 0.0)
+            ports.routing.returned(endpoint_id, call.caller.prompt_tokens)
             self._tell(SendEnded(SendOutcome.NOT_SENT))
             return
         if not ports.belief_fits(call):
-            ports.routing.released(endpoint_id, 0.0)
+            ports.routing.returned(endpoint_id, call.caller.prompt_tokens)
             self._code = "belief_old"
             self._tell(SendEnded(SendOutcome.NO_ENDPOINT))
             return
--- a/tests/cover/test_stream_placement.py
+++ b/tests/cover/test_stream_placement.py
@@ -17,6 +17,7 @@
     RouteKind,
 )
 from coursekeel.gateway._adapters import CallerHeaders, Send
+from coursekeel.gateway._plain_task import PlainTask
 from coursekeel.gateway._ports import Forwarded, ForwardingPorts
 from coursekeel.gateway._stream_task import StreamTask
 from coursekeel.routing import Router
@@ -189,3 +190,15 @@
     site.directory.put(evolve(old, endpoint_id="other", pool="plain"), 3)
     site.ports.sinks[0].ended(Ending.CUT, "reset")
     assert {send.endpoint.pool for send in site.ports.sent} == {POOL}
+
+
+def test_a_call_that_is_not_sent_tells_nothing_of_how_long_runs_take(site):
+    site.believed = False
+    usual_ms = {n: site.router.load(f"e{n}").usual_run_ms for n in range(3)}
+    caller = CallerHeaders("r2", "key", 2_000, None)
+    route = evolve(ROUTE, kind=RouteKind.REPEATABLE, timeout_ms=2_000)
+    call = Forwarded(b"GET", b"/x", [], b"", caller, route, POOL, False, None, 0, 2_000)
+    PlainTask(site.ports, call, site.reply).start()
+    assert not site.ports.sent
+    assert site.held() == 0
+    assert usual_ms == {n: site.router.load(f"e{n}").usual_run_ms for n in range(3)}
