Read once more: derived state, one entry for a copied run, the entry's own count of tokens

Change: AnswerCore.sent is whether there are attempts; Follower knows the kind of answer it follows, so AnswerReader keeps it once; the stand-in's sender has one entry a copied run in place of three maps; bench.resume calls text_tokens in place of a constant of its own; LabelSets takes a mapping; explain makes its set of events once; a callable's type in place of a protocol. Conclusion: no behaviour changes.

--- a/bench/resume.py
+++ b/bench/resume.py
@@ -16,6 +16,7 @@
 from http.client import HTTPConnection, HTTPException
 
 from bench._tools import longest_ms, percentiles
+from coursekeel.entry.answers._requests import text_tokens
 from standins.caller import Caller
 from standins.site import Site, sample_intent, wait_until
 from tests.common.sites import FAST
@@ -23,7 +24,6 @@
 GAP_MS = 10
 TOKENS = 90
 PROMPT_WORDS = 6_000
-CHARACTERS_A_TOKEN = 4
 PROFILES = {
     "head_office": {"profile": "dossier"},
     "inspection": {"profile": "defect_review"},
@@ -106,7 +106,7 @@
             whole += caller.whole
             waits.append(longest_ms(caller.times))
             made_again.append(extra["generated_tokens"] - TOKENS)
-            read_again.append(extra["prefilled_tokens"] - _prompt_tokens(number))
+            read_again.append(extra["prefilled_tokens"] - text_tokens(_prompt(number)))
     return {
         "profile": profile,
         "fault": fault,
@@ -142,11 +142,6 @@
     return f"dossier {number} " + "page " * (PROMPT_WORDS - 2)
 
 
-def _prompt_tokens(number: int) -> int:
-    """As the entry reckons a text's tokens."""
-    return len(_prompt(number)) // CHARACTERS_A_TOKEN
-
-
 def _request(number: int) -> dict:
     prompt = _prompt(number)
     return {"model": "summary", "prompt": prompt, "max_tokens": TOKENS, "seed": number}
--- a/src/coursekeel/answers/_answer.py
+++ b/src/coursekeel/answers/_answer.py
@@ -80,7 +80,6 @@
         self.attempts: dict[int, Attempt] = {}
         self.finish_reason = ""
         self.deaths = 0
-        self.sent = False
         self._machine = load_chart("answer").machine()
         self._numbers = 0
         self._seeking = False
@@ -176,7 +175,8 @@
         self._seeking = True
         busy = {each.endpoint_id for each in self._live()}
         held = self.ledger.next_position
-        return [SeekEndpoint(frozenset(self._bad_endpoints | busy), self.sent, held)]
+        continuing = bool(self.attempts)
+        return [SeekEndpoint(frozenset(self._bad_endpoints | busy), continuing, held)]
 
     def _granted(self, event: Granted, now_ms: float) -> list[Action]:
         self._seeking = False
@@ -213,7 +213,6 @@
             run_id=run_id,
         )
         self.attempts[attempt.number] = attempt
-        self.sent = True
         opened = OpenAttempt(
             attempt.number, endpoint_id, way, attempt.from_position, attempt.run_id
         )
--- a/src/coursekeel/entry/answers/_answer_task.py
+++ b/src/coursekeel/entry/answers/_answer_task.py
@@ -98,7 +98,7 @@
     fenced: bool = False
     begun: bool = False
     unsettled: bool = False
-    followers: list[Follower] = field(factory=list)
+    followers: list[Follower[Any]] = field(factory=list)
     arrived_ms: float = field(init=False)
     _messages: deque[Event] = field(factory=deque)
     _busy: bool = False
@@ -150,13 +150,13 @@
         """Say whether this entry may speak for the answer now."""
         return self.durable_gate is None or self.durable_gate()
 
-    def follow(self, follower: Follower) -> None:
+    def follow(self, follower: Follower[Any]) -> None:
         """Add a reader and give it what there is."""
         self.followers.append(follower)
         follower.wake()
         self._hold_or_read()
 
-    def left(self, follower: Follower) -> None:
+    def left(self, follower: Follower[Any]) -> None:
         """A reader left or has everything."""
         if follower in self.followers:
             self.followers.remove(follower)
--- a/src/coursekeel/entry/answers/_follower.py
+++ b/src/coursekeel/entry/answers/_follower.py
@@ -1,6 +1,7 @@
 """Brings one reader up to an answer's end, at the reader's own pace."""
 
 from abc import ABC, abstractmethod
+from typing import Any, Generic, TypeVar
 
 from attrs import define
 
@@ -50,19 +51,22 @@
         """Say whether this entry may speak for the answer now."""
 
     @abstractmethod
-    def left(self, follower: "Follower") -> None:
+    def left(self, follower: "Follower[Any]") -> None:
         """A reader left or has everything."""
 
 
+_AnswerT = TypeVar("_AnswerT", bound=FollowedAnswer)
+
+
 @define(eq=False)
-class Follower:
+class Follower(Generic[_AnswerT]):
     """A cursor on a ledger: nothing is buffered for a slow reader but its place.
 
     ``held`` is what the reader says it holds; it is continued only once the ledger has
     reached that place and the digests agree.
     """
 
-    task: FollowedAnswer
+    task: _AnswerT
     sink: AnswerSink
     held: EventId | None = None
     cursor: int = 0
--- a/src/coursekeel/entry/answers/_reader.py
+++ b/src/coursekeel/entry/answers/_reader.py
@@ -67,8 +67,7 @@
     team: str
     request_id: str
     sink: Any
-    _follower: Follower | None = None
-    _followed: AnswerTask | None = None
+    _follower: Follower[AnswerTask] | None = None
     _moved: "Deferred[None] | None" = field(default=None)
 
     async def read(self) -> bool:
@@ -97,25 +96,25 @@
         ended: Deferred[None] = Deferred()
         self._moved = ended
         follower = Follower(task, self.sink, self.sink.held)
-        self._follower, self._followed = follower, task
-        self.sink.wake = lambda: self._wake(follower, task)
+        self._follower = follower
+        self.sink.wake = lambda: self._wake(follower)
         self.sink.source_moved = lambda: self._leave(ended)
         task.follow(follower)
         if self.sink.over:
             self._leave(ended)
         await ended
 
-    def _wake(self, follower: Follower, task: AnswerTask) -> None:
+    def _wake(self, follower: Follower[AnswerTask]) -> None:
         follower.wake()
-        task.left_behind()
+        follower.task.left_behind()
 
     def sink_closed(self) -> None:
         """The caller left, or has its final word."""
         follower, self._follower = self._follower, None
-        if follower is not None and self._followed is not None:
+        if follower is not None:
             follower.over = True
-            self._followed.left(follower)
-            self.ports.desk.left(self._followed)
+            follower.task.left(follower)
+            self.ports.desk.left(follower.task)
         if self._moved is not None:
             self._leave(self._moved)
 
--- a/src/coursekeel/entry/answers/_requests.py
+++ b/src/coursekeel/entry/answers/_requests.py
@@ -9,7 +9,7 @@
 from coursekeel.errors import RequestInvalid
 from coursekeel.intents import ClassPolicy, Intent, ModelIntent, TeamIntent
 
-__all__ = ["GenerationRequest", "read_generation"]
+__all__ = ["GenerationRequest", "read_generation", "text_tokens"]
 
 _DEFAULT_MAX_TOKENS = 16
 _CHARACTERS_PER_TOKEN = 4
@@ -104,7 +104,7 @@
 def _prompt(prompt: Any, path: str) -> tuple[int, str]:
     """About how many tokens the prompt has, and the text it starts with."""
     if isinstance(prompt, str) and prompt:
-        return _text_tokens(prompt), prompt
+        return text_tokens(prompt), prompt
     if isinstance(prompt, list) and prompt:
         if all(type(each) is int and each >= 0 for each in prompt):
             return len(prompt), repr(prompt[:_PREFIX_CHARACTERS])
@@ -130,7 +130,7 @@
         return _prompt(part["content"], f"{path}.content")
     match part.get("type"):
         case "text" if isinstance(part.get("text"), str):
-            return _text_tokens(part["text"]), part["text"]
+            return text_tokens(part["text"]), part["text"]
         case "image_url" if isinstance(part.get("image_url"), dict):
             return _TOKENS_PER_IMAGE, _image_mark(part["image_url"], path)
         case kind:
@@ -147,5 +147,6 @@
     return xxhash.xxh64_hexdigest(url.encode())
 
 
-def _text_tokens(text: str) -> int:
+def text_tokens(text: str) -> int:
+    """About how many tokens a text has."""
     return max(1, len(text) // _CHARACTERS_PER_TOKEN)
--- a/src/coursekeel/explain/_explain.py
+++ b/src/coursekeel/explain/_explain.py
@@ -60,7 +60,7 @@
             continue
         if line.get("request") == request_id:
             about.append(line)
-        elif line.event in _BELIEF_EVENTS | _LIFE_EVENTS:
+        elif line.event in _INSTANCE_EVENTS:
             instance_lines.append(line)
     about.sort(key=_time)
     instances = {line.get("instance") for line in about}
@@ -75,6 +75,7 @@
 
 _BELIEF_EVENTS = frozenset({"store_lost", "store_back", "history_gone"})
 _LIFE_EVENTS = frozenset({"gateway_started", "gateway_stopped"})
+_INSTANCE_EVENTS = _BELIEF_EVENTS | _LIFE_EVENTS
 
 
 def _time(line: LogLine) -> str:
--- a/src/coursekeel/gateway/_metrics.py
+++ b/src/coursekeel/gateway/_metrics.py
@@ -65,10 +65,10 @@
 
     def _count(self, team: str, request_class: str, code: str) -> None:
         labels = {"team": team, "class": request_class, "outcome": code}
-        self.metrics.requests.inc(self._counted.of(**labels))
+        self.metrics.requests.inc(self._counted.of(labels))
 
     def _times(self, call: Forwarded) -> dict[str, str]:
-        return self._timed.of(**{"team": call.team_name, "class": call.route.name})
+        return self._timed.of({"team": call.team_name, "class": call.route.name})
 
     def refused(self, request_id: str, code: str, status: int, age_ms: float) -> None:
         """A request was refused before it was looked at further."""
--- a/src/coursekeel/gateway/_placement.py
+++ b/src/coursekeel/gateway/_placement.py
@@ -1,7 +1,6 @@
 """Where a stream's runs and their copies go."""
 
 from collections.abc import Callable
-from typing import Protocol
 
 from attrs import define, evolve, field
 
@@ -16,8 +15,7 @@
 _ASKED = 3
 
 
-class _Decided(Protocol):
-    def __call__(self, decision: Decision, /) -> None: ...
+_Decided = Callable[[Decision], None]
 
 
 @define(eq=False)
--- a/src/coursekeel/observe/_labels.py
+++ b/src/coursekeel/observe/_labels.py
@@ -19,7 +19,7 @@
     kept: tuple[str, ...] = ()
     _known: set[tuple[str, ...]] = field(factory=set)
 
-    def of(self, **labels: str) -> dict[str, str]:
+    def of(self, labels: dict[str, str]) -> dict[str, str]:
         """The labels to count under; those named in ``kept`` keep their value."""
         key = tuple(labels.values())
         if key in self._known or len(self._known) < self.most:
--- a/standins/_copies.py
+++ b/standins/_copies.py
@@ -47,41 +47,44 @@
             timer.cancel()
 
 
+class _CopiedRun:
+    def __init__(self, run: Any, address: str) -> None:
+        self.run = run
+        self.address = address
+        self.sent_tokens = 0
+
+
 class CopySender:
     """Sends what runs' memory grew by, several times a second."""
 
     def __init__(self, reactor: Any, counters: dict[str, int]) -> None:
         self._client = treq.client.HTTPClient(Agent(reactor, pool=_pool(reactor)))
         self._counters = counters
-        self._sent: dict[str, int] = {}
-        self._addresses: dict[str, str] = {}
-        self._runs: dict[str, Any] = {}
+        self._copied: dict[str, _CopiedRun] = {}
         LoopingCall(self._send_all).start(SEND_EVERY_S, now=False)
 
     def follow(self, run: Any, address: str) -> None:
         """Keep a copy of the run at another engine until the run is over."""
-        self._runs[run.run_id] = run
-        self._addresses[run.run_id] = address
+        self._copied[run.run_id] = _CopiedRun(run, address)
 
     def forget(self, run_id: str) -> None:
         """The run ended well or was cancelled: nobody needs its copy."""
-        address = self._addresses.pop(run_id, None)
-        self._runs.pop(run_id, None)
-        if address and self._sent.pop(run_id, None):
-            self._ask("DELETE", address, run_id, b"")
+        copied = self._copied.pop(run_id, None)
+        if copied is not None and copied.sent_tokens:
+            self._ask("DELETE", copied.address, run_id, b"")
 
     def _send_all(self) -> None:
-        for run_id, run in list(self._runs.items()):
-            if not run.prefilled:
+        for run_id, copied in self._copied.items():
+            if not copied.run.prefilled:
                 continue
-            tokens = run.prompt_tokens + run.position
-            grown = tokens - self._sent.get(run_id, 0)
+            tokens = copied.run.prompt_tokens + copied.run.position
+            grown = tokens - copied.sent_tokens
             if grown <= 0:
                 continue
-            self._sent[run_id] = tokens
+            copied.sent_tokens = tokens
             self._counters["copied_tokens"] += grown
             body = orjson.dumps({"tokens": tokens})
-            self._ask("POST", self._addresses[run_id], run_id, body)
+            self._ask("POST", copied.address, run_id, body)
 
     def _ask(self, method: str, address: str, run_id: str, body: bytes) -> None:
         url = f"http://{address}/copies/{run_id}"
--- a/tests/cover/test_stream_placement.py
+++ b/tests/cover/test_stream_placement.py
@@ -143,9 +143,8 @@
 
 def test_an_endpoint_that_left_the_list_holds_no_place(site):
     """Routing may grant what the list dropped in the same moment."""
-    task = StreamTask(
-        site.ports, site.reports, _call_of(site.start()), Mock(head_sent=False)
-    )
+    call = site.start().call
+    task = StreamTask(site.ports, site.reports, call, Mock(head_sent=False))
     before = site.held()
     site.reports.ask_all = Mock()
     task.start()
@@ -155,10 +154,6 @@
     assert site.held() == before
 
 
-def _call_of(task: StreamTask) -> Forwarded:
-    return task.call
-
-
 def test_a_run_goes_on_at_its_copy(site):
     site.start(copies=True)
     keeper = site.ports.sent[0].copy_to
