Retry budgets work in large groups: parts below one are drawn for

Cause: a pool's slack is shared by the members, and a budget gave whole repeats only.

Ruled out: a floor of repeats for each (keeps no bound), parts lent by a zone's holder (a question before each repeat, and nobody to ask where a zone has just died).

Change: routing.WindowBudget. What a request earns (0.36 of a repeat at the usual ratio) is kept apart from the slack and lapses after the window, so that what is spent in one window was earned in it or in the one before. With less than one left a lot decides and spends what is left. A part of the slack is left for luck. Who has just begun and knows nobody has nothing saved, since a herd that begins again would spend its parts twice. A send that surely reached no endpoint is free (SendAccount).

A group test that waits in vain for an instance now shows that instance's log.

--- a/src/coursekeel/gateway/_retry_budgets.py
+++ b/src/coursekeel/gateway/_retry_budgets.py
@@ -1,17 +1,22 @@
 """Retry: may this instance send a request once more?
 
-Rule: a send after the first takes one from the budget of the request's pool; without
-one the request isn't sent again. Every request that arrives earns a part of a send.
+Rule: a send after one that may have arrived takes a repeat from the budget of the
+request's pool (`routing.WindowBudget`); without one the request isn't sent again. A
+send that surely reached no endpoint costs nothing.
 
 The users bound repeats by a ratio of a pool's requests plus a slack in a window, over
 all instances together (`RetryShare`). Each instance keeps a part:
 
-- it earns half of the ratio by its own requests;
+- it earns a little less than half of the ratio by its own requests. What is spent in a
+  window was earned in it or in the one before, so that the ratio holds of the larger;
 - its part of the slack is one of as many as there are members in its group, and some
   more that may just be joining; a quarter of it comes back over the window and the rest
   can be saved up. Members that were lost lately count, since a group that is split
-  spends in both halves. An instance that found nobody yet takes one of
-  `_UNKNOWN_INSTANCES`, one that can't know one of `_PLANNED_INSTANCES`.
+  spends in both halves. One that found nobody yet has nothing saved: it may be one of
+  many that begin again at once, whose earlier lives spent their parts. One that can't
+  know others takes one of `_PLANNED_INSTANCES`.
+
+Parts of less than one are drawn for, so some of the slack is left for luck.
 
 Reason: a fault that hits many requests at once must not double the load of those that
 still work. This is the budget that binds in a gateway. The one that `Router` keeps for
@@ -20,15 +25,17 @@
 """
 
 from collections.abc import Callable
-from math import ceil
+from math import ceil, sqrt
+from random import Random
 
 from attrs import define, field
 
 from coursekeel.gateway._live_settings import LiveSettings
-from coursekeel.routing import RetryBudget
+from coursekeel.routing import WindowBudget
 from coursekeel.settings import RetryShare
+from coursekeel.units import MS_PER_SECOND
 
-__all__ = ["RetryBudgets", "fit_budget", "shared_budget"]
+__all__ = ["RetryBudgets", "SendAccount", "fit_budget", "shared_budget"]
 
 # For an instance without an address for peers. Chosen, not measured: a little above
 # the instances of a small site, with its spares.
@@ -49,8 +56,14 @@
 _REFILLED_SHARE = 0.25
 
 # Of the ratio's repeats, the part that a request earns at the instance that sees it.
-# Chosen, not measured.
-_OWN_SHARE = 0.5
+# Half is the most, since two windows' earnings may be spent in one; a tenth of that is
+# left for the luck of lots.
+_OWN_SHARE = 0.45
+
+# Of the slack, so much by the square root of the instances is left for luck: four
+# standard deviations of as many lots, each at even odds. At most half of the slack.
+_LUCK = 2.0
+_MOST_LUCK_SHARE = 0.5  # see above
 
 
 @define
@@ -62,12 +75,14 @@
 
     settings: LiveSettings
     members: Callable[[], int | None]
-    _by_pool: dict[str, RetryBudget] = field(factory=dict)
+    random: Random
+    _by_pool: dict[str, WindowBudget] = field(factory=dict)
     _shared_by: int = 0
 
-    def of(self, pool: str) -> RetryBudget:
+    def of(self, pool: str) -> WindowBudget:
         """The repeats that this instance may send to a pool."""
-        instances = _instances(self.members())
+        members = self.members()
+        instances = _instances(members)
         if instances != self._shared_by:
             self._shared_by = instances
             for each in self._by_pool.values():
@@ -75,10 +90,34 @@
         budget = self._by_pool.get(pool)
         if budget is None:
             share = self.settings.now.retries
-            budget = self._by_pool[pool] = shared_budget(share, instances)
+            budget = shared_budget(share, self.random, instances)
+            if members is not None and members <= 1:
+                budget.saved = 0.0
+            self._by_pool[pool] = budget
         return budget
 
 
+@define
+class SendAccount:
+    """The sends of one request, and what they cost ``budget``."""
+
+    budget: WindowBudget
+    _arrivals: int = 0
+
+    def may_send(self, now_ms: float) -> bool:
+        """Say whether one more send may be made; it then counts as made."""
+        if self._arrivals and not self.budget.take(now_ms):
+            return False
+        self._arrivals += 1
+        return True
+
+    def not_sent(self) -> None:
+        """A send that was made reached no endpoint."""
+        self._arrivals -= 1
+        if self._arrivals:
+            self.budget.give_back()
+
+
 def _instances(members: int | None) -> int:
     if members is None:
         return _PLANNED_INSTANCES
@@ -88,27 +127,31 @@
 
 
 def shared_budget(
-    share: RetryShare, instances: int = _PLANNED_INSTANCES
-) -> RetryBudget:
+    share: RetryShare, random: Random, instances: int = _PLANNED_INSTANCES
+) -> WindowBudget:
     """One instance's part of a budget that holds for all instances together.
 
     It begins with the least that any size of the group would give it: what it may save
     up comes back with time.
     """
-    budget = RetryBudget(_OWN_SHARE * share.ratio)
+    budget = WindowBudget(
+        _OWN_SHARE * share.ratio, share.window_s * MS_PER_SECOND, random
+    )
     fit_budget(budget, share, instances)
-    budget.retries = min(_saved(share, instances), _saved(share, _PLANNED_INSTANCES))
+    budget.saved = min(budget.most, _saved(share, _PLANNED_INSTANCES))
     return budget
 
 
-def fit_budget(budget: RetryBudget, share: RetryShare, instances: int) -> None:
+def fit_budget(budget: WindowBudget, share: RetryShare, instances: int) -> None:
     """Make a budget one of so many parts; what is over the new cap is given up."""
-    saved = _saved(share, instances)
-    part = share.slack / instances
-    budget.reserve = budget.most = saved
-    budget.refill_per_s = _REFILLED_SHARE * part / share.window_s
-    budget.retries = min(budget.retries, saved)
+    refill_per_s = _REFILLED_SHARE * _part(share, instances) / share.window_s
+    budget.fit(_saved(share, instances), refill_per_s)
 
 
 def _saved(share: RetryShare, instances: int) -> float:
-    return (1 - _REFILLED_SHARE) * share.slack / instances
+    return (1 - _REFILLED_SHARE) * _part(share, instances)
+
+
+def _part(share: RetryShare, instances: int) -> float:
+    luck = min(_LUCK * sqrt(instances), _MOST_LUCK_SHARE * share.slack)
+    return (share.slack - luck) / instances
--- a/src/coursekeel/gateway/_stream_attempt.py
+++ b/src/coursekeel/gateway/_stream_attempt.py
@@ -68,6 +68,10 @@
     def answered_otherwise(self, head: ExchangeHead, body: bytes) -> None:
         """An endpoint gave a final answer that isn't a stream."""
 
+    @abstractmethod
+    def not_sent(self) -> None:
+        """A run that was sent reached no endpoint."""
+
     @abstractmethod
     def attempt_over(self, number: int) -> None:
         """The attempt's connection ended by itself."""
@@ -179,6 +183,7 @@
         task = self.task
         if ending is Ending.NOT_SENT:
             task.context.health.unreachable(self.endpoint_id, reason)
+            task.not_sent()
             self._over(Loss.NOT_SENT)
         elif self._head is None:
             self._lost(reason)
--- a/src/coursekeel/gateway/_stream_task.py
+++ b/src/coursekeel/gateway/_stream_task.py
@@ -50,6 +50,7 @@
     refusal_without_endpoint,
 )
 from coursekeel.gateway._request import AdmittedRequest
+from coursekeel.gateway._retry_budgets import SendAccount
 from coursekeel.gateway._stream_attempt import AttemptOwner, StreamAttempt
 from coursekeel.gateway._stream_reply import StreamReply
 from coursekeel.gateway._successors import Successors
@@ -76,6 +77,7 @@
     _driver: AnswerDriver = field(init=False)
     _placement: StreamPlacement = field(init=False)
     _caller: StreamReply = field(init=False)
+    _sends: SendAccount = field(init=False)
     _open: dict[int, StreamAttempt] = field(factory=dict)
     _refused: str = ""
     _retry_after_ms: float = STREAM_RETRY_MS
@@ -84,6 +86,7 @@
         context, call = self.context, self.call
         self._placement = StreamPlacement(context, self.reports, call)
         self._caller = StreamReply(context, call, self.reply)
+        self._sends = SendAccount(context.budgets.of(call.pool))
         self.core = AnswerCore(
             call.caller.request_id,
             Expected(call.pool, "", ""),
@@ -116,7 +119,7 @@
     def start(self) -> None:
         """Begin; the reply comes by itself."""
         self.reply.on_gone(self._caller_left)
-        self.context.budgets.of(self.call.pool).succeeded()
+        self._sends.budget.requested(self.context.clock.now_ms())
         self.tell(Started())
 
     def tell(self, event: Event) -> None:
@@ -189,10 +192,9 @@
         """Say whether a run may be sent now; if not, the next search is refused."""
         if self._refused:
             return False
-        budget = self.context.budgets.of(self.call.pool)
         if not self.context.site.may_still_send(self.call):
             self._refused = "belief_old"
-        elif self._caller.ways and not budget.take(self.context.clock.now_ms()):
+        elif not self._sends.may_send(self.context.clock.now_ms()):
             self._refused = "retry_budget"
         else:
             return True
@@ -252,6 +254,10 @@
         """Say whether the attempt is still one of the answer's."""
         return number in self._open
 
+    def not_sent(self) -> None:
+        """A run that was sent reached no endpoint."""
+        self._sends.not_sent()
+
     def attempt_over(self, number: int) -> None:
         """The attempt's connection ended by itself."""
         self._open.pop(number, None)
--- a/src/coursekeel/gateway/_whole_task.py
+++ b/src/coursekeel/gateway/_whole_task.py
@@ -37,6 +37,7 @@
     refusal_retry_ms,
 )
 from coursekeel.gateway._request import AdmittedRequest
+from coursekeel.gateway._retry_budgets import SendAccount
 from coursekeel.gateway._whole_try import TryOwner, WholeTry
 from coursekeel.routing import Decision, Grant, PlacementRequest
 
@@ -65,6 +66,7 @@
     call: AdmittedRequest
     reply: CallerReply
     core: CallCore = field(init=False)
+    _sends: SendAccount = field(init=False)
     _tried: set[str] = field(factory=set)
     _number: int | None = None
     _current: WholeTry | None = None
@@ -80,6 +82,7 @@
             retry_after_ms=int(WHOLE_RETRY_MS),
         )
         self.core = CallCore(policy, None, keyed=False)
+        self._sends = SendAccount(self.context.budgets.of(self.call.pool))
 
     def start(self) -> None:
         """Begin; the reply comes by itself."""
@@ -87,7 +90,7 @@
         self.reply.on_gone(self._caller_left)
         left_ms = self.call.due_ms - context.clock.now_ms()
         self._deadline = context.reactor.callLater(max(left_ms, 0) / 1000, self._due)
-        context.budgets.of(self.call.pool).succeeded()
+        self._sends.budget.requested(context.clock.now_ms())
         self._tell(Begin())
 
     def _tell(self, event: CallEvent) -> None:
@@ -108,8 +111,7 @@
     def _search(self) -> None:
         """Search for an endpoint; a second one only if the retry budget has it."""
         now_ms = self.context.clock.now_ms()
-        budget = self.context.budgets.of(self.call.pool)
-        if self._tried and not budget.take(now_ms):
+        if not self._sends.may_send(now_ms):
             self._no_endpoint("retry_budget")
             return
         request = PlacementRequest(
@@ -130,6 +132,7 @@
             self._retry_after_ms = refusal_retry_ms(
                 decision.code, decision.retry_after_ms, left_ms, self.context.random
             )
+            self._sends.not_sent()
             self._no_endpoint(decision.code)
             return
         self._tried.add(decision.endpoint_id)
@@ -155,6 +158,7 @@
     def _give_back(self, endpoint_id: str) -> None:
         prompt_tokens = self.call.caller.prompt_tokens
         self.context.routing.returned(endpoint_id, prompt_tokens)
+        self._sends.not_sent()
 
     def _open_try(self, record: EndpointRecord, remaining_ms: float) -> None:
         call, endpoint_id = self.call, record.endpoint_id
@@ -181,6 +185,8 @@
 
     def try_ended(self, outcome: ServiceReply | SendOutcome) -> None:
         """The try under way came to its end."""
+        if self._current is not None and not self._current.arrived:
+            self._sends.not_sent()
         self._current = None
         self._tell(SendEnded(outcome))
 
--- a/src/coursekeel/gateway/_whole_try.py
+++ b/src/coursekeel/gateway/_whole_try.py
@@ -27,12 +27,16 @@
 
 @define(eq=False)
 class WholeTry(ExchangeSink):
-    """One send to one endpoint; it gives its place back when it ends."""
+    """One send to one endpoint; it gives its place back when it ends.
+
+    ``arrived`` is False once it is sure that nothing reached an endpoint.
+    """
 
     owner: TryOwner
     context: GatewayContext
     call: AdmittedRequest
     endpoint_id: str
+    arrived: bool = True
     _started_ms: float = field(init=False)
     _exchange: Exchange | None = None
     _limit: Any = None
@@ -81,6 +85,7 @@
         context = self.context
         if ending is Ending.NOT_SENT:
             context.health.unreachable(self.endpoint_id, reason)
+            self.arrived = False
             return SendOutcome.NOT_SENT
         if self._head is None:
             return SendOutcome.MAYBE_SENT
--- a/src/coursekeel/routing/__init__.py
+++ b/src/coursekeel/routing/__init__.py
@@ -13,6 +13,7 @@
 from coursekeel.routing._queue import FairQueue
 from coursekeel.routing._router import Router, RouterSettings
 from coursekeel.routing._score import subset
+from coursekeel.routing._window_budget import WindowBudget
 from coursekeel.routing._zones import FailingZones
 
 __all__ = [
@@ -28,5 +29,6 @@
     "RetryBudget",
     "Router",
     "RouterSettings",
+    "WindowBudget",
     "subset",
 ]
--- a/tests/cover/test_slowdown_machine.py
+++ b/tests/cover/test_slowdown_machine.py
@@ -25,7 +25,7 @@
     def begin(self, seed: int) -> None:
         self.now_ms = 0.0
         self.random = Random(seed)
-        self.budgets = [shared_budget(SHARE) for _ in range(INSTANCES)]
+        self.budgets = [shared_budget(SHARE, Random(each)) for each in range(INSTANCES)]
         self.requests: list[float] = []
         self.repeats: list[float] = []
         self.directory = EndpointDirectory()
@@ -46,7 +46,7 @@
         """Whatever fails is sent once more if its instance's budget has it."""
         for _ in range(count):
             budget = self.random.choice(self.budgets)
-            budget.succeeded()
+            budget.requested(self.now_ms)
             self.requests.append(self.now_ms)
             if self.random.randrange(100) < failing and budget.take(self.now_ms):
                 self.repeats.append(self.now_ms)
--- a/tests/cover/test_stream_placement.py
+++ b/tests/cover/test_stream_placement.py
@@ -106,7 +106,7 @@
             routing,
             self.client,
             EndpointHealth(self.clock, known, self.router, Mock()),
-            RetryBudgets(settings, lambda: None),
+            RetryBudgets(settings, lambda: None, Random(1)),
             Mock(),
         )
         self.reports = Mock()
--- a/tests/platform/test_group.py
+++ b/tests/platform/test_group.py
@@ -47,7 +47,13 @@
             **SERVING_ON,
         )
         self.processes[name] = self.site.processes[-1]
-        wait_until(lambda: self.site.ready(self.ports[name]), f"{name} is ready", 30)
+        try:
+            wait_until(
+                lambda: self.site.ready(self.ports[name]), f"{name} is ready", 30
+            )
+        except TimeoutError as failure:
+            failure.add_note(self.site.log(name)[-6_000:])
+            raise
 
     def address(self, number: int) -> str:
         return f"127.0.0.{10 + number}:{self.port}"
