Group: members, pings and proofs are modules of their own

Change: Members (who is known, and what is passed on of them), Pings (questions under way, whose turn is next) and Proofs (whose proof of a table is the freshest) apart from Swim, which says what is sent when. Behaviour is the same.

--- a/src/coursekeel/group/__init__.py
+++ b/src/coursekeel/group/__init__.py
@@ -1,5 +1,6 @@
 """Which instances are there: members that ping each other and pass news on."""
 
+from coursekeel.group._members import MemberEvent, MemberEventKind
 from coursekeel.group._messages import (
     MAX_MESSAGE_BYTES,
     MemberState,
@@ -11,13 +12,7 @@
     decode_message,
     encode_message,
 )
-from coursekeel.group._swim import (
-    MemberEvent,
-    MemberEventKind,
-    Outgoing,
-    Swim,
-    SwimTerms,
-)
+from coursekeel.group._swim import Outgoing, Swim, SwimTerms
 
 __all__ = [
     "MAX_MESSAGE_BYTES",
