--- a/tools/play_days.py
+++ b/tools/play_days.py
@@ -1,8 +1,9 @@
 """Play days on the users' bench, and compare two source trees by what they gave.
 
 `own BENCH SITE WHY` plays every day of `bench/days` and prints a row for each.
-`seeds BENCH SITE WHY --seeds 11,12 [--days a,b] [--tree DIR]` plays the site's days
-with each seed, without charging processor time, and prints the journal entry's path.
+`seeds BENCH SITE WHY --seeds 11,12 [--days a,b] [--tree DIR] [--small]` plays the
+site's days (or a large site's small twins) with each seed, without charging processor
+time, and prints the journal entry's path.
 `compare BEFORE AFTER` pairs two such entries by day and seed. Each play writes its
 entry into the `journal/` of the tree that it plays.
 """
@@ -21,7 +22,7 @@
 ROOT = Path(__file__).parents[1]
 _BROKEN = "broken"
 # Days played side by side: half of the machine, so that nothing else waits.
-_JOBS = "4"
+_JOBS = 4
 
 
 def play(bench: Path, site: Path, day: Path, why: str) -> str:
@@ -35,18 +36,26 @@
 
 
 def play_seeds(
-    bench: Path, site: Path, why: str, seeds: list[int], days: list[str], tree: Path
+    bench: Path,
+    site: Path,
+    why: str,
+    seeds: list[int],
+    days: list[str],
+    tree: Path,
+    small: bool = False,
+    jobs: int = _JOBS,
 ) -> Path:
     """Play days by seeds on the tree's sources; returns the journal entry's path.
 
+    ``small`` plays a large site's small twins; ``jobs`` days are played at once.
     Raises `RuntimeError` with the bench's last lines if it wrote none.
     """
     journal = tree / "journal"
     known = set(journal.glob("*.json"))
     with TemporaryDirectory() as folder:
         variant = write_variant(site, Path(folder), seeds, days)
-        command = [str(bench), "score", str(variant), "--no-cpu", "--jobs", _JOBS]
-        command += ["--why", why]
+        command = [str(bench), "score", str(variant), "--no-cpu", "--jobs", str(jobs)]
+        command += ["--why", why, *(["--small"] if small else [])]
         done = subprocess.run(command, cwd=tree, capture_output=True, text=True)
     written = set(journal.glob("*.json")) - known
     if not written:
@@ -67,7 +76,10 @@
     bench, site, tree = (
         each.resolve() for each in (given.bench, given.site, given.tree)
     )
-    print(play_seeds(bench, site, given.why, seeds, days, tree))
+    path = play_seeds(
+        bench, site, given.why, seeds, days, tree, given.small, given.jobs
+    )
+    print(path)
 
 
 def _compare(given: argparse.Namespace) -> None:
@@ -88,6 +100,8 @@
             verb.add_argument("--seeds", required=True, help="numbers, by commas")
             verb.add_argument("--days", default="", help="names, by commas; else all")
             verb.add_argument("--tree", type=Path, default=ROOT)
+            verb.add_argument("--small", action="store_true", help="small twins")
+            verb.add_argument("--jobs", type=int, default=_JOBS, help="days at once")
     verb = verbs.add_parser("compare")
     verb.add_argument("before", type=Path)
     verb.add_argument("after", type=Path)
