A stream that has begun goes on in an outage though its key's proof is old

The bound on keys counts from when the request was sent, and the key was surely valid then; a key that is known to be gone still ends it. Change: may_still_send looks at the proof's age only until the answer has begun here.

--- a/src/coursekeel/gateway/_stream_task.py
+++ b/src/coursekeel/gateway/_stream_task.py
@@ -188,11 +188,17 @@
             self._placement.give_back(action.endpoint_id)
         self.tell(AttemptEnded(action.attempt, Loss.NOT_SENT))
 
+    @property
+    def _begun(self) -> bool:
+        """Say whether this request has given its caller an event."""
+        asked_from = self.call.caller.resume_after or 0
+        return self.core.ledger.next_position > asked_from
+
     def _may_send(self) -> bool:
         """Say whether a run may be sent now; if not, the next search is refused."""
         if self._refused:
             return False
-        if not self.context.site.may_still_send(self.call):
+        if not self.context.site.may_still_send(self.call, self._begun):
             self._refused = "belief_old"
         elif not self._sends.may_send(self.context.clock.now_ms()):
             self._refused = "retry_budget"
