gateway/: rooms by subject

Cause: 36 modules on one floor. Change: admission, streams, whole, endpoints, members and site are folders of their own; what all share (adapters, context, dispatcher, sockets, metrics, settings, budgets) stays beside Gateway.

--- a/src/coursekeel/gateway/_caller_reply.py
+++ b/src/coursekeel/gateway/_caller_reply.py
@@ -9,8 +9,8 @@
 
 from coursekeel.gateway._adapters import HeaderPairs
 from coursekeel.gateway._http import CallerRequest
-from coursekeel.gateway._refusals import GatewayRefusal
-from coursekeel.gateway._stop_window import Shutdown
+from coursekeel.gateway.admission._refusals import GatewayRefusal
+from coursekeel.gateway.admission._stop_window import Shutdown
 from coursekeel.units import MS_PER_SECOND
 
 __all__ = ["CallerReply"]
--- a/src/coursekeel/gateway/_context.py
+++ b/src/coursekeel/gateway/_context.py
@@ -7,13 +7,13 @@
 
 from attrs import define, field
 
-from coursekeel.gateway._endpoint_client import EndpointClient
-from coursekeel.gateway._endpoint_health import EndpointHealth
-from coursekeel.gateway._known_site import KnownSite
 from coursekeel.gateway._live_settings import LiveSettings
 from coursekeel.gateway._metrics import GatewayMetrics
 from coursekeel.gateway._retry_budgets import RetryBudgets
-from coursekeel.gateway._stream_lengths import StreamLengths
+from coursekeel.gateway.admission._stream_lengths import StreamLengths
+from coursekeel.gateway.endpoints._endpoint_client import EndpointClient
+from coursekeel.gateway.endpoints._endpoint_health import EndpointHealth
+from coursekeel.gateway.site._known_site import KnownSite
 from coursekeel.reactor import Reactor
 from coursekeel.runtime import Clock, RoutingTask
 
--- a/src/coursekeel/gateway/_dispatcher.py
+++ b/src/coursekeel/gateway/_dispatcher.py
@@ -10,21 +10,21 @@
 from attrs import define, evolve
 
 from coursekeel.gateway._adapters import CallerDialect, CallerHeaders, HeaderPairs
-from coursekeel.gateway._admission import Admission, Admitted, Arrival, admit
 from coursekeel.gateway._caller_reply import CallerReply
 from coursekeel.gateway._context import GatewayContext
 from coursekeel.gateway._http import CallerRequest
-from coursekeel.gateway._load_reports import LoadReports
-from coursekeel.gateway._refusals import (
+from coursekeel.gateway._request import AdmittedRequest
+from coursekeel.gateway.admission._admission import Admission, Admitted, Arrival, admit
+from coursekeel.gateway.admission._refusals import (
     NOT_YET_RETRY_MS,
     GatewayRefusal,
     refusal_retry_ms,
 )
-from coursekeel.gateway._request import AdmittedRequest
-from coursekeel.gateway._stop_window import Shutdown
-from coursekeel.gateway._stream_task import StreamTask
-from coursekeel.gateway._successors import Successors
-from coursekeel.gateway._whole_task import WholeAnswerTask
+from coursekeel.gateway.admission._stop_window import Shutdown
+from coursekeel.gateway.endpoints._load_reports import LoadReports
+from coursekeel.gateway.streams._stream_task import StreamTask
+from coursekeel.gateway.streams._successors import Successors
+from coursekeel.gateway.whole._whole_task import WholeAnswerTask
 
 __all__ = ["Dispatcher"]
 
--- a/src/coursekeel/gateway/_gateway.py
+++ b/src/coursekeel/gateway/_gateway.py
@@ -22,23 +22,23 @@
 )
 from coursekeel.gateway._context import GatewayContext
 from coursekeel.gateway._dispatcher import Dispatcher
-from coursekeel.gateway._endpoint_client import EndpointClient
-from coursekeel.gateway._endpoint_health import EndpointHealth
-from coursekeel.gateway._follow_task import FollowedTable, FollowTask
-from coursekeel.gateway._group import Group
 from coursekeel.gateway._http import (
     OpenConnections,
     StatusPage,
     caller_server,
     status_server,
 )
-from coursekeel.gateway._known_site import KnownSite
 from coursekeel.gateway._live_settings import LiveSettings
-from coursekeel.gateway._load_reports import LoadReports
 from coursekeel.gateway._metrics import GatewayMetrics
 from coursekeel.gateway._retry_budgets import RetryBudgets
-from coursekeel.gateway._stop_window import Shutdown, StopWindow
-from coursekeel.gateway._successors import Successors
+from coursekeel.gateway.admission._stop_window import Shutdown, StopWindow
+from coursekeel.gateway.endpoints._endpoint_client import EndpointClient
+from coursekeel.gateway.endpoints._endpoint_health import EndpointHealth
+from coursekeel.gateway.endpoints._load_reports import LoadReports
+from coursekeel.gateway.members._group import Group
+from coursekeel.gateway.site._follow_task import FollowedTable, FollowTask
+from coursekeel.gateway.site._known_site import KnownSite
+from coursekeel.gateway.streams._successors import Successors
 from coursekeel.observe import log_event
 from coursekeel.reactor import Reactor
 from coursekeel.routing import Router, RouterSettings
--- a/src/coursekeel/gateway/_metrics.py
+++ b/src/coursekeel/gateway/_metrics.py
@@ -10,8 +10,8 @@
 
 from attrs import define, field
 
-from coursekeel.gateway._refusals import GatewayRefusal
 from coursekeel.gateway._request import AdmittedRequest
+from coursekeel.gateway.admission._refusals import GatewayRefusal
 from coursekeel.observe import LabelSets, Metrics, log_event
 from coursekeel.routing import EndpointLoad
 from coursekeel.runtime import Clock
--- a/src/coursekeel/gateway/_admission.py
+++ b/src/coursekeel/gateway/admission/_admission.py
@@ -17,13 +17,13 @@
 from attrs import evolve, field, frozen
 
 from coursekeel.forwarding import Route, RouteTable, Team
-from coursekeel.gateway._refusals import (
+from coursekeel.gateway.admission._refusals import (
     ELSEWHERE_RETRY_MS,
     NOT_YET_RETRY_MS,
     GatewayRefusal,
 )
-from coursekeel.gateway._stop_window import StopWindow
-from coursekeel.gateway._stream_lengths import StreamLengths
+from coursekeel.gateway.admission._stop_window import StopWindow
+from coursekeel.gateway.admission._stream_lengths import StreamLengths
 
 __all__ = ["Admission", "Admitted", "Arrival", "admit"]
 
--- a/src/coursekeel/gateway/_endpoint_health.py
+++ b/src/coursekeel/gateway/endpoints/_endpoint_health.py
@@ -10,8 +10,8 @@
 
 from attrs import define
 
-from coursekeel.gateway._known_site import KnownSite
 from coursekeel.gateway._metrics import GatewayMetrics
+from coursekeel.gateway.site._known_site import KnownSite
 from coursekeel.routing import Router
 from coursekeel.runtime import Clock
 
--- a/src/coursekeel/gateway/_endpoint_question.py
+++ b/src/coursekeel/gateway/endpoints/_endpoint_question.py
@@ -13,7 +13,7 @@
 from coursekeel.fetch import Ending, Exchange, ExchangeHead, ExchangeSink
 from coursekeel.forwarding import EndpointRecord
 from coursekeel.gateway._adapters import EndpointCall
-from coursekeel.gateway._endpoint_client import EndpointClient
+from coursekeel.gateway.endpoints._endpoint_client import EndpointClient
 from coursekeel.reactor import Reactor
 from coursekeel.units import MS_PER_SECOND
 
--- a/src/coursekeel/gateway/_load_reports.py
+++ b/src/coursekeel/gateway/endpoints/_load_reports.py
@@ -20,7 +20,7 @@
     UnreadableReport,
 )
 from coursekeel.gateway._context import GatewayContext
-from coursekeel.gateway._endpoint_question import (
+from coursekeel.gateway.endpoints._endpoint_question import (
     EndpointAnswer,
     EndpointQuestion,
     NoAnswer,
--- /dev/null
+++ b/src/coursekeel/gateway/members/__init__.py
@@ -0,0 +1,3 @@
+"""What instances tell each other: who is there, and what the store said."""
+
+__all__: list[str] = []
--- a/src/coursekeel/gateway/_group.py
+++ b/src/coursekeel/gateway/members/_group.py
@@ -12,11 +12,15 @@
 from coursekeel.fetch import Fetcher
 from coursekeel.forwarding import Freshness
 from coursekeel.gateway._adapters import Source, Table
-from coursekeel.gateway._group_task import GroupTask
 from coursekeel.gateway._live_settings import LiveSettings
-from coursekeel.gateway._peer_server import PeerServer
-from coursekeel.gateway._shared_source import MemberReader, SharedSource, SharingTerms
-from coursekeel.gateway._table_feed import TableFeed
+from coursekeel.gateway.members._group_task import GroupTask
+from coursekeel.gateway.members._peer_server import PeerServer
+from coursekeel.gateway.members._shared_source import (
+    MemberReader,
+    SharedSource,
+    SharingTerms,
+)
+from coursekeel.gateway.members._table_feed import TableFeed
 from coursekeel.group import Swim
 from coursekeel.reactor import Reactor
 from coursekeel.runtime import Clock
--- a/src/coursekeel/gateway/_peer_server.py
+++ b/src/coursekeel/gateway/members/_peer_server.py
@@ -22,8 +22,8 @@
     caller_server,
     send_page,
 )
-from coursekeel.gateway._reading_codec import RelayedReading, encode_reading
-from coursekeel.gateway._table_feed import Answered, TableFeed
+from coursekeel.gateway.members._reading_codec import RelayedReading, encode_reading
+from coursekeel.gateway.members._table_feed import Answered, TableFeed
 from coursekeel.observe import log_event
 
 __all__ = ["TABLES_PATH", "PeerServer"]
--- a/src/coursekeel/gateway/_shared_source.py
+++ b/src/coursekeel/gateway/members/_shared_source.py
@@ -32,8 +32,8 @@
     SourceFailed,
     Table,
 )
-from coursekeel.gateway._peer_server import TABLES_PATH
-from coursekeel.gateway._reading_codec import (
+from coursekeel.gateway.members._peer_server import TABLES_PATH
+from coursekeel.gateway.members._reading_codec import (
     RelayedReading,
     UnreadableReading,
     decode_reading,
--- a/src/coursekeel/gateway/_table_feed.py
+++ b/src/coursekeel/gateway/members/_table_feed.py
@@ -18,7 +18,7 @@
 
 from coursekeel.forwarding import EndpointRecord, ForwardingConfiguration
 from coursekeel.gateway._adapters import Reading, Removed, Versioned
-from coursekeel.gateway._reading_codec import RelayedReading
+from coursekeel.gateway.members._reading_codec import RelayedReading
 from coursekeel.reactor import Reactor
 from coursekeel.runtime import Clock
 from coursekeel.units import MS_PER_SECOND
--- a/src/coursekeel/gateway/_follow_task.py
+++ b/src/coursekeel/gateway/site/_follow_task.py
@@ -22,7 +22,7 @@
     Table,
 )
 from coursekeel.gateway._metrics import logged_age_ms
-from coursekeel.gateway._table_feed import TableFeed
+from coursekeel.gateway.members._table_feed import TableFeed
 from coursekeel.observe import log_event
 from coursekeel.reactor import Reactor
 from coursekeel.runtime import Clock, spawn
--- a/src/coursekeel/gateway/_begin_watch.py
+++ b/src/coursekeel/gateway/streams/_begin_watch.py
@@ -13,7 +13,7 @@
 from attrs import define
 
 from coursekeel.gateway._adapters import EndpointReport
-from coursekeel.gateway._load_reports import LoadReports
+from coursekeel.gateway.endpoints._load_reports import LoadReports
 from coursekeel.reactor import Reactor
 from coursekeel.runtime import Clock
 from coursekeel.units import MS_PER_SECOND
--- a/src/coursekeel/gateway/_placement.py
+++ b/src/coursekeel/gateway/streams/_placement.py
@@ -16,9 +16,9 @@
 from coursekeel.answers import OpenAttempt, SeekEndpoint, Way
 from coursekeel.forwarding import EndpointRecord, RouteKind
 from coursekeel.gateway._context import GatewayContext
-from coursekeel.gateway._load_reports import LoadReports
-from coursekeel.gateway._queue_deadline import queue_deadline_ms
 from coursekeel.gateway._request import AdmittedRequest
+from coursekeel.gateway.admission._queue_deadline import queue_deadline_ms
+from coursekeel.gateway.endpoints._load_reports import LoadReports
 from coursekeel.routing import Decision, PlacementRequest
 
 __all__ = ["StreamPlacement"]
--- a/src/coursekeel/gateway/_stream_attempt.py
+++ b/src/coursekeel/gateway/streams/_stream_attempt.py
@@ -34,11 +34,11 @@
     HeadVerdict,
     OutboundRequest,
 )
-from coursekeel.gateway._begin_watch import BeginWatch
 from coursekeel.gateway._context import GatewayContext
-from coursekeel.gateway._load_reports import LoadReports
 from coursekeel.gateway._request import AdmittedRequest
-from coursekeel.gateway._successors import Successors
+from coursekeel.gateway.endpoints._load_reports import LoadReports
+from coursekeel.gateway.streams._begin_watch import BeginWatch
+from coursekeel.gateway.streams._successors import Successors
 
 __all__ = ["AttemptOwner", "StreamAttempt"]
 
--- a/src/coursekeel/gateway/_stream_reply.py
+++ b/src/coursekeel/gateway/streams/_stream_reply.py
@@ -11,8 +11,8 @@
 from coursekeel.fetch import ExchangeHead
 from coursekeel.gateway._caller_reply import CallerReply
 from coursekeel.gateway._context import GatewayContext
-from coursekeel.gateway._refusals import GatewayRefusal
 from coursekeel.gateway._request import AdmittedRequest
+from coursekeel.gateway.admission._refusals import GatewayRefusal
 
 __all__ = ["StreamReply"]
 
--- a/src/coursekeel/gateway/_stream_task.py
+++ b/src/coursekeel/gateway/streams/_stream_task.py
@@ -40,20 +40,20 @@
 from coursekeel.gateway._adapters import OutboundRequest
 from coursekeel.gateway._caller_reply import CallerReply
 from coursekeel.gateway._context import GatewayContext
-from coursekeel.gateway._load_reports import LoadReports
-from coursekeel.gateway._placement import StreamPlacement
-from coursekeel.gateway._refusals import (
+from coursekeel.gateway._request import AdmittedRequest
+from coursekeel.gateway._retry_budgets import SendAccount
+from coursekeel.gateway.admission._refusals import (
     ELSEWHERE_RETRY_MS,
     STREAM_RETRY_MS,
     refusal_after_loss,
     refusal_retry_ms,
     refusal_without_endpoint,
 )
-from coursekeel.gateway._request import AdmittedRequest
-from coursekeel.gateway._retry_budgets import SendAccount
-from coursekeel.gateway._stream_attempt import AttemptOwner, StreamAttempt
-from coursekeel.gateway._stream_reply import StreamReply
-from coursekeel.gateway._successors import Successors
+from coursekeel.gateway.endpoints._load_reports import LoadReports
+from coursekeel.gateway.streams._placement import StreamPlacement
+from coursekeel.gateway.streams._stream_attempt import AttemptOwner, StreamAttempt
+from coursekeel.gateway.streams._stream_reply import StreamReply
+from coursekeel.gateway.streams._successors import Successors
 from coursekeel.routing import Decision, Grant
 from coursekeel.runtime import AnswerDriver, AnswerShell
 
--- a/src/coursekeel/gateway/_successors.py
+++ b/src/coursekeel/gateway/streams/_successors.py
@@ -20,7 +20,7 @@
 from coursekeel.forwarding import EndpointRecord
 from coursekeel.gateway._adapters import EndpointReport
 from coursekeel.gateway._context import GatewayContext
-from coursekeel.gateway._load_reports import LoadReports
+from coursekeel.gateway.endpoints._load_reports import LoadReports
 
 __all__ = ["Successors"]
 
--- /dev/null
+++ b/src/coursekeel/gateway/whole/__init__.py
@@ -0,0 +1,3 @@
+"""Answers that are whole bodies: their tries, one after the other."""
+
+__all__: list[str] = []
--- a/src/coursekeel/gateway/_whole_task.py
+++ b/src/coursekeel/gateway/whole/_whole_task.py
@@ -29,16 +29,16 @@
 from coursekeel.gateway._adapters import OutboundRequest
 from coursekeel.gateway._caller_reply import CallerReply
 from coursekeel.gateway._context import GatewayContext
-from coursekeel.gateway._queue_deadline import queue_deadline_ms
-from coursekeel.gateway._refusals import (
+from coursekeel.gateway._request import AdmittedRequest
+from coursekeel.gateway._retry_budgets import SendAccount
+from coursekeel.gateway.admission._queue_deadline import queue_deadline_ms
+from coursekeel.gateway.admission._refusals import (
     WHOLE_RETRY_MS,
     GatewayRefusal,
     refusal_after_loss,
     refusal_retry_ms,
 )
-from coursekeel.gateway._request import AdmittedRequest
-from coursekeel.gateway._retry_budgets import SendAccount
-from coursekeel.gateway._whole_try import TryOwner, WholeTry
+from coursekeel.gateway.whole._whole_try import TryOwner, WholeTry
 from coursekeel.routing import Decision, Grant, PlacementRequest
 
 __all__ = ["WholeAnswerTask"]
--- a/tests/common/group_world.py
+++ b/tests/common/group_world.py
@@ -26,22 +26,22 @@
     Table,
     Versioned,
 )
-from coursekeel.gateway._follow_task import FollowedTable, FollowTask
-from coursekeel.gateway._known_site import KnownSite
 from coursekeel.gateway._live_settings import LiveSettings
-from coursekeel.gateway._reading_codec import (
+from coursekeel.gateway.members._reading_codec import (
     RelayedReading,
     decode_reading,
     encode_reading,
 )
-from coursekeel.gateway._shared_source import (
+from coursekeel.gateway.members._shared_source import (
     MemberFailed,
     MemberReader,
     NothingNewer,
     SharedSource,
     SharingTerms,
 )
-from coursekeel.gateway._table_feed import TableFeed
+from coursekeel.gateway.members._table_feed import TableFeed
+from coursekeel.gateway.site._follow_task import FollowedTable, FollowTask
+from coursekeel.gateway.site._known_site import KnownSite
 from coursekeel.settings import GatewayListen, GatewaySettings
 
 SETTINGS = GatewaySettings("g", "z", GatewayListen("h:1"), "s:1")
--- a/tests/cover/test_follow_task.py
+++ b/tests/cover/test_follow_task.py
@@ -9,8 +9,8 @@
 
 from coursekeel.forwarding import Freshness, StoreClock
 from coursekeel.gateway._adapters import Reading, Source, SourceFailed, Table
-from coursekeel.gateway._follow_task import FollowedTable, FollowTask
-from coursekeel.gateway._table_feed import TableFeed
+from coursekeel.gateway.members._table_feed import TableFeed
+from coursekeel.gateway.site._follow_task import FollowedTable, FollowTask
 
 
 @define(eq=False)
--- a/tests/cover/test_freshness_machine.py
+++ b/tests/cover/test_freshness_machine.py
@@ -16,8 +16,8 @@
     proven_moment_ms,
 )
 from coursekeel.gateway._adapters import Reading, Removed, Versioned
-from coursekeel.gateway._known_site import KnownSite
 from coursekeel.gateway._live_settings import LiveSettings
+from coursekeel.gateway.site._known_site import KnownSite
 from coursekeel.settings import GatewayListen, GatewaySettings
 
 NAMES = ("a", "b", "c")
--- a/tests/cover/test_group_view.py
+++ b/tests/cover/test_group_view.py
@@ -8,8 +8,8 @@
 
 from coursekeel.forwarding import Freshness
 from coursekeel.gateway._adapters import Table
-from coursekeel.gateway._group import Group
 from coursekeel.gateway._live_settings import LiveSettings
+from coursekeel.gateway.members._group import Group
 from coursekeel.group import MemberState, MessageKind, News, ProofHint, SwimMessage
 from coursekeel.settings import GatewayListen, GatewaySettings
 
--- a/tests/cover/test_refusals.py
+++ b/tests/cover/test_refusals.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from coursekeel.gateway._refusals import NOT_YET_RETRY_MS, refusal_retry_ms
+from coursekeel.gateway.admission._refusals import NOT_YET_RETRY_MS, refusal_retry_ms
 
 
 @pytest.mark.parametrize("code", ["no_configuration", "no_endpoint"])
--- a/tests/cover/test_shared_source.py
+++ b/tests/cover/test_shared_source.py
@@ -10,7 +10,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from coursekeel.gateway._adapters import Removed, UnreadableEntry, Versioned
-from coursekeel.gateway._reading_codec import (
+from coursekeel.gateway.members._reading_codec import (
     RelayedReading,
     UnreadableReading,
     decode_reading,
--- a/tests/cover/test_stop_window.py
+++ b/tests/cover/test_stop_window.py
@@ -10,9 +10,9 @@
     RouteKind,
     RouteTable,
 )
-from coursekeel.gateway._admission import Admission, Arrival, admit
-from coursekeel.gateway._stop_window import StopWindow
-from coursekeel.gateway._stream_lengths import StreamLengths
+from coursekeel.gateway.admission._admission import Admission, Arrival, admit
+from coursekeel.gateway.admission._stop_window import StopWindow
+from coursekeel.gateway.admission._stream_lengths import StreamLengths
 
 WINDOW = StopWindow(begun_ms=1_000.0, settled_ms=3_600.0, last_ms=8_500.0)
 CALL = Route(
--- a/tests/cover/test_stream_placement.py
+++ b/tests/cover/test_stream_placement.py
@@ -18,15 +18,15 @@
 )
 from coursekeel.gateway._adapters import CallerHeaders, HeadVerdict, OutboundRequest
 from coursekeel.gateway._context import GatewayContext
-from coursekeel.gateway._endpoint_client import EndpointClient
-from coursekeel.gateway._endpoint_health import EndpointHealth
-from coursekeel.gateway._known_site import KnownSite
 from coursekeel.gateway._live_settings import LiveSettings
 from coursekeel.gateway._request import AdmittedRequest
 from coursekeel.gateway._retry_budgets import RetryBudgets
-from coursekeel.gateway._stream_task import StreamTask
-from coursekeel.gateway._successors import Successors
-from coursekeel.gateway._whole_task import WholeAnswerTask
+from coursekeel.gateway.endpoints._endpoint_client import EndpointClient
+from coursekeel.gateway.endpoints._endpoint_health import EndpointHealth
+from coursekeel.gateway.site._known_site import KnownSite
+from coursekeel.gateway.streams._stream_task import StreamTask
+from coursekeel.gateway.streams._successors import Successors
+from coursekeel.gateway.whole._whole_task import WholeAnswerTask
 from coursekeel.routing import Router
 from coursekeel.runtime import RoutingTask
 from coursekeel.settings import GatewayListen, GatewaySettings, RetryShare
--- a/tests/platform/test_malformed_input.py
+++ b/tests/platform/test_malformed_input.py
@@ -22,9 +22,9 @@
     SourceFailed,
     Table,
 )
-from coursekeel.gateway._follow_task import FollowedTable, FollowTask
-from coursekeel.gateway._known_site import KnownSite
 from coursekeel.gateway._live_settings import LiveSettings
+from coursekeel.gateway.site._follow_task import FollowedTable, FollowTask
+from coursekeel.gateway.site._known_site import KnownSite
 from coursekeel.settings import GatewayListen, GatewaySettings
 from tests.platform.site import ROOT, configuration
 
@@ -225,7 +225,8 @@
 def test_a_broken_invariant_in_taking_a_reading_is_not_passed_over(monkeypatch):
     spawned: list[Any] = []
     monkeypatch.setattr(
-        "coursekeel.gateway._follow_task.spawn", lambda work, *_: spawned.append(work)
+        "coursekeel.gateway.site._follow_task.spawn",
+        lambda work, *_: spawned.append(work),
     )
     followed = Followed(Table.ENDPOINTS)
     followed.take.side_effect = InvariantBroken("so")
