--- a/src/coursekeel/gateway/site/_known_site.py
+++ b/src/coursekeel/gateway/site/_known_site.py
@@ -99,12 +99,11 @@
         Asked again before every send: a process that was frozen since admission would
         act on keys that may long have been taken away. A request whose answer has
         ``begun`` was asked for while its key was surely valid, and the bound on keys
-        counts from then: it goes on until its key is known to be gone, however old that
-        knowledge is. Otherwise an outage of the store cuts what endpoints lose in it.
+        counts from then: it goes on, as it would have if its endpoint hadn't failed.
         """
-        if call.route.anonymous or call.team is None:
+        if call.route.anonymous or call.team is None or begun:
             return True
-        if not begun and self.routes_age_ms > self.max_key_age_ms:
+        if self.routes_age_ms > self.max_key_age_ms:
             return False
         assert self.routes is not None
         return self.routes.team(call.caller.key) is not None
--- a/tests/cover/test_successors.py
+++ b/tests/cover/test_successors.py
@@ -15,7 +15,7 @@
     RouteTable,
 )
 from coursekeel.gateway._adapters import EndpointReport, HeadVerdict
-from tests.cover.test_stream_placement import POOL, Site
+from tests.cover.test_stream_placement import POOL, Site, begin
 
 OLD = EndpointRecord("old", POOL, "127.0.0.1", 9, "zone-1", 8)
 
@@ -87,14 +87,16 @@
             on_report(report)
 
         self.reports.ask_record = ask_record
-        self.client.dialect.judge = Mock(return_value=HeadVerdict.OTHER_INSTANCE)
         self.client.dialect.incarnation_named = Mock(return_value="x9")
 
     def lose_the_run(self) -> None:
         self.start(copies=True)
+        begin(self, self.client.sinks[0])
+        self.client.dialect.judge = Mock(return_value=HeadVerdict.OTHER_INSTANCE)
         self.client.sinks[0].ended(Ending.CUT, "reset")
 
     def answer_for_another(self, send: int) -> None:
+        self.client.dialect.judge = Mock(return_value=HeadVerdict.OTHER_INSTANCE)
         self.client.sinks[send].head_arrived(ExchangeHead(421, []))
         self.client.sinks[send].ended(Ending.WHOLE, "")
 
