--- a/src/coursekeel/gateway/members/_group.py
+++ b/src/coursekeel/gateway/members/_group.py
@@ -14,12 +14,9 @@
 from coursekeel.gateway._adapters import Source, Table
 from coursekeel.gateway._live_settings import LiveSettings
 from coursekeel.gateway.members._group_task import GroupTask
+from coursekeel.gateway.members._member_reader import MemberReader
 from coursekeel.gateway.members._peer_server import PeerServer
-from coursekeel.gateway.members._shared_source import (
-    MemberReader,
-    SharedSource,
-    SharingTerms,
-)
+from coursekeel.gateway.members._shared_source import SharedSource, SharingTerms
 from coursekeel.gateway.members._table_feed import TableFeed
 from coursekeel.group import Swim
 from coursekeel.reactor import Reactor
--- a/src/coursekeel/gateway/members/_shared_source.py
+++ b/src/coursekeel/gateway/members/_shared_source.py
@@ -16,14 +16,11 @@
 
 import math
 from collections.abc import Callable, Mapping
-from http import HTTPStatus
 from random import Random
-from urllib.parse import quote
 
 import xxhash
 from attrs import define, field, frozen
 
-from coursekeel.fetch import Fetcher, HttpReply
 from coursekeel.forwarding import Freshness
 from coursekeel.gateway._adapters import (
     HistoryGone,
@@ -32,23 +29,17 @@
     SourceFailed,
     Table,
 )
-from coursekeel.gateway.members._peer_server import TABLES_PATH
-from coursekeel.gateway.members._reading_codec import (
-    RelayedReading,
-    UnreadableReading,
-    decode_reading,
+from coursekeel.gateway.members._member_reader import (
+    MemberFailed,
+    MemberReader,
+    NothingNewer,
 )
+from coursekeel.gateway.members._reading_codec import RelayedReading
 from coursekeel.group import Swim
 from coursekeel.observe import log_event
 from coursekeel.runtime import Clock
 
-__all__ = [
-    "MemberFailed",
-    "MemberReader",
-    "NothingNewer",
-    "SharedSource",
-    "SharingTerms",
-]
+__all__ = ["SharedSource", "SharingTerms"]
 
 # A member that gave no answer, or none that helps, is left alone for so long. Chosen,
 # not measured: a member that is gone is known to be after some seconds.
@@ -92,51 +83,6 @@
     peace_ms: Mapping[Table, float]
 
 
-@frozen
-class NothingNewer:
-    """A member knows no more than this instance does."""
-
-
-@frozen
-class MemberFailed:
-    """A member gave no answer that can be used; ``reason`` is for the log."""
-
-    reason: str
-
-
-@define(eq=False)
-class MemberReader:
-    """Asks one member for a table."""
-
-    fetcher: Fetcher
-    group: str
-
-    async def ask(
-        self,
-        address: str,
-        table: Table,
-        since: int | None,
-        wait_ms: float,
-        timeout_ms: float,
-    ) -> RelayedReading | NothingNewer | MemberFailed:
-        """Ask once."""
-        query = f"group={quote(self.group, safe='')}&wait_ms={int(wait_ms)}"
-        if since is not None:
-            query += f"&since={since}"
-        url = f"http://{address}{TABLES_PATH}{table.value}?{query}"
-        outcome = await self.fetcher.ask("GET", url, timeout_ms)
-        if not isinstance(outcome, HttpReply):
-            return MemberFailed(outcome.reason)
-        if outcome.status == HTTPStatus.NOT_FOUND:
-            return NothingNewer()
-        if outcome.status != HTTPStatus.OK:
-            return MemberFailed(f"status {outcome.status}")
-        reading = decode_reading(outcome.body)
-        if isinstance(reading, UnreadableReading):
-            return MemberFailed(f"unreadable answer: {reading.fault}")
-        return reading
-
-
 @define
 class _Asked:
     """What came of the questions after one table; moments are this process's own.
--- a/tests/common/group_world.py
+++ b/tests/common/group_world.py
@@ -27,18 +27,17 @@
     Versioned,
 )
 from coursekeel.gateway._live_settings import LiveSettings
+from coursekeel.gateway.members._member_reader import (
+    MemberFailed,
+    MemberReader,
+    NothingNewer,
+)
 from coursekeel.gateway.members._reading_codec import (
     RelayedReading,
     decode_reading,
     encode_reading,
 )
-from coursekeel.gateway.members._shared_source import (
-    MemberFailed,
-    MemberReader,
-    NothingNewer,
-    SharedSource,
-    SharingTerms,
-)
+from coursekeel.gateway.members._shared_source import SharedSource, SharingTerms
 from coursekeel.gateway.members._table_feed import TableFeed
 from coursekeel.gateway.site._follow_task import FollowedTable, FollowTask
 from coursekeel.gateway.site._known_site import KnownSite
