--- a/src/coursekeel/gateway/streams/_placement.py
+++ b/src/coursekeel/gateway/streams/_placement.py
@@ -26,9 +26,9 @@
 # How many endpoints are asked for their load before a stream is placed: the prompt's
 # own, one of another zone, one by lot. Questions cost 0.003 of a quiet day's worth, and
 # find dead endpoints before 8,000 tokens are sent there (docs/design/platform.md). One
-# in place of three lets one stream in five of 195 instances wait for another's prompt; 5
-# and 8 shorten streams by 1 and 2 in 100, but then instances with the same old reports
-# meet at the emptiest, and one in twenty waits (`test_fleet_load.py`'s fleet, 40 s).
+# in place of three lets one stream in five of 195 instances wait for another's prompt;
+# 5 and 8 shorten streams by 1 and 2 in 100, but then instances with the same old
+# reports meet at the emptiest, and one in twenty waits (`test_fleet_load.py`, 40 s).
 _ASKED = 3
 
 # How many are asked whether they keep the prompt of a stream that comes back: all of a
