--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
 
-.PHONY: demo test check bench binary generate lock
+.PHONY: demo test check bench soak binary generate lock
 
 $(READY): requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -25,6 +25,9 @@
 bench: $(READY)
 	$(BIN)/python -m bench
 
+soak: $(READY)
+	$(BIN)/python -m soak run --seeds 2
+
 binary: $(READY)
 	$(BIN)/python -m tools.binary
 
--- /dev/null
+++ b/soak/_checks.py
@@ -0,0 +1,201 @@
+"""The promises, each checked against what was seen from outside.
+
+Each check names the line of docs/PROMISES.md that it holds, and gives a `Violation` for
+each thing that breaks it. Pure functions: no sockets, no clock.
+"""
+
+from collections import defaultdict
+from collections.abc import Callable, Iterator
+
+from attrs import frozen
+
+from soak._records import CallKind, CallRecord, Evidence
+
+__all__ = ["CHECKS", "Bounds", "Violation", "check"]
+
+_REFUSALS = (408, 421, 429, 503)
+_OK = 200
+
+
+@frozen
+class Bounds:
+    """Times that the group was told to keep, and sizes that it must not pass."""
+
+    revoke_s: float
+    drain_s: float
+    whole_again_s: float
+    retry_ratio: float
+    retry_slack: float
+    retry_window_s: float
+    memory_mb: float = 160.0
+    descriptors: int = 600
+    log_lines_s: float = 400.0
+
+
+@frozen
+class Violation:
+    """A promise that was broken, and by what."""
+
+    promise: str
+    what: str
+
+
+def check(evidence: Evidence, bounds: Bounds) -> list[Violation]:
+    """All that breaks a promise."""
+    return [
+        Violation(promise, what)
+        for promise, checks in CHECKS.items()
+        for each in checks
+        for what in each(evidence, bounds)
+    ]
+
+
+def _every_event_once_and_in_order(seen: Evidence, _: Bounds) -> Iterator[str]:
+    for call in _streams(seen):
+        first = call.resumed_from + 1
+        expected = list(range(first, first + len(call.events)))
+        if call.events != expected:
+            yield f"{call.request_id}: got events {call.events[:40]}, from {first}"
+        if (
+            call.status == _OK
+            and call.whole
+            and (not call.events or call.events[-1] != call.wanted)
+        ):
+            last = call.events[-1] if call.events else None
+            yield f"{call.request_id}: looked whole at {last}, expected {call.wanted}"
+
+
+def _whole_answers_are_their_makers(seen: Evidence, _: Bounds) -> Iterator[str]:
+    makers = _servers_of(seen)
+    for call in seen.calls:
+        if call.kind is CallKind.STREAM or call.status != _OK:
+            continue
+        maker = call.signed_by.removeprefix("sig-")
+        expected = f"{maker} {call.request_id}".encode()
+        if maker not in makers[call.request_id] or call.body != expected:
+            yield f"{call.request_id}: got {call.body[:60]!r} signed {call.signed_by!r}"
+
+
+def _what_may_run_once_runs_once(seen: Evidence, _: Bounds) -> Iterator[str]:
+    once = {each.request_id for each in seen.calls if each.kind is CallKind.ONCE}
+    times: dict[str, int] = defaultdict(int)
+    for run in seen.runs:
+        times[run.request_id] += run.request_id in once
+    for request_id, count in times.items():
+        if count > 1:
+            yield f"{request_id}: ran {count} times"
+
+
+def _not_run_is_true(seen: Evidence, _: Bounds) -> Iterator[str]:
+    ran = {each.request_id for each in seen.runs}
+    for call in seen.calls:
+        refused = call.status in _REFUSALS and call.kind is CallKind.ONCE
+        if refused and call.request_id in ran:
+            yield f"{call.request_id}: answered {call.status}, and ran"
+
+
+def _no_key_past_its_bound(seen: Evidence, bounds: Bounds) -> Iterator[str]:
+    ran = {each.request_id for each in seen.runs}
+    for revoked in seen.revoked:
+        for call in seen.calls:
+            late = call.sent_s > revoked.at_s + bounds.revoke_s
+            if call.key == revoked.key and late and call.request_id in ran:
+                after_s = call.sent_s - revoked.at_s
+                yield f"{call.request_id}: sent {after_s:.2f} s after"
+
+
+def _nothing_new_to_who_leaves(seen: Evidence, bounds: Bounds) -> Iterator[str]:
+    for left in seen.left:
+        for run in seen.runs:
+            if run.server == left.server and run.at_s > left.at_s + bounds.drain_s:
+                after_s = run.at_s - left.at_s
+                yield f"{run.request_id}: {run.server} {after_s:.2f} s after"
+
+
+def _repeats_within_the_bound(seen: Evidence, bounds: Bounds) -> Iterator[str]:
+    for pool in (True, False):
+        names = {
+            each.request_id
+            for each in seen.calls
+            if (each.kind is CallKind.STREAM) is pool
+        }
+        yield from _windows(seen, names, bounds)
+
+
+def _windows(seen: Evidence, names: set[str], bounds: Bounds) -> Iterator[str]:
+    runs = sorted(
+        (each for each in seen.runs if each.request_id in names), key=lambda r: r.at_s
+    )
+    known: set[str] = set()
+    repeats: list[float] = []
+    for run in runs:
+        if run.request_id in known:
+            repeats.append(run.at_s)
+        known.add(run.request_id)
+    sent = sorted(each.sent_s for each in seen.calls if each.request_id in names)
+    window_s = bounds.retry_window_s
+    for end_s in repeats:
+        inside = sum(end_s - window_s < each <= end_s for each in repeats)
+        own = sum(end_s - window_s < each <= end_s for each in sent)
+        before = sum(end_s - 2 * window_s < each <= end_s - window_s for each in sent)
+        if inside > bounds.retry_ratio * max(own, before) + bounds.retry_slack:
+            yield f"{inside} repeats within {window_s} s of {own} requests"
+
+
+def _no_key_is_shown(seen: Evidence, _: Bounds) -> Iterator[str]:
+    for run in seen.runs:
+        if run.key_shown:
+            yield f"{run.request_id}: {run.server} saw its key"
+
+
+def _whole_again_in_time(seen: Evidence, bounds: Bounds) -> Iterator[str]:
+    for number, took_s in enumerate(seen.whole_again_s):
+        if took_s is None or took_s > bounds.whole_again_s:
+            yield f"gateway {number}: {took_s} s, expected {bounds.whole_again_s}"
+
+
+def _sizes_are_bounded(seen: Evidence, bounds: Bounds) -> Iterator[str]:
+    for name, got, most in (
+        ("memory_mb", seen.memory_mb, bounds.memory_mb),
+        ("descriptors", seen.descriptors, bounds.descriptors),
+        ("log_lines_s", seen.log_lines_s, bounds.log_lines_s),
+    ):
+        if got > most:
+            yield f"{name}: got {got:.0f}, expected at most {most:.0f}"
+
+
+def _no_invariant_breaks(seen: Evidence, _: Bounds) -> Iterator[str]:
+    yield from seen.broken_invariants
+
+
+_Check = Callable[[Evidence, Bounds], Iterator[str]]
+
+# By the promise's line in docs/PROMISES.md.
+CHECKS: dict[str, tuple[_Check, ...]] = {
+    "events once, in order, from one run": (_every_event_once_and_in_order,),
+    "no answer of another request, none that looks whole and isn't": (
+        _whole_answers_are_their_makers,
+    ),
+    'at most once, and "not run" only if true': (
+        _what_may_run_once_runs_once,
+        _not_run_is_true,
+    ),
+    "keys end in time on every instance": (_no_key_past_its_bound,),
+    "a leaving server gets nothing new": (_nothing_new_to_who_leaves,),
+    "repeats within a shared budget": (_repeats_within_the_bound,),
+    "a server gets the request as it came": (_no_key_is_shown,),
+    "back after all instances died": (_whole_again_in_time,),
+    "memory, descriptors and logs are bounded": (_sizes_are_bounded,),
+    "only broken invariants stop a task, and none breaks": (_no_invariant_breaks,),
+}
+
+
+def _streams(seen: Evidence) -> Iterator[CallRecord]:
+    return (each for each in seen.calls if each.kind is CallKind.STREAM)
+
+
+def _servers_of(seen: Evidence) -> dict[str, set[str]]:
+    makers: dict[str, set[str]] = defaultdict(set)
+    for run in seen.runs:
+        makers[run.request_id].add(run.server)
+    return makers
--- /dev/null
+++ b/soak/_records.py
@@ -0,0 +1,93 @@
+"""What was seen from outside: by callers at the gateways, and at the servers."""
+
+from enum import Enum
+
+from attrs import define, field, frozen
+
+__all__ = [
+    "CallKind",
+    "CallRecord",
+    "Evidence",
+    "KeyRevoked",
+    "ServerLeft",
+    "ServerRun",
+]
+
+
+class CallKind(Enum):
+    """What a caller asked for: the names of the stand-in's routes."""
+
+    STREAM = "stream"
+    ONCE = "once"
+    AGAIN = "again"
+
+
+@define
+class CallRecord:
+    """One attempt of a caller; moments are of the steady clock, in s.
+
+    ``status`` 0 means that the connection broke before an answer. ``events`` are the
+    numbers of a stream's events as they came, ``whole`` says whether the answer looked
+    complete, and ``wanted`` is the number of a stream's last event.
+    """
+
+    kind: CallKind
+    request_id: str
+    gateway: int
+    key: str
+    sent_s: float
+    ended_s: float = 0.0
+    status: int = 0
+    whole: bool = False
+    signed_by: str = ""
+    body: bytes = b""
+    retry_after_s: float | None = None
+    resumed_from: int = 0
+    wanted: int = 0
+    events: list[int] = field(factory=list)
+
+
+@frozen
+class ServerRun:
+    """A request that a server began to work on."""
+
+    server: str
+    request_id: str
+    at_s: float
+    key_shown: bool
+
+
+@frozen
+class KeyRevoked:
+    """The store took the configuration without the key at that moment."""
+
+    key: str
+    at_s: float
+
+
+@frozen
+class ServerLeft:
+    """The store took the word that a server leaves at that moment."""
+
+    server: str
+    at_s: float
+
+
+@define
+class Evidence:
+    """Everything a soak has seen.
+
+    ``whole_again_s`` is how long after the last fault each gateway answered with
+    success, None if one didn't. ``memory_mb`` and ``descriptors`` are the most of any
+    gateway, ``log_lines_s`` the most lines a second of any log.
+    """
+
+    calls: list[CallRecord] = field(factory=list)
+    runs: list[ServerRun] = field(factory=list)
+    revoked: list[KeyRevoked] = field(factory=list)
+    left: list[ServerLeft] = field(factory=list)
+    whole_again_s: list[float | None] = field(factory=list)
+    memory_mb: float = 0.0
+    descriptors: int = 0
+    log_lines_s: float = 0.0
+    broken_invariants: list[str] = field(factory=list)
--- /dev/null
+++ b/soak/_schedule.py
@@ -0,0 +1,162 @@
+"""A schedule of faults: drawn from a seed, printed, read again and shortened.
+
+Owns nothing. The same seed and sizes give the same schedule; a schedule in a file plays
+without its seed, so that it can be shortened by hand or by `soak shrink`.
+"""
+
+from enum import Enum
+from pathlib import Path
+from random import Random
+
+import attrs
+import orjson
+from attrs import field, frozen
+
+__all__ = ["Fault", "FaultKind", "Schedule", "draw", "read_schedule", "write_schedule"]
+
+# Faults begin this late, so that callers are at work, and the last ones end this long
+# before the callers stop, so that recovery can be seen. Chosen: a group of three knows
+# each other within 2 s, and the checks give it 8 s to be whole again.
+_FIRST_S = 2.0
+_LAST_S = 8.0
+# One fault begins about so often; each lasts so long, so that some overlap.
+_EVERY_S = 1.2
+_LENGTHS_S = (0.3, 1.0, 2.5, 4.0)
+
+
+class FaultKind(Enum):
+    """What is done, to whom."""
+
+    GATEWAY_KILLED = "gateway_killed"
+    GATEWAY_PAUSED = "gateway_paused"
+    GATEWAY_STOPPED = "gateway_stopped"
+    SETTINGS_CHANGED = "settings_changed"
+    ENGINE_DARK = "engine_dark"
+    ENGINE_RESETS = "engine_resets"
+    ENGINE_SHEDS = "engine_sheds"
+    ENGINE_CUTS = "engine_cuts"
+    ENGINE_REPLACED = "engine_replaced"
+    ENGINE_LEAVES = "engine_leaves"
+    SERVICE_FAILS = "service_fails"
+    SERVICE_TEARS = "service_tears"
+    SERVICE_RESETS = "service_resets"
+    STORE_SILENT = "store_silent"
+    STORE_REFUSES = "store_refuses"
+    STORE_RESETS = "store_resets"
+    STORE_FORGETS = "store_forgets"
+    CONFIGURATION_CHANGED = "configuration_changed"
+    KEY_REVOKED = "key_revoked"
+
+
+_OF_GATEWAYS = frozenset(
+    {
+        FaultKind.GATEWAY_KILLED,
+        FaultKind.GATEWAY_PAUSED,
+        FaultKind.GATEWAY_STOPPED,
+        FaultKind.SETTINGS_CHANGED,
+    }
+)
+_OF_SERVICES = frozenset(
+    {FaultKind.SERVICE_FAILS, FaultKind.SERVICE_TEARS, FaultKind.SERVICE_RESETS}
+)
+# What happens at most once: the key that is taken away doesn't come back.
+_ONCE = frozenset({FaultKind.KEY_REVOKED})
+
+
+@frozen
+class Fault:
+    """One fault; ``target`` numbers the gateway or server, from 0."""
+
+    kind: FaultKind
+    at_s: float = field(metadata={"least": 0})
+    for_s: float = field(metadata={"least": 0})
+    target: int = 0
+
+    @property
+    def end_s(self) -> float:
+        """When it is over."""
+        return self.at_s + self.for_s
+
+
+@frozen
+class Schedule:
+    """Faults in order of their beginning, and how long callers are at work."""
+
+    seconds: float
+    gateways: int
+    seed: int
+    faults: tuple[Fault, ...]
+
+    def without(self, index: int) -> "Schedule":
+        """The same with one fault less."""
+        faults = self.faults[:index] + self.faults[index + 1 :]
+        return attrs.evolve(self, faults=faults)
+
+    def lines(self) -> list[str]:
+        """For people."""
+        return [
+            f"{each.at_s:6.1f} to {each.end_s:6.1f} s  {each.kind.value} {each.target}"
+            for each in self.faults
+        ]
+
+
+def draw(
+    seed: int, seconds: float, gateways: int, engines: int, services: int
+) -> Schedule:
+    """Draw a schedule; kinds come in an order by lot, all before any comes twice."""
+    random = Random(seed)
+    faults: list[Fault] = []
+    kinds: list[FaultKind] = []
+    used: set[FaultKind] = set()
+    at_s = _FIRST_S
+    while at_s < seconds - _LAST_S:
+        if not kinds:
+            kinds = [each for each in FaultKind if each not in _ONCE & used]
+            random.shuffle(kinds)
+        kind = kinds.pop()
+        used.add(kind)
+        for_s = min(random.choice(_LENGTHS_S), seconds - _LAST_S - at_s)
+        target = _target(kind, random, gateways, engines, services)
+        faults.append(Fault(kind, round(at_s, 2), round(for_s, 2), target))
+        at_s += _EVERY_S * (0.5 + random.random())
+    return Schedule(seconds, gateways, seed, tuple(faults))
+
+
+def _target(
+    kind: FaultKind, random: Random, gateways: int, engines: int, services: int
+) -> int:
+    if kind in _OF_GATEWAYS:
+        return random.randrange(gateways)
+    if kind in _OF_SERVICES:
+        return engines + random.randrange(services)
+    return random.randrange(engines)
+
+
+def write_schedule(schedule: Schedule, file: Path) -> None:
+    """Write it as JSON."""
+    plain = attrs.asdict(schedule, value_serializer=_plain)
+    file.write_bytes(orjson.dumps(plain, option=orjson.OPT_INDENT_2))
+
+
+def _plain(_owner: object, _field: object, value: object) -> object:
+    return value.value if isinstance(value, Enum) else value
+
+
+def read_schedule(file: Path) -> Schedule:
+    """Read one; raises `ValueError` that names the field."""
+    given = orjson.loads(file.read_bytes())
+    try:
+        faults = tuple(
+            Fault(
+                FaultKind(each["kind"]),
+                float(each["at_s"]),
+                float(each["for_s"]),
+                int(each.get("target", 0)),
+            )
+            for each in given["faults"]
+        )
+        return Schedule(
+            float(given["seconds"]), int(given["gateways"]), int(given["seed"]), faults
+        )
+    except KeyError as missing:
+        raise ValueError(f"{file}: got no {missing}, expected it") from None
--- /dev/null
+++ b/soak/_world.py
@@ -0,0 +1,262 @@
+"""The processes of a soak, and the faults that are done to them.
+
+Owns every process that it started, and ends only those. Relies on the stand-in of the
+platform that the gateway's tests use (`tests/platform`).
+"""
+
+import signal
+import socket
+import time
+from pathlib import Path
+
+from attrs import define, field
+
+from soak._records import Evidence, KeyRevoked, ServerLeft, ServerRun
+from soak._schedule import Fault, FaultKind
+from standins.site import Http, wait_until
+from tests.platform.site import KEY, GatewaySite, configuration
+
+__all__ = ["ENGINES", "SERVICES", "SETTINGS", "SPARE_KEY", "World"]
+
+ENGINES = 3
+SERVICES = 3
+# The key that a schedule may take away.
+SPARE_KEY = "key-2"
+# What the gateways are told to keep; the checks hold them to the same.
+SETTINGS = {
+    "revoke_ms": 3_000.0,
+    "configuration_ms": 2_000.0,
+    "drain_ms": 2_000.0,
+    "grace_s": 6.0,
+}
+RETRIES = {"ratio": 0.8, "slack": 30.0, "window_s": 10.0}
+_START_S = 30.0
+_MANY = 10_000
+
+_STORE_FAULTS = {
+    FaultKind.STORE_SILENT: "silent",
+    FaultKind.STORE_REFUSES: "503",
+    FaultKind.STORE_RESETS: "reset",
+}
+_SERVER_FAULTS = {
+    FaultKind.ENGINE_DARK: {"dark": True},
+    FaultKind.ENGINE_RESETS: {"reset": _MANY},
+    FaultKind.ENGINE_SHEDS: {"shed": _MANY},
+    FaultKind.ENGINE_CUTS: {"cut_at": 12},
+    FaultKind.SERVICE_FAILS: {"fail": _MANY},
+    FaultKind.SERVICE_TEARS: {"torn": _MANY},
+    FaultKind.SERVICE_RESETS: {"reset": _MANY},
+}
+
+
+@define(eq=False)
+class World:
+    """Gateways of one zone, and what they stand before."""
+
+    folder: Path
+    gateways: int
+    evidence: Evidence = field(factory=Evidence)
+    ports: dict[int, int] = field(factory=dict)
+    site: GatewaySite = field(init=False)
+    _ready_ports: dict[int, list[int]] = field(factory=dict)
+    _processes: dict[int, object] = field(factory=dict)
+    _peer_port: int = 0
+    _keys: tuple[str, ...] = (KEY, SPARE_KEY)
+    _lives: int = 0
+    _names: dict[int, str] = field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        self.site = GatewaySite(self.folder)
+
+    def start(self) -> None:
+        """Start the stand-in, then all gateways at once, and wait until they serve."""
+        servers = ENGINES + SERVICES
+        standin = self.site._start(["-m", "tests.platform.standin", str(servers)], "w")
+        control, self.site.store_port, *self.site.server_ports = standin
+        self.site.control = Http(control)
+        self._configure()
+        for number in range(servers):
+            self.site.put_server(number)
+        self._peer_port = _free_port()
+        for number in range(self.gateways):
+            self._start_gateway(number)
+        for number in range(self.gateways):
+            wait_until(
+                lambda n=number: self._is_ready(n), f"gateway {number}", _START_S
+            )
+
+    def stop(self) -> None:
+        """End every process that was started here."""
+        self.site.stop()
+
+    def _configure(self) -> None:
+        self.site.version += 1
+        row = configuration(self.site.version, self._keys)
+        self.site.put([("op", "config", row)])
+
+    # Gateways.
+
+    def _address(self, number: int) -> str:
+        return f"127.0.0.{11 + number}:{self._peer_port}"
+
+    def _start_gateway(self, number: int) -> None:
+        self._lives += 1
+        ports = self.site.start_gateway(
+            f"g{number}-{self._lives}",
+            wait=False,
+            listen={"peers": self._address(number)},
+            seeds=[self._address(0), self._address(1)],
+            retries=RETRIES,
+            **SETTINGS,
+        )
+        self._processes[number] = self.site.processes[-1]
+        self._ready_ports[number] = ports
+        self.ports[number] = ports[0]
+
+    def _is_ready(self, number: int) -> bool:
+        try:
+            return self.site.ready(self._ready_ports[number])
+        except OSError:
+            return False
+
+    # Faults.
+
+    def begin(self, fault: Fault) -> None:
+        """Do it."""
+        kind, target = fault.kind, fault.target
+        if kind in _STORE_FAULTS:
+            self.site.store(fault=_STORE_FAULTS[kind])
+        elif kind in _SERVER_FAULTS:
+            self.site.faults(f"s{target}", **_SERVER_FAULTS[kind])
+        else:
+            getattr(self, f"_{kind.value}")(target)
+
+    def end(self, fault: Fault) -> None:
+        """Undo what lasts."""
+        kind, target = fault.kind, fault.target
+        if kind in _STORE_FAULTS:
+            self.site.store(fault="")
+        elif kind in _SERVER_FAULTS:
+            self.site.faults(f"s{target}")
+        elif kind in (FaultKind.GATEWAY_KILLED, FaultKind.GATEWAY_STOPPED):
+            self._start_again(target)
+        elif kind is FaultKind.GATEWAY_PAUSED:
+            self._send(target, signal.SIGCONT)
+        elif kind is FaultKind.ENGINE_LEAVES:
+            self.site.put_server(target)
+
+    def _send(self, number: int, what: signal.Signals) -> None:
+        process = self._processes[number]
+        if process.poll() is None:
+            process.send_signal(what)
+
+    def _gateway_killed(self, number: int) -> None:
+        self._send(number, signal.SIGKILL)
+
+    def _gateway_paused(self, number: int) -> None:
+        self._send(number, signal.SIGSTOP)
+
+    def _gateway_stopped(self, number: int) -> None:
+        self._send(number, signal.SIGTERM)
+
+    def _settings_changed(self, number: int) -> None:
+        self._send(number, signal.SIGHUP)
+
+    def _start_again(self, number: int) -> None:
+        process = self._processes[number]
+        try:
+            process.wait(SETTINGS["grace_s"] + 2)
+        except TimeoutError:
+            self.evidence.broken_invariants.append(
+                f"gateway {number} outlived its stop"
+            )
+            process.kill()
+        process.wait()
+        self._start_gateway(number)
+
+    def _engine_replaced(self, number: int) -> None:
+        self._lives += 1
+        identity = f"e{number}-{self._lives}"
+        self._names[number] = identity
+        self.site.rename(number, identity)
+
+    def _engine_leaves(self, number: int) -> None:
+        self.site.put_server(number, "draining")
+        name = self.site.identities.get(number, f"s{number}")
+        self.evidence.left.append(ServerLeft(name, time.monotonic()))
+
+    def _store_forgets(self, _: int) -> None:
+        self.site.store(compact=True)
+
+    def _configuration_changed(self, _: int) -> None:
+        self._configure()
+
+    def _key_revoked(self, _: int) -> None:
+        self._keys = (KEY,)
+        self._configure()
+        self.evidence.revoked.append(KeyRevoked(SPARE_KEY, time.monotonic()))
+
+    # What is seen.
+
+    def look(self, within_s: float) -> None:
+        """Note how long each gateway takes until it serves again, and its size."""
+        begun_s = time.monotonic()
+        for number in range(self.gateways):
+            self.evidence.whole_again_s.append(self._serves(number, begun_s, within_s))
+        for process in self.site.processes[1:]:
+            if process.poll() is None:
+                self._size_of(process.pid)
+        for log in self.folder.glob("g*.log"):
+            self._read_log(log)
+        for state in self.site.control.get("/servers").values():
+            for run in state["ran"]:
+                self._ran(run)
+
+    def _serves(self, number: int, begun_s: float, within_s: float) -> float | None:
+        port = self.ports[number]
+        while time.monotonic() < begun_s + within_s:
+            try:
+                answer = self.site.ask("/again/x", port=port)
+                if answer.status == 200 and self._is_ready(number):
+                    return time.monotonic() - begun_s
+            except OSError:
+                pass  # it doesn't listen yet; the time runs
+            time.sleep(0.05)
+        return None
+
+    def _size_of(self, pid: int) -> None:
+        status = Path(f"/proc/{pid}/status").read_text().splitlines()
+        (peak,) = (each for each in status if each.startswith("VmHWM"))
+        seen = self.evidence
+        seen.memory_mb = max(seen.memory_mb, int(peak.split()[1]) / 1024)
+        count = len(list(Path(f"/proc/{pid}/fd").iterdir()))
+        seen.descriptors = max(seen.descriptors, count)
+
+    def _read_log(self, log: Path) -> None:
+        lines = log.read_text().splitlines()
+        for word in ("unhandled_failure", "task_failed", "Traceback", "follow_failed"):
+            found = [each for each in lines if word in each]
+            self.evidence.broken_invariants += [f"{log.name}: {x}" for x in found[:3]]
+        by_second: dict[str, int] = {}
+        for line in lines:
+            second = line[:24]
+            by_second[second] = by_second.get(second, 0) + line.startswith("time=")
+        most = max(by_second.values(), default=0)
+        self.evidence.log_lines_s = max(self.evidence.log_lines_s, float(most))
+
+    def _ran(self, run: dict) -> None:
+        headers = run["headers"]
+        self.evidence.runs.append(
+            ServerRun(
+                run["by"],
+                headers["request-id"],
+                run["at_s"],
+                "authorization" in headers,
+            )
+        )
+
+
+def _free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.11", 0))
+        return int(probe.getsockname()[1])
--- /dev/null
+++ b/tests/cover/test_soak.py
@@ -0,0 +1,145 @@
+"""The soak's schedules repeat, and its checks find what they are there for."""
+
+from pathlib import Path
+
+import pytest
+
+from soak._checks import CHECKS, Bounds, check
+from soak._records import (
+    CallKind,
+    CallRecord,
+    Evidence,
+    KeyRevoked,
+    ServerLeft,
+    ServerRun,
+)
+from soak._schedule import FaultKind, draw, read_schedule, write_schedule
+
+PROMISES = Path(__file__).parents[2] / "docs" / "PROMISES.md"
+BOUNDS = Bounds(3.0, 2.0, 8.0, 0.8, 2.0, 10.0)
+
+
+def whole_answer(request_id: str, sent_s: float, key: str = "k") -> CallRecord:
+    body = f"s4 {request_id}".encode()
+    return CallRecord(
+        CallKind.ONCE, request_id, 0, key, sent_s, sent_s, 200, True, "sig-s4", body
+    )
+
+
+def sound() -> Evidence:
+    """A call and a stream, as they should be."""
+    stream = CallRecord(CallKind.STREAM, "r2", 0, "k", 2.0, 4.0, 200, True, "sig-s1")
+    stream.wanted = 5
+    stream.events = [1, 2, 3, 4, 5]
+    return Evidence(
+        [whole_answer("r1", 1.0), stream],
+        [ServerRun("s4", "r1", 1.0, False), ServerRun("s1", "r2", 2.0, False)],
+        whole_again_s=[0.5, 0.7],
+    )
+
+
+def lose_an_event(seen: Evidence) -> None:
+    del seen.calls[1].events[2]
+
+
+def end_early_and_look_whole(seen: Evidence) -> None:
+    seen.calls[1].events.pop()
+
+
+def cross_answers(seen: Evidence) -> None:
+    seen.calls[0].body = b"s4 r9"
+
+
+def run_twice(seen: Evidence) -> None:
+    seen.runs.append(ServerRun("s5", "r1", 1.2, False))
+
+
+def refuse_what_ran(seen: Evidence) -> None:
+    seen.calls[0].status = 503
+
+
+def take_an_old_key(seen: Evidence) -> None:
+    seen.revoked.append(KeyRevoked("k", -2.5))
+
+
+def send_to_who_left(seen: Evidence) -> None:
+    seen.left.append(ServerLeft("s1", -0.5))
+
+
+def repeat_too_often(seen: Evidence) -> None:
+    again = [ServerRun("s1", "r2", 2.0 + each / 10, False) for each in range(1, 5)]
+    seen.runs += again
+
+
+def show_a_key(seen: Evidence) -> None:
+    seen.runs.append(ServerRun("s1", "r3", 2.0, True))
+
+
+def stay_away(seen: Evidence) -> None:
+    seen.whole_again_s[1] = None
+
+
+def grow(seen: Evidence) -> None:
+    seen.memory_mb = 500.0
+
+
+def break_an_invariant(seen: Evidence) -> None:
+    seen.broken_invariants.append("g1.log: Traceback")
+
+
+BREAKS = {
+    lose_an_event: "events once, in order, from one run",
+    end_early_and_look_whole: "events once, in order, from one run",
+    cross_answers: "no answer of another request, none that looks whole and isn't",
+    run_twice: 'at most once, and "not run" only if true',
+    refuse_what_ran: 'at most once, and "not run" only if true',
+    take_an_old_key: "keys end in time on every instance",
+    send_to_who_left: "a leaving server gets nothing new",
+    repeat_too_often: "repeats within a shared budget",
+    show_a_key: "a server gets the request as it came",
+    stay_away: "back after all instances died",
+    grow: "memory, descriptors and logs are bounded",
+    break_an_invariant: "only broken invariants stop a task, and none breaks",
+}
+
+
+def test_what_is_sound_breaks_nothing():
+    assert check(sound(), BOUNDS) == []
+
+
+@pytest.mark.parametrize("spoil", BREAKS, ids=lambda each: each.__name__)
+def test_each_break_is_found_and_named(spoil):
+    seen = sound()
+    spoil(seen)
+    assert BREAKS[spoil] in {each.promise for each in check(seen, BOUNDS)}
+
+
+def test_each_promise_has_a_break_that_shows_it():
+    assert set(BREAKS.values()) == set(CHECKS)
+
+
+@pytest.mark.parametrize("promise", CHECKS)
+def test_each_check_is_a_line_of_the_page(promise):
+    assert promise in PROMISES.read_text()
+
+
+def test_a_seed_draws_the_same_schedule_again(tmp_path):
+    first = draw(5, 60.0, 3, 3, 3)
+    assert draw(5, 60.0, 3, 3, 3) == first
+    assert draw(6, 60.0, 3, 3, 3) != first
+    write_schedule(first, tmp_path / "s.json")
+    assert read_schedule(tmp_path / "s.json") == first
+
+
+def test_a_long_schedule_has_every_kind_and_ends_before_its_callers():
+    schedule = draw(1, 90.0, 3, 3, 3)
+    assert {each.kind for each in schedule.faults} == set(FaultKind)
+    assert all(each.end_s <= 82.1 for each in schedule.faults)
+    assert len(schedule.without(0).faults) == len(schedule.faults) - 1
+
+
+def test_a_schedule_that_lacks_a_field_is_told_so(tmp_path):
+    file = tmp_path / "s.json"
+    file.write_text('{"seconds": 30, "seed": 1, "faults": []}')
+    with pytest.raises(ValueError, match="gateways"):
+        read_schedule(file)
--- /dev/null
+++ b/tests/nocover/test_soak.py
@@ -0,0 +1,26 @@
+"""A short soak with a fixed schedule: real processes, faults from outside."""
+
+from soak._play import play
+from soak._schedule import Fault, FaultKind, Schedule
+
+# One fault of each part, so that the verdict doesn't hang on which meets which.
+SHORT = Schedule(
+    16.0,
+    3,
+    1,
+    (
+        Fault(FaultKind.ENGINE_DARK, 1.5, 1.5, 0),
+        Fault(FaultKind.GATEWAY_KILLED, 2.5, 1.0, 1),
+        Fault(FaultKind.STORE_SILENT, 4.0, 2.0),
+        Fault(FaultKind.SERVICE_RESETS, 5.0, 1.0, 4),
+        Fault(FaultKind.KEY_REVOKED, 6.5, 0.0),
+        Fault(FaultKind.ENGINE_LEAVES, 7.0, 1.0, 2),
+    ),
+)
+
+
+def test_a_short_soak_breaks_no_promise():
+    played = play(SHORT)
+    assert played.violations == []
+    served = [each for each in played.evidence.calls if each.status == 200]
+    assert len(served) > 100
--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -96,6 +96,7 @@
         wait: bool = True,
         listen: dict[str, str] | None = None,
         seeds: list[str] | None = None,
+        retries: dict[str, float] | None = None,
         **timers: float,
     ) -> list[int]:
         settings = {
@@ -114,7 +115,7 @@
                 "grace_s": 6,
             }
             | timers,
-            "retries": {"ratio": 1.0, "slack": 1_500},
+            "retries": retries or {"ratio": 1.0, "slack": 1_500},
             "seed": 1,
         }
         file = self.folder / f"{name}.json"
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -5,6 +5,7 @@
 """
 
 import sys
+import time
 from base64 import b64encode
 from typing import Any
 
@@ -178,7 +179,15 @@
             request.setHeader("not-executed", "1")
             return b""
         body = request.content.read().decode()
-        self.ran.append({"path": request.uri.decode(), "headers": seen, "body": body})
+        self.ran.append(
+            {
+                "path": request.uri.decode(),
+                "headers": seen,
+                "body": body,
+                "by": self.name,
+                "at_s": time.monotonic(),
+            }
+        )
         if self._take("mute") or self.faults.get("dark"):
             return self._until_closed(request)
         if self._take("hang"):
