An alarm for a moment that has passed is set, on a clock that runs on

The request's task ended with unhandled_failure and its caller heard nothing until its own deadline. The users' bench can't show it: its clock stands between two readings. Change: read once. The test fails before (got -0.001, expected 0).

--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -61,7 +61,7 @@
             and call.whole
             and (not call.events or call.events[-1] != call.wanted)
         ):
-            last = call.events[-1] if call.events else None
+            last = call.events[-1] if call.events else call.resumed_from
             yield f"{call.request_id}: looked whole at {last}, expected {call.wanted}"
 
 
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -143,7 +143,8 @@
         elif kind is FaultKind.GATEWAY_PAUSED:
             self._send(target, signal.SIGCONT)
         elif kind is FaultKind.ENGINE_LEAVES:
-            self.site.put_server(target)
+            # What said that it leaves doesn't come back; another takes its place.
+            self._engine_replaced(target)
 
     def _send(self, number: int, what: signal.Signals) -> None:
         process = self._processes[number]
--- a/src/coursekeel/runtime/_answer_driver.py
+++ b/src/coursekeel/runtime/_answer_driver.py
@@ -14,6 +14,7 @@
 from coursekeel.answers import Action, AnswerCore, Event, ReadingResumed, SetAlarm, Tick
 from coursekeel.reactor import Reactor
 from coursekeel.runtime._clock import Clock
+from coursekeel.units import MS_PER_SECOND
 
 __all__ = ["AnswerDriver", "AnswerShell"]
 
@@ -90,8 +91,10 @@
             return
         # A moment that has passed is no sign of a pause: seen in a test, an alarm set
         # for one rang late, was set for the same moment again, and so on for ever.
-        due_ms = max(at_ms, self.clock.now_ms())
-        wait_s = (due_ms - self.clock.now_ms()) / 1000
+        # The clock is read once: it moves on between two readings.
+        now_ms = self.clock.now_ms()
+        due_ms = max(at_ms, now_ms)
+        wait_s = (due_ms - now_ms) / MS_PER_SECOND
         self._alarm = self.reactor.callLater(wait_s, self._ring, due_ms)
 
     def _ring(self, due_ms: float) -> None:
--- a/tests/cover/test_answer_driver.py
+++ b/tests/cover/test_answer_driver.py
@@ -93,3 +93,15 @@
     shell.driver.stop_alarm()
     shell.reactor.advance(100)
     assert shell.events == [Started()]
+
+
+def test_an_alarm_for_a_moment_that_has_passed_rings_at_once_on_a_running_clock(shell):
+    """Found by the soak, seed 100: a process that was paused woke with a request whose
+    time was over; the clock moved on by a microsecond between two readings, and the
+    reactor took no alarm with a wait below zero."""
+    moment_ms = iter(range(10_000, 20_000))
+    shell.driver.clock.now_ms = lambda: float(next(moment_ms))
+    waits_s = []
+    shell.driver.reactor = Mock(callLater=lambda wait_s, *_: waits_s.append(wait_s))
+    shell.driver._set_alarm(9_000.0)
+    assert waits_s == [0.0]
