--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -56,12 +56,8 @@
         expected = list(range(first, first + len(call.events)))
         if call.events != expected:
             yield f"{call.request_id}: got events {call.events[:40]}, from {first}"
-        if (
-            call.status == _OK
-            and call.whole
-            and (not call.events or call.events[-1] != call.wanted)
-        ):
-            last = call.events[-1] if call.events else call.resumed_from
+        last = call.events[-1] if call.events else call.resumed_from
+        if call.status == _OK and call.whole and last != call.wanted:
             yield f"{call.request_id}: looked whole at {last}, expected {call.wanted}"
 
 
--- a/tests/cover/test_soak.py
+++ b/tests/cover/test_soak.py
@@ -107,6 +107,13 @@
     assert check(sound(), BOUNDS) == []
 
 
+def test_a_stream_asked_for_after_its_last_event_is_whole_with_none():
+    seen = sound()
+    seen.calls[1].resumed_from = 5
+    seen.calls[1].events = []
+    assert check(seen, BOUNDS) == []
+
+
 @pytest.mark.parametrize("spoil", BREAKS, ids=lambda each: each.__name__)
 def test_each_break_is_found_and_named(spoil):
     seen = sound()
