--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -3,6 +3,7 @@
 Exit codes: 0 nothing found, 1 a promise was broken, 64 an argument can't be used.
 """
 
+import signal
 import sys
 from pathlib import Path
 from typing import Annotated
@@ -17,6 +18,7 @@
 
 _FOUND = 1
 _EXIT_USAGE = 64  # EX_USAGE of sysexits.h
+_EXIT_STOPPED = 128 + signal.SIGTERM  # as shells tell it
 # The fewest seconds that leave room for a fault and for recovery after it.
 _LEAST_SECONDS = 15.0
 # Each gateway is a process of 45 MB; a few dozen stay below half of 8 GB.
@@ -129,5 +131,11 @@
     return _FOUND if played.violations else 0
 
 
+def _stop(_signal: int, _frame: object) -> None:
+    """End as by an exception, so that every process that was started is ended too."""
+    raise SystemExit(_EXIT_STOPPED)
+
+
 if __name__ == "__main__":
+    signal.signal(signal.SIGTERM, _stop)
     sys.exit(cappa.parse(Soak).command())
