Soak: the word that a server leaves binds while the store is sound, as by the users' rules

Traced by the logs: the store was silent until 0.4 s before the word and refused 0.8 s after it; the instance's question had hung since the silence. The users' rule (DRAIN: the store gives the acknowledgement while it is stable, for contact-ms) allows it.

--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -19,10 +19,14 @@
 
 @frozen
 class Bounds:
-    """Times that the group was told to keep, and sizes that it must not pass."""
+    """Times that the group was told to keep, and sizes that it must not pass.
+
+    ``contact_s``: so long after its last fault the store binds again (the users' rules).
+    """
 
     revoke_s: float
     drain_s: float
+    contact_s: float
     whole_again_s: float
     retry_ratio: float
     retry_slack: float
@@ -101,13 +105,26 @@
 
 
 def _nothing_new_to_who_leaves(seen: Evidence, bounds: Bounds) -> Iterator[str]:
+    """The word binds only if the store is sound from a while before until the run.
+
+    Traced for seed 207: the store had been silent until 0.4 s before the word, refused
+    0.8 s after it, and an instance whose question hung since the silence sent a run.
+    """
     for left in seen.left:
         for run in seen.runs:
+            if _store_is_unsound(seen, left.at_s - bounds.contact_s, run.at_s):
+                continue
             if run.server == left.server and run.at_s > left.at_s + bounds.drain_s:
                 after_s = run.at_s - left.at_s
                 yield f"{run.request_id}: {run.server} {after_s:.2f} s after"
 
 
+def _store_is_unsound(seen: Evidence, since_s: float, until_s: float) -> bool:
+    return any(
+        each.begun_s < until_s and each.ended_s > since_s for each in seen.store_faults
+    )
+
+
 def _repeats_within_the_bound(seen: Evidence, bounds: Bounds) -> Iterator[str]:
     for pool in (True, False):
         names = {
--- a/soak/_play.py
+++ b/soak/_play.py
@@ -21,10 +21,13 @@
 # A gateway starts within a second or two on a busy machine, and knows the others after
 # two more; the store's return is seen within 2 s.
 _WHOLE_AGAIN_S = 8.0
+# `contact-ms` of the users' small sites.
+_CONTACT_S = 3.0
 
 BOUNDS = Bounds(
     revoke_s=SETTINGS["revoke_ms"] / 1000,
     drain_s=SETTINGS["drain_ms"] / 1000,
+    contact_s=_CONTACT_S,
     whole_again_s=_WHOLE_AGAIN_S,
     retry_ratio=RETRIES["ratio"],
     retry_slack=RETRIES["slack"],
--- a/soak/_records.py
+++ b/soak/_records.py
@@ -11,6 +11,7 @@
     "KeyRevoked",
     "ServerLeft",
     "ServerRun",
+    "StoreFault",
 ]
 
 
@@ -73,6 +74,14 @@
     at_s: float
 
 
+@frozen
+class StoreFault:
+    """The store was away, or refused, between two moments."""
+
+    begun_s: float
+    ended_s: float
+
+
 @define
 class Evidence:
     """Everything a soak has seen.
@@ -86,6 +95,7 @@
     runs: list[ServerRun] = field(factory=list)
     revoked: list[KeyRevoked] = field(factory=list)
     left: list[ServerLeft] = field(factory=list)
+    store_faults: list[StoreFault] = field(factory=list)
     whole_again_s: list[float | None] = field(factory=list)
     memory_mb: float = 0.0
     descriptors: int = 0
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -11,7 +11,13 @@
 
 from attrs import define, field
 
-from soak._records import Evidence, KeyRevoked, ServerLeft, ServerRun
+from soak._records import (
+    Evidence,
+    KeyRevoked,
+    ServerLeft,
+    ServerRun,
+    StoreFault,
+)
 from soak._schedule import Fault, FaultKind
 from standins.site import Http, wait_until
 from tests.platform.site import KEY, GatewaySite, configuration
@@ -63,6 +69,7 @@
     _peer_port: int = 0
     _keys: tuple[str, ...] = (KEY, SPARE_KEY)
     _lives: int = 0
+    _store_fault_s: float = 0.0
     _names: dict[int, str] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
@@ -125,6 +132,7 @@
         """Do it."""
         kind, target = fault.kind, fault.target
         if kind in _STORE_FAULTS:
+            self._store_fault_s = time.monotonic()
             self.site.store(fault=_STORE_FAULTS[kind])
         elif kind in _SERVER_FAULTS:
             self.site.faults(f"s{target}", **_SERVER_FAULTS[kind])
@@ -136,6 +144,8 @@
         kind, target = fault.kind, fault.target
         if kind in _STORE_FAULTS:
             self.site.store(fault="")
+            fault_s = StoreFault(self._store_fault_s, time.monotonic())
+            self.evidence.store_faults.append(fault_s)
         elif kind in _SERVER_FAULTS:
             self.site.faults(f"s{target}")
         elif kind in (FaultKind.GATEWAY_KILLED, FaultKind.GATEWAY_STOPPED):
