--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -21,7 +21,7 @@
 class Bounds:
     """Times that the group was told to keep, and sizes that it must not pass.
 
-    ``contact_s``: so long after its last fault the store binds again (the users' rules).
+    ``contact_s`` after its last fault the store binds again, by the users' rules.
     """
 
     revoke_s: float
