Reverted: reading elsewhere at once what was lost before its first event

Hypothesis: 30 of 30 such runs were refused at their copy's keeper, so the try there only spends a repeat. The cause isn't traced. Begun streams that outlive their key stay.

--- a/src/coursekeel/answers/_policy.py
+++ b/src/coursekeel/answers/_policy.py
@@ -13,10 +13,9 @@
     ``races`` says whether a doubted stream keeps running beside its successor (head
     office buys latency) or is cancelled first (Paysandú saves engine work).
     ``copy_first_ms`` is the longest wait for the first piece from a copy, which has
-    little left to read. ``copies_unbegun`` says whether a run that was lost before its
-    first piece is looked for at its copy. ``deaths_before_stop`` runs lost without
-    progress between mean that the request itself stops engines. ``own_stream_tries``
-    bounds how often an engine's own run is read again before it counts as lost.
+    little left to read. ``deaths_before_stop`` runs lost without progress between mean
+    that the request itself stops engines. ``own_stream_tries`` bounds how often an
+    engine's own run is read again before it counts as lost.
 
     The defaults are chosen, not measured; classes set their own in the intent, the
     gateway in `StreamTask`. What silence costs is measured by `bench.resume`.
@@ -25,7 +24,6 @@
     patience_ms: int = 30_000
     first_token_ms: float = 10_000
     copy_first_ms: float = 1_500
-    copies_unbegun: bool = True
     silence_ms: float = 1_000
     races: bool = True
     deaths_before_stop: int = 3
--- a/src/coursekeel/answers/_recovery.py
+++ b/src/coursekeel/answers/_recovery.py
@@ -169,8 +169,6 @@
         return self._open_copy(lost, now_ms)
 
     def _has_copy(self, attempt: Attempt) -> bool:
-        if not (attempt.progressed or self.policy.copies_unbegun):
-            return False
         return bool(attempt.copy_id) and attempt.copy_id not in self.bad_endpoints
 
     def _open_copy(self, attempt: Attempt, now_ms: float) -> list[Action]:
--- a/src/coursekeel/gateway/streams/_stream_task.py
+++ b/src/coursekeel/gateway/streams/_stream_task.py
@@ -102,9 +102,6 @@
 
         Before its first event a run is watched by its endpoint's report
         (`StreamAttempt`), not by a time. Two runs never race: that is work done twice.
-        No copy stands before it either: 30 of 30 such runs were refused there, in the
-        logs of five days, 17 of their callers had no repeat left for reading the prompt
-        elsewhere.
         """
         call, timers = self.call, self.context.settings.timers
         resumable = call.route.kind is RouteKind.RESUMABLE
@@ -114,7 +111,6 @@
             first_token_ms=math.inf,
             silence_ms=timers.silence_ms if resumable else math.inf,
             races=False,
-            copies_unbegun=False,
             deaths_before_stop=max(call.route.tries, 1) if resumable else 1,
             own_stream_tries=0,
             retry_after_ms=int(STREAM_RETRY_MS),
