--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -44,6 +44,7 @@
     STORE_REFUSES = "store_refuses"
     STORE_RESETS = "store_resets"
     STORE_FORGETS = "store_forgets"
+    STORE_OPEN_SILENT = "store_open_silent"
     CONFIGURATION_CHANGED = "configuration_changed"
     KEY_REVOKED = "key_revoked"
 
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -199,6 +199,12 @@
     def _store_forgets(self, _: int) -> None:
         self.site.store(compact=True)
 
+    def _store_open_silent(self, _: int) -> None:
+        """Counts as a fault of the store, since every question that is open hangs."""
+        now_s = time.monotonic()
+        self.evidence.store_faults.append(StoreFault(now_s, now_s))
+        self.site.store(open_silent=True)
+
     def _configuration_changed(self, _: int) -> None:
         self._configure()
 
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -286,6 +286,9 @@
     @app.route("/store", methods=["POST"])
     def fault(request: Any) -> bytes:
         body = orjson.loads(request.content.read())
+        if body.pop("open_silent", False):
+            # What is open is never answered; new connections work.
+            store.waiting.clear()
         if body.pop("compact", False):
             store.oldest = store.version
         if "fault" in body:
