A process that began less than a window ago has so much less of its part saved

Change: what is saved grows with the time since the process began, over one window. The new tests, and those of joining and restarting groups with members that begin at that moment, fail without it at 9 to 380 instances. An instance without an address for peers is as before.

--- a/src/coursekeel/gateway/_gateway.py
+++ b/src/coursekeel/gateway/_gateway.py
@@ -119,7 +119,7 @@
             routing,
             EndpointClient(self.reactor, self._live, self.endpoints),
             EndpointHealth(self.clock, self._site, self._router, self._metrics),
-            RetryBudgets(self._live, lambda: self._group.members, random),
+            RetryBudgets(self._live, lambda: self._group.members, random, self.clock),
             self._metrics,
         )
         reports = LoadReports(context)
--- a/src/coursekeel/gateway/_retry_budgets.py
+++ b/src/coursekeel/gateway/_retry_budgets.py
@@ -11,9 +11,10 @@
   in it or in the one before, so that the ratio holds of the larger;
 - its part of the slack is one of as many as there are members in its group; a tenth of
   it comes back over the window and the rest can be saved up. Members that were lost
-  lately count, since a group that is split spends in both halves. One that found nobody
-  yet has nothing saved: it may be one of many that begin again at once, whose earlier
-  lives spent their parts. One that can't know others takes one of `_PLANNED_INSTANCES`.
+  lately count, since a group that is split spends in both halves. One that began less
+  than a window ago has so much less saved: it may be one of many that begin again at
+  once, whose earlier lives spent their parts. One that can't know others takes one of
+  `_PLANNED_INSTANCES`, and all of it.
 
 Parts of less than one are drawn for, so some of the slack is left for luck.
 
@@ -31,6 +32,7 @@
 
 from coursekeel.gateway._live_settings import LiveSettings
 from coursekeel.routing import WindowBudget
+from coursekeel.runtime import Clock
 from coursekeel.settings import RetryShare
 from coursekeel.units import MS_PER_SECOND
 
@@ -70,9 +72,14 @@
     settings: LiveSettings
     members: Callable[[], int | None]
     random: Random
+    clock: Clock
+    _begun_ms: float = field(init=False)
     _by_pool: dict[str, WindowBudget] = field(factory=dict)
     _shared_by: int = 0
 
+    def __attrs_post_init__(self) -> None:
+        self._begun_ms = self.clock.now_ms()
+
     def of(self, pool: str) -> WindowBudget:
         """The repeats that this instance may send to a pool."""
         members = self.members()
@@ -85,11 +92,16 @@
         if budget is None:
             share = self.settings.now.retries
             budget = shared_budget(share, self.random, instances)
-            if members is not None and members <= 1:
-                budget.saved = 0.0
+            if members is not None:
+                budget.saved *= self._share_of_a_window()
             self._by_pool[pool] = budget
         return budget
 
+    def _share_of_a_window(self) -> float:
+        """How much of a window this process has run."""
+        window_ms = self.settings.now.retries.window_s * MS_PER_SECOND
+        return min(1.0, (self.clock.now_ms() - self._begun_ms) / window_ms)
+
 
 @define
 class SendAccount:
--- a/tests/cover/test_shared_budget.py
+++ b/tests/cover/test_shared_budget.py
@@ -63,11 +63,16 @@
 class Member:
     """One instance, and how many it believes there are."""
 
-    def __init__(self, known: int, seed: int = 0) -> None:
+    def __init__(self, known: int, seed: int = 0, up_ms: float = 10_000.0) -> None:
         self.known = known
+        self.now_ms = 0.0
         settings_now = Mock()
         settings_now.now.retries = SHARE
-        self.budgets = RetryBudgets(settings_now, lambda: self.known, Random(seed))
+        clock = Mock(now_ms=lambda: self.now_ms)
+        self.budgets = RetryBudgets(
+            settings_now, lambda: self.known, Random(seed), clock
+        )
+        self.now_ms = up_ms
 
     @property
     def budget(self):
@@ -92,7 +97,7 @@
     repeats: list[int] = []
     for step, count in enumerate([0] * 40 + load):
         if step == joins_at:
-            group += [Member(1, 1_000 + each) for each in range(joining)]
+            group += [Member(1, 1_000 + each, 0.0) for each in range(joining)]
         if step == joins_at + 8:
             for each in group:
                 each.known = members + joining
@@ -183,7 +188,7 @@
     for _ in range(STEPS_A_WINDOW):
         fleet.play(4, share_lost=0.0)
     fleet.exhaust()
-    begun = [Member(1, 5_000 + each) for each in range(size * 55 // 100)]
+    begun = [Member(1, 5_000 + each, 0.0) for each in range(size * 55 // 100)]
     fleet.members[: len(begun)] = begun
     for step in range(STEPS_A_WINDOW):
         for each in begun:
@@ -193,6 +198,23 @@
     assert_every_window_keeps_a_bound_of_its_own_or_the_one_before(fleet)
 
 
+@pytest.mark.parametrize("size", SIZES)
+def test_no_window_passes_the_bound_when_all_begin_anew_and_know_each_other(size):
+    """All had spent their parts; their new lives find each other before the first
+    request that they repeat."""
+    fleet = Fleet(size, seed=size)
+    for _ in range(STEPS_A_WINDOW):
+        fleet.play(4, share_lost=0.0)
+    fleet.exhaust()
+    fleet.members = [Member(size, 7_000 + each, 0.0) for each in range(size)]
+    for step in range(STEPS_A_WINDOW):
+        for each in fleet.members:
+            each.now_ms = float(step * STEP_MS)
+        fleet.play(4, share_lost=1.0)
+        fleet.exhaust()
+    assert_every_window_keeps_a_bound_of_its_own_or_the_one_before(fleet)
+
+
 @pytest.mark.parametrize("size", SIZES)
 def test_no_window_passes_the_bound_in_a_group_that_is_parted(size):
     """Each part still counts the members that it lost."""
--- a/tests/cover/test_stream_placement.py
+++ b/tests/cover/test_stream_placement.py
@@ -110,7 +110,7 @@
             routing,
             self.client,
             EndpointHealth(self.clock, known, self.router, Mock()),
-            RetryBudgets(settings, lambda: None, Random(1)),
+            RetryBudgets(settings, lambda: None, Random(1), self.clock),
             Mock(),
         )
         self.reports = Mock()
