--- a/src/coursekeel/gateway/_retry_budgets.py
+++ b/src/coursekeel/gateway/_retry_budgets.py
@@ -49,7 +49,7 @@
 # How much of an instance's part comes back over the window; the rest is there at the
 # start. The less, the more a single instance can send again at once: with 0.1 a lone
 # stream of 19 instances (slack 20) or of 195 (slack 150) is sent again with odds of
-# 0.89 and 0.92, with 0.25 and parts set aside for joining of 0.70 and 0.78 (worked out).
+# 0.89 and 0.92; with 0.25 and parts set aside for joining, 0.70 and 0.78 (worked out).
 _REFILLED_SHARE = 0.1
 
 # Of the ratio's repeats, the part that a request earns at the instance that sees it.
