Soak: faults are matched by kind, not by a method's name

Read as a newcomer: a fault's method was found by its name, and a dict was kept that nobody read. The stand-in's starter of processes is public, since the soak uses it.

--- a/soak/_world.py
+++ b/soak/_world.py
@@ -70,7 +70,6 @@
     _keys: tuple[str, ...] = (KEY, SPARE_KEY)
     _lives: int = 0
     _store_fault_s: float = 0.0
-    _names: dict[int, str] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         self.site = GatewaySite(self.folder)
@@ -78,7 +77,9 @@
     def start(self) -> None:
         """Start the stand-in, then all gateways at once, and wait until they serve."""
         servers = ENGINES + SERVICES
-        standin = self.site._start(["-m", "tests.platform.standin", str(servers)], "w")
+        standin = self.site.start_process(
+            ["-m", "tests.platform.standin", str(servers)], "w"
+        )
         control, self.site.store_port, *self.site.server_ports = standin
         self.site.control = Http(control)
         self._configure()
@@ -137,7 +138,33 @@
         elif kind in _SERVER_FAULTS:
             self.site.faults(f"s{target}", **_SERVER_FAULTS[kind])
         else:
-            getattr(self, f"_{kind.value}")(target)
+            self._once(kind, target)
+
+    def _once(self, kind: FaultKind, target: int) -> None:
+        """Do what isn't a state of the stand-in."""
+        match kind:
+            case FaultKind.GATEWAY_KILLED:
+                self._send(target, signal.SIGKILL)
+            case FaultKind.GATEWAY_PAUSED:
+                self._send(target, signal.SIGSTOP)
+            case FaultKind.GATEWAY_STOPPED:
+                self._send(target, signal.SIGTERM)
+            case FaultKind.SETTINGS_CHANGED:
+                self._send(target, signal.SIGHUP)
+            case FaultKind.ENGINE_REPLACED:
+                self._engine_replaced(target)
+            case FaultKind.ENGINE_LEAVES:
+                self._engine_leaves(target)
+            case FaultKind.STORE_FORGETS:
+                self.site.store(compact=True)
+            case FaultKind.STORE_OPEN_SILENT:
+                self._store_open_silent()
+            case FaultKind.CONFIGURATION_CHANGED:
+                self._configure()
+            case FaultKind.KEY_REVOKED:
+                self._key_revoked()
+            case _:
+                raise AssertionError(f"a fault of the stand-in came here: {kind}")
 
     def end(self, fault: Fault) -> None:
         """Undo what lasts."""
@@ -161,18 +188,6 @@
         if process.poll() is None:
             process.send_signal(what)
 
-    def _gateway_killed(self, number: int) -> None:
-        self._send(number, signal.SIGKILL)
-
-    def _gateway_paused(self, number: int) -> None:
-        self._send(number, signal.SIGSTOP)
-
-    def _gateway_stopped(self, number: int) -> None:
-        self._send(number, signal.SIGTERM)
-
-    def _settings_changed(self, number: int) -> None:
-        self._send(number, signal.SIGHUP)
-
     def _start_again(self, number: int) -> None:
         process = self._processes[number]
         try:
@@ -187,28 +202,20 @@
 
     def _engine_replaced(self, number: int) -> None:
         self._lives += 1
-        identity = f"e{number}-{self._lives}"
-        self._names[number] = identity
-        self.site.rename(number, identity)
+        self.site.rename(number, f"e{number}-{self._lives}")
 
     def _engine_leaves(self, number: int) -> None:
         self.site.put_server(number, "draining")
         name = self.site.identities.get(number, f"s{number}")
         self.evidence.left.append(ServerLeft(name, time.monotonic()))
 
-    def _store_forgets(self, _: int) -> None:
-        self.site.store(compact=True)
-
-    def _store_open_silent(self, _: int) -> None:
+    def _store_open_silent(self) -> None:
         """Counts as a fault of the store, since every question that is open hangs."""
         now_s = time.monotonic()
         self.evidence.store_faults.append(StoreFault(now_s, now_s))
         self.site.store(open_silent=True)
 
-    def _configuration_changed(self, _: int) -> None:
-        self._configure()
-
-    def _key_revoked(self, _: int) -> None:
+    def _key_revoked(self) -> None:
         self._keys = (KEY,)
         self._configure()
         self.evidence.revoked.append(KeyRevoked(SPARE_KEY, time.monotonic()))
--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -82,7 +82,9 @@
     identities: dict[int, str] = field(factory=dict)
 
     def start(self, servers: int) -> None:
-        standin = self._start(["-m", "tests.platform.standin", str(servers)], "standin")
+        standin = self.start_process(
+            ["-m", "tests.platform.standin", str(servers)], "standin"
+        )
         control, self.store_port, *self.server_ports = standin
         self.control = Http(control)
         self.put([("op", "config", configuration())])
@@ -120,12 +122,16 @@
         }
         file = self.folder / f"{name}.json"
         file.write_bytes(orjson.dumps(settings))
-        ports = self._start(["platform/serve.py"], name, COURSEKEEL_SETTINGS=str(file))
+        ports = self.start_process(
+            ["platform/serve.py"], name, COURSEKEEL_SETTINGS=str(file)
+        )
         if wait:
             wait_until(lambda: self.ready(ports), "the gateway is ready")
         return ports
 
-    def _start(self, arguments: list[str], name: str, **variables: str) -> list[int]:
+    def start_process(
+        self, arguments: list[str], name: str, **variables: str
+    ) -> list[int]:
         log = self.folder / f"{name}.log"
         process = subprocess.Popen(
             [sys.executable, *arguments],
