--- a/soak/_world.py
+++ b/soak/_world.py
@@ -8,6 +8,7 @@
 import socket
 import time
 from pathlib import Path
+from subprocess import TimeoutExpired
 
 from attrs import define, field
 
@@ -70,6 +71,7 @@
     _keys: tuple[str, ...] = (KEY, SPARE_KEY)
     _lives: int = 0
     _store_fault_s: float = 0.0
+    _ending: set[int] = field(factory=set)
 
     def __attrs_post_init__(self) -> None:
         self.site = GatewaySite(self.folder)
@@ -144,11 +146,11 @@
         """Do what isn't a state of the stand-in."""
         match kind:
             case FaultKind.GATEWAY_KILLED:
-                self._send(target, signal.SIGKILL)
+                self._end_process(target, signal.SIGKILL)
             case FaultKind.GATEWAY_PAUSED:
                 self._send(target, signal.SIGSTOP)
             case FaultKind.GATEWAY_STOPPED:
-                self._send(target, signal.SIGTERM)
+                self._end_process(target, signal.SIGTERM)
             case FaultKind.SETTINGS_CHANGED:
                 self._send(target, signal.SIGHUP)
             case FaultKind.ENGINE_REPLACED:
@@ -188,11 +190,19 @@
         if process.poll() is None:
             process.send_signal(what)
 
+    def _end_process(self, number: int, how: signal.Signals) -> None:
+        self._ending.add(self._processes[number].pid)
+        self._send(number, how)
+
     def _start_again(self, number: int) -> None:
+        """Start a gateway that was told to end, unless another fault's end did so."""
         process = self._processes[number]
+        if process.pid not in self._ending:
+            return
+        process.send_signal(signal.SIGCONT)
         try:
             process.wait(SETTINGS["grace_s"] + 2)
-        except TimeoutError:
+        except TimeoutExpired:
             self.evidence.broken_invariants.append(
                 f"gateway {number} outlived its stop"
             )
