Answers given up while they were coming are told apart from silence

Cause: a record of the users shows instances that fail to read the configuration for 20 s while the store counts each call as answered; the logs said only that no answer came, and only the first failure of the store at all. Change: the outcome of a call says how much of the answer was here; `answer_cut` (table, source, bytes, time) and `coursekeel_answers_cut` tell of it; `member_passed_over` names the table for silent members too. The stand-in's store can send at the pace of a link, and stall.

--- a/src/coursekeel/fetch/_fetch.py
+++ b/src/coursekeel/fetch/_fetch.py
@@ -28,18 +28,36 @@
     """No connection was made, so the request surely had no effect."""
 
     reason: str
+    received_bytes: int = field(default=0, init=False)
 
 
 @frozen
 class AnswerLost:
-    """The request may have had its effect; its answer didn't come, or not in time."""
+    """The request may have had its effect; its answer didn't come, or not in time.
+
+    ``received_bytes`` of the answer's body came before it was given up: an answer that
+    was on its way is another fault than one that never came.
+    """
 
     reason: str
+    received_bytes: int = 0
 
 
 FetchOutcome = HttpReply | NotReached | AnswerLost
 
 
+@define(eq=False)
+class _Arriving:
+    """The part of a body that has come."""
+
+    pieces: list[bytes] = field(factory=list)
+    received_bytes: int = 0
+
+    def came(self, piece: bytes) -> None:
+        self.pieces.append(piece)
+        self.received_bytes += len(piece)
+
+
 @define(eq=False)
 class Fetcher:
     """Sends requests; never twice, whatever the method. See `direct_agent`."""
@@ -62,8 +80,9 @@
         headers: Mapping[str, str] | None = None,
     ) -> FetchOutcome:
         """Send one request and read its whole answer within ``timeout_ms``."""
+        arriving = _Arriving()
         exchange: Deferred[HttpReply] = ensureDeferred(
-            self._exchange(method, url, data, headers)
+            self._exchange(method, url, data, headers, arriving)
         )
         exchange.addTimeout(timeout_ms / 1000, self.reactor)
         try:
@@ -71,7 +90,8 @@
         except ConnectError as failure:
             return NotReached(str(failure))
         except Exception as failure:  # every other loss leaves the effect open
-            return AnswerLost(f"{type(failure).__name__}: {failure}")
+            reason = f"{type(failure).__name__}: {failure}"
+            return AnswerLost(reason, arriving.received_bytes)
 
     async def _exchange(
         self,
@@ -79,10 +99,11 @@
         url: str,
         data: bytes | None,
         headers: Mapping[str, str] | None,
+        arriving: _Arriving,
     ) -> HttpReply:
         response = await self._client.request(
             method, url, data=data, headers=headers, allow_redirects=False
         )
-        body = await treq.content(response)
+        await treq.collect(response, arriving.came)
         kind = response.headers.getRawHeaders("content-type", [""])[0]
-        return HttpReply(response.code, kind, body)
+        return HttpReply(response.code, kind, b"".join(arriving.pieces))
--- a/src/coursekeel/gateway/_adapters.py
+++ b/src/coursekeel/gateway/_adapters.py
@@ -221,9 +221,13 @@
 
 @frozen
 class SourceFailed:
-    """The store gave no answer, or one that can't be used."""
+    """The store gave no answer, or one that can't be used.
+
+    ``received_bytes`` of an answer that was given up had come.
+    """
 
     reason: str
+    received_bytes: int = 0
 
 
 class Source(ABC):
--- a/src/coursekeel/gateway/_gateway.py
+++ b/src/coursekeel/gateway/_gateway.py
@@ -182,6 +182,11 @@
             "Readings that members of the group gave so far",
             lambda: self._group.source.relayed,
         )
+        gauge(
+            "coursekeel_answers_cut",
+            "Answers of the store or a member given up while they were coming",
+            lambda: self._group.source.answers_cut,
+        )
         gauge(
             "coursekeel_members",
             "Members of the group that nothing speaks against",
--- a/src/coursekeel/gateway/members/_member_reader.py
+++ b/src/coursekeel/gateway/members/_member_reader.py
@@ -28,9 +28,13 @@
 
 @frozen
 class MemberFailed:
-    """A member gave no answer that can be used; ``reason`` is for the log."""
+    """A member gave no answer that can be used; ``reason`` is for the log.
+
+    ``received_bytes`` of an answer that was given up had come.
+    """
 
     reason: str
+    received_bytes: int = 0
 
 
 @define(eq=False)
@@ -55,7 +59,7 @@
         url = f"http://{address}{TABLES_PATH}{table.value}?{query}"
         outcome = await self.fetcher.ask("GET", url, timeout_ms)
         if not isinstance(outcome, HttpReply):
-            return MemberFailed(outcome.reason)
+            return MemberFailed(outcome.reason, outcome.received_bytes)
         if outcome.status == HTTPStatus.NOT_FOUND:
             return NothingNewer()
         if outcome.status != HTTPStatus.OK:
--- a/src/coursekeel/gateway/members/_shared_source.py
+++ b/src/coursekeel/gateway/members/_shared_source.py
@@ -14,6 +14,7 @@
 `Swim` for the members and on `Source` for the store.
 """
 
+import logging
 import math
 from collections.abc import Callable, Mapping
 from random import Random
@@ -115,6 +116,7 @@
     asked_lately: Callable[[Table], bool]
     relayed: int = 0
     store_calls: int = 0
+    answers_cut: int = 0
     _asked: dict[Table, _Asked] = field(factory=lambda: {t: _Asked() for t in Table})
     _silent_until_ms: dict[str, float] = field(factory=dict)
 
@@ -194,7 +196,7 @@
     ) -> Reading | SourceFailed:
         self._calls_store(table)
         outcome = await self.store.read(table, timeout_ms)
-        self._asked[table].store_answers = not isinstance(outcome, SourceFailed)
+        self._store_answered(table, outcome)
         return outcome
 
     async def _follow_store(
@@ -202,13 +204,42 @@
     ) -> _Outcome:
         self._calls_store(table)
         outcome = await self.store.follow(table, version, hold_ms, timeout_ms)
-        self._asked[table].store_answers = not isinstance(outcome, SourceFailed)
+        self._store_answered(table, outcome)
         return outcome
 
     def _calls_store(self, table: Table) -> None:
         self.store_calls += 1
         self._asked[table].store_asked_ms = self.clock.now_ms()
 
+    def _store_answered(self, table: Table, outcome: _Outcome) -> None:
+        asked = self._asked[table]
+        asked.store_answers = not isinstance(outcome, SourceFailed)
+        if isinstance(outcome, SourceFailed):
+            self._tell_cut(table, "store", outcome, asked.store_asked_ms)
+
+    def _tell_cut(
+        self,
+        table: Table,
+        source: str,
+        failed: SourceFailed | MemberFailed,
+        asked_ms: float,
+    ) -> None:
+        """An answer that was on its way when it was given up is worth a line.
+
+        From outside it looks like a source that is silent, and asking again can't help.
+        """
+        if not failed.received_bytes:
+            return
+        self.answers_cut += 1
+        log_event(
+            "answer_cut",
+            logging.WARNING,
+            table=table.value,
+            source=source,
+            received_bytes=failed.received_bytes,
+            took_ms=round(self.clock.now_ms() - asked_ms),
+        )
+
     def _store_is_due(self, table: Table) -> bool:
         """Not so soon again while members answer and the store doesn't."""
         asked, now_ms = self._asked[table], self.clock.now_ms()
@@ -233,7 +264,8 @@
             told = await self.members.ask(address, table, since, wait_ms, limit_ms)
             match told:
                 case MemberFailed():
-                    self._silent(address, told.reason)
+                    self._silent(table, address, told.reason)
+                    self._tell_cut(table, address, told, sent_ms)
                 case NothingNewer():
                     self._stale(table, address)
                 case RelayedReading():
@@ -281,9 +313,11 @@
         silent_until_ms = self._silent_until_ms.get(address, -math.inf)
         return self.clock.now_ms() >= max(stale_until_ms, silent_until_ms)
 
-    def _silent(self, address: str, reason: str) -> None:
+    def _silent(self, table: Table, address: str, reason: str) -> None:
         self._silent_until_ms[address] = self.clock.now_ms() + _SILENT_AVOIDED_MS
-        log_event("member_passed_over", member=address, reason=reason)
+        log_event(
+            "member_passed_over", member=address, table=table.value, reason=reason
+        )
 
     def _stale(self, table: Table, address: str) -> None:
         asked, now_ms = self._asked[table], self.clock.now_ms()
--- a/tests/cover/test_shared_source.py
+++ b/tests/cover/test_shared_source.py
@@ -2,6 +2,7 @@
 
 import math
 from types import MethodType
+from unittest.mock import AsyncMock, Mock
 
 import pytest
 from attrs import evolve
@@ -9,7 +10,12 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from coursekeel.gateway._adapters import Removed, UnreadableEntry, Versioned
+from coursekeel.gateway._adapters import (
+    Removed,
+    SourceFailed,
+    UnreadableEntry,
+    Versioned,
+)
 from coursekeel.gateway.members._reading_codec import (
     RelayedReading,
     UnreadableReading,
@@ -67,6 +73,19 @@
     assert all(each.acts_on("k1") for each in world.instances.values())
 
 
+@pytest.mark.parametrize("received_bytes", [0, 4_096])
+def test_an_answer_cut_on_its_way_is_told_apart_from_silence(received_bytes):
+    world = World(["a"])
+    world.run(3_000)
+    source = world.instances["i0"].source
+    failed = SourceFailed("no answer within 600 ms", received_bytes)
+    source.store = Mock(follow=AsyncMock(return_value=failed))
+    world.run(3_000)
+    assert source.store.follow.await_count > 1
+    cut = source.store.follow.await_count if received_bytes else 0
+    assert source.answers_cut == cut
+
+
 def test_while_the_store_is_away_few_ask_it():
     world = World(["a"] * 8)
     world.run(5_000)
--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -2,6 +2,7 @@
 
 import itertools
 import os
+import socket
 import subprocess
 import sys
 import tempfile
@@ -20,6 +21,7 @@
 HOST = "site.example"
 ZONES = ("ikeja", "lekki", "yaba")
 KEY = "key-1"
+_CONFIGURATION_CALL = "/coursekeel/rows-get?table=op&part=&limit=3"
 _IDS = itertools.count(1)
 
 
@@ -203,6 +205,16 @@
         self.version += 1
         self.put([("op", "config", configuration(self.version, **more))])
 
+    def config_bytes(self) -> int:
+        """The size of an answer of the store that holds the whole configuration."""
+        return len(self._raw(self.store_port, _CONFIGURATION_CALL)[1])
+
+    def free_port(self) -> int:
+        """A port of loopback that nothing listens at."""
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            return int(probe.getsockname()[1])
+
     def store(self, **state: Any) -> None:
         self.control.ask("POST", "/store", state)
 
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -21,6 +21,8 @@
 from twisted.web.server import Site  # noqa: E402
 
 _EVENT_GAP_S = 0.02
+# A paced answer goes out in pieces, one in so long.
+_PIECE_S = 0.05
 
 
 class Store:
@@ -32,6 +34,11 @@
         self.oldest = 0
         self.fault = ""
         self.calls = 0
+        # How much of an answer goes out in a second; 0 for all at once. ``stalls_at``:
+        # no more than so much of an answer ever comes.
+        self.bytes_per_s = 0
+        self.stalls_at = 0
+        self.cut = 0
         self.waiting: list[tuple[str, int, Deferred[bytes]]] = []
         self.app = self._routes()
 
@@ -81,7 +88,7 @@
                 key=lambda row: row["key"],
             )
             rows = [r for r in rows if r["key"] >= start and "gone" not in r]
-            return self._answer(rows[:limit], len(rows) > limit)
+            return self._send(request, self._answer(rows[:limit], len(rows) > limit))
 
         @app.route("/coursekeel/rows-feed")
         def feed(request: Any) -> Any:
@@ -93,16 +100,41 @@
                 request.setResponseCode(410)
                 return b"{}"
             if any(r["ver"] > since for (t, _), r in self.rows.items() if t == table):
-                return self.changes(table, since)
+                return self._send(request, self.changes(table, since))
             held: Deferred[bytes] = Deferred()
             waiter = (table, since, held)
             self.waiting.append(waiter)
             wait_s = int(request.args[b"wait-ms"][0]) / 1000
             reactor.callLater(wait_s, self._wait_over, waiter)
-            return held
+            return held.addCallback(lambda body: self._send(request, body))
 
         return app
 
+    def _send(self, request: Any, body: bytes) -> Any:
+        """Give an answer at the pace of the link."""
+        if not self.bytes_per_s:
+            return body
+        request.setHeader("content-length", str(len(body)))
+        request.notifyFinish().addErrback(self._was_cut)
+        last: Deferred[bytes] = Deferred()
+        self._send_piece(request, body, 0, last)
+        return last
+
+    def _send_piece(
+        self, request: Any, body: bytes, start: int, last: "Deferred[bytes]"
+    ) -> None:
+        end = start + int(self.bytes_per_s * _PIECE_S)
+        if request._disconnected or (self.stalls_at and end > self.stalls_at):
+            return
+        if end >= len(body):
+            last.callback(body[start:])
+            return
+        request.write(body[start:end])
+        reactor.callLater(_PIECE_S, self._send_piece, request, body, end, last)
+
+    def _was_cut(self, _failure: Any) -> None:
+        self.cut += 1
+
     def _wait_over(self, waiter: tuple[str, int, "Deferred[bytes]"]) -> None:
         if waiter in self.waiting:
             self.waiting.remove(waiter)
@@ -291,13 +323,15 @@
             store.waiting.clear()
         if body.pop("compact", False):
             store.oldest = store.version
+        store.bytes_per_s = body.pop("bytes_per_s", store.bytes_per_s)
+        store.stalls_at = body.pop("stalls_at", store.stalls_at)
         if "fault" in body:
             store.set_fault(body["fault"])
         return b"{}"
 
     @app.route("/store", methods=["GET"])
     def state(request: Any) -> bytes:
-        return orjson.dumps({"calls": store.calls})
+        return orjson.dumps({"calls": store.calls, "cut": store.cut})
 
     @app.route("/servers/<name>", methods=["POST"])
     def server_faults(request: Any, name: str) -> bytes:
