--- a/tests/cover/test_stream_placement.py
+++ b/tests/cover/test_stream_placement.py
@@ -8,7 +8,7 @@
 from twisted.internet.task import Clock as FakeReactor
 
 from coursekeel.answers import Granted
-from coursekeel.fetch import Ending, ExchangeHead, ExchangeSink
+from coursekeel.fetch import Ending, ExchangeHead, ExchangeSink, OwnLink
 from coursekeel.forwarding import (
     EndpointDirectory,
     EndpointRecord,
@@ -100,7 +100,8 @@
         known = self.known = ScriptedSite(
             self.reactor, self.clock, settings, self.directory, routing
         )
-        self.client = ScriptedClient(self.reactor, settings, Mock())
+        link = OwnLink(self.reactor)
+        self.client = ScriptedClient(self.reactor, settings, Mock(), link)
         self.context = GatewayContext(
             self.reactor,
             self.clock,
