--- a/tests/cover/test_fetch.py
+++ b/tests/cover/test_fetch.py
@@ -1,5 +1,6 @@
 """Calls over HTTP while their answers come slowly, on a transport in memory."""
 
+import gzip
 from types import SimpleNamespace
 
 import pytest
@@ -58,6 +59,28 @@
     assert server.transport.disconnecting
 
 
+def test_a_compressed_answer_that_is_given_up_is_closed_too():
+    reactor = MemoryReactorClock()
+    fetcher = Fetcher(reactor, 250, transfer=TRANSFER)
+    server = asked(fetcher.ask("GET", "http://127.0.0.1:1/", TIMEOUT_MS), reactor)
+    body = gzip.compress(bytes(range(50)))
+    head = b"HTTP/1.1 200 OK\r\ncontent-encoding: gzip\r\ncontent-length: %d\r\n\r\n"
+    server.send(head % len(body) + body[:40])
+    reactor.advance(1.1)
+    assert isinstance(server.outcomes[0], AnswerLost)
+    assert server.transport.disconnecting
+
+
+def test_a_compressed_answer_is_given_as_it_was():
+    reactor = MemoryReactorClock()
+    fetcher = Fetcher(reactor, 250, transfer=TRANSFER)
+    server = asked(fetcher.ask("GET", "http://127.0.0.1:1/", TIMEOUT_MS), reactor)
+    body = gzip.compress(bytes(range(50)))
+    head = b"HTTP/1.1 200 OK\r\ncontent-encoding: gzip\r\ncontent-length: %d\r\n\r\n"
+    server.send(head % len(body) + body)
+    assert server.outcomes == [HttpReply(200, "", bytes(range(50)))]
+
+
 def test_a_large_object_is_read_however_long_it_comes():
     """An answer was adopted only if its prompt came within the limit on a call, and
     waited for ever if the link was too thin for that."""
