--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -209,12 +209,6 @@
         """The size of an answer of the store that holds the whole configuration."""
         return len(self._raw(self.store_port, _CONFIGURATION_CALL)[1])
 
-    def free_port(self) -> int:
-        """A port of loopback that nothing listens at."""
-        with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            return int(probe.getsockname()[1])
-
     def store(self, **state: Any) -> None:
         self.control.ask("POST", "/store", state)
 
@@ -266,6 +260,13 @@
         return read(connection)
 
 
+def free_port(host: str = "127.0.0.1") -> int:
+    """A port of a loopback address that nothing listens at."""
+    with socket.socket() as probe:
+        probe.bind((host, 0))
+        return int(probe.getsockname()[1])
+
+
 def read(connection: HTTPConnection) -> Answer:
     response = connection.getresponse()
     headers = {name.lower(): value for name, value in response.getheaders()}
--- a/tests/platform/test_group.py
+++ b/tests/platform/test_group.py
@@ -10,7 +10,7 @@
 
 from coursekeel.group import MemberState, MessageKind, News, SwimMessage, encode_message
 from standins.site import wait_until
-from tests.platform.site import KEY, GatewaySite, running_gateway
+from tests.platform.site import KEY, GatewaySite, free_port, running_gateway
 
 # Without an immediate end of keys, so that an outage refuses nothing that is known. Its
 # bounds leave a proof 0.3 s to come late before the store is asked instead: with 0.1 s
@@ -29,7 +29,7 @@
 
     def __init__(self, site: GatewaySite) -> None:
         self.site = site
-        self.port = _free_port()
+        self.port = free_port("127.0.0.11")
         self.ports: dict[str, list[int]] = {}
         self.processes = {}
         for number in (1, 2, 3):
@@ -92,12 +92,6 @@
         return risen[0]
 
 
-def _free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.11", 0))
-        return int(probe.getsockname()[1])
-
-
 @pytest.fixture(scope="module")
 def group():
     with running_gateway() as site:
--- a/tests/platform/test_large_configuration.py
+++ b/tests/platform/test_large_configuration.py
@@ -25,6 +25,7 @@
     GatewaySite,
     configuration,
     events,
+    free_port,
     route,
     running_gateway,
 )
@@ -59,7 +60,7 @@
 def peer(site: GatewaySite):
     """The address for peers of a gateway that knows the large configuration."""
     site.store(bytes_per_s=0)
-    address = f"127.0.0.1:{site.free_port()}"
+    address = f"127.0.0.1:{free_port()}"
     site.put([("op", "config", large_configuration(1_000, ROUTES))])
     site.start_gateway("asked", listen={"peers": address})
     return address
