--- a/src/coursekeel/fetch/_arrival.py
+++ b/src/coursekeel/fetch/_arrival.py
@@ -22,7 +22,7 @@
 from coursekeel.fetch._own_link import OwnLink
 from coursekeel.reactor import Reactor
 
-__all__ = ["Arrival", "ArrivingBody", "Transfer"]
+__all__ = ["AnswerArrival", "ArrivingBody", "Transfer"]
 
 
 @frozen
@@ -39,7 +39,7 @@
 
 
 @define(eq=False)
-class Arrival:
+class AnswerArrival:
     """Cancels a call whose answer doesn't come in time, and keeps why.
 
     Without a ``transfer`` the whole answer must be here within ``timeout_ms``; with
@@ -106,7 +106,7 @@
     ``whole`` gives it once it has ended; cancelling that closes the connection.
     """
 
-    def __init__(self, arrival: Arrival) -> None:
+    def __init__(self, arrival: AnswerArrival) -> None:
         self.whole: Deferred[bytes] = Deferred(self._let_go)
         self._arrival = arrival
         self._pieces: list[bytes] = []
--- a/src/coursekeel/fetch/_fetch.py
+++ b/src/coursekeel/fetch/_fetch.py
@@ -1,4 +1,4 @@
-"""One HTTP exchange through `treq`, within the limits that `Arrival` keeps."""
+"""One HTTP exchange through `treq`, within the limits that `AnswerArrival` keeps."""
 
 from collections.abc import Mapping
 from typing import Any
@@ -9,7 +9,7 @@
 from twisted.internet.error import ConnectError
 
 from coursekeel.fetch._agent import direct_agent
-from coursekeel.fetch._arrival import Arrival, ArrivingBody, Transfer
+from coursekeel.fetch._arrival import AnswerArrival, ArrivingBody, Transfer
 from coursekeel.fetch._own_link import OwnLink
 from coursekeel.reactor import Reactor
 
@@ -80,7 +80,7 @@
         It must be here within ``timeout_ms``; if there is a `transfer`, it must begin
         within that time, and come as that says.
         """
-        arrival = Arrival(self.reactor, timeout_ms, self.transfer, self.link)
+        arrival = AnswerArrival(self.reactor, timeout_ms, self.transfer, self.link)
         exchange: Deferred[HttpReply] = ensureDeferred(
             self._exchange(method, url, data, headers, arrival)
         )
@@ -101,7 +101,7 @@
         url: str,
         data: bytes | None,
         headers: Mapping[str, str] | None,
-        arrival: Arrival,
+        arrival: AnswerArrival,
     ) -> HttpReply:
         response = await self._client.request(
             method, url, data=data, headers=headers, allow_redirects=False
--- a/src/coursekeel/fetch/_own_link.py
+++ b/src/coursekeel/fetch/_own_link.py
@@ -4,7 +4,7 @@
 behind the answer: on a played day, 175 of 190 streams that were lost as silent were
 lost while a configuration of 411 kB came over the same 5 Mbit/s.
 
-Owns the moment until which that holds. Relies on `Arrival` to tell of each piece.
+Owns the moment until which that holds. Relies on `AnswerArrival` to tell of each piece.
 """
 
 from attrs import define
--- a/tests/cover/test_arrival.py
+++ b/tests/cover/test_arrival.py
@@ -7,7 +7,7 @@
 from twisted.internet.task import Clock as FakeReactor
 
 from coursekeel.fetch import OwnLink
-from coursekeel.fetch._arrival import Arrival, Transfer
+from coursekeel.fetch._arrival import AnswerArrival, Transfer
 
 TIMEOUT_MS = 600.0
 TRANSFER = Transfer(pause_ms=1_000, most_ms=20_000, most_bytes=1_000_000)
@@ -23,7 +23,7 @@
         self.failures: list[type] = []
         answer: Deferred[None] = Deferred()
         answer.addErrback(lambda failure: self.failures.append(failure.type))
-        self.arrival = Arrival(self.reactor, TIMEOUT_MS, transfer)
+        self.arrival = AnswerArrival(self.reactor, TIMEOUT_MS, transfer)
         self.arrival.watch(answer)
 
     def wait(self, for_ms: float) -> None:
@@ -131,7 +131,7 @@
 def test_a_link_is_full_while_a_long_answer_comes_and_a_moment_after():
     reactor = FakeReactor()
     link = OwnLink(reactor)
-    arrival = Arrival(reactor, TIMEOUT_MS, TRANSFER, link)
+    arrival = AnswerArrival(reactor, TIMEOUT_MS, TRANSFER, link)
     arrival.watch(Deferred().addErrback(lambda _: None))
     arrival.begun()
     arrival.came(16_383)
--- a/tests/cover/test_fetch.py
+++ b/tests/cover/test_fetch.py
@@ -13,6 +13,12 @@
 TIMEOUT_MS = 1_000
 TRANSFER = Transfer(pause_ms=1_000, most_ms=20_000, most_bytes=100)
 HEAD = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\n"
+BODY = bytes(range(50))
+PACKED = gzip.compress(BODY)
+COMPRESSED = (
+    b"HTTP/1.1 200 OK\r\ncontent-encoding: gzip\r\n"
+    b"content-length: %d\r\n\r\n" % len(PACKED) + PACKED
+)
 
 
 def asked(call, reactor):
@@ -63,9 +69,7 @@
     reactor = MemoryReactorClock()
     fetcher = Fetcher(reactor, 250, transfer=TRANSFER)
     server = asked(fetcher.ask("GET", "http://127.0.0.1:1/", TIMEOUT_MS), reactor)
-    body = gzip.compress(bytes(range(50)))
-    head = b"HTTP/1.1 200 OK\r\ncontent-encoding: gzip\r\ncontent-length: %d\r\n\r\n"
-    server.send(head % len(body) + body[:40])
+    server.send(COMPRESSED[:-10])
     reactor.advance(1.1)
     assert isinstance(server.outcomes[0], AnswerLost)
     assert server.transport.disconnecting
@@ -75,10 +79,8 @@
     reactor = MemoryReactorClock()
     fetcher = Fetcher(reactor, 250, transfer=TRANSFER)
     server = asked(fetcher.ask("GET", "http://127.0.0.1:1/", TIMEOUT_MS), reactor)
-    body = gzip.compress(bytes(range(50)))
-    head = b"HTTP/1.1 200 OK\r\ncontent-encoding: gzip\r\ncontent-length: %d\r\n\r\n"
-    server.send(head % len(body) + body)
-    assert server.outcomes == [HttpReply(200, "", bytes(range(50)))]
+    server.send(COMPRESSED)
+    assert server.outcomes == [HttpReply(200, "", BODY)]
 
 
 def test_a_large_object_is_read_however_long_it_comes():
