Logs tell which ids are one request, and which lost runs had begun

Change: run_lost and try_ended name the request's fingerprint (team, method, host, target, body; 12 bytes of BLAKE2b), run_lost how long the run had run and what it gave.

--- a/src/coursekeel/gateway/_dispatcher.py
+++ b/src/coursekeel/gateway/_dispatcher.py
@@ -115,6 +115,7 @@
         within_ms = min(route.timeout_ms, caller.deadline_ms or route.timeout_ms)
         return AdmittedRequest(
             request.method,
+            request.host_name(),
             request.uri,
             received,
             request.content.read(),
--- a/src/coursekeel/gateway/_metrics.py
+++ b/src/coursekeel/gateway/_metrics.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Sequence
 from typing import Any
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from coursekeel.gateway._request import AdmittedRequest
 from coursekeel.gateway.admission._refusals import GatewayRefusal
@@ -17,7 +17,7 @@
 from coursekeel.runtime import Clock
 from coursekeel.units import MS_PER_SECOND
 
-__all__ = ["GatewayMetrics", "logged_age_ms"]
+__all__ = ["GatewayMetrics", "LostRun", "logged_age_ms"]
 
 # Series of a gateway's counter and of each histogram; a few hundred in all with 24
 # teams (the users' bound, kept by tests/cover/test_gateway_metrics.py).
@@ -25,6 +25,20 @@
 _MAX_TIMED_SETS = 64  # see above
 
 
+@frozen
+class LostRun:
+    """A run that was lost, and ``why``.
+
+    ``ran_ms`` is how long it had been running, None if it never began; ``events`` is
+    how many it gave.
+    """
+
+    endpoint_id: str
+    why: str
+    ran_ms: float | None = None
+    events: int = 0
+
+
 @define(eq=False)
 class GatewayMetrics:
     """Turns what happened into one log line and the metrics it moves."""
@@ -134,21 +148,26 @@
         log_event(
             "try_ended",
             request=call.caller.request_id,
+            fingerprint=call.fingerprint,
             endpoint=endpoint_id,
             outcome=outcome,
         )
 
-    def run_lost(
-        self, call: AdmittedRequest, endpoint_id: str, why: str, position: int
-    ) -> None:
+    def run_lost(self, call: AdmittedRequest, lost: LostRun, position: int) -> None:
         """A run was lost before its answer was whole."""
         self.metrics.attempts.inc({"way": "lost"})
+        fields: dict[str, Any] = {}
+        if lost.ran_ms is not None:
+            fields["ran_ms"] = round(lost.ran_ms)
         log_event(
             "run_lost",
             request=call.caller.request_id,
-            endpoint=endpoint_id,
-            reason=why,
+            fingerprint=call.fingerprint,
+            endpoint=lost.endpoint_id,
+            reason=lost.why,
             position=position,
+            events=lost.events,
+            **fields,
         )
 
     def resumed(self, call: AdmittedRequest, way: str, waited_ms: float) -> None:
--- a/src/coursekeel/gateway/_request.py
+++ b/src/coursekeel/gateway/_request.py
@@ -3,6 +3,9 @@
 Owns no state. Relies on the route table's types and on what the caller's headers said.
 """
 
+import hashlib
+from functools import cached_property
+
 from attrs import frozen
 
 from coursekeel.forwarding import Route, Team
@@ -14,6 +17,10 @@
 # route's rank; those in use are single digits.
 _ROUTE_RANKS = 100
 
+# Bytes of a fingerprint: two of a billion requests are alike by chance with odds of one
+# in 10^11, and nobody can make one that is like another's.
+_FINGERPRINT_BYTES = 12
+
 
 @frozen
 class AdmittedRequest:
@@ -25,6 +32,7 @@
     """
 
     method: bytes
+    host: str
     target: bytes
     received: HeaderPairs
     body: bytes
@@ -46,3 +54,13 @@
         """The place among waiting requests, 0 first."""
         team_rank = self.team.rank if self.team else 0
         return team_rank * _ROUTE_RANKS + self.route.rank
+
+    @cached_property
+    def fingerprint(self) -> str:
+        """The same for what the same team asks again, whatever its id and instance."""
+        asked = hashlib.blake2b(digest_size=_FINGERPRINT_BYTES)
+        asked.update(self.team_name.encode())
+        for part in (self.method, self.host.encode(), self.target, self.body):
+            asked.update(b"%d:" % len(part))
+            asked.update(part)
+        return asked.hexdigest()
--- a/src/coursekeel/gateway/streams/_stream_attempt.py
+++ b/src/coursekeel/gateway/streams/_stream_attempt.py
@@ -35,6 +35,7 @@
     OutboundRequest,
 )
 from coursekeel.gateway._context import GatewayContext
+from coursekeel.gateway._metrics import LostRun
 from coursekeel.gateway._request import AdmittedRequest
 from coursekeel.gateway.endpoints._load_reports import LoadReports
 from coursekeel.gateway.streams._begin_watch import BeginWatch
@@ -77,7 +78,7 @@
         """The attempt's connection ended by itself."""
 
     @abstractmethod
-    def lost(self, endpoint_id: str, why: str) -> None:
+    def lost(self, lost: LostRun) -> None:
         """An attempt was lost before the answer was whole."""
 
 
@@ -94,7 +95,8 @@
     _exchange: Exchange | None = None
     _head: ExchangeHead | None = None
     _streaming: bool = False
-    _begun: bool = False
+    _events: int = 0
+    _headed_ms: float | None = None
     _buffer: bytearray = field(factory=bytearray)
     _watch: BeginWatch | None = None
 
@@ -130,16 +132,24 @@
     def _not_begun(self, report: EndpointReport | None) -> None:
         """The endpoint is dead, or doesn't run what it was sent."""
         if report is None:
-            self.task.lost(self.endpoint_id, "no_report")
+            self.task.lost(self.lost_run("no_report"))
             self.task.tell(EndpointSilent(self.endpoint_id))
         else:
             self._lost("not_running")
 
+    def lost_run(self, why: str) -> LostRun:
+        """What is known of the run, if it is lost now."""
+        ran_ms = None
+        if self._headed_ms is not None:
+            ran_ms = self.task.context.clock.now_ms() - self._headed_ms
+        return LostRun(self.endpoint_id, why, ran_ms, self._events)
+
     # The answer.
 
     def head_arrived(self, head: ExchangeHead) -> None:
         self._head = head
         task = self.task
+        self._headed_ms = task.context.clock.now_ms()
         if self._verdict(head) is HeadVerdict.RAN and head.status == HTTPStatus.OK:
             self._streaming = True
             task.opened(self.number, head)
@@ -159,12 +169,12 @@
             self._lost("event_without_number")
             return
         if numbers:
-            if not self._begun:
+            if not self._events:
                 self._first_event()
+            self._events += len(numbers)
             self._take(numbers, events)
 
     def _first_event(self) -> None:
-        self._begun = True
         self._stop_watch()
         task = self.task
         router = task.context.routing.router
@@ -244,6 +254,7 @@
         routing.router.sent_to_copy(successor.endpoint_id)
         self.endpoint_id = successor.endpoint_id
         self._head = None
+        self._headed_ms = None
         self._buffer.clear()
         self._stop_watch()
         self._watch_beginning()
@@ -267,7 +278,7 @@
         return once or head.status < HTTPStatus.INTERNAL_SERVER_ERROR
 
     def _lost(self, why: str) -> None:
-        self.task.lost(self.endpoint_id, why)
+        self.task.lost(self.lost_run(why))
         if self._exchange is not None:
             self._exchange.abort()
         self._over(Loss.CUT, failed=True)
--- a/src/coursekeel/gateway/streams/_stream_reply.py
+++ b/src/coursekeel/gateway/streams/_stream_reply.py
@@ -11,6 +11,7 @@
 from coursekeel.fetch import ExchangeHead
 from coursekeel.gateway._caller_reply import CallerReply
 from coursekeel.gateway._context import GatewayContext
+from coursekeel.gateway._metrics import LostRun
 from coursekeel.gateway._request import AdmittedRequest
 from coursekeel.gateway.admission._refusals import GatewayRefusal
 
@@ -44,11 +45,11 @@
         headers = self.context.endpoints.dialect.answer_headers(head)
         self.reply.head(head.status, headers)
 
-    def lost(self, endpoint_id: str, why: str, position: int) -> None:
+    def lost(self, lost: LostRun, position: int) -> None:
         """A run was lost after ``position`` events."""
         if self._lost_ms is None:
             self._lost_ms = self.context.clock.now_ms()
-        self.context.metrics.run_lost(self.call, endpoint_id, why, position)
+        self.context.metrics.run_lost(self.call, lost, position)
 
     def deliver(self, events: bytes) -> None:
         """Send events on."""
--- a/src/coursekeel/gateway/streams/_stream_task.py
+++ b/src/coursekeel/gateway/streams/_stream_task.py
@@ -40,6 +40,7 @@
 from coursekeel.gateway._adapters import OutboundRequest
 from coursekeel.gateway._caller_reply import CallerReply
 from coursekeel.gateway._context import GatewayContext
+from coursekeel.gateway._metrics import LostRun
 from coursekeel.gateway._request import AdmittedRequest
 from coursekeel.gateway._retry_budgets import SendAccount
 from coursekeel.gateway.admission._refusals import (
@@ -258,7 +259,7 @@
         if attempt is None:
             return
         if not self.core.ended and not self._caller.waits_for_recovery:
-            self.lost(attempt.endpoint_id, "silent")
+            self.lost(attempt.lost_run("silent"))
         attempt.close()
 
     def is_open(self, number: int) -> bool:
@@ -288,10 +289,10 @@
         self._caller.answered_otherwise(head, body)
         self.tell(Cancelled())
 
-    def lost(self, endpoint_id: str, why: str) -> None:
+    def lost(self, lost: LostRun) -> None:
         """An attempt was lost before the answer was whole."""
-        self._caller.lost(endpoint_id, why, self.core.ledger.next_position)
-        self._placement.lost(endpoint_id)
+        self._caller.lost(lost, self.core.ledger.next_position)
+        self._placement.lost(lost.endpoint_id)
 
     # Ends.
 
--- a/tests/cover/test_stream_placement.py
+++ b/tests/cover/test_stream_placement.py
@@ -126,7 +126,18 @@
     ) -> StreamTask:
         caller = CallerHeaders("r1", "key", 20_000, after, 5_000, 100, "p1")
         call = AdmittedRequest(
-            b"POST", b"/stream/x", [], b"", caller, ROUTE, POOL, copies, team, 0, 20_000
+            b"POST",
+            "h",
+            b"/stream/x",
+            [],
+            b"",
+            caller,
+            ROUTE,
+            POOL,
+            copies,
+            team,
+            0,
+            20_000,
         )
         task = StreamTask(self.context, self.reports, self.successors, call, self.reply)
         task.start()
@@ -285,7 +296,7 @@
     caller = CallerHeaders("r2", "key", 2_000, None)
     route = evolve(ROUTE, kind=RouteKind.REPEATABLE, timeout_ms=2_000)
     call = AdmittedRequest(
-        b"GET", b"/x", [], b"", caller, route, POOL, False, None, 0, 2_000
+        b"GET", "h", b"/x", [], b"", caller, route, POOL, False, None, 0, 2_000
     )
     WholeAnswerTask(site.context, call, site.reply).start()
     assert not site.client.sent
@@ -302,7 +313,7 @@
     caller = CallerHeaders("r3", "key", 2_000, None)
     route = evolve(ROUTE, kind=RouteKind.REPEATABLE, timeout_ms=2_000)
     call = AdmittedRequest(
-        b"GET", b"/x", [], b"", caller, route, POOL, False, None, 0, 2_000
+        b"GET", "h", b"/x", [], b"", caller, route, POOL, False, None, 0, 2_000
     )
     WholeAnswerTask(site.context, call, site.reply).start()
     site.client.dialect.judge = Mock(return_value=HeadVerdict.RAN)
