--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -6,7 +6,7 @@
 
 import sys
 import time
-from base64 import b64encode
+from base64 import b64decode, b64encode
 from typing import Any
 
 from twisted.internet import asyncioreactor
@@ -23,6 +23,10 @@
 _EVENT_GAP_S = 0.02
 # A paced answer goes out in pieces, one in so long.
 _PIECE_S = 0.05
+# How long a request that ends its server has been running by then, and how long the
+# server stays away, unless the fault says otherwise.
+_CRASHING_S = 0.06
+_DOWN_S = 1.0
 
 
 class Store:
@@ -170,7 +174,11 @@
     """One server: whole answers, or streams of numbered events, and copies."""
 
     def __init__(self, name: str, store: Store) -> None:
-        self.name = name
+        self.name = self.first_name = name
+        self.lives = 1
+        self.port = 0
+        self.calls: set[Any] = set()
+        self.listener: Any = None
         self.store = store
         self.peers: dict[str, Server] = {}
         self.address = ""
@@ -180,6 +188,38 @@
         self.open: dict[str, Any] = {}
         self.app = self._routes()
 
+    def listen(self) -> int:
+        """Take connections, at the same port in every life."""
+        site = Site(self.app.resource())
+        self.listener = reactor.listenTCP(self.port, site, interface="127.0.0.1")
+        self.port = self.listener.getHost().port
+        return self.port
+
+    def crash(self, down_s: float = _DOWN_S) -> None:
+        """End as a process does: every call's connection is reset, the port refuses.
+
+        Back after ``down_s`` as another incarnation, which the list names then.
+        """
+        if self.listener is None:
+            return
+        self.listener.stopListening()
+        self.listener = None
+        for each in list(self.calls):
+            each.transport.abortConnection()
+        self.open.clear()
+        self.copies.clear()
+        reactor.callLater(down_s, self._restart)
+
+    def _restart(self) -> None:
+        row = self.store.rows["servers", self.name]
+        self.store.put("servers", self.name, None)
+        self.lives += 1
+        self.name = f"{self.first_name}-{self.lives}"
+        self.listen()
+        value = orjson.loads(b64decode(row["value"]))
+        self.store.put("servers", self.name, value)
+        self.store.wake("servers")
+
     def _routes(self) -> Klein:
         app = Klein()
 
@@ -233,6 +273,8 @@
                 "at_s": time.monotonic(),
             }
         )
+        self.calls.add(request)
+        request.notifyFinish().addBoth(lambda _: self.calls.discard(request))
         if self._take("mute") or self.faults.get("dark"):
             return self._until_closed(request)
         if self._take("hang"):
@@ -240,6 +282,8 @@
         if self._take("reset"):
             request.transport.abortConnection()
             return Deferred()
+        if self._is_crashed_by(path, body):
+            return self._crash_soon(request, run_id, path)
         answered = "f" * 16 if self._take("foreign") else run_id
         request.setHeader("request-id", answered)
         request.setHeader("response-signature", f"sig-{self.name}")
@@ -304,6 +348,27 @@
         request.write(event)
         reactor.callLater(_EVENT_GAP_S, self._event, request, run_id, number + 1, last)
 
+    def _is_crashed_by(self, path: str, body: str) -> bool:
+        text = self.faults.get("crashed_by", "")
+        return bool(text) and (text in body or text in path)
+
+    def _crash_soon(self, request: Any, run_id: str, path: str) -> Any:
+        """The request begins to run, a stream's head goes out, and the server ends.
+
+        A stream may give ``crash_events`` before.
+        """
+        down_s = self.faults.get("down_s", _DOWN_S)
+        reactor.callLater(_CRASHING_S, self.crash, down_s)
+        if path.startswith("stream"):
+            request.setHeader("request-id", run_id)
+            request.setHeader("response-signature", f"sig-{self.name}")
+            request.setHeader("content-type", "text/event-stream")
+            first = int(request.getHeader("last-event-id") or 0) + 1
+            for number in range(first, first + self.faults.get("crash_events", 0)):
+                request.write(b"id: %d\ndata: piece-%d\n\n" % (number, number))
+            request.write(b"")
+        return Deferred()
+
     def _until_closed(self, request: Any) -> Any:
         run_id = request.getHeader("request-id")
         self.open[run_id] = request
@@ -360,10 +425,19 @@
         servers[name].name = orjson.loads(request.content.read())
         return b"{}"
 
+    @app.route("/servers/<name>/crash", methods=["POST"])
+    def crash(request: Any, name: str) -> bytes:
+        servers[name].crash(**orjson.loads(request.content.read()))
+        return b"{}"
+
     @app.route("/servers", methods=["GET"])
     def ran(request: Any) -> bytes:
         told = {
-            name: {"ran": each.ran, "open": list(each.open)}
+            name: {
+                "ran": each.ran,
+                "open": list(each.open),
+                "crashes": each.lives - (each.listener is not None),
+            }
             for name, each in servers.items()
         }
         return orjson.dumps(told)
@@ -383,13 +457,14 @@
     store = Store()
     names = [f"s{number}" for number in range(int(sys.argv[1]))]
     servers = {name: Server(name, store) for name in names}
-    apps = [_control(store, servers), store.app, *(s.app for s in servers.values())]
+    apps = [_control(store, servers), store.app]
     ports = [
         reactor.listenTCP(0, Site(app.resource()), interface="127.0.0.1").getHost().port
         for app in apps
     ]
-    for server, port in zip(servers.values(), ports[2:], strict=True):
-        server.address = f"127.0.0.1:{port}"
+    for server in servers.values():
+        ports.append(server.listen())
+        server.address = f"127.0.0.1:{server.port}"
     for server in servers.values():
         server.peers = {each.address: each for each in servers.values()}
     print("listening", *ports, flush=True)
