Requests that end the endpoints that run them are barred at all instances

Cause: lost runs were counted by request id, at the instance that had it, and forgotten with it; a request that comes again under another id ended up to max-attempts endpoints more each time, bounded only by the retry budget. Class: a fault of the request itself was remembered with one try of it. Change: coursekeel.quarantine keeps, by a fingerprint of what is asked, the endpoints that ended under it; an endpoint that lost a run is asked once whether it lives; members tell each other at once, and find what they missed by a digest in SWIM's messages. Three bar a request: 503 with Retry-After, at once. Lost members and seeds are asked every 2 s in place of 4, or halves of two met too late for the bound. A test of copies took its second run by the servers' order, and now takes the one that isn't the first: the watch ejects a dark endpoint sooner.

--- a/src/coursekeel/gateway/_context.py
+++ b/src/coursekeel/gateway/_context.py
@@ -10,7 +10,9 @@
 from coursekeel.gateway._live_settings import LiveSettings
 from coursekeel.gateway._metrics import GatewayMetrics
 from coursekeel.gateway._retry_budgets import RetryBudgets
+from coursekeel.gateway.admission._quarantine_gate import QuarantineGate
 from coursekeel.gateway.admission._stream_lengths import StreamLengths
+from coursekeel.gateway.endpoints._crash_watch import CrashWatch
 from coursekeel.gateway.endpoints._endpoint_client import EndpointClient
 from coursekeel.gateway.endpoints._endpoint_health import EndpointHealth
 from coursekeel.gateway.site._known_site import KnownSite
@@ -34,4 +36,6 @@
     health: EndpointHealth
     budgets: RetryBudgets
     metrics: GatewayMetrics
+    quarantine: QuarantineGate
+    crashes: CrashWatch
     lengths: StreamLengths = field(factory=StreamLengths)
--- a/src/coursekeel/gateway/_dispatcher.py
+++ b/src/coursekeel/gateway/_dispatcher.py
@@ -15,6 +15,7 @@
 from coursekeel.gateway._http import CallerRequest
 from coursekeel.gateway._request import AdmittedRequest
 from coursekeel.gateway.admission._admission import Admission, Admitted, Arrival, admit
+from coursekeel.gateway.admission._quarantine_gate import STOPS_ENDPOINTS
 from coursekeel.gateway.admission._refusals import (
     NOT_YET_RETRY_MS,
     GatewayRefusal,
@@ -30,6 +31,8 @@
 
 _NO_POOL = GatewayRefusal(HTTPStatus.SERVICE_UNAVAILABLE, "no_pool", NOT_YET_RETRY_MS)
 
+_BARRED = GatewayRefusal(HTTPStatus.SERVICE_UNAVAILABLE, STOPS_ENDPOINTS)
+
 
 @define(eq=False)
 class Dispatcher:
@@ -58,6 +61,8 @@
         call = self._admitted(request, received, caller, outcome)
         if call is None:
             self._refuse(reply, caller, _NO_POOL)
+        elif barred_ms := self.context.quarantine.barred_ms(call):
+            self._refuse(reply, caller, evolve(_BARRED, retry_after_ms=barred_ms))
         elif call.route.kind.streams:
             self._stream(call, reply).start()
         else:
--- a/src/coursekeel/gateway/_gateway.py
+++ b/src/coursekeel/gateway/_gateway.py
@@ -32,7 +32,9 @@
 from coursekeel.gateway._live_settings import LiveSettings
 from coursekeel.gateway._metrics import GatewayMetrics
 from coursekeel.gateway._retry_budgets import RetryBudgets
+from coursekeel.gateway.admission._quarantine_gate import QuarantineGate
 from coursekeel.gateway.admission._stop_window import Shutdown, StopWindow
+from coursekeel.gateway.endpoints._crash_watch import CrashWatch
 from coursekeel.gateway.endpoints._endpoint_client import EndpointClient
 from coursekeel.gateway.endpoints._endpoint_health import EndpointHealth
 from coursekeel.gateway.endpoints._load_reports import LoadReports
@@ -119,6 +121,11 @@
             freshness,
         )
         self._metrics = GatewayMetrics(self.clock)
+        client = EndpointClient(self.reactor, self._live, self.endpoints, self.link)
+        health = EndpointHealth(self.clock, self._site, self._router, self._metrics)
+        gate = QuarantineGate(
+            self.clock, self._group.quarantine, self._group.tell_suspects
+        )
         context = GatewayContext(
             self.reactor,
             self.clock,
@@ -126,10 +133,21 @@
             self._live,
             self._site,
             routing,
-            EndpointClient(self.reactor, self._live, self.endpoints, self.link),
-            EndpointHealth(self.clock, self._site, self._router, self._metrics),
+            client,
+            health,
             RetryBudgets(self._live, lambda: self._group.members, random, self.clock),
             self._metrics,
+            gate,
+            CrashWatch(
+                self.reactor,
+                self.clock,
+                self._live,
+                self._site,
+                client,
+                health,
+                gate,
+                self._metrics,
+            ),
         )
         reports = LoadReports(context)
         self._dispatcher = Dispatcher(
@@ -201,6 +219,16 @@
             "Members of the group that nothing speaks against",
             lambda: len(self._group.swim.alive()),
         )
+        gauge(
+            "coursekeel_suspect_requests",
+            "Requests that are remembered because endpoints ended under them",
+            lambda: len(self._group.quarantine),
+        )
+        gauge(
+            "coursekeel_barred_requests",
+            "Requests that are barred because they end endpoints",
+            lambda: self._group.quarantine.barred,
+        )
         gauge("coursekeel_waiting", "Requests that wait", lambda: self._router.waiting)
         gauge(
             "coursekeel_refused",
--- a/src/coursekeel/gateway/_metrics.py
+++ b/src/coursekeel/gateway/_metrics.py
@@ -29,13 +29,14 @@
 class LostRun:
     """A run that was lost, and ``why``.
 
-    ``ran_ms`` is how long it had been running, None if it never began; ``events`` is
-    how many it gave.
+    ``ran_ms`` is how long ago its answer's head came, None if none came; ``gave_ms``
+    how long ago its first event did, and ``events`` how many it gave.
     """
 
     endpoint_id: str
     why: str
     ran_ms: float | None = None
+    gave_ms: float | None = None
     events: int = 0
 
 
@@ -170,6 +171,13 @@
             **fields,
         )
 
+    def endpoint_ended(self, endpoint_id: str, fingerprints: Sequence[str]) -> None:
+        """An endpoint ended while it had these requests."""
+        self.metrics.attempts.inc({"way": "ended_under"})
+        log_event(
+            "endpoint_ended", endpoint=endpoint_id, fingerprints=",".join(fingerprints)
+        )
+
     def resumed(self, call: AdmittedRequest, way: str, waited_ms: float) -> None:
         """An answer went on after a loss."""
         self.metrics.resume_s.observe(self._times(call), waited_ms / MS_PER_SECOND)
--- /dev/null
+++ b/src/coursekeel/gateway/admission/_quarantine_gate.py
@@ -0,0 +1,112 @@
+"""Bar: may a request be sent, under which endpoints have ended?
+
+Rule: `coursekeel.quarantine` says which requests are barred; each send asks anew, since
+another member may have learned something since the last one. What this instance learns
+is told to all others at once. One that is let run on trial may be sent until something
+is learned of it.
+
+Owns nothing but the trials of its own requests. Relies on `Quarantine` for what is
+known, and on ``tell`` for the others.
+"""
+
+from collections.abc import Callable, Iterable
+
+from attrs import define, frozen
+
+from coursekeel.gateway._request import AdmittedRequest
+from coursekeel.quarantine import (
+    Barred,
+    Quarantine,
+    Sign,
+    SuspectRecord,
+    Trial,
+)
+from coursekeel.runtime import Clock
+
+__all__ = ["STOPS_ENDPOINTS", "QuarantineGate", "QuarantinePass", "Suspect"]
+
+# The code of the reply to a barred request; callers know it from answers given up
+# because their runs died one after the other (`answers/_recovery.py`).
+STOPS_ENDPOINTS = "request_stops_engines"
+
+
+@frozen
+class Suspect:
+    """A request that an endpoint had when it ended, and when its run was lost."""
+
+    fingerprint: str
+    sign: Sign
+    lost_ms: float
+
+
+@define(eq=False)
+class QuarantineGate:
+    """Asks and tells of suspect requests; ``tell`` gives records to all members."""
+
+    clock: Clock
+    quarantine: Quarantine
+    tell: Callable[[list[SuspectRecord]], None]
+
+    def barred_ms(self, call: AdmittedRequest) -> float:
+        """For how long a request may not be sent; 0 if it may be."""
+        verdict = self._verdict(call)
+        return verdict.left_ms if isinstance(verdict, Barred) else 0.0
+
+    def begin_trial(self, call: AdmittedRequest) -> SuspectRecord | None:
+        """Let a request whose bar is over run once; None if it needs no trial."""
+        if not isinstance(self._verdict(call), Trial):
+            return None
+        now_ms = self.clock.now_ms()
+        tried = self.quarantine.begin_trial(call.fingerprint, now_ms)
+        self.tell([tried])
+        return tried
+
+    def struck(self, endpoint_id: str, suspects: Iterable[Suspect]) -> None:
+        """An endpoint ended while it had these requests."""
+        found = [
+            self.quarantine.strike(
+                each.fingerprint, endpoint_id, each.sign, each.lost_ms
+            )
+            for each in suspects
+        ]
+        self._tell(found)
+
+    def proved_sound(self, call: AdmittedRequest) -> None:
+        """A request ran, and its endpoint lives."""
+        if len(self.quarantine):
+            now_ms = self.clock.now_ms()
+            self._tell([self.quarantine.proved_sound(call.fingerprint, now_ms)])
+
+    def _tell(self, found: list[SuspectRecord | None]) -> None:
+        learned = [each for each in found if each is not None]
+        if learned:
+            self.tell(learned)
+
+    def _verdict(self, call: AdmittedRequest) -> Barred | Trial | None:
+        """Nothing is computed of a request while no request is barred."""
+        if not self.quarantine.barred:
+            return None
+        return self.quarantine.verdict(call.fingerprint, self.clock.now_ms())
+
+
+@define(eq=False)
+class QuarantinePass:
+    """One request's leave to be sent, which ends when something is learned of it."""
+
+    gate: QuarantineGate
+    call: AdmittedRequest
+    _trial: SuspectRecord | None = None
+
+    def may_send(self) -> bool:
+        """Say whether the request may be sent now."""
+        if self._trial is not None:
+            return self.gate.quarantine.trial_stands(self._trial)
+        if self.gate.barred_ms(self.call):
+            return False
+        self._trial = self.gate.begin_trial(self.call)
+        return True
+
+    @property
+    def barred_ms(self) -> float:
+        """For how long the request may not be sent."""
+        return self.gate.barred_ms(self.call)
--- a/src/coursekeel/gateway/members/_group.py
+++ b/src/coursekeel/gateway/members/_group.py
@@ -19,6 +19,7 @@
 from coursekeel.gateway.members._shared_source import SharedSource, SharingTerms
 from coursekeel.gateway.members._table_feed import TableFeed
 from coursekeel.group import Swim
+from coursekeel.quarantine import Quarantine, QuarantineGossip, SuspectRecord
 from coursekeel.reactor import Reactor
 from coursekeel.runtime import Clock
 
@@ -42,6 +43,7 @@
     store: Source
     random: Random
     link: OwnLink
+    quarantine: Quarantine = field(factory=Quarantine)
     swim: Swim = field(init=False)
     source: SharedSource = field(init=False)
     feeds: dict[Table, TableFeed] = field(init=False)
@@ -53,11 +55,23 @@
         own = now.listen.peers
         port = own.rpartition(":")[2]
         seeds = tuple(f"{each.rpartition(':')[0]}:{port}" for each in now.seeds if own)
-        self.swim = Swim(own, now.zone, now.store, seeds, self.random)
+        self.swim = Swim(
+            own,
+            now.zone,
+            now.store,
+            seeds,
+            self.random,
+            suspects_digest=lambda: self.quarantine.digest,
+        )
         self.feeds = {each: TableFeed(self.reactor, self.clock) for each in Table}
         self.server = PeerServer(now.store, self.feeds)
         self.source = self._make_source()
-        self._task = GroupTask(self.reactor, self.clock, self.swim, self._proven_ms)
+        gossip = QuarantineGossip(
+            own, now.store, self.quarantine, self.random, self.swim.others
+        )
+        self._task = GroupTask(
+            self.reactor, self.clock, self.swim, gossip, self._proven_ms
+        )
 
     def _make_source(self) -> SharedSource:
         timers = self.settings.timers
@@ -101,6 +115,10 @@
         if self.swim.own:
             self._task.stop()
 
+    def tell_suspects(self, records: list[SuspectRecord]) -> None:
+        """Tell all others what this instance learned of suspect requests."""
+        self._task.tell_suspects(records)
+
     @property
     def members(self) -> int | None:
         """How many instances there are or were lately, this one included.
--- a/src/coursekeel/gateway/members/_group_task.py
+++ b/src/coursekeel/gateway/members/_group_task.py
@@ -22,6 +22,16 @@
     encode_message,
 )
 from coursekeel.observe import log_event
+from coursekeel.quarantine import (
+    MARK,
+    QuarantineGossip,
+    QuarantineMessage,
+    QuarantineOutgoing,
+    SuspectRecord,
+    UnreadableQuarantine,
+    decode_quarantine,
+    encode_quarantine,
+)
 from coursekeel.reactor import Reactor
 from coursekeel.runtime import Clock, Periodic
 
@@ -34,10 +44,12 @@
 # fill the log. Chosen, not measured.
 _REFUSALS_TOLD_MS = 1_000.0
 
+_Message = SwimMessage | UnreadableMessage | QuarantineMessage | UnreadableQuarantine
+
 
 @define(eq=False)
 class GroupTask(DatagramProtocol):
-    """Sends and receives what `Swim` says.
+    """Sends and receives what `Swim` and `QuarantineGossip` say.
 
     ``proven_ms`` gives the moments of this instance's own proofs, by table.
     """
@@ -45,6 +57,7 @@
     reactor: Reactor
     clock: Clock
     swim: Swim
+    gossip: QuarantineGossip
     proven_ms: Callable[[], dict[str, float]]
     _ticks: Periodic = field(init=False)
     _refused: int = 0
@@ -67,21 +80,34 @@
     async def _tick(self) -> None:
         for table, moment_ms in self.proven_ms().items():
             self.swim.proved(table, moment_ms)
-        self._send(self.swim.tick(self.clock.now_ms()))
+        now_ms = self.clock.now_ms()
+        self._send(self.swim.tick(now_ms))
+        self.gossip.quarantine.forget(now_ms)
+        self._log_events()
+
+    def tell_suspects(self, records: list[SuspectRecord]) -> None:
+        """Tell all others what this instance learned of suspect requests."""
+        if self.transport is not None:
+            self._tell(self.gossip.learned(records, self.clock.now_ms()))
         self._log_events()
 
     def datagramReceived(self, data: bytes, addr: Any) -> None:
-        message = decode_message(data)
+        marked = data.startswith(MARK)
+        message = decode_quarantine(data) if marked else decode_message(data)
         fault = self._fault_of(message, addr)
         if fault:
             self._refuse(fault, addr)
             return
-        assert isinstance(message, SwimMessage)
-        self._send(self.swim.received(message, self.clock.now_ms()))
+        now_ms = self.clock.now_ms()
+        if isinstance(message, SwimMessage):
+            self._send(self.swim.received(message, now_ms))
+            self._tell(self.gossip.heard_digest(message.sender, message.suspects))
+        elif isinstance(message, QuarantineMessage):
+            self._tell(self.gossip.received(message, now_ms))
         self._log_events()
 
-    def _fault_of(self, message: SwimMessage | UnreadableMessage, addr: Any) -> str:
-        if isinstance(message, UnreadableMessage):
+    def _fault_of(self, message: _Message, addr: Any) -> str:
+        if isinstance(message, UnreadableMessage | UnreadableQuarantine):
             return message.fault
         if message.group != self.swim.group:
             return f"group: got {message.group!r:.60}, expected {self.swim.group!r:.60}"
@@ -104,16 +130,34 @@
         )
 
     def _send(self, messages: list[Outgoing]) -> None:
-        transport: Any = self.transport
         for each in messages:
-            try:
-                transport.write(
-                    encode_message(each.message), _host_and_port(each.address)
-                )
-            except (OSError, ValueError) as failure:
-                log_event("datagram_unsent", to=each.address, error=failure)
+            self._write(each.address, encode_message(each.message))
+
+    def _tell(self, messages: list[QuarantineOutgoing]) -> None:
+        for each in messages:
+            self._write(each.address, encode_quarantine(each.message))
+
+    def _write(self, address: str, data: bytes) -> None:
+        transport: Any = self.transport
+        try:
+            transport.write(data, _host_and_port(address))
+        except (OSError, ValueError) as failure:
+            log_event("datagram_unsent", to=address, error=failure)
 
     def _log_events(self) -> None:
+        quarantine = self.gossip.quarantine
+        for bar in quarantine.events:
+            endpoints = ",".join(bar.endpoint_ids)
+            if bar.barred:
+                log_event(
+                    "request_barred",
+                    logging.WARNING,
+                    fingerprint=bar.fingerprint,
+                    endpoints=endpoints,
+                )
+            else:
+                log_event("request_cleared", fingerprint=bar.fingerprint)
+        quarantine.events.clear()
         for each in self.swim.events:
             log_event(
                 f"member_{each.kind.value}",
--- a/src/coursekeel/gateway/streams/_stream_attempt.py
+++ b/src/coursekeel/gateway/streams/_stream_attempt.py
@@ -97,6 +97,7 @@
     _streaming: bool = False
     _events: int = 0
     _headed_ms: float | None = None
+    _first_ms: float | None = None
     _buffer: bytearray = field(factory=bytearray)
     _watch: BeginWatch | None = None
 
@@ -139,10 +140,10 @@
 
     def lost_run(self, why: str) -> LostRun:
         """What is known of the run, if it is lost now."""
-        ran_ms = None
-        if self._headed_ms is not None:
-            ran_ms = self.task.context.clock.now_ms() - self._headed_ms
-        return LostRun(self.endpoint_id, why, ran_ms, self._events)
+        now_ms = self.task.context.clock.now_ms()
+        ran_ms = None if self._headed_ms is None else now_ms - self._headed_ms
+        gave_ms = None if self._first_ms is None else now_ms - self._first_ms
+        return LostRun(self.endpoint_id, why, ran_ms, gave_ms, self._events)
 
     # The answer.
 
@@ -177,10 +178,11 @@
     def _first_event(self) -> None:
         self._stop_watch()
         task = self.task
+        self._first_ms = task.context.clock.now_ms()
         router = task.context.routing.router
         load = router.load(self.endpoint_id)
         if load is not None and not self.from_copy:
-            waited_ms = task.context.clock.now_ms() - self.started_ms
+            waited_ms = self._first_ms - self.started_ms
             load.reading.began(task.call.caller.prompt_tokens, waited_ms)
         router.succeeded(self.endpoint_id, task.call.route.name)
 
@@ -254,7 +256,8 @@
         routing.router.sent_to_copy(successor.endpoint_id)
         self.endpoint_id = successor.endpoint_id
         self._head = None
-        self._headed_ms = None
+        self._headed_ms = self._first_ms = None
+        self._events = 0
         self._buffer.clear()
         self._stop_watch()
         self._watch_beginning()
--- a/src/coursekeel/gateway/streams/_stream_task.py
+++ b/src/coursekeel/gateway/streams/_stream_task.py
@@ -43,6 +43,10 @@
 from coursekeel.gateway._metrics import LostRun
 from coursekeel.gateway._request import AdmittedRequest
 from coursekeel.gateway._retry_budgets import SendAccount
+from coursekeel.gateway.admission._quarantine_gate import (
+    STOPS_ENDPOINTS,
+    QuarantinePass,
+)
 from coursekeel.gateway.admission._refusals import (
     ELSEWHERE_RETRY_MS,
     STREAM_RETRY_MS,
@@ -79,6 +83,7 @@
     _placement: StreamPlacement = field(init=False)
     _caller: StreamReply = field(init=False)
     _sends: SendAccount = field(init=False)
+    _pass: QuarantinePass = field(init=False)
     _open: dict[int, StreamAttempt] = field(factory=dict)
     _refused: str = ""
     _retry_after_ms: float = STREAM_RETRY_MS
@@ -88,6 +93,7 @@
         self._placement = StreamPlacement(context, self.reports, call)
         self._caller = StreamReply(context, call, self.reply)
         self._sends = SendAccount(context.budgets.of(call.pool))
+        self._pass = QuarantinePass(context.quarantine, call)
         self.core = AnswerCore(
             call.caller.request_id,
             Expected(call.pool, "", ""),
@@ -206,6 +212,10 @@
             return False
         if not self.context.site.may_still_send(self.call, self._begun):
             self._refused = "belief_old"
+        elif not self._pass.may_send():
+            self._refused = STOPS_ENDPOINTS
+            self._retry_after_ms = self._pass.barred_ms
+            return False
         elif not self._sends.may_send(self.context.clock.now_ms()):
             self._refused = "retry_budget"
         else:
@@ -287,17 +297,20 @@
     def answered_otherwise(self, head: ExchangeHead, body: bytes) -> None:
         """An endpoint gave a final answer that isn't a stream."""
         self._caller.answered_otherwise(head, body)
+        self.context.quarantine.proved_sound(self.call)
         self.tell(Cancelled())
 
     def lost(self, lost: LostRun) -> None:
         """An attempt was lost before the answer was whole."""
         self._caller.lost(lost, self.core.ledger.next_position)
         self._placement.lost(lost.endpoint_id)
+        self.context.crashes.run_lost(self.call, lost)
 
     # Ends.
 
     def _complete(self) -> None:
         self._caller.complete()
+        self.context.quarantine.proved_sound(self.call)
         if self.call.caller.resume_after is None:
             took_ms = self.context.clock.now_ms() - self.call.arrived_ms
             self.context.lengths.ended(self.call.route.name, took_ms)
--- a/src/coursekeel/gateway/whole/_whole_task.py
+++ b/src/coursekeel/gateway/whole/_whole_task.py
@@ -31,6 +31,10 @@
 from coursekeel.gateway._context import GatewayContext
 from coursekeel.gateway._request import AdmittedRequest
 from coursekeel.gateway._retry_budgets import SendAccount
+from coursekeel.gateway.admission._quarantine_gate import (
+    STOPS_ENDPOINTS,
+    QuarantinePass,
+)
 from coursekeel.gateway.admission._queue_deadline import queue_deadline_ms
 from coursekeel.gateway.admission._refusals import (
     WHOLE_RETRY_MS,
@@ -67,6 +71,7 @@
     reply: CallerReply
     core: CallCore = field(init=False)
     _sends: SendAccount = field(init=False)
+    _pass: QuarantinePass = field(init=False)
     _tried: set[str] = field(factory=set)
     _number: int | None = None
     _current: WholeTry | None = None
@@ -83,6 +88,7 @@
         )
         self.core = CallCore(policy, None, keyed=False)
         self._sends = SendAccount(self.context.budgets.of(self.call.pool))
+        self._pass = QuarantinePass(self.context.quarantine, self.call)
 
     def start(self) -> None:
         """Begin; the reply comes by itself."""
@@ -152,6 +158,10 @@
         elif not site.may_still_send(call):
             self._give_back(endpoint_id)
             self._no_endpoint("belief_old")
+        elif not self._pass.may_send():
+            self._retry_after_ms = self._pass.barred_ms
+            self._give_back(endpoint_id)
+            self._no_endpoint(STOPS_ENDPOINTS)
         else:
             self._open_try(record, remaining_ms)
 
@@ -197,6 +207,7 @@
         reply = word.reply
         if reply is not None:
             self._log_end("answered", reply.status)
+            self.context.quarantine.proved_sound(self.call)
             self.reply.whole(reply.status, reply.headers, reply.body)
             return
         not_run = word.run is RunState.NOT_RUN
--- a/src/coursekeel/gateway/whole/_whole_try.py
+++ b/src/coursekeel/gateway/whole/_whole_try.py
@@ -12,6 +12,7 @@
 from coursekeel.fetch import Ending, Exchange, ExchangeHead, ExchangeSink
 from coursekeel.gateway._adapters import HeadVerdict, OutboundRequest
 from coursekeel.gateway._context import GatewayContext
+from coursekeel.gateway._metrics import LostRun
 from coursekeel.gateway._request import AdmittedRequest
 
 __all__ = ["TryOwner", "WholeTry"]
@@ -64,6 +65,8 @@
         outcome = self._outcome(ending, reason)
         failed = not isinstance(outcome, ServiceReply) or outcome.failed
         self._log(outcome)
+        if ending in (Ending.CUT, Ending.NO_ANSWER):
+            self._tell_lost(reason)
         if not failed:
             router = self.context.routing.router
             router.succeeded(self.endpoint_id, self.call.route.name)
@@ -114,6 +117,13 @@
             return
         self.context.metrics.try_ended(self.call, self.endpoint_id, result)
 
+    def _tell_lost(self, reason: str) -> None:
+        ran_ms = None
+        if self._head is not None:
+            ran_ms = self.context.clock.now_ms() - self._started_ms
+        lost = LostRun(self.endpoint_id, reason, ran_ms)
+        self.context.crashes.run_lost(self.call, lost)
+
     def _too_long(self) -> None:
         self._limit = None
         assert self._exchange is not None
--- a/src/coursekeel/group/__init__.py
+++ b/src/coursekeel/group/__init__.py
@@ -13,9 +13,11 @@
     encode_message,
 )
 from coursekeel.group._swim import Outgoing, Swim, SwimTerms
+from coursekeel.group._tokens import AddressTokens
 
 __all__ = [
     "MAX_MESSAGE_BYTES",
+    "AddressTokens",
     "MemberEvent",
     "MemberEventKind",
     "MemberState",
--- a/src/coursekeel/group/_messages.py
+++ b/src/coursekeel/group/_messages.py
@@ -85,6 +85,9 @@
 class SwimMessage:
     """One datagram. ``number`` ties an answer to its question; ``target`` is a probe's.
 
+    ``suspects`` is a digest of the requests that the sender suspects of ending
+    endpoints; empty from one that doesn't say.
+
     ``group`` names the deployment, so that a stray member of another one is told apart.
     """
 
@@ -97,6 +100,7 @@
     target: str = ""
     news: tuple[News, ...] = ()
     hints: tuple[ProofHint, ...] = ()
+    suspects: str = ""
 
 
 @frozen
--- a/src/coursekeel/group/_swim.py
+++ b/src/coursekeel/group/_swim.py
@@ -6,7 +6,7 @@
 joins asks the seeds; each member asks a seed or a lost member now and then, so that
 halves find each other again. Who asks for everybody must show first that it gets what
 is sent to it, or a stranger could make members send a hundred times as much to whomever
-it names as the asker (`_join_token`).
+it names as the asker (`AddressTokens`).
 
 A process that was paused judges nobody by the answers that it slept through.
 
@@ -16,8 +16,8 @@
 messages are values.
 """
 
-import hashlib
 import math
+from collections.abc import Callable
 from random import Random
 
 import xxhash
@@ -32,6 +32,7 @@
 )
 from coursekeel.group._pings import Ping, Pings
 from coursekeel.group._proofs import Proofs
+from coursekeel.group._tokens import AddressTokens
 
 __all__ = ["Outgoing", "Swim", "SwimTerms"]
 
@@ -40,12 +41,6 @@
 # A ping that got no answer for so much of a period came to nothing, before the next one
 # is sent. Chosen, not measured.
 _ANSWER_SHARE = 0.9
-# A token is a number of four bytes: a stranger guesses it once in four billion tries.
-_TOKEN_BYTES = 4
-_SECRET_BYTES = 16
-# A question that brings no token brings a number as long as the longest token, so that
-# the answer is no longer than the question.
-_NO_TOKEN = 10 ** len(str(256**_TOKEN_BYTES)) - 1
 
 
 @frozen
@@ -64,7 +59,7 @@
     period_ms: float = 1_000.0
     answer_ms: float = 300.0
     suspicion_ms: float = 3_000.0
-    meeting_ms: float = 4_000.0
+    meeting_ms: float = 2_000.0
     first_census_ms: float = 400.0
     last_census_ms: float = 60_000.0
     forgotten_ms: float = 60_000.0
@@ -80,7 +75,11 @@
 
 @define(eq=False)
 class Swim:
-    """One member's view; every method that gives messages wants them sent at once."""
+    """One member's view; every method that gives messages wants them sent at once.
+
+    ``suspects_digest`` gives what each message says of the requests that this member
+    suspects (`coursekeel.quarantine`).
+    """
 
     own: str
     zone: str
@@ -88,6 +87,7 @@
     seeds: tuple[str, ...]
     random: Random
     terms: SwimTerms = field(factory=SwimTerms)
+    suspects_digest: Callable[[], str] = str
     incarnation: int = 0
     _members: Members = field(init=False)
     _pings: Pings = field(init=False)
@@ -99,10 +99,11 @@
     _census_ms: float = 0.0
     _heard_ms: float = -math.inf
     _left: bool = False
-    _secret: bytes = field(init=False)
+    _tokens: AddressTokens = field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        self._secret = self.random.randbytes(_SECRET_BYTES)
+        secret = self.random.randbytes(AddressTokens.SECRET_BYTES)
+        self._tokens = AddressTokens(secret)
         self._pings = Pings(self.random)
         self._members = Members(self._pings.joined, self._proofs.forget)
 
@@ -120,6 +121,10 @@
             found.append(self.own)
         return sorted(found)
 
+    def others(self) -> list[str]:
+        """The addresses of the others that are there, suspects included."""
+        return self._members.counted()
+
     @property
     def known(self) -> int:
         """How many members there are or were lately; a split group counts both halves.
@@ -231,7 +236,7 @@
             return []
         return [self._ask_everybody(self.random.choice(asked or others))]
 
-    def _ask_everybody(self, address: str, token: int = _NO_TOKEN) -> Outgoing:
+    def _ask_everybody(self, address: str, token: int = AddressTokens.NONE) -> Outgoing:
         return self._say(address, MessageKind.JOIN, token, self._digest())
 
     def _digest(self) -> str:
@@ -291,7 +296,7 @@
                     return []
                 ping = Ping(message.target, now_ms, asker=sender, asker_number=number)
                 return [self._ping(ping)]
-            case MessageKind.JOIN if number == self._join_token(sender):
+            case MessageKind.JOIN if number == self._tokens.of(sender):
                 return self._welcome(sender, message.target)
             case MessageKind.JOIN:
                 return [self._echo(sender)]
@@ -304,16 +309,9 @@
             return []
         return [self._say(ping.asker, MessageKind.ACK, ping.asker_number)]
 
-    def _join_token(self, asker: str) -> int:
-        """What only this process can name, and only the asker's address was sent."""
-        digest = hashlib.blake2b(
-            asker.encode(), key=self._secret, digest_size=_TOKEN_BYTES
-        )
-        return int.from_bytes(digest.digest())
-
     def _echo(self, asker: str) -> Outgoing:
         """No longer than the question: nothing in it but the token."""
-        token = self._join_token(asker)
+        token = self._tokens.of(asker)
         message = SwimMessage(
             self.group, MessageKind.ECHO, self.own, "", self.incarnation, token
         )
@@ -374,6 +372,7 @@
             target,
             news,
             self._proofs.hints(self._ticked_ms),
+            self.suspects_digest(),
         )
 
 
--- /dev/null
+++ b/src/coursekeel/quarantine/__init__.py
@@ -0,0 +1,43 @@
+"""Requests that end the endpoints that run them: who knows, and which are barred."""
+
+from coursekeel.quarantine._gossip import QuarantineGossip, QuarantineOutgoing
+from coursekeel.quarantine._messages import (
+    MARK,
+    QuarantineKind,
+    QuarantineMessage,
+    ToldRecord,
+    UnreadableQuarantine,
+    decode_quarantine,
+    encode_quarantine,
+    record_of,
+    told_of,
+)
+from coursekeel.quarantine._quarantine import (
+    Barred,
+    Quarantine,
+    QuarantineEvent,
+    Trial,
+)
+from coursekeel.quarantine._record import Sign, Strike, SuspectRecord, merged
+
+__all__ = [
+    "MARK",
+    "Barred",
+    "Quarantine",
+    "QuarantineEvent",
+    "QuarantineGossip",
+    "QuarantineKind",
+    "QuarantineMessage",
+    "QuarantineOutgoing",
+    "Sign",
+    "Strike",
+    "SuspectRecord",
+    "ToldRecord",
+    "Trial",
+    "UnreadableQuarantine",
+    "decode_quarantine",
+    "encode_quarantine",
+    "merged",
+    "record_of",
+    "told_of",
+]
--- /dev/null
+++ b/src/coursekeel/quarantine/_messages.py
@@ -0,0 +1,167 @@
+"""What members of a group tell each other of suspect requests, and how it is written.
+
+Owns the datagrams' form: a letter that tells them from SWIM's, then JSON, bounded in
+size, each field checked where it is decoded. Moments travel as ages, since clocks
+differ. Relies on `coursekeel.strict` and orjson; knows nothing of sockets.
+"""
+
+from enum import Enum
+
+import attrs
+import orjson
+from attrs import field, frozen
+
+from coursekeel.quarantine._record import Sign, Strike, SuspectRecord
+from coursekeel.strict import faults_of, message_converter
+
+__all__ = [
+    "MARK",
+    "MAX_MESSAGE_BYTES",
+    "QuarantineKind",
+    "QuarantineMessage",
+    "UnreadableQuarantine",
+    "decode_quarantine",
+    "encode_quarantine",
+    "record_of",
+    "told_of",
+]
+
+# No JSON object begins with it.
+MARK = b"Q"
+# Below the payload of one Ethernet frame, so that no datagram is split.
+MAX_MESSAGE_BYTES = 1_400
+# Ids of endpoints and fingerprints are some twenty characters. Chosen, not measured:
+# the longest record with the longest names fits a datagram.
+_MAX_NAME = 64
+# Enough of a fault for a log line. Chosen, not measured.
+_MAX_FAULT_CHARACTERS = 200
+
+
+class QuarantineKind(Enum):
+    """What a message is for.
+
+    ``OFFER``: the sender knows something else; whoever wants it answers ``TAKE`` with
+    the offer's token, which shows that it gets what is sent to it, and is sent ``NEWS``
+    with its own token, which shows the same.
+    """
+
+    OFFER = "offer"
+    TAKE = "take"
+    NEWS = "news"
+
+
+@frozen
+class ToldStrike:
+    """An endpoint that ended under a request, ``age_ms`` ago."""
+
+    endpoint: str
+    sign: Sign
+    age_ms: float = field(metadata={"key": "age_ms"})
+
+
+@frozen
+class ToldRecord:
+    """A record, with ages in the place of moments; None if it never changed."""
+
+    fingerprint: str
+    epoch: int
+    trials: int
+    strikes: tuple[ToldStrike, ...] = ()
+    changed_age_ms: float | None = field(
+        default=None, metadata={"key": "changed_age_ms"}
+    )
+
+
+@frozen
+class QuarantineMessage:
+    """One datagram. ``digest`` is of all that the sender knows.
+
+    ``answer_token`` is the one that an answer must bring, as its ``token``.
+    """
+
+    group: str
+    kind: QuarantineKind
+    sender: str
+    digest: str
+    token: int = 0
+    answer_token: int = field(default=0, metadata={"key": "answer_token"})
+    records: tuple[ToldRecord, ...] = ()
+
+
+@frozen
+class UnreadableQuarantine:
+    """A datagram that is no message; ``fault`` names the field and what was wrong."""
+
+    fault: str
+
+
+_CONVERTER = message_converter(ToldStrike, ToldRecord, QuarantineMessage)
+
+
+def told_of(record: SuspectRecord, now_ms: float) -> ToldRecord:
+    """A record as it is told now."""
+    strikes = tuple(
+        ToldStrike(each.endpoint_id, each.sign, _age_ms(each.at_ms, now_ms))
+        for each in record.strikes
+    )
+    changed = record.epoch or record.trials
+    age_ms = _age_ms(record.changed_ms, now_ms) if changed else None
+    return ToldRecord(record.fingerprint, record.epoch, record.trials, strikes, age_ms)
+
+
+def _age_ms(moment_ms: float, now_ms: float) -> float:
+    return max(0.0, round(now_ms - moment_ms, 1))
+
+
+def record_of(told: ToldRecord, now_ms: float) -> SuspectRecord:
+    """A record that was told just now."""
+    strikes = sorted(
+        (
+            Strike(each.endpoint, each.sign, now_ms - max(0.0, each.age_ms))
+            for each in told.strikes
+        ),
+        key=lambda each: each.endpoint_id,
+    )
+    record = SuspectRecord(told.fingerprint, told.epoch, told.trials)
+    if told.changed_age_ms is not None:
+        changed_ms = now_ms - max(0.0, told.changed_age_ms)
+        record = attrs.evolve(record, changed_ms=changed_ms)
+    for each in strikes:
+        record = record.struck(each)
+    return record
+
+
+def encode_quarantine(message: QuarantineMessage) -> bytes:
+    """The datagram of a message."""
+    return MARK + orjson.dumps(attrs.asdict(message, value_serializer=_plain))
+
+
+def _plain(_owner: object, _field: object, value: object) -> object:
+    return value.value if isinstance(value, Enum) else value
+
+
+def decode_quarantine(data: bytes) -> QuarantineMessage | UnreadableQuarantine:
+    """Read a datagram that begins with `MARK`."""
+    if len(data) > MAX_MESSAGE_BYTES:
+        return UnreadableQuarantine(
+            f"got {len(data)} bytes, expected at most {MAX_MESSAGE_BYTES}"
+        )
+    try:
+        message = _CONVERTER.structure(
+            orjson.loads(data.removeprefix(MARK)), QuarantineMessage
+        )
+    except Exception as failure:  # whatever a stranger sends is a value here
+        faults = "; ".join(faults_of(failure, whole="message"))
+        return UnreadableQuarantine(faults[:_MAX_FAULT_CHARACTERS])
+    fault = next((f for f in map(_fault_of, message.records) if f), "")
+    return UnreadableQuarantine(fault) if fault else message
+
+
+def _fault_of(told: ToldRecord) -> str:
+    names = [told.fingerprint, *(each.endpoint for each in told.strikes)]
+    longest = max(map(len, names))
+    if longest > _MAX_NAME or not all(names):
+        return f"records: got a name of {longest}, expected 1 to {_MAX_NAME} characters"
+    if min(told.epoch, told.trials) < 0:
+        return f"records: got {told.epoch} and {told.trials}, expected none below 0"
+    return ""
--- /dev/null
+++ b/tests/cover/test_quarantine.py
@@ -0,0 +1,192 @@
+"""Who is barred because endpoints ended under it, and how it gets back."""
+
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from coursekeel.quarantine import (
+    Barred,
+    Quarantine,
+    Sign,
+    Strike,
+    SuspectRecord,
+    Trial,
+    merged,
+    record_of,
+    told_of,
+)
+
+DAY_MS = 86_400_000.0
+BAR_MS = 120_000.0
+
+
+def bar(quarantine: Quarantine, fingerprint: str = "f", at_ms: float = 0.0) -> None:
+    for number in range(3):
+        quarantine.strike(fingerprint, f"e{number}", Sign.BEGAN, at_ms + number * 100)
+
+
+def test_three_endpoints_bar_a_request_and_two_do_not():
+    quarantine = Quarantine()
+    for number, verdict in enumerate((None, None, Barred(BAR_MS))):
+        quarantine.strike("f", f"e{number}", Sign.BEGAN, number * 100)
+        assert quarantine.verdict("f", number * 100) == verdict
+    assert quarantine.verdict("another", 0) is None
+
+
+def test_one_endpoint_told_again_counts_once():
+    quarantine = Quarantine()
+    for number in range(9):
+        quarantine.strike("f", f"e{number % 2}", Sign.BEGAN, number * 100)
+    assert quarantine.verdict("f", 1_000) is None
+
+
+@pytest.mark.parametrize("sign", [Sign.GAVE, Sign.UNSEEN])
+def test_what_died_beside_the_likelier_one_is_not_barred(sign):
+    quarantine = Quarantine()
+    for number in range(9):
+        at_ms = number * 100
+        quarantine.strike("guilty", f"e{number}", Sign.BEGAN, at_ms)
+        quarantine.strike("beside", f"e{number}", sign, at_ms)
+    assert quarantine.verdict("guilty", 1_000) is not None
+    assert quarantine.verdict("beside", 1_000) is None
+
+
+def test_without_a_likelier_one_a_request_that_gave_nothing_is_barred_too():
+    """Servers need not send a head before they end."""
+    quarantine = Quarantine()
+    for number in range(3):
+        quarantine.strike("f", f"e{number}", Sign.UNSEEN, number * 100)
+    assert quarantine.verdict("f", 300) is not None
+
+
+@given(st.integers(0, 2**32))
+def test_zones_that_end_at_once_bar_nobody(seed):
+    """A popular request runs at every endpoint of a zone when the zone ends, and at
+    those of another when that does, a second later."""
+    random = Random(seed)
+    quarantine = Quarantine()
+    for zone in range(2):
+        for number in range(random.randint(1, 30)):
+            at_ms = zone * 1_000 + random.uniform(0, 25)
+            quarantine.strike("popular", f"z{zone}e{number}", Sign.BEGAN, at_ms)
+    assert quarantine.verdict("popular", 1_100) is None
+
+
+def test_what_is_answered_begins_anew_whatever_is_still_told_of_it():
+    quarantine = Quarantine()
+    bar(quarantine)
+    old = quarantine.record("f")
+    assert quarantine.proved_sound("f", 400) is not None
+    assert quarantine.verdict("f", 400) is None
+    assert not quarantine.merge(old, 500)
+    assert quarantine.verdict("f", 500) is None
+    assert quarantine.proved_sound("f", 600) is None
+
+
+def test_a_request_nobody_suspects_costs_no_memory_when_it_is_answered():
+    quarantine = Quarantine()
+    assert quarantine.proved_sound("f", 0) is None
+    assert len(quarantine) == 0
+
+
+def test_one_that_was_barred_wrongly_is_back_after_a_trial():
+    quarantine = Quarantine()
+    bar(quarantine)
+    after_ms = 200 + BAR_MS
+    assert isinstance(quarantine.verdict("f", after_ms - 1), Barred)
+    assert quarantine.verdict("f", after_ms) == Trial()
+    tried = quarantine.begin_trial("f", after_ms)
+    assert isinstance(quarantine.verdict("f", after_ms), Barred)
+    assert quarantine.trial_stands(tried)
+    quarantine.proved_sound("f", after_ms + 500)
+    assert quarantine.verdict("f", after_ms + 500) is None
+
+
+def test_a_trial_is_over_when_its_endpoint_ends():
+    quarantine = Quarantine()
+    bar(quarantine)
+    at_ms = 200 + BAR_MS
+    tried = quarantine.begin_trial("f", at_ms)
+    quarantine.strike("f", "e3", Sign.BEGAN, at_ms + 100)
+    assert not quarantine.trial_stands(tried)
+    assert quarantine.verdict("f", at_ms + 100) == Barred(10 * BAR_MS)
+
+
+def test_a_request_that_ends_its_endpoints_has_three_trials_in_a_day():
+    quarantine = Quarantine()
+    bar(quarantine)
+    now_ms, trials = 0.0, 0
+    while now_ms < DAY_MS:
+        now_ms += 10_000
+        if quarantine.verdict("f", now_ms) == Trial():
+            trials += 1
+            quarantine.begin_trial("f", now_ms)
+            quarantine.strike("f", f"t{trials}", Sign.BEGAN, now_ms + 100)
+    assert trials == 3
+
+
+def test_a_suspect_is_forgotten_a_day_after_its_bar():
+    quarantine = Quarantine()
+    quarantine.strike("f", "e0", Sign.BEGAN, 0)
+    quarantine.forget(BAR_MS + DAY_MS - 1)
+    assert len(quarantine) == 1
+    old = quarantine.record("f")
+    quarantine.forget(BAR_MS + DAY_MS)
+    assert len(quarantine) == 0
+    assert not quarantine.merge(old, BAR_MS + DAY_MS)
+
+
+def test_a_flood_of_different_requests_leaves_who_is_barred():
+    quarantine = Quarantine()
+    bar(quarantine)
+    for number in range(5_000):
+        quarantine.strike(f"r{number}", f"x{number}", Sign.BEGAN, 1_000 + number)
+    assert len(quarantine) <= 512
+    assert quarantine.verdict("f", 9_000) is not None
+
+
+def test_bars_are_told_to_the_log_once():
+    quarantine = Quarantine()
+    bar(quarantine)
+    bar(quarantine)
+    quarantine.proved_sound("f", 900)
+    assert [each.barred for each in quarantine.events] == [True, False]
+    assert quarantine.events[0].endpoint_ids == ("e0", "e1", "e2")
+
+
+STRIKES = st.builds(
+    Strike,
+    st.sampled_from([f"e{n}" for n in range(15)]),
+    st.sampled_from(Sign),
+    st.integers(0, 500).map(float),
+)
+
+
+@st.composite
+def records(draw):
+    record = SuspectRecord(
+        "f",
+        draw(st.integers(0, 1)),
+        draw(st.integers(0, 2)),
+        float(draw(st.integers(0, 500))),
+    )
+    for each in draw(st.lists(STRIKES, max_size=15)):
+        record = record.struck(each)
+    return record
+
+
+@given(records(), records(), records())
+def test_members_that_were_told_the_same_know_the_same_in_any_order(a, b, c):
+    assert merged(a, b).content == merged(b, a).content
+    assert merged(merged(a, b), c).content == merged(a, merged(b, c)).content
+    assert merged(a, a) == a
+
+
+@given(records(), st.floats(500, 1e6))
+def test_a_record_comes_out_of_a_message_as_it_went_in(record, now_ms):
+    again = record_of(told_of(record, now_ms), now_ms)
+    assert again.content == record.content
+    for one, other in zip(again.strikes, record.strikes, strict=True):
+        assert abs(one.at_ms - other.at_ms) < 0.2
--- a/tests/cover/test_stream_placement.py
+++ b/tests/cover/test_stream_placement.py
@@ -25,12 +25,14 @@
 from coursekeel.gateway._live_settings import LiveSettings
 from coursekeel.gateway._request import AdmittedRequest
 from coursekeel.gateway._retry_budgets import RetryBudgets
+from coursekeel.gateway.admission._quarantine_gate import QuarantineGate
 from coursekeel.gateway.endpoints._endpoint_client import EndpointClient
 from coursekeel.gateway.endpoints._endpoint_health import EndpointHealth
 from coursekeel.gateway.site._known_site import KnownSite
 from coursekeel.gateway.streams._stream_task import StreamTask
 from coursekeel.gateway.streams._successors import Successors
 from coursekeel.gateway.whole._whole_task import WholeAnswerTask
+from coursekeel.quarantine import Quarantine, SuspectRecord
 from coursekeel.routing import Router
 from coursekeel.runtime import RoutingTask
 from coursekeel.settings import GatewayListen, GatewaySettings, RetryShare
@@ -102,6 +104,9 @@
         )
         link = OwnLink(self.reactor)
         self.client = ScriptedClient(self.reactor, settings, Mock(), link)
+        self.quarantine = Quarantine()
+        self.told: list[SuspectRecord] = []
+        self.crashes = Mock()
         self.context = GatewayContext(
             self.reactor,
             self.clock,
@@ -113,6 +118,8 @@
             EndpointHealth(self.clock, known, self.router, Mock()),
             RetryBudgets(settings, lambda: None, Random(1), self.clock),
             Mock(),
+            QuarantineGate(self.clock, self.quarantine, self.told.extend),
+            self.crashes,
         )
         self.reports = Mock()
         self.successors = Successors(self.context, self.reports)
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -8,6 +8,9 @@
 begun there and given nothing, in 55 of 56 cases.
 """
 
+import time
+from contextlib import suppress
+
 import pytest
 
 from standins.site import wait_until
@@ -81,3 +84,77 @@
         guilty.send(1 + turn % 3)
         guilty.all_back()
     assert guilty.count("ran") - reached <= MORE_SENDS
+
+
+@pytest.mark.parametrize("path", ["/stream/21", "/again/refused"])
+def test_a_barred_request_is_refused_at_once_as_not_run_at_every_instance(group, path):
+    guilty = Crashes(group, path, GUILTY + path.encode())
+    guilty.until_third()
+    time.sleep(0.5)
+    reached = guilty.count("ran")
+    for member in (1, 2, 3):
+        answer = guilty.send(member)
+        assert (answer.status, answer.body) == (503, b"request_stops_engines")
+        assert 100 < float(answer.headers["retry-after"]) <= 120
+    assert guilty.count("ran") == reached
+
+
+def test_a_request_that_gives_events_before_its_server_ends_is_barred_too(group):
+    guilty = Crashes(group, "/stream/22", GUILTY + b" late", crash_events=3)
+    guilty.until_third()
+    time.sleep(0.5)
+    assert guilty.send(2).status == 503
+
+
+def test_what_died_beside_a_guilty_request_is_served(group):
+    """Each engine that ends has an innocent stream too, which goes on elsewhere."""
+    guilty = Crashes(group, "/stream/23", GUILTY + b" beside")
+    for turn in range(30):
+        if guilty.crashes >= 3:
+            break
+        port = group.ports[f"m{1 + turn % 3}"][0]
+        asked = [
+            group.site.open("/stream/40", b"beside %d" % each, port=port)[0]
+            for each in range(6)
+        ]
+        time.sleep(0.1)
+        guilty.send(1 + turn % 3)
+        for connection in asked:
+            read(connection)
+        guilty.all_back()
+    assert guilty.crashes >= 3
+    time.sleep(0.5)
+    assert guilty.send(1).status == 503
+    for each in range(6):
+        assert group.ask(1 + each % 3, "/stream/3", body=b"beside %d" % each) == 200
+        assert group.ask(1 + each % 3, "/stream/40", body=b"beside %d" % each) == 200
+
+
+def test_a_zone_that_ends_bars_nobody_however_often(group):
+    """The same popular request runs at all engines, and all end at once."""
+    innocent = Crashes(group, "/stream/30", b"popular")
+    group.site.forget()
+    for _ in range(3):
+        asked = [
+            group.site.open("/stream/30", b"popular", port=group.ports[f"m{n}"][0])[0]
+            for n in (1, 2, 3, 1, 2, 3)
+        ]
+        time.sleep(0.1)
+        for number in range(3):
+            crash = {"down_s": 0.3}
+            group.site.control.ask("POST", f"/servers/s{number}/crash", crash)
+        for connection in asked:
+            with suppress(OSError):
+                read(connection)
+        innocent.all_back()
+    for member in (1, 2, 3):
+        assert group.ask(member, "/stream/30", body=b"popular") == 200
+
+
+def test_an_instance_that_starts_later_knows_who_is_barred(group):
+    guilty = Crashes(group, "/stream/24", GUILTY + b" news")
+    guilty.until_third()
+    group.start(4)
+    reached = guilty.count("ran")
+    wait_until(lambda: guilty.send(4).status == 503, "m4 knows", 3)
+    assert guilty.count("ran") - reached <= 1
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -159,7 +159,7 @@
     gone = f"event=endpoint_gone endpoint=t{number}"
     wait_until(lambda: gone in site.log(), "the list is read", 5)
     assert (answer.body, answer.whole) == (events(45), True)
-    second = site.ran(request_id)[1]
+    (second,) = (each for each in site.ran(request_id) if each != first)
     assert second["headers"]["kv-from"] == f"{keeper}/{request_id}"
     assert second["headers"]["expect-instance"] == f"t{number}"
 
--- a/tests/quality/test_core_imports.py
+++ b/tests/quality/test_core_imports.py
@@ -14,6 +14,7 @@
     "forwarding",
     "intents",
     "membership",
+    "quarantine",
     "routing",
 )
 PURE_FILES = [
