Barred requests are kept in the store, and outlast all instances

Cause: what bars a request lay in memory alone. After all instances end at once a guilty request ends three endpoints more before it is barred again, and whatever of it runs by then: as many as the users allow or more. Change: who saw an endpoint end under a request that is barred writes its record into the store's table suspects, whoever proves it sound removes it, each instance reads the table when it starts.

--- a/src/coursekeel/gateway/_gateway.py
+++ b/src/coursekeel/gateway/_gateway.py
@@ -19,6 +19,7 @@
     CallerDialect,
     EndpointDialect,
     Source,
+    SuspectTable,
     Table,
 )
 from coursekeel.gateway._context import GatewayContext
@@ -41,8 +42,10 @@
 from coursekeel.gateway.members._group import Group
 from coursekeel.gateway.site._follow_task import FollowedTable, FollowTask
 from coursekeel.gateway.site._known_site import KnownSite
+from coursekeel.gateway.site._suspect_keeper import SuspectKeeper
 from coursekeel.gateway.streams._successors import Successors
 from coursekeel.observe import log_event
+from coursekeel.quarantine import Quarantine
 from coursekeel.reactor import Reactor
 from coursekeel.routing import Router, RouterSettings
 from coursekeel.runtime import Clock, Role, RoutingTask
@@ -80,12 +83,14 @@
     callers: CallerDialect
     endpoints: EndpointDialect
     link: OwnLink
+    suspect_table: SuspectTable
     read_settings: Callable[[], GatewaySettings] | None = None
     clock: Clock = field(factory=Clock)
     shutdown: Shutdown = field(factory=Shutdown)
     _live: LiveSettings = field(init=False)
     _router: Router = field(init=False)
     _group: Group = field(init=False)
+    _keeper: SuspectKeeper = field(init=False)
     _site: KnownSite = field(init=False)
     _metrics: GatewayMetrics = field(init=False)
     _dispatcher: Dispatcher = field(init=False)
@@ -102,6 +107,14 @@
         )
         routing = RoutingTask(self.reactor, self.clock, self._router)
         freshness = Freshness()
+        quarantine = Quarantine()
+        self._keeper = SuspectKeeper(
+            self.reactor,
+            self.clock,
+            self.suspect_table,
+            quarantine,
+            self.settings.timers.store_ms,
+        )
         self._group = Group(
             self.reactor,
             self.clock,
@@ -110,6 +123,8 @@
             self.source,
             random,
             self.link,
+            quarantine,
+            self._keeper.changed,
         )
         self._site = KnownSite(
             self.reactor,
@@ -124,7 +139,7 @@
         client = EndpointClient(self.reactor, self._live, self.endpoints, self.link)
         health = EndpointHealth(self.clock, self._site, self._router, self._metrics)
         gate = QuarantineGate(
-            self.clock, self._group.quarantine, self._group.tell_suspects
+            self.clock, quarantine, self._group.tell_suspects, self._keeper.touched
         )
         context = GatewayContext(
             self.reactor,
@@ -262,6 +277,7 @@
         if listen.peers:
             self._listen(listen.peers, self._group.server.site())
         self._group.start()
+        self._keeper.start()
         for task in self._follow_tasks:
             task.start()
         log_event("gateway_started", callers=listen.callers, zone=self.settings.zone)
@@ -311,6 +327,7 @@
             await deferLater(self.reactor, _DRAIN_LOOK_S)
         log_event("gateway_drained", open_requests=dispatcher.open_requests)
         await self._close_connections(window.last_ms)
+        self._keeper.stop()
         for task in self._follow_tasks:
             task.stop()
         log_event("gateway_stopped", open_requests=dispatcher.open_requests)
--- a/src/coursekeel/gateway/admission/_quarantine_gate.py
+++ b/src/coursekeel/gateway/admission/_quarantine_gate.py
@@ -41,11 +41,16 @@
 
 @define(eq=False)
 class QuarantineGate:
-    """Asks and tells of suspect requests; ``tell`` gives records to all members."""
+    """Asks and tells of suspect requests.
+
+    ``tell`` gives records to all members; ``touched`` is told before of each request
+    of which this instance learned something by itself.
+    """
 
     clock: Clock
     quarantine: Quarantine
     tell: Callable[[list[SuspectRecord]], None]
+    touched: Callable[[str], None]
 
     def barred_ms(self, call: AdmittedRequest) -> float:
         """For how long a request may not be sent; 0 if it may be."""
@@ -58,7 +63,7 @@
             return None
         now_ms = self.clock.now_ms()
         tried = self.quarantine.begin_trial(call.fingerprint, now_ms)
-        self.tell([tried])
+        self._tell([tried])
         return tried
 
     def struck(self, endpoint_id: str, suspects: Iterable[Suspect]) -> None:
@@ -79,6 +84,8 @@
 
     def _tell(self, found: list[SuspectRecord | None]) -> None:
         learned = [each for each in found if each is not None]
+        for each in learned:
+            self.touched(each.fingerprint)
         if learned:
             self.tell(learned)
 
--- a/src/coursekeel/gateway/members/_group.py
+++ b/src/coursekeel/gateway/members/_group.py
@@ -5,6 +5,7 @@
 to ask them. Without an address for peers the instance is a group of one.
 """
 
+from collections.abc import Callable
 from random import Random
 
 from attrs import define, field
@@ -19,7 +20,12 @@
 from coursekeel.gateway.members._shared_source import SharedSource, SharingTerms
 from coursekeel.gateway.members._table_feed import TableFeed
 from coursekeel.group import Swim
-from coursekeel.quarantine import Quarantine, QuarantineGossip, SuspectRecord
+from coursekeel.quarantine import (
+    Quarantine,
+    QuarantineEvent,
+    QuarantineGossip,
+    SuspectRecord,
+)
 from coursekeel.reactor import Reactor
 from coursekeel.runtime import Clock
 
@@ -43,7 +49,8 @@
     store: Source
     random: Random
     link: OwnLink
-    quarantine: Quarantine = field(factory=Quarantine)
+    quarantine: Quarantine
+    bar_changed: Callable[[QuarantineEvent], None]
     swim: Swim = field(init=False)
     source: SharedSource = field(init=False)
     feeds: dict[Table, TableFeed] = field(init=False)
@@ -70,7 +77,12 @@
             own, now.store, self.quarantine, self.random, self.swim.others
         )
         self._task = GroupTask(
-            self.reactor, self.clock, self.swim, gossip, self._proven_ms
+            self.reactor,
+            self.clock,
+            self.swim,
+            gossip,
+            self._proven_ms,
+            self.bar_changed,
         )
 
     def _make_source(self) -> SharedSource:
--- a/src/coursekeel/gateway/members/_group_task.py
+++ b/src/coursekeel/gateway/members/_group_task.py
@@ -24,6 +24,7 @@
 from coursekeel.observe import log_event
 from coursekeel.quarantine import (
     MARK,
+    QuarantineEvent,
     QuarantineGossip,
     QuarantineMessage,
     QuarantineOutgoing,
@@ -51,7 +52,8 @@
 class GroupTask(DatagramProtocol):
     """Sends and receives what `Swim` and `QuarantineGossip` say.
 
-    ``proven_ms`` gives the moments of this instance's own proofs, by table.
+    ``proven_ms`` gives the moments of this instance's own proofs, by table;
+    ``bar_changed`` is told of each request that is barred, or no longer.
     """
 
     reactor: Reactor
@@ -59,6 +61,7 @@
     swim: Swim
     gossip: QuarantineGossip
     proven_ms: Callable[[], dict[str, float]]
+    bar_changed: Callable[[QuarantineEvent], None]
     _ticks: Periodic = field(init=False)
     _refused: int = 0
     _refusals_told_ms: float = float("-inf")
@@ -147,6 +150,7 @@
     def _log_events(self) -> None:
         quarantine = self.gossip.quarantine
         for bar in quarantine.events:
+            self.bar_changed(bar)
             endpoints = ",".join(bar.endpoint_ids)
             if bar.barred:
                 log_event(
--- a/src/coursekeel/quarantine/__init__.py
+++ b/src/coursekeel/quarantine/__init__.py
@@ -3,11 +3,14 @@
 from coursekeel.quarantine._gossip import QuarantineGossip, QuarantineOutgoing
 from coursekeel.quarantine._messages import (
     MARK,
+    KeptSuspect,
     QuarantineKind,
     QuarantineMessage,
     ToldRecord,
     UnreadableQuarantine,
+    decode_kept,
     decode_quarantine,
+    encode_kept,
     encode_quarantine,
     record_of,
     told_of,
@@ -23,6 +26,7 @@
 __all__ = [
     "MARK",
     "Barred",
+    "KeptSuspect",
     "Quarantine",
     "QuarantineEvent",
     "QuarantineGossip",
@@ -35,7 +39,9 @@
     "ToldRecord",
     "Trial",
     "UnreadableQuarantine",
+    "decode_kept",
     "decode_quarantine",
+    "encode_kept",
     "encode_quarantine",
     "merged",
     "record_of",
--- a/src/coursekeel/quarantine/_messages.py
+++ b/src/coursekeel/quarantine/_messages.py
@@ -17,10 +17,13 @@
 __all__ = [
     "MARK",
     "MAX_MESSAGE_BYTES",
+    "KeptSuspect",
     "QuarantineKind",
     "QuarantineMessage",
     "UnreadableQuarantine",
+    "decode_kept",
     "decode_quarantine",
+    "encode_kept",
     "encode_quarantine",
     "record_of",
     "told_of",
@@ -95,7 +98,15 @@
     fault: str
 
 
-_CONVERTER = message_converter(ToldStrike, ToldRecord, QuarantineMessage)
+@frozen
+class KeptSuspect:
+    """A record as it is stored; ``stored_ms`` is the store's clock when it was."""
+
+    record: ToldRecord
+    stored_ms: float = field(metadata={"key": "stored_ms"})
+
+
+_CONVERTER = message_converter(ToldStrike, ToldRecord, QuarantineMessage, KeptSuspect)
 
 
 def told_of(record: SuspectRecord, now_ms: float) -> ToldRecord:
@@ -131,6 +142,22 @@
     return record
 
 
+def encode_kept(kept: KeptSuspect) -> bytes:
+    """The stored form of a record."""
+    return orjson.dumps(attrs.asdict(kept, value_serializer=_plain))
+
+
+def decode_kept(data: bytes) -> KeptSuspect | UnreadableQuarantine:
+    """Read a stored record."""
+    try:
+        kept = _CONVERTER.structure(orjson.loads(data), KeptSuspect)
+    except Exception as failure:  # whatever lies in the store is a value here
+        faults = "; ".join(faults_of(failure, whole="row"))
+        return UnreadableQuarantine(faults[:_MAX_FAULT_CHARACTERS])
+    fault = _fault_of(kept.record)
+    return UnreadableQuarantine(fault) if fault else kept
+
+
 def encode_quarantine(message: QuarantineMessage) -> bytes:
     """The datagram of a message."""
     return MARK + orjson.dumps(attrs.asdict(message, value_serializer=_plain))
--- a/src/coursekeel/quarantine/_quarantine.py
+++ b/src/coursekeel/quarantine/_quarantine.py
@@ -93,6 +93,10 @@
 
     # May it be sent?
 
+    def is_barred(self, fingerprint: str) -> bool:
+        """Say whether a request is barred, or was and its bar is over."""
+        return fingerprint in self._barred
+
     def verdict(self, fingerprint: str, now_ms: float) -> Barred | Trial | None:
         """Say whether a request may be sent; None if nothing speaks against it."""
         if fingerprint not in self._barred:
--- a/tests/cover/test_crash_watch.py
+++ b/tests/cover/test_crash_watch.py
@@ -35,7 +35,7 @@
         client.ask = lambda record, call, sink, limit: self.sinks.append(sink) or Mock()
         self.told: list = []
         self.quarantine = Quarantine()
-        self.gate = QuarantineGate(clock, self.quarantine, self.told.extend)
+        self.gate = QuarantineGate(clock, self.quarantine, self.told.extend, Mock())
         settings = Mock(timers=Mock(report_ms=150))
         self.health, metrics = Mock(), Mock()
         self.watch = CrashWatch(
--- a/tests/cover/test_group_view.py
+++ b/tests/cover/test_group_view.py
@@ -11,6 +11,7 @@
 from coursekeel.gateway._live_settings import LiveSettings
 from coursekeel.gateway.members._group import Group
 from coursekeel.group import MemberState, MessageKind, News, ProofHint, SwimMessage
+from coursekeel.quarantine import Quarantine
 from coursekeel.settings import GatewayListen, GatewaySettings
 
 OWN, SECOND, THIRD = "10.0.0.1:7", "10.0.0.2:7", "10.0.0.3:7"
@@ -25,7 +26,17 @@
     settings = LiveSettings(GatewaySettings("g", "a", listen, "s:1"))
     clock, freshness = Mock(), Freshness()
     clock.now_ms = lambda: NOW_MS
-    made = Group(FakeReactor(), clock, settings, freshness, Mock(), Random(1), Mock())
+    made = Group(
+        FakeReactor(),
+        clock,
+        settings,
+        freshness,
+        Mock(),
+        Random(1),
+        Mock(),
+        Quarantine(),
+        Mock(),
+    )
     freshness.proved(TABLE.value, NOW_MS - 8_000)
     made.feeds[TABLE].failing = True
     for address in (SECOND, THIRD):
--- a/tests/cover/test_stream_placement.py
+++ b/tests/cover/test_stream_placement.py
@@ -118,7 +118,7 @@
             EndpointHealth(self.clock, known, self.router, Mock()),
             RetryBudgets(settings, lambda: None, Random(1), self.clock),
             Mock(),
-            QuarantineGate(self.clock, self.quarantine, self.told.extend),
+            QuarantineGate(self.clock, self.quarantine, self.told.extend, Mock()),
             self.crashes,
         )
         self.reports = Mock()
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -50,12 +50,13 @@
         self.app = self._routes()
 
     def put(self, table: str, key: str, value: Any) -> None:
+        encoded = value and b64encode(orjson.dumps(value)).decode()
+        self.put_encoded(table, key, encoded)
+
+    def put_encoded(self, table: str, key: str, value: str | None) -> None:
         self.version += 1
         row: dict[str, Any] = {"table": table, "part": "", "key": key}
-        if value is None:
-            row["gone"] = True
-        else:
-            row["value"] = b64encode(orjson.dumps(value)).decode()
+        row |= {"gone": True} if value is None else {"value": value}
         self.rows[table, key] = row | {"ver": self.version}
 
     def of(self, table: str) -> list[dict[str, Any]]:
@@ -97,6 +98,18 @@
             rows = [r for r in rows if r["key"] >= start and "gone" not in r]
             return self._send(request, self._answer(rows[:limit], len(rows) > limit))
 
+        @app.route("/coursekeel/rows-tx", methods=["POST"])
+        def write(request: Any) -> Any:
+            if (fault := self._faulted(request)) is not None:
+                return fault
+            call = orjson.loads(request.content.read())
+            for row in call["put"]:
+                self.put_encoded(row["table"], row["key"], row["value"])
+            for row in call["remove"]:
+                self.put_encoded(row["table"], row["key"], None)
+            now_ms = reactor.seconds() * 1000
+            return orjson.dumps({"ver": self.version, "now_ms": now_ms})
+
         @app.route("/coursekeel/rows-feed")
         def feed(request: Any) -> Any:
             if (fault := self._faulted(request)) is not None:
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -158,3 +158,16 @@
     reached = guilty.count("ran")
     wait_until(lambda: guilty.send(4).status == 503, "m4 knows", 3)
     assert guilty.count("ran") - reached <= 1
+
+
+def test_what_is_barred_stays_so_though_all_instances_end_at_once(group):
+    """Each learns of it from the store, before anybody is left to ask."""
+    guilty = Crashes(group, "/stream/25", GUILTY + b" kept")
+    guilty.until_third()
+    time.sleep(1)
+    group.end_all()
+    for number in (1, 2, 3):
+        group.start(number)
+    reached = guilty.count("ran")
+    assert [guilty.send(each).status for each in (1, 2, 3)] == [503] * 3
+    assert guilty.count("ran") == reached
--- a/tests/platform/test_group.py
+++ b/tests/platform/test_group.py
@@ -55,6 +55,15 @@
             failure.add_note(self.site.log(name)[-6_000:])
             raise
 
+    def end_all(self) -> None:
+        """All instances are killed at the same moment."""
+        for process in self.processes.values():
+            process.kill()
+        for name, process in self.processes.items():
+            process.wait()
+            # The next life is found by the ports in its own log.
+            (self.site.folder / f"{name}.log").unlink()
+
     def address(self, number: int) -> str:
         return f"127.0.0.{10 + number}:{self.port}"
 
--- a/tests/platform/test_malformed_input.py
+++ b/tests/platform/test_malformed_input.py
@@ -62,7 +62,7 @@
         self.source = PlatformSource(self.reactor, "127.0.0.1:1")
         self.answers: list[Deferred[Any]] = []
         self.urls: list[str] = []
-        self.source._fetcher = Mock(ask=self._ask)
+        self.source._rows._fetcher = Mock(ask=self._ask)
         self.directory = EndpointDirectory()
         clock = Mock(now_ms=lambda: self.reactor.seconds() * 1_000)
         self.site = KnownSite(
@@ -240,7 +240,7 @@
 
 def outcome_of(body: bytes, table: Table, whole: bool) -> Any:
     source = PlatformSource(FakeReactor(), "127.0.0.1:1")
-    source._fetcher = Mock(ask=lambda *_: succeed(HttpReply(200, "json", body)))
+    source._rows._fetcher = Mock(ask=lambda *_: succeed(HttpReply(200, "json", body)))
     asked = source.read(table, 1.0) if whole else source.follow(table, 1, 1.0, 1.0)
     found: list[Any] = []
     ensureDeferred(asked).addBoth(found.append)
