--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -15,7 +15,7 @@
 
 from soak._records import CallKind, CallRecord
 
-__all__ = ["Caller"]
+__all__ = ["Caller", "GuiltyCaller", "path_of"]
 
 _HOST = "site.example"
 _DEADLINE_MS = 4_000
@@ -27,6 +27,8 @@
 # The longest that a caller heeds a `Retry-After`.
 _MOST_WAIT_S = 1.0
 _TRIES = 3
+# Between two tries of a request that ends its servers.
+_GUILTY_PAUSE_S = 0.4
 _READ_BYTES = 65_536
 
 
@@ -72,7 +74,7 @@
             return record.status not in _REFUSALS
         return record.whole and record.status == _OK
 
-    def _ask(self, kind: CallKind, resumed_from: int) -> CallRecord:
+    def _ask(self, kind: CallKind, resumed_from: int, guilty: str = "") -> CallRecord:
         self._count += 1
         gateway = self._random.choice(list(self.ports))
         record = CallRecord(
@@ -83,6 +85,7 @@
             time.monotonic(),
             resumed_from=resumed_from,
             wanted=_STREAM_EVENTS if kind is CallKind.STREAM else 0,
+            guilty=guilty,
         )
         self.records.append(record)
         try:
@@ -94,8 +97,7 @@
 
     def _exchange(self, record: CallRecord) -> None:
         connection = self._connection(record.gateway)
-        path = f"/{record.kind.value}/{record.wanted or 'x'}"
-        connection.request("GET", path, headers=self._headers(record))
+        connection.request("GET", path_of(record), headers=self._headers(record))
         response = connection.getresponse()
         record.status = response.status
         record.signed_by = response.getheader("response-signature", "")
@@ -129,6 +131,29 @@
         return kept
 
 
+@define(eq=False)
+class GuiltyCaller(Caller):
+    """Sends a request that ends its servers again and again, at any gateway.
+
+    Always with the same key, so that it is the same request each time.
+    """
+
+    kind: CallKind = CallKind.STREAM
+    guilty: str = ""
+
+    def run(self) -> None:
+        """Ask until told to stop."""
+        while not self.stopped.is_set():
+            self._ask(self.kind, 0, self.guilty)
+            self.stopped.wait(_GUILTY_PAUSE_S)
+
+
+def path_of(record: CallRecord) -> str:
+    """What is asked for; a guilty request's path names it."""
+    parts = (record.kind.value, record.guilty, str(record.wanted or "x"))
+    return "/" + "/".join(each for each in parts if each)
+
+
 def _read_events(response: HTTPResponse, record: CallRecord) -> None:
     """Raises `IncompleteRead` or `OSError` if the stream breaks."""
     rest = b""
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -9,12 +9,18 @@
 
 from attrs import frozen
 
+from soak._callers import path_of
 from soak._records import CallKind, CallRecord, Evidence
 
 __all__ = ["CHECKS", "Bounds", "Violation", "check"]
 
 _REFUSALS = (408, 421, 429, 503)
 _OK = 200
+_UNAVAILABLE = 503
+_BARRED = b"request_stops_engines"
+# After so many servers that it ended a request may reach servers a few times more.
+_CRASHES = 3
+_MORE_SENDS = 3
 
 
 @frozen
@@ -155,6 +161,40 @@
             yield f"{inside} repeats within {window_s} s of {own} requests"
 
 
+def _guilty_reach_few_more(seen: Evidence, bounds: Bounds) -> Iterator[str]:
+    """By the users' rule: sends of gateways in touch, from a while after the third."""
+    for path in sorted({each.path for each in seen.crashes}):
+        crashed = sorted(each.at_s for each in seen.crashes if each.path == path)
+        if len(crashed) < _CRASHES:
+            continue
+        calls = {x.request_id: x for x in seen.calls if x.guilty and path_of(x) == path}
+        from_s = crashed[_CRASHES - 1] + bounds.contact_s
+        late = [
+            run
+            for run in seen.runs
+            if run.request_id in calls
+            and run.at_s > from_s
+            and _in_touch(seen, calls[run.request_id].gateway, run.at_s, bounds)
+        ]
+        if len(late) > _MORE_SENDS:
+            yield f"{path}: {len(late)} sends more, {len(crashed)} servers ended"
+
+
+def _in_touch(seen: Evidence, gateway: int, at_s: float, bounds: Bounds) -> bool:
+    since_s = at_s - bounds.contact_s
+    return not any(
+        each.gateway == gateway and each.begun_s < at_s and each.ended_s > since_s
+        for each in seen.gateway_faults
+    )
+
+
+def _nobody_innocent_is_barred(seen: Evidence, _: Bounds) -> Iterator[str]:
+    for call in seen.calls:
+        barred = call.status == _UNAVAILABLE and call.body == _BARRED
+        if barred and not call.guilty:
+            yield f"{call.request_id}: refused as one that ends servers"
+
+
 def _no_key_is_shown(seen: Evidence, _: Bounds) -> Iterator[str]:
     for run in seen.runs:
         if run.key_shown:
@@ -196,6 +236,10 @@
     "keys end in time on every instance": (_no_key_past_its_bound,),
     "a leaving server gets nothing new": (_nothing_new_to_who_leaves,),
     "repeats within a shared budget": (_repeats_within_the_bound,),
+    "a request that ends its servers reaches few more, and no other is barred": (
+        _guilty_reach_few_more,
+        _nobody_innocent_is_barred,
+    ),
     "a server gets the request as it came": (_no_key_is_shown,),
     "back after all instances died": (_whole_again_in_time,),
     "memory, descriptors and logs are bounded": (_sizes_are_bounded,),
--- a/soak/_play.py
+++ b/soak/_play.py
@@ -59,6 +59,7 @@
             for each in callers:
                 each.start()
             _play_faults(world, schedule, began_s)
+            callers += world.guilty
             for each in callers:
                 each.stopped.set()
             for each in callers:
--- a/soak/_records.py
+++ b/soak/_records.py
@@ -7,7 +7,9 @@
 __all__ = [
     "CallKind",
     "CallRecord",
+    "Crash",
     "Evidence",
+    "GatewayFault",
     "KeyRevoked",
     "ServerLeft",
     "ServerRun",
@@ -29,7 +31,8 @@
 
     ``status`` 0 means that the connection broke before an answer. ``events`` are the
     numbers of a stream's events as they came, ``whole`` says whether the answer looked
-    complete, and ``wanted`` is the number of a stream's last event.
+    complete, and ``wanted`` is the number of a stream's last event. ``guilty`` names a
+    request that ends the servers that run it, empty for all others.
     """
 
     kind: CallKind
@@ -45,6 +48,7 @@
     retry_after_s: float | None = None
     resumed_from: int = 0
     wanted: int = 0
+    guilty: str = ""
     events: list[int] = field(factory=list)
 
 
@@ -58,6 +62,24 @@
     key_shown: bool
 
 
+@frozen
+class Crash:
+    """A server ended because it ran a request that does that."""
+
+    server: str
+    path: str
+    at_s: float
+
+
+@frozen
+class GatewayFault:
+    """A gateway was away, paused or stopping between two moments."""
+
+    gateway: int
+    begun_s: float
+    ended_s: float
+
+
 @frozen
 class KeyRevoked:
     """The store took the configuration without the key at that moment."""
@@ -96,6 +118,8 @@
     revoked: list[KeyRevoked] = field(factory=list)
     left: list[ServerLeft] = field(factory=list)
     store_faults: list[StoreFault] = field(factory=list)
+    crashes: list[Crash] = field(factory=list)
+    gateway_faults: list[GatewayFault] = field(factory=list)
     whole_again_s: list[float | None] = field(factory=list)
     memory_mb: float = 0.0
     descriptors: int = 0
--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -47,6 +47,9 @@
     STORE_OPEN_SILENT = "store_open_silent"
     CONFIGURATION_CHANGED = "configuration_changed"
     KEY_REVOKED = "key_revoked"
+    ENGINES_CRASH = "engines_crash"
+    STREAM_CRASHES_ENGINES = "stream_crashes_engines"
+    CALL_CRASHES_SERVICES = "call_crashes_services"
 
 
 _OF_GATEWAYS = frozenset(
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -12,8 +12,12 @@
 
 from attrs import define, field
 
+from soak._callers import GuiltyCaller
 from soak._records import (
+    CallKind,
+    Crash,
     Evidence,
+    GatewayFault,
     KeyRevoked,
     ServerLeft,
     ServerRun,
@@ -23,7 +27,7 @@
 from standins.site import Http, wait_until
 from tests.platform.site import KEY, GatewaySite, configuration
 
-__all__ = ["ENGINES", "RETRIES", "SERVICES", "SETTINGS", "SPARE_KEY", "World"]
+__all__ = ["ENGINES", "GUILTY", "RETRIES", "SERVICES", "SETTINGS", "SPARE_KEY", "World"]
 
 ENGINES = 3
 SERVICES = 3
@@ -38,6 +42,8 @@
 }
 RETRIES = {"ratio": 0.8, "slack": 30.0, "window_s": 10.0}
 _START_S = 30.0
+# Callers whose requests end servers are numbered from here.
+_GUILTY_NUMBERS = 100
 _MANY = 10_000
 
 _STORE_FAULTS = {
@@ -45,6 +51,20 @@
     FaultKind.STORE_REFUSES: "503",
     FaultKind.STORE_RESETS: "reset",
 }
+# Whatever is asked below a path that names it ends its servers.
+GUILTY = "guilty"
+# How long a server is away after its process ended.
+_DOWN_S = 1.0
+_ALWAYS = {"crashed_by": GUILTY, "down_s": _DOWN_S}
+
+# Under these a gateway isn't in touch.
+_AWAY = frozenset(
+    {
+        FaultKind.GATEWAY_KILLED,
+        FaultKind.GATEWAY_PAUSED,
+        FaultKind.GATEWAY_STOPPED,
+    }
+)
 _SERVER_FAULTS = {
     FaultKind.ENGINE_DARK: {"dark": True},
     FaultKind.ENGINE_RESETS: {"reset": _MANY},
@@ -63,6 +83,7 @@
     folder: Path
     gateways: int
     evidence: Evidence = field(factory=Evidence)
+    guilty: list[GuiltyCaller] = field(factory=list)
     ports: dict[int, int] = field(factory=dict)
     site: GatewaySite = field(init=False)
     _ready_ports: dict[int, list[int]] = field(factory=dict)
@@ -72,6 +93,7 @@
     _lives: int = 0
     _store_fault_s: float = 0.0
     _ending: set[int] = field(factory=set)
+    _away_s: dict[int, float] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         self.site = GatewaySite(self.folder)
@@ -87,6 +109,7 @@
         self._configure()
         for number in range(servers):
             self.site.put_server(number)
+            self.site.faults(f"s{number}", **_ALWAYS)
         self._peer_port = _free_port()
         for number in range(self.gateways):
             self._start_gateway(number)
@@ -134,11 +157,13 @@
     def begin(self, fault: Fault) -> None:
         """Do it."""
         kind, target = fault.kind, fault.target
+        if kind in _AWAY:
+            self._away_s.setdefault(target, time.monotonic())
         if kind in _STORE_FAULTS:
             self._store_fault_s = time.monotonic()
             self.site.store(fault=_STORE_FAULTS[kind])
         elif kind in _SERVER_FAULTS:
-            self.site.faults(f"s{target}", **_SERVER_FAULTS[kind])
+            self.site.faults(f"s{target}", **_ALWAYS, **_SERVER_FAULTS[kind])
         else:
             self._once(kind, target)
 
@@ -165,6 +190,13 @@
                 self._configure()
             case FaultKind.KEY_REVOKED:
                 self._key_revoked()
+            case FaultKind.ENGINES_CRASH:
+                for engine in range(ENGINES):
+                    self.site.crash(engine, _DOWN_S)
+            case FaultKind.STREAM_CRASHES_ENGINES:
+                self._begin_guilty(CallKind.STREAM)
+            case FaultKind.CALL_CRASHES_SERVICES:
+                self._begin_guilty(CallKind.AGAIN)
             case _:
                 raise AssertionError(f"a fault of the stand-in came here: {kind}")
 
@@ -176,15 +208,24 @@
             fault_s = StoreFault(self._store_fault_s, time.monotonic())
             self.evidence.store_faults.append(fault_s)
         elif kind in _SERVER_FAULTS:
-            self.site.faults(f"s{target}")
+            self.site.faults(f"s{target}", **_ALWAYS)
         elif kind in (FaultKind.GATEWAY_KILLED, FaultKind.GATEWAY_STOPPED):
             self._start_again(target)
+            self._back(target)
         elif kind is FaultKind.GATEWAY_PAUSED:
             self._send(target, signal.SIGCONT)
+            self._back(target)
         elif kind is FaultKind.ENGINE_LEAVES:
             # What said that it leaves doesn't come back; another takes its place.
             self._engine_replaced(target)
 
+    def _back(self, number: int) -> None:
+        """A gateway that was away runs again."""
+        begun_s = self._away_s.pop(number, None)
+        if begun_s is not None:
+            fault = GatewayFault(number, begun_s, time.monotonic())
+            self.evidence.gateway_faults.append(fault)
+
     def _send(self, number: int, what: signal.Signals) -> None:
         process = self._processes[number]
         if process.poll() is None:
@@ -216,7 +257,7 @@
 
     def _engine_leaves(self, number: int) -> None:
         self.site.put_server(number, "draining")
-        name = self.site.identities.get(number, f"s{number}")
+        name = self.site.identity(number)
         self.evidence.left.append(ServerLeft(name, time.monotonic()))
 
     def _store_open_silent(self) -> None:
@@ -230,6 +271,20 @@
         self._configure()
         self.evidence.revoked.append(KeyRevoked(SPARE_KEY, time.monotonic()))
 
+    def _begin_guilty(self, kind: CallKind) -> None:
+        """A request that ends its servers comes from now on until callers stop."""
+        number = len(self.guilty)
+        caller = GuiltyCaller(
+            _GUILTY_NUMBERS + number,
+            self.ports,
+            (KEY,),
+            number,
+            kind=kind,
+            guilty=f"{GUILTY}{number}",
+        )
+        self.guilty.append(caller)
+        caller.start()
+
     # What is seen.
 
     def look(self, within_s: float) -> None:
@@ -245,6 +300,9 @@
         for state in self.site.control.get("/servers").values():
             for run in state["ran"]:
                 self._ran(run)
+            for each in state["crashed"]:
+                crash = Crash(state["identity"], each["path"], each["at_s"])
+                self.evidence.crashes.append(crash)
 
     def _serves(self, number: int, begun_s: float, within_s: float) -> float | None:
         port = self.ports[number]
--- a/tests/cover/test_soak.py
+++ b/tests/cover/test_soak.py
@@ -8,7 +8,9 @@
 from soak._records import (
     CallKind,
     CallRecord,
+    Crash,
     Evidence,
+    GatewayFault,
     KeyRevoked,
     ServerLeft,
     ServerRun,
@@ -72,6 +74,25 @@
     seen.runs += again
 
 
+def guilty(request_id: str) -> CallRecord:
+    call = CallRecord(CallKind.AGAIN, request_id, 1, "k", 9.0, 9.1)
+    call.guilty = "guilty0"
+    return call
+
+
+def send_on_what_ends_servers(seen: Evidence) -> None:
+    for number in range(7):
+        seen.crashes.append(Crash("s4", "/again/guilty0/x", 2.0 + number))
+        seen.calls.append(guilty(f"g{number}"))
+        seen.runs.append(ServerRun("s4", f"g{number}", 7.1 + number / 10, False))
+
+
+def bar_an_innocent(seen: Evidence) -> None:
+    call = seen.calls[0]
+    seen.runs.clear()
+    call.status, call.body = 503, b"request_stops_engines"
+
+
 def show_a_key(seen: Evidence) -> None:
     seen.runs.append(ServerRun("s1", "r3", 2.0, True))
 
@@ -97,6 +118,12 @@
     take_an_old_key: "keys end in time on every instance",
     send_to_who_left: "a leaving server gets nothing new",
     repeat_too_often: "repeats within a shared budget",
+    send_on_what_ends_servers: (
+        "a request that ends its servers reaches few more, and no other is barred"
+    ),
+    bar_an_innocent: (
+        "a request that ends its servers reaches few more, and no other is barred"
+    ),
     show_a_key: "a server gets the request as it came",
     stay_away: "back after all instances died",
     grow: "memory, descriptors and logs are bounded",
@@ -124,6 +151,15 @@
     assert check(seen, BOUNDS) == []
 
 
+def test_sends_of_a_gateway_that_was_away_are_not_counted():
+    """By the users' rule only machines in touch are bound."""
+    seen = sound()
+    send_on_what_ends_servers(seen)
+    assert len(check(seen, BOUNDS)) == 1
+    seen.gateway_faults.append(GatewayFault(1, 3.0, 6.0))
+    assert check(seen, BOUNDS) == []
+
+
 @pytest.mark.parametrize("spoil", BREAKS, ids=lambda each: each.__name__)
 def test_each_break_is_found_and_named(spoil):
     seen = sound()
--- a/tests/nocover/test_soak.py
+++ b/tests/nocover/test_soak.py
@@ -18,9 +18,33 @@
     ),
 )
 
+# Requests that end their servers, beside engines that all end at once and instances
+# that come back: what each of them has to learn anew.
+CRASHING = Schedule(
+    18.0,
+    3,
+    2,
+    (
+        Fault(FaultKind.STREAM_CRASHES_ENGINES, 1.0, 0.0),
+        Fault(FaultKind.ENGINES_CRASH, 3.0, 0.0),
+        Fault(FaultKind.CALL_CRASHES_SERVICES, 3.5, 0.0),
+        Fault(FaultKind.GATEWAY_PAUSED, 4.0, 2.5, 0),
+        Fault(FaultKind.GATEWAY_KILLED, 5.0, 1.0, 1),
+        Fault(FaultKind.ENGINES_CRASH, 7.5, 0.0),
+    ),
+)
+
 
 def test_a_short_soak_breaks_no_promise():
     played = play(SHORT)
     assert played.violations == []
     served = [each for each in played.evidence.calls if each.status == 200]
     assert len(served) > 100
+
+
+def test_requests_that_end_their_servers_reach_few_more_and_bar_nobody_else():
+    played = play(CRASHING)
+    assert played.violations == []
+    assert len({each.path for each in played.evidence.crashes}) == 2
+    served = [each for each in played.evidence.calls if each.status == 200]
+    assert len(served) > 100
--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -81,7 +81,6 @@
     ports: list[int] = field(factory=list)
     processes: list[subprocess.Popen[bytes]] = field(factory=list)
     version: int = 1
-    identities: dict[int, str] = field(factory=dict)
 
     def start(self, servers: int) -> None:
         standin = self.start_process(
@@ -191,14 +190,16 @@
             "slots": 8,
             "state": state,
         }
-        identity = self.identities.get(number, f"s{number}")
-        return "servers", identity, row
+        return "servers", self.identity(number), row
+
+    def identity(self, number: int) -> str:
+        """The id of the server's present incarnation."""
+        return str(self.control.get("/servers")[f"s{number}"]["identity"])
 
     def rename(self, number: int, identity: str) -> None:
         """Another incarnation has the server's address; its row replaces the old."""
-        old = self.identities.get(number, f"s{number}")
+        old = self.identity(number)
         self.control.ask("POST", f"/servers/s{number}/identity", identity)
-        self.identities[number] = identity
         self.put([("servers", old, None), self.server_row(number)])
 
     def configure(self, **more: Any) -> None:
@@ -232,6 +233,10 @@
         servers = self.control.get("/servers")
         return [run for state in servers.values() for run in state["open"]]
 
+    def crash(self, number: int, down_s: float) -> None:
+        """The server's process ends; another incarnation is back after a while."""
+        self.control.ask("POST", f"/servers/s{number}/crash", {"down_s": down_s})
+
     def forget(self) -> None:
         self.control.ask("POST", "/forget", {})
 
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -6,7 +6,7 @@
 
 import sys
 import time
-from base64 import b64decode, b64encode
+from base64 import b64encode
 from typing import Any
 
 from twisted.internet import asyncioreactor
@@ -197,6 +197,7 @@
         self.address = ""
         self.faults: dict[str, Any] = {}
         self.ran: list[dict[str, Any]] = []
+        self.crashed: list[dict[str, Any]] = []
         self.copies: set[str] = set()
         self.open: dict[str, Any] = {}
         self.app = self._routes()
@@ -223,15 +224,21 @@
         self.copies.clear()
         reactor.callLater(down_s, self._restart)
 
+    def _crash_by(self, path: str, down_s: float) -> None:
+        if self.listener is not None:
+            self.crashed.append({"path": f"/{path}", "at_s": time.monotonic()})
+        self.crash(down_s)
+
     def _restart(self) -> None:
-        row = self.store.rows["servers", self.name]
-        self.store.put("servers", self.name, None)
+        before = self.name
         self.lives += 1
         self.name = f"{self.first_name}-{self.lives}"
         self.listen()
-        value = orjson.loads(b64decode(row["value"]))
-        self.store.put("servers", self.name, value)
-        self.store.wake("servers")
+        value = self.store.rows.get(("servers", before), {}).get("value")
+        if value is not None:
+            self.store.put("servers", before, None)
+            self.store.put_encoded("servers", self.name, value)
+            self.store.wake("servers")
 
     def _routes(self) -> Klein:
         app = Klein()
@@ -371,7 +378,7 @@
         A stream may give ``crash_events`` before.
         """
         down_s = self.faults.get("down_s", _DOWN_S)
-        reactor.callLater(_CRASHING_S, self.crash, down_s)
+        reactor.callLater(_CRASHING_S, self._crash_by, path, down_s)
         if path.startswith("stream"):
             request.setHeader("request-id", run_id)
             request.setHeader("response-signature", f"sig-{self.name}")
@@ -447,7 +454,9 @@
     def ran(request: Any) -> bytes:
         told = {
             name: {
+                "identity": each.name,
                 "ran": each.ran,
+                "crashed": each.crashed,
                 "open": list(each.open),
                 "crashes": each.lives - (each.listener is not None),
             }
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -141,8 +141,7 @@
         ]
         time.sleep(0.1)
         for number in range(3):
-            crash = {"down_s": 0.3}
-            group.site.control.ask("POST", f"/servers/s{number}/crash", crash)
+            group.site.crash(number, 0.3)
         for connection in asked:
             with suppress(OSError):
                 read(connection)
