However long a site's ids are, records of suspects fit a datagram

Cause: an endpoint's id may have 200 characters in the users' store; names over 64 were refused by every member, so that such a site would have told nobody; twelve of 64 would have passed the 1,400 bytes of a datagram too. Found by reading. Change: longer ids are known by their hash. Datagrams are filled one record at a time. The stored row and the message stand in tests/golden.

--- a/src/coursekeel/quarantine/_gossip.py
+++ b/src/coursekeel/quarantine/_gossip.py
@@ -152,7 +152,7 @@
         while at < len(told):
             some = told[at : at + _MOST_RECORDS]
             while len(some) > 1 and _bytes_of(news, some) > MAX_MESSAGE_BYTES:
-                some = some[: len(some) // 2]
+                some = some[:-1]
             yield evolve(news, records=tuple(some))
             at += len(some)
 
--- a/src/coursekeel/quarantine/_messages.py
+++ b/src/coursekeel/quarantine/_messages.py
@@ -33,9 +33,9 @@
 MARK = b"Q"
 # Below the payload of one Ethernet frame, so that no datagram is split.
 MAX_MESSAGE_BYTES = 1_400
-# Ids of endpoints and fingerprints are some twenty characters. Chosen, not measured:
-# the longest record with the longest names fits a datagram.
-_MAX_NAME = 64
+# Fingerprints have 24 characters, names of endpoints no more (`Strike.of`). With these
+# the longest record has 1,100 bytes.
+_MAX_NAME = 24
 # Enough of a fault for a log line. Chosen, not measured.
 _MAX_FAULT_CHARACTERS = 200
 
--- a/src/coursekeel/quarantine/_quarantine.py
+++ b/src/coursekeel/quarantine/_quarantine.py
@@ -123,7 +123,7 @@
     ) -> SuspectRecord | None:
         """An endpoint ended while it had the request; None if that was known."""
         record = self._records.get(fingerprint) or SuspectRecord(fingerprint)
-        struck = record.struck(Strike(endpoint_id, sign, now_ms))
+        struck = record.struck(Strike.of(endpoint_id, sign, now_ms))
         return struck if self._take(struck, now_ms) else None
 
     def proved_sound(self, fingerprint: str, now_ms: float) -> SuspectRecord | None:
--- a/src/coursekeel/quarantine/_record.py
+++ b/src/coursekeel/quarantine/_record.py
@@ -8,6 +8,7 @@
 
 from enum import Enum
 
+import xxhash
 from attrs import evolve, field, frozen
 
 __all__ = ["Sign", "Strike", "SuspectRecord", "merged"]
@@ -15,6 +16,8 @@
 # Endpoints in one record. Three end it; more are those that ended at the same moment,
 # of which as many fit one datagram. Chosen, not measured.
 _MAX_STRIKES = 12
+# Longer ids of endpoints are hashed. Chosen, not measured: a datagram bears twelve.
+_MAX_NAME = 24
 
 
 class Sign(Enum):
@@ -31,12 +34,22 @@
 
 @frozen
 class Strike:
-    """One endpoint that ended while it had the request."""
+    """One endpoint that ended while it had the request; made by `of`."""
 
     endpoint_id: str
     sign: Sign
     at_ms: float
 
+    @classmethod
+    def of(cls, endpoint_id: str, sign: Sign, at_ms: float) -> "Strike":
+        """A strike by an endpoint's id, however long a site makes its ids.
+
+        A long one is known here by its hash, or a record would fit no datagram.
+        """
+        if len(endpoint_id) > _MAX_NAME:
+            endpoint_id = xxhash.xxh64_hexdigest(endpoint_id.encode())
+        return cls(endpoint_id, sign, at_ms)
+
 
 @frozen
 class SuspectRecord:
--- a/tests/cover/test_golden_forms.py
+++ b/tests/cover/test_golden_forms.py
@@ -35,6 +35,18 @@
 )
 from coursekeel.membership import GroupLease, LeaseTerms
 from coursekeel.peers import peer_pb2 as pb
+from coursekeel.quarantine import (
+    KeptSuspect,
+    QuarantineKind,
+    QuarantineMessage,
+    Sign,
+    Strike,
+    SuspectRecord,
+    decode_kept,
+    encode_kept,
+    encode_quarantine,
+    told_of,
+)
 from coursekeel.settings import (
     parse_gateway_settings,
     parse_settings,
@@ -139,6 +151,19 @@
     }
 
 
+def _suspects() -> dict[str, str]:
+    """A barred request as it is stored, and as members tell each other of it."""
+    record = SuspectRecord("f" * 24, 1, 2, 500.0)
+    for number, sign in enumerate(Sign):
+        record = record.struck(Strike.of(f"e{number}", sign, 600.0 + number))
+    told = told_of(record, 1_000.0)
+    news = QuarantineMessage("g", QuarantineKind.NEWS, "h:1", "0" * 16, 3, 4, (told,))
+    return {
+        "row": encode_kept(KeptSuspect(told, 70_000.0)).decode(),
+        "news": encode_quarantine(news).decode(),
+    }
+
+
 def _settings() -> dict[str, Any]:
     found = {
         file.name: attrs.asdict(parse_settings(read_json_with_comments(file), "f"))
@@ -166,6 +191,7 @@
         "leases": _leases(),
         "messages": _messages(),
         "settings": _settings(),
+        "suspects": _suspects(),
     }
     return orjson.loads(orjson.dumps(made, default=str))
 
@@ -195,6 +221,9 @@
     assert Plan.from_json(golden["plan"][1]) == _plan()
     stored = Configuration.from_json(golden["configuration"])
     assert stored == Configuration(5, _plan().intent, "p-1")
+    kept = decode_kept(golden["suspects"]["row"].encode())
+    assert isinstance(kept, KeptSuspect)
+    assert encode_kept(kept).decode() == golden["suspects"]["row"]
 
 
 if __name__ == "__main__":
--- a/tests/cover/test_quarantine_gossip.py
+++ b/tests/cover/test_quarantine_gossip.py
@@ -156,6 +156,15 @@
     assert sum(len(encode_quarantine(each.message)) for each in offers) < 200
 
 
+def test_however_long_a_sites_ids_are_all_know():
+    world = met(9)
+    for number in range(14):
+        world.strike(0, "f" * 24, f"{number}" * 100)
+        world.run(100)
+    assert world.unaware("f" * 24) == set()
+    assert world.largest <= 1_400
+
+
 @pytest.mark.parametrize(
     "data",
     [
