The watch notes a lost run before it asks after its endpoint

Found by reading: a question that ends at once would have found no run, and the strike would have been lost. Twisted ends none at once today; no behaviour changes.

--- a/src/coursekeel/gateway/endpoints/_crash_watch.py
+++ b/src/coursekeel/gateway/endpoints/_crash_watch.py
@@ -11,6 +11,7 @@
 
 from attrs import define, field
 
+from coursekeel.forwarding import EndpointRecord
 from coursekeel.gateway._live_settings import LiveSettings
 from coursekeel.gateway._metrics import GatewayMetrics, LostRun
 from coursekeel.gateway._request import AdmittedRequest
@@ -66,24 +67,22 @@
         record = self.site.directory.record(lost.endpoint_id)
         if record is None or record.leaving:
             return
-        ended = self._asked.get(lost.endpoint_id)
-        if ended is None:
-            ended = self._asked[lost.endpoint_id] = _Ended()
-            self._ask(lost.endpoint_id)
+        is_asked = lost.endpoint_id in self._asked
+        ended = self._asked.setdefault(lost.endpoint_id, _Ended())
         ended.gives_reports |= call.route.kind.streams
         suspect = Suspect(call.fingerprint, sign, self.clock.now_ms())
         ended.suspects.setdefault(call.fingerprint, suspect)
+        if not is_asked:
+            self._ask(record)
 
-    def _ask(self, endpoint_id: str) -> None:
-        record = self.site.directory.record(endpoint_id)
-        assert record is not None
+    def _ask(self, endpoint: EndpointRecord) -> None:
         EndpointQuestion(
             self.reactor,
             self.client,
-            record,
+            endpoint,
             self.client.dialect.report,
             self.settings.timers.report_ms,
-            lambda end: self._answered(endpoint_id, end),
+            lambda end: self._answered(endpoint.endpoint_id, end),
         ).start()
 
     def _answered(self, endpoint_id: str, end: QuestionEnd) -> None:
