Quarantine: bounds that must agree stand once, and the last moment counts all

Found in the last reading: the longest name stood in two modules, and members refuse what is longer, so that a change of one would have kept records from spreading; the longest datagram stood in the group too. A record's last moment left its trials out, and both readers added them; a sort before a merge that sorts is gone. No behaviour changes: stored and sent forms are those of tests/golden. Result: formatter, linter and mypy clean; the quarantine's tests, golden forms, quality, crashing requests and groups pass.

--- a/src/coursekeel/quarantine/_gossip.py
+++ b/src/coursekeel/quarantine/_gossip.py
@@ -16,9 +16,8 @@
 
 from attrs import define, evolve, field, frozen
 
-from coursekeel.group import AddressTokens
+from coursekeel.group import MAX_MESSAGE_BYTES, AddressTokens
 from coursekeel.quarantine._messages import (
-    MAX_MESSAGE_BYTES,
     QuarantineKind,
     QuarantineMessage,
     ToldRecord,
--- a/src/coursekeel/quarantine/_messages.py
+++ b/src/coursekeel/quarantine/_messages.py
@@ -11,12 +11,12 @@
 import orjson
 from attrs import field, frozen
 
-from coursekeel.quarantine._record import Sign, Strike, SuspectRecord
+from coursekeel.group import MAX_MESSAGE_BYTES
+from coursekeel.quarantine._record import MAX_NAME, Sign, Strike, SuspectRecord
 from coursekeel.strict import faults_of, message_converter
 
 __all__ = [
     "MARK",
-    "MAX_MESSAGE_BYTES",
     "KeptSuspect",
     "QuarantineKind",
     "QuarantineMessage",
@@ -31,11 +31,6 @@
 
 # No JSON object begins with it.
 MARK = b"Q"
-# Below the payload of one Ethernet frame, so that no datagram is split.
-MAX_MESSAGE_BYTES = 1_400
-# Fingerprints have 24 characters, names of endpoints no more (`Strike.of`). With these
-# the longest record has 1,100 bytes.
-_MAX_NAME = 24
 # Enough of a fault for a log line. Chosen, not measured.
 _MAX_FAULT_CHARACTERS = 200
 
@@ -126,19 +121,13 @@
 
 def record_of(told: ToldRecord, now_ms: float) -> SuspectRecord:
     """A record that was told just now."""
-    strikes = sorted(
-        (
-            Strike(each.endpoint, each.sign, now_ms - max(0.0, each.age_ms))
-            for each in told.strikes
-        ),
-        key=lambda each: each.endpoint_id,
-    )
     record = SuspectRecord(told.fingerprint, told.epoch, told.trials)
     if told.changed_age_ms is not None:
         changed_ms = now_ms - max(0.0, told.changed_age_ms)
         record = attrs.evolve(record, changed_ms=changed_ms)
-    for each in strikes:
-        record = record.struck(each)
+    for each in told.strikes:
+        at_ms = now_ms - max(0.0, each.age_ms)
+        record = record.struck(Strike(each.endpoint, each.sign, at_ms))
     return record
 
 
@@ -187,8 +176,8 @@
 def _fault_of(told: ToldRecord) -> str:
     names = [told.fingerprint, *(each.endpoint for each in told.strikes)]
     longest = max(map(len, names))
-    if longest > _MAX_NAME or not all(names):
-        return f"records: got a name of {longest}, expected 1 to {_MAX_NAME} characters"
+    if longest > MAX_NAME or not all(names):
+        return f"records: got a name of {longest}, expected 1 to {MAX_NAME} characters"
     if min(told.epoch, told.trials) < 0:
         return f"records: got {told.epoch} and {told.trials}, expected none below 0"
     return ""
--- a/src/coursekeel/quarantine/_quarantine.py
+++ b/src/coursekeel/quarantine/_quarantine.py
@@ -191,7 +191,7 @@
         self, record: SuspectRecord, now_ms: float
     ) -> tuple[bool, int, float, str]:
         barred = record.fingerprint in self._barred
-        hours = (now_ms - max(record.last_ms, record.changed_ms)) // _HOUR_MS
+        hours = (now_ms - record.last_ms) // _HOUR_MS
         return (barred, len(record.strikes), -hours, record.fingerprint)
 
     def _judge(self) -> None:
@@ -241,8 +241,8 @@
 
 
 def _bar_end_ms(record: SuspectRecord) -> float:
-    last_ms = max(record.last_ms, record.changed_ms)
-    return last_ms + _BAR_MS * float(_LONGER ** min(record.trials, _MOST_TRIALS))
+    longer = float(_LONGER ** min(record.trials, _MOST_TRIALS))
+    return record.last_ms + _BAR_MS * longer
 
 
 def _forgotten_ms(record: SuspectRecord) -> float:
--- a/src/coursekeel/quarantine/_record.py
+++ b/src/coursekeel/quarantine/_record.py
@@ -11,13 +11,14 @@
 import xxhash
 from attrs import evolve, field, frozen
 
-__all__ = ["Sign", "Strike", "SuspectRecord", "merged"]
+__all__ = ["MAX_NAME", "Sign", "Strike", "SuspectRecord", "merged"]
 
 # Endpoints in one record. Three end it; more are those that ended at the same moment,
 # of which as many fit one datagram. Chosen, not measured.
 _MAX_STRIKES = 12
-# Longer ids of endpoints are hashed. Chosen, not measured: a datagram bears twelve.
-_MAX_NAME = 24
+# Fingerprints have 24 characters; longer ids of endpoints are hashed. Chosen, not
+# measured: a datagram bears a record with the most endpoints.
+MAX_NAME = 24
 
 
 class Sign(Enum):
@@ -46,7 +47,7 @@
 
         A long one is known here by its hash, or a record would fit no datagram.
         """
-        if len(endpoint_id) > _MAX_NAME:
+        if len(endpoint_id) > MAX_NAME:
             endpoint_id = xxhash.xxh64_hexdigest(endpoint_id.encode())
         return cls(endpoint_id, sign, at_ms)
 
@@ -68,7 +69,7 @@
     @property
     def last_ms(self) -> float:
         """When the last thing was learned of it."""
-        return max((each.at_ms for each in self.strikes), default=self.changed_ms)
+        return max([self.changed_ms, *(each.at_ms for each in self.strikes)])
 
     @property
     def content(self) -> tuple[object, ...]:
