Failing test: an owner is paused at a chosen point of a token's way

Hypotheses: (a) the caller read late what was sent before the pause; (b) the token was read from the engine after it; (c) the right to speak was asked for before the pause and used after it.

The entry now stops itself at a chosen point.

--- a/standins/caller.py
+++ b/standins/caller.py
@@ -21,6 +21,7 @@
         self.event_id = ""
         self.events: list[str] = []
         self.times: list[float] = []
+        self.event_ids: list[str] = []
         self.finished = False
         self.error: dict[str, Any] | None = None
         self.status = 0
@@ -90,6 +91,7 @@
         self.event_id = event_id
         self.tokens += body["choices"][0]["token_ids"]
         self.times.append(time.monotonic())
+        self.event_ids.append(event_id)
 
     @property
     def whole(self) -> bool:
--- a/standins/site.py
+++ b/standins/site.py
@@ -10,7 +10,7 @@
 import sys
 import tempfile
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from http.client import HTTPConnection, HTTPException
 from pathlib import Path
 from typing import Any
@@ -206,6 +206,10 @@
         return Http(control)
 
     def launch_entry(self, name: str, **timers: int) -> None:
+        self.launch_program(name, ("coursekeel", "entry"), **timers)
+
+    def launch_program(self, name: str, program: Sequence[str], **timers: int) -> None:
+        """Start an entry by another program that takes its settings."""
         zone = ZONES[(int(name.split("-")[1]) - 1) % len(ZONES)]
         port = self.links.get(name, self.platform.port)
         settings = {
@@ -227,7 +231,7 @@
         }
         file = self.folder / f"{name}.json"
         file.write_bytes(orjson.dumps(settings))
-        self.start(name, "coursekeel", "entry", "--settings", str(file))
+        self.start(name, *program, "--settings", str(file))
 
     def entry_listening(self, name: str) -> None:
         http, peer = self.processes[name].listening()
--- a/tests/common/sites.py
+++ b/tests/common/sites.py
@@ -84,6 +84,20 @@
     return str(wait_until(look, "an engine is busy"))
 
 
+def begun(site: Site, tokens: int = 150, holding: int = 20):
+    """A dossier under way at the first entry, and the thread that reads it."""
+    caller = dossier(tokens)
+    thread = reading(caller, site.entries["entry-1"].port)
+    until_stored(caller)
+    until_holding(caller, holding)
+    return caller, thread
+
+
+def check(caller: Caller) -> None:
+    """The caller holds the whole answer, each token made from those before it."""
+    assert caller.whole, (caller.error, caller.events, len(caller.tokens))
+
+
 def until_stored(caller: Caller) -> None:
     """Wait until the caller was told that its request is safe."""
     wait_until(lambda: "stored" in caller.events, "the request is stored")
--- /dev/null
+++ b/tests/nocover/test_pauses_on_a_tokens_way.py
@@ -0,0 +1,99 @@
+"""An owner is paused at a chosen point of a token's way, and another takes over.
+
+The right to speak for an answer is asked for while a token is on its way to the caller.
+A pause between the question and the use of its answer may last until the answer belongs
+to another entry. What is still on its way then must not leave.
+"""
+
+import contextlib
+import signal
+from pathlib import Path
+
+import pytest
+
+from standins.site import Site, sample_intent, wait_until
+from tests.common.paused_entry import OWN_CALLER_POINTS, RELAY_POINTS
+from tests.common.sites import (
+    FAST,
+    GAP_MS,
+    begun,
+    check,
+    check_logs,
+    comes_back,
+    dossier,
+    reading,
+    until_holding,
+)
+
+
+@contextlib.contextmanager
+def site_that_pauses(point):
+    """Three entries; the first stops at the point once it is armed."""
+    with Site() as site:
+        site.start_platform()
+        site.start_engines(3, "--gap-ms", str(GAP_MS), "--prefill-ms", "5")
+        program = ("tests.common.paused_entry", point)
+        site.launch_program("entry-1", program, **FAST)
+        for name in ("entry-2", "entry-3"):
+            site.launch_entry(name, **FAST)
+        for name in ("entry-1", "entry-2", "entry-3"):
+            site.entry_listening(name)
+        site.until_ready()
+        site.put_in_force(sample_intent(list(site.engines), []), "entry-2")
+        site.until_serving()
+        yield site
+        check_logs(site)
+
+
+def pause_at_its_point(site):
+    process = site.processes["entry-1"]
+    process.signal(signal.SIGUSR1)
+    status = Path(f"/proc/{process.pid}/stat")
+    wait_until(lambda: status.read_text().rpartition(") ")[2][0] == "T", "it stops")
+
+
+def twin_of(caller):
+    """Another caller of the same answer that holds what this one holds."""
+    twin = dossier(caller.request["max_tokens"])
+    twin.request, twin.request_id = caller.request, caller.request_id
+    twin.tokens, twin.event_id = list(caller.tokens), caller.event_id
+    return twin
+
+
+@pytest.mark.parametrize("point", OWN_CALLER_POINTS)
+def test_a_token_under_way_in_a_pause_stays_where_it_is(point):
+    with site_that_pauses(point) as site:
+        caller, thread = begun(site, tokens=300)
+        pause_at_its_point(site)
+        other = twin_of(caller)
+        check(comes_back(other, site.entries["entry-2"].port))
+        held = len(caller.tokens)
+        site.processes["entry-1"].signal(signal.SIGCONT)
+        thread.join(15)
+        assert len(caller.tokens) == held
+        assert "moved" in caller.events or "cut" in caller.events
+        check(comes_back(caller, site.entries["entry-1"].port))
+        assert caller.tokens == other.tokens
+
+
+@pytest.mark.parametrize("point", RELAY_POINTS)
+def test_a_token_under_way_to_a_relay_in_a_pause_is_not_passed_on(point):
+    with site_that_pauses(point) as site:
+        caller, thread = begun(site, tokens=300)
+        relayed = twin_of(caller)
+        relayed_thread = reading(relayed, site.entries["entry-2"].port, follow=True)
+        until_holding(relayed, len(relayed.tokens) + 5)
+        pause_at_its_point(site)
+        former = relayed.event_id.partition(".")[0]
+        other = twin_of(caller)
+        other_thread = reading(other, site.entries["entry-3"].port, follow=True)
+        until_holding(other, len(relayed.tokens) + 5)
+        held = len(relayed.event_ids)
+        site.processes["entry-1"].signal(signal.SIGCONT)
+        for each in (thread, relayed_thread, other_thread):
+            each.join(20)
+        check(other)
+        check(relayed)
+        assert relayed.tokens == other.tokens
+        later = relayed.event_ids[held:]
+        assert later and not any(each.startswith(former) for each in later)
