A woken owner doesn't take its first failed call for an outage

Symptom, found while looking for the same fault elsewhere: an owner that is paused until its answers are adopted, and whose first call to the table fails when it wakes, spoke for all of them for a lease's time, and again with each further failed call.

Cause: while the table is out nobody can take over, so an outage lets an owner speak. But a pause of its own is no outage: the table worked in it, and was out only for the moment at which the owner woke. The right was derived from one look and used for time that nobody had looked at.

Change: the entry notes that it is awake ten times a lease. After a gap of half a lease an outage gives no right until the table has answered. An outage seen from its beginning stops nothing, as before.

--- a/src/coursekeel/entry/answers/_journal_task.py
+++ b/src/coursekeel/entry/answers/_journal_task.py
@@ -10,6 +10,7 @@
 from attrs import define, field
 
 from coursekeel.answers import JournalWriter, Segment
+from coursekeel.membership import OutageWatch
 from coursekeel.observe import log_event
 from coursekeel.reactor import Reactor
 from coursekeel.runtime import Clock, Periodic, spawn
@@ -37,6 +38,12 @@
 ORPHANS_PREFIX = "leases/orphan/"
 # Two renewals may be lost before a lease lapses. Chosen, not measured.
 _RENEWALS_A_LEASE = 3
+# A pause of this process longer than half a lease may be long enough for others: see
+# `OutageWatch`.
+_GAPS_A_LEASE = 2
+# How often it is noted that this process is awake. Chosen, not measured: often enough
+# that a late timer is no gap.
+_BEATS_A_GAP = 5
 
 
 def lease_key(instance_id: str) -> str:
@@ -79,6 +86,8 @@
     writer: JournalWriter = field(init=False)
     store_out: bool = False
     _loop: Periodic = field(init=False)
+    _beat: Periodic = field(init=False)
+    _outage: OutageWatch = field(init=False)
     _version: int | None = None
     _alive_version: int = 0
     _renewed_ms: float = float("-inf")
@@ -90,9 +99,15 @@
         self._loop = Periodic(
             self.reactor, "journal", self.timers.journal_ms, self._round
         )
+        gap_ms = self.timers.lease_ms / _GAPS_A_LEASE
+        self._outage = OutageWatch(gap_ms)
+        self._beat = Periodic(
+            self.reactor, "awake", gap_ms / _BEATS_A_GAP, self._is_awake
+        )
 
     def start(self) -> None:
         """Take the lease, then renew it and write segments from then on."""
+        self._beat.start()
         self._loop.start()
 
     def fence(self) -> dict[str, int]:
@@ -107,8 +122,9 @@
     def right_left_ms(self) -> float:
         """How long this entry may speak for durable answers, unless it asks again.
 
-        After a pause longer than the lease nothing is left until the table was asked:
-        others may have taken over meanwhile. While the store is out nobody can have.
+        After a pause longer than the lease nothing is left until the table answers:
+        others may have taken over meanwhile. While the store is out nobody can have, if
+        this process saw it being out all the time.
         """
         left_ms = self._permitted_until_ms - self.clock.now_ms()
         if left_ms <= 0:
@@ -118,6 +134,7 @@
     async def stop(self) -> None:
         """Write what is left and free the lease, so that nobody waits for it."""
         self._loop.stop()
+        self._beat.stop()
         self._stopping = True
         if self._version is not None:
             await self._flush()
@@ -128,6 +145,9 @@
                 Transaction({key: self._version}, {key: None, alive: None})
             )
 
+    async def _is_awake(self) -> None:
+        self._outage.awake(self.clock.now_ms())
+
     async def _round(self) -> None:
         if self._version is None:
             await self._take()
@@ -256,18 +276,26 @@
     def _permit(self, asked_ms: float) -> None:
         self._renewed_ms = asked_ms
         self._permitted_until_ms = asked_ms + self.timers.lease_ms
+        self._outage.proven()
         if self.store_out:
             self.store_out = False
             log_event("store_back")
         self.gained([])
 
     def _note_outage(self, asked_ms: float) -> None:
-        """Nobody can take over while the table is out, so sending may go on."""
+        """Nobody can take over while the table is out, so sending may go on.
+
+        That isn't known after a pause of this process, if its lease stood before: the
+        table may have been out for a moment only.
+        """
+        self._outage.awake(self.clock.now_ms())
+        counts = self._outage.outage_counts or not self.held
         if not self.store_out:
-            log_event("store_out")
+            log_event("store_out", output_goes_on=counts)
         self.store_out = True
-        self._permitted_until_ms = asked_ms + self.timers.lease_ms
-        self.gained([])
+        if counts:
+            self._permitted_until_ms = asked_ms + self.timers.lease_ms
+            self.gained([])
 
     def begin_again(self, incarnation: str) -> None:
         """Start a new life under a new name; the old one's journal is others' now."""
--- a/src/coursekeel/membership/__init__.py
+++ b/src/coursekeel/membership/__init__.py
@@ -2,6 +2,7 @@
 
 from coursekeel.membership._isolation import Isolation
 from coursekeel.membership._lease import GroupLease, LapseWatch, LeaseTerms
+from coursekeel.membership._outage import OutageWatch
 from coursekeel.membership._peers import Greeting, PeerBook
 
 __all__ = [
@@ -10,5 +11,6 @@
     "Isolation",
     "LapseWatch",
     "LeaseTerms",
+    "OutageWatch",
     "PeerBook",
 ]
