--- a/src/coursekeel/entry/answers/_answer_registry.py
+++ b/src/coursekeel/entry/answers/_answer_registry.py
@@ -251,10 +251,16 @@
         return self._orders
 
     def fence(self, key: str, stops_run: bool = False) -> None:
-        """Another entry owns the answer: stop, and send its readers away."""
+        """Another entry owns the answer: stop, and send its readers away.
+
+        With ``stops_run`` it always was another's: nobody needs what was made here.
+        """
         task = self.tasks.pop(key, None)
         self._durable.pop(key, None)
-        self.journal.forget(key)
+        if stops_run:
+            self.journal.forget(key)
+        else:
+            self.journal.leave_to_successor(key)
         if task is None:
             return
         task.gone = True
--- a/src/coursekeel/entry/answers/_journal_task.py
+++ b/src/coursekeel/entry/answers/_journal_task.py
@@ -304,6 +304,13 @@
         self._renewed_ms = float("-inf")
         self._loop.start()
 
+    def leave_to_successor(self, key: str) -> None:
+        """An answer is another's; what the journal holds of it stays for the adopters.
+
+        The segments are swept with all of this incarnation's once it is adopted.
+        """
+        self.writer.forget(key)
+
     def forget(self, key: str) -> None:
         """An answer is settled; segments that only spoke of it are deleted."""
         for object_key in self.writer.forget(key):
--- a/tests/cover/test_journal_task.py
+++ b/tests/cover/test_journal_task.py
@@ -189,6 +189,22 @@
     assert may_send(world)
 
 
+def test_a_fenced_owner_deletes_nothing_of_its_journal(entry):
+    """Its adopter reads it, and another would if the adopter died.
+
+    Seen failing: an owner that woke, and whose answer's end was refused by the table,
+    deleted the segments that spoke of that answer only.
+    """
+    ledger = Ledger("g")
+    entry.task.writer.track(KEY, ledger)
+    ledger.offer(0, [1, 2], ["a", "b"])
+    lives(entry, 1)
+    assert len(entry.table.objects) == 1
+    entry.task.leave_to_successor(KEY)
+    lives(entry, 1)
+    assert len(entry.table.objects) == 1
+
+
 def test_a_settled_answers_segments_are_deleted(entry):
     ledger = Ledger("g")
     entry.task.writer.track(KEY, ledger)
