A gateway asks again for leave to send once the connection stands

Looked for as the same fault elsewhere: leave to send (age of what is known of keys, the endpoint's leaving, the quarantine, the time that is left) was asked before the connection was made, and used after it. A connection takes up to connect_ms, and a freeze of the instance longer: what it then sent was for a key that may be gone, to an endpoint that has left, or with more time than was left. A copy whose keeper had a new incarnation was sent there without asking at all.

Change: an exchange asks its sink when the connection stands, and sends nothing if it may not (WITHHELD). What is withheld speaks against no endpoint, costs no repeat, and is placed again or refused as on a first try. The time that is left is told as of then. What is left of the window: one turn of the reactor.

--- a/src/coursekeel/fetch/_exchange.py
+++ b/src/coursekeel/fetch/_exchange.py
@@ -5,7 +5,7 @@
 earlier one's end, and no earlier answer can come in the place of its own.
 """
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from enum import Enum
 from typing import Any
 
@@ -26,23 +26,31 @@
 
 
 class Ending(Enum):
-    """How an exchange ended."""
+    """How an exchange ended.
+
+    ``WITHHELD``: it might no longer be sent when its connection stood, and wasn't.
+    """
 
     WHOLE = "whole"
     NOT_SENT = "not_sent"
+    WITHHELD = "withheld"
     NO_ANSWER = "no_answer"
     CUT = "cut"
 
 
 @frozen
 class ExchangeRequest:
-    """What is sent, byte for byte; ``headers`` hold no hop-by-hop header."""
+    """What is sent, byte for byte.
+
+    ``headers`` gives no hop-by-hop header. It is called once the connection stands,
+    since headers may tell the time that is left.
+    """
 
     host: str
     port: int
     method: bytes
     target: bytes
-    headers: Sequence[tuple[bytes, bytes]]
+    headers: Callable[[], Sequence[tuple[bytes, bytes]]]
     body: bytes = b""
 
 
@@ -62,6 +70,10 @@
 class ExchangeSink:
     """Who is told of an exchange: one head at most, its data, and one end."""
 
+    def may_send(self) -> bool:
+        """Say whether the request may still be sent, now that its connection stands."""
+        return True
+
     def head_arrived(self, head: ExchangeHead) -> None:
         """The answer's status and headers are in."""
 
@@ -156,9 +168,12 @@
         if self._over:
             self.abort()
             return
+        if not self.sink.may_send():
+            self._withhold()
+            return
         request = self.request
         headers = Headers()
-        for name, value in request.headers:
+        for name, value in request.headers():
             headers.addRawHeader(name, value)
         has_body = bool(request.body) or request.method not in (b"GET", b"HEAD")
         body = _WholeBody(request.body) if has_body else None
@@ -167,6 +182,16 @@
         )
         sent.addCallbacks(self._answered, self._unanswered)
 
+    def _withhold(self) -> None:
+        """Connecting took time, and a pause of this process may lie in it.
+
+        Guards against: a process that was frozen there sends what it asked leave for
+        before, for a caller whose time is over or to an endpoint that has left.
+        """
+        self.abort()
+        self._over = False
+        self._end(Ending.WITHHELD, "right_lapsed")
+
     def _not_connected(self, failure: Any) -> None:
         self._end(Ending.NOT_SENT, failure.getErrorMessage() or failure.type.__name__)
 
--- a/src/coursekeel/gateway/_gateway.py
+++ b/src/coursekeel/gateway/_gateway.py
@@ -136,7 +136,9 @@
             freshness,
         )
         self._metrics = GatewayMetrics(self.clock)
-        client = EndpointClient(self.reactor, self._live, self.endpoints, self.link)
+        client = EndpointClient(
+            self.reactor, self.clock, self._live, self.endpoints, self.link
+        )
         health = EndpointHealth(self.clock, self._site, self._router, self._metrics)
         gate = QuarantineGate(
             self.clock, quarantine, self._group.tell_suspects, self._keeper.touched
--- a/src/coursekeel/gateway/endpoints/_endpoint_client.py
+++ b/src/coursekeel/gateway/endpoints/_endpoint_client.py
@@ -7,7 +7,9 @@
 (docs/design/platform.md), and leaves no doubt whether a request reached an endpoint.
 """
 
-from attrs import define
+from collections.abc import Sequence
+
+from attrs import define, evolve
 
 from coursekeel.fetch import Exchange, ExchangeRequest, ExchangeSink, OwnLink
 from coursekeel.forwarding import EndpointRecord
@@ -19,6 +21,7 @@
 from coursekeel.gateway._live_settings import LiveSettings
 from coursekeel.gateway._request import AdmittedRequest
 from coursekeel.reactor import Reactor
+from coursekeel.runtime import Clock
 
 __all__ = ["EndpointClient"]
 
@@ -36,6 +39,7 @@
     """
 
     reactor: Reactor
+    clock: Clock
     settings: LiveSettings
     dialect: EndpointDialect
     link: OwnLink
@@ -43,13 +47,19 @@
     def send(
         self, call: AdmittedRequest, outbound: OutboundRequest, sink: ExchangeSink
     ) -> Exchange:
-        """Send a caller's request to an endpoint."""
+        """Send a caller's request to an endpoint, with the time that is left then."""
+
+        def headers() -> Sequence[tuple[bytes, bytes]]:
+            remaining_ms = call.due_ms - self.clock.now_ms()
+            now = evolve(outbound, remaining_ms=remaining_ms)
+            return self.dialect.headers(call.received, now)
+
         request = ExchangeRequest(
             outbound.endpoint.host,
             outbound.endpoint.port,
             call.method,
             call.target,
-            self.dialect.headers(call.received, outbound),
+            headers,
             call.body,
         )
         return self._open(request, sink, self.settings.timers.connect_ms)
@@ -64,7 +74,7 @@
         """Send a question of the gateway's own to an endpoint."""
         headers = [(b"host", endpoint.address.encode())]
         request = ExchangeRequest(
-            endpoint.host, endpoint.port, call.method, call.target, headers
+            endpoint.host, endpoint.port, call.method, call.target, lambda: headers
         )
         return self._open(request, sink, connect_ms)
 
--- a/src/coursekeel/gateway/streams/_stream_attempt.py
+++ b/src/coursekeel/gateway/streams/_stream_attempt.py
@@ -61,6 +61,10 @@
     def is_open(self, number: int) -> bool:
         """Say whether the attempt is still one of the answer's."""
 
+    @abstractmethod
+    def may_still_send(self, endpoint: EndpointRecord) -> bool:
+        """Say whether a run may be sent there, now that its connection stands."""
+
     @abstractmethod
     def opened(self, attempt: int, head: ExchangeHead) -> None:
         """An endpoint answered with a stream of this request."""
@@ -145,6 +149,10 @@
         gave_ms = None if self._first_ms is None else now_ms - self._first_ms
         return LostRun(self.endpoint_id, why, ran_ms, gave_ms, self._events)
 
+    def may_send(self) -> bool:
+        assert self._outbound is not None
+        return self.task.may_still_send(self._outbound.endpoint)
+
     # The answer.
 
     def head_arrived(self, head: ExchangeHead) -> None:
@@ -193,7 +201,10 @@
 
     def ended(self, ending: Ending, reason: str) -> None:
         task = self.task
-        if ending is Ending.NOT_SENT:
+        if ending is Ending.WITHHELD:
+            task.not_sent()
+            self._over(Loss.NOT_SENT)
+        elif ending is Ending.NOT_SENT:
             task.context.health.unreachable(self.endpoint_id, reason)
             task.not_sent()
             self._over(Loss.NOT_SENT)
--- a/src/coursekeel/gateway/streams/_stream_task.py
+++ b/src/coursekeel/gateway/streams/_stream_task.py
@@ -223,6 +223,17 @@
         self._retry_after_ms = ELSEWHERE_RETRY_MS
         return False
 
+    def may_still_send(self, endpoint: EndpointRecord) -> bool:
+        """Say whether a run may be sent there, now that its connection stands."""
+        context = self.context
+        record = context.site.directory.record(endpoint.endpoint_id)
+        if record is None or record.leaving:
+            return False
+        if context.clock.now_ms() >= self.call.due_ms:
+            return False
+        may_act = context.site.may_still_send(self.call, self._begun)
+        return may_act and self._pass.may_send()
+
     def _send(self, action: OpenAttempt, record: EndpointRecord) -> None:
         context, ways = self.context, self._caller.ways
         now_ms = context.clock.now_ms()
--- a/src/coursekeel/gateway/whole/_whole_task.py
+++ b/src/coursekeel/gateway/whole/_whole_task.py
@@ -147,28 +147,46 @@
         self._tell(SendEnded(SendOutcome.NO_ENDPOINT))
 
     def _send(self, endpoint_id: str) -> None:
-        site, call = self.context.site, self.call
-        record = site.directory.record(endpoint_id)
-        remaining_ms = call.due_ms - self.context.clock.now_ms()
-        if record is None or remaining_ms < _LEAST_REMAINING_MS:
+        record = self._reachable(endpoint_id)
+        code = self._refused_code()
+        if record is None:
             self._give_back(endpoint_id)
             self._tell(SendEnded(SendOutcome.NOT_SENT))
-        elif not site.may_still_send(call):
+        elif code:
+            if code == STOPS_ENDPOINTS:
+                self._retry_after_ms = self._pass.barred_ms
             self._give_back(endpoint_id)
-            self._no_endpoint("belief_old")
-        elif not self._pass.may_send():
-            self._retry_after_ms = self._pass.barred_ms
-            self._give_back(endpoint_id)
-            self._no_endpoint(STOPS_ENDPOINTS)
+            self._no_endpoint(code)
         else:
-            self._open_try(record, remaining_ms)
+            self._open_try(record)
+
+    def _reachable(self, endpoint_id: str) -> EndpointRecord | None:
+        """The endpoint's record, while an answer can still come from there in time."""
+        record = self.context.site.directory.record(endpoint_id)
+        return record if self._remaining_ms >= _LEAST_REMAINING_MS else None
+
+    @property
+    def _remaining_ms(self) -> float:
+        return self.call.due_ms - self.context.clock.now_ms()
+
+    def _refused_code(self) -> str:
+        """Why the request may be sent nowhere now; empty if it may be."""
+        if not self.context.site.may_still_send(self.call):
+            return "belief_old"
+        return "" if self._pass.may_send() else STOPS_ENDPOINTS
+
+    def may_still_send(self, endpoint_id: str) -> bool:
+        """Say whether the request may be sent there, now that its connection stands."""
+        record = self._reachable(endpoint_id)
+        return record is not None and not record.leaving and not self._refused_code()
 
     def _give_back(self, endpoint_id: str) -> None:
         prompt_tokens = self.call.caller.prompt_tokens
         self.context.routing.returned(endpoint_id, prompt_tokens)
         self._sends.not_sent()
 
-    def _open_try(self, record: EndpointRecord, remaining_ms: float) -> None:
+    def _open_try(self, record: EndpointRecord) -> None:
+        remaining_ms = self._remaining_ms
         call, endpoint_id = self.call, record.endpoint_id
         load = self.context.routing.router.load(endpoint_id)
         self.context.metrics.chosen(call, endpoint_id, "whole", load)
--- a/src/coursekeel/gateway/whole/_whole_try.py
+++ b/src/coursekeel/gateway/whole/_whole_try.py
@@ -21,6 +21,10 @@
 class TryOwner(ABC):
     """The request that a try belongs to."""
 
+    @abstractmethod
+    def may_still_send(self, endpoint_id: str) -> bool:
+        """Say whether the request may be sent there now."""
+
     @abstractmethod
     def try_ended(self, outcome: ServiceReply | SendOutcome) -> None:
         """The try came to its end."""
@@ -54,6 +58,9 @@
             self._limit = context.reactor.callLater(limit_ms / 1000, self._too_long)
         self._exchange = context.endpoints.send(self.call, outbound, self)
 
+    def may_send(self) -> bool:
+        return self.owner.may_still_send(self.endpoint_id)
+
     def head_arrived(self, head: ExchangeHead) -> None:
         self._head = head
 
@@ -86,6 +93,9 @@
     def _outcome(self, ending: Ending, reason: str) -> ServiceReply | SendOutcome:
         """What the end proves of the request; in doubt, that it may have run."""
         context = self.context
+        if ending is Ending.WITHHELD:
+            self.arrived = False
+            return SendOutcome.NOT_SENT
         if ending is Ending.NOT_SENT:
             context.health.unreachable(self.endpoint_id, reason)
             self.arrived = False
--- a/tests/cover/test_stream_placement.py
+++ b/tests/cover/test_stream_placement.py
@@ -103,7 +103,7 @@
             self.reactor, self.clock, settings, self.directory, routing
         )
         link = OwnLink(self.reactor)
-        self.client = ScriptedClient(self.reactor, settings, Mock(), link)
+        self.client = ScriptedClient(self.reactor, self.clock, settings, Mock(), link)
         self.quarantine = Quarantine()
         self.told: list[SuspectRecord] = []
         self.crashes = Mock()
@@ -297,6 +297,75 @@
     assert {send.endpoint.pool for send in site.client.sent} == {POOL}
 
 
+def a_call() -> AdmittedRequest:
+    caller = CallerHeaders("r4", "key", 2_000, None)
+    route = evolve(ROUTE, kind=RouteKind.REPEATABLE, timeout_ms=2_000)
+    return AdmittedRequest(
+        b"GET", "h", b"/x", [], b"", caller, route, POOL, False, None, 0, 2_000
+    )
+
+
+def start_stream(site):
+    site.start()
+    return site.client.sinks[0], 20_000
+
+
+def start_call(site):
+    WholeAnswerTask(site.context, a_call(), site.reply).start()
+    return site.client.sinks[0], 2_000
+
+
+@pytest.mark.parametrize("start", [start_stream, start_call])
+def test_what_may_be_sent_still_may_when_its_connection_stands(site, start):
+    sink, _ = start(site)
+    assert sink.may_send()
+
+
+@pytest.mark.parametrize("start", [start_stream, start_call])
+@pytest.mark.parametrize("change", ["belief_old", "leaving", "gone", "too_late"])
+def test_what_changed_while_the_connection_was_made_is_looked_at(site, start, change):
+    """A pause of this process may lie between the question and the send."""
+    sink, due_ms = start(site)
+    endpoint = site.client.sent[0].endpoint
+    match change:
+        case "belief_old":
+            site.known.fresh = False
+        case "leaving":
+            site.directory.put(evolve(endpoint, leaving=True), 2)
+        case "gone":
+            site.directory.remove(endpoint.endpoint_id, 2)
+        case "too_late":
+            site.clock.now_ms = lambda: due_ms
+    assert not sink.may_send()
+
+
+@pytest.mark.parametrize("start", [start_stream, start_call])
+def test_what_is_withheld_is_tried_elsewhere_and_speaks_against_nobody(
+    site, start, monkeypatch
+):
+    unreachable = Mock()
+    monkeypatch.setattr(EndpointHealth, "unreachable", unreachable)
+    sink, _ = start(site)
+    first = site.client.sent[0].endpoint
+    site.directory.put(evolve(first, leaving=True), 2)
+    sink.ended(Ending.WITHHELD, "right_lapsed")
+    assert len(site.client.sent) == 2
+    assert site.client.sent[1].endpoint.endpoint_id != first.endpoint_id
+    assert site.held() == 1
+    unreachable.assert_not_called()
+
+
+@pytest.mark.parametrize("start", [start_stream, start_call])
+def test_what_is_withheld_for_its_key_is_refused(site, start):
+    sink, _ = start(site)
+    site.known.fresh = False
+    sink.ended(Ending.WITHHELD, "right_lapsed")
+    assert len(site.client.sent) == 1
+    assert site.held() == 0
+    (refusal,) = site.reply.refuse.call_args.args
+    assert (refusal.status, refusal.code) == (503, "belief_old")
+
+
 def test_a_call_that_is_not_sent_tells_nothing_of_how_long_runs_take(site):
     site.known.fresh = False
     usual_ms = {n: site.router.load(f"e{n}").usual_run_ms for n in range(3)}
