Calls, orders and runs ask again for leave once their connection stands

Looked for as the same fault elsewhere: an entry chose an endpoint on evidence, read its lease's clock before an order, and connected after that. A pause in between outlasts the evidence, the caller's patience or the lease.

Change: the fetcher asks again when a connection has been made; what may not go is surely not sent (RightLapsed, NotReached), and an order says so (not_sent). An owner whose right to speak has lapsed doesn't stop an engine's run, which may be its successor's. bench.sending measures what is left between the look and the system call.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -23,6 +23,7 @@
     recovery,
     relay,
     resume,
+    sending,
     sharing,
 )
 
@@ -41,6 +42,7 @@
         ("membership", membership.measure),
         ("sharing", sharing.measure),
         ("quarantine", quarantine.measure),
+        ("sending", sending.measure),
         ("relay", lambda: relay.measure((80, 160, 320))),
         ("resume", lambda: resume.measure(runs=6)),
         ("delivery", lambda: delivery.measure(runs=5)),
--- a/bench/copy_relay.py
+++ b/bench/copy_relay.py
@@ -17,7 +17,7 @@
 from twisted.web.server import NOT_DONE_YET, Site  # noqa: E402
 
 from coursekeel.endpoints._http_body import ChunkedBody  # noqa: E402
-from coursekeel.fetch import direct_agent  # noqa: E402
+from coursekeel.fetch import DirectAgents  # noqa: E402
 
 
 class Copy(Protocol):
@@ -36,7 +36,7 @@
 
     def __init__(self, ports: list[int]) -> None:
         super().__init__()
-        self.agent = direct_agent(reactor, 1_000, keeps_connections=False)
+        self.agent = DirectAgents(reactor, 1_000, keeps_connections=False).agent()
         self.ports = itertools.cycle(ports)
 
     def render_POST(self, request):
--- a/src/coursekeel/endpoints/_adapter.py
+++ b/src/coursekeel/endpoints/_adapter.py
@@ -1,6 +1,7 @@
 """What coursekeel asks of a model engine or plain service, whatever its protocol."""
 
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 from enum import Enum
 
 from attrs import frozen
@@ -29,6 +30,8 @@
     keeps one team's prompts out of another's cache. ``copy_to`` is the address of an
     engine that shall keep a copy of the run's memory, empty if none shall; ``copy_of``
     is the run whose copy this engine keeps, empty if the prompt is to be read.
+    ``may_send`` is asked once the connection stands: a run may have been given up, or
+    its engine have left, while this process was paused.
     """
 
     label: str
@@ -38,6 +41,7 @@
     prefix_tokens: list[int]
     priority: int
     cache_salt: str
+    may_send: Callable[[], bool]
     copy_to: str = ""
     copy_of: str = ""
 
@@ -68,6 +72,7 @@
 
     OBEYED = "obeyed"
     OLD_EPOCH = "old_epoch"
+    NOT_SENT = "not_sent"
     UNSURE = "unsure"
 
 
@@ -133,5 +138,10 @@
         """Ask the endpoint for its word."""
 
     @abstractmethod
-    async def give(self, order: Order, epoch: int) -> OrderOutcome:
-        """Give an order under the lease's epoch."""
+    async def give(
+        self, order: Order, epoch: int, may_give: Callable[[], bool]
+    ) -> OrderOutcome:
+        """Give an order under the lease's epoch.
+
+        ``may_give`` is asked again once a connection has been made.
+        """
--- a/src/coursekeel/endpoints/_http_engine.py
+++ b/src/coursekeel/endpoints/_http_engine.py
@@ -26,10 +26,11 @@
 from coursekeel.endpoints._orders import Order
 from coursekeel.fetch import (
     AnswerLost,
+    DirectAgents,
     Fetcher,
     HttpReply,
+    MaySend,
     NotReached,
-    direct_agent,
 )
 from coursekeel.intents import ModelName
 from coursekeel.reactor import Reactor
@@ -174,12 +175,12 @@
     address: str
     connect_ms: int
     timeout_ms: int
-    _streams: Any = field(init=False)
+    _streams: DirectAgents = field(init=False)
     _fetcher: Fetcher = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         # A stream closes its connection, so none is kept for reuse.
-        self._streams = direct_agent(
+        self._streams = DirectAgents(
             self.reactor, self.connect_ms, keeps_connections=False
         )
         self._fetcher = Fetcher(self.reactor, self.connect_ms)
@@ -188,9 +189,8 @@
         """Ask for a run."""
         stream = _HttpStream(listener)
         body = ChunkedBody(_chunks(order))
-        stream.start(
-            self._streams.request(b"POST", self._url("/generate"), _JSON, body)
-        )
+        agent = self._streams.agent(order.may_send)
+        stream.start(agent.request(b"POST", self._url("/generate"), _JSON, body))
         return stream
 
     def take_up(
@@ -199,7 +199,7 @@
         """Read a run that the engine has, from ``position`` on."""
         stream = _HttpStream(listener)
         url = self._url(f"/streams/{run_id}?from={position}")
-        stream.start(self._streams.request(b"GET", url))
+        stream.start(self._streams.agent().request(b"GET", url))
         return stream
 
     async def stop(self, run_id: str) -> None:
@@ -213,7 +213,7 @@
             return answer
         return _status(orjson.loads(answer.body))
 
-    async def give(self, order: Order, epoch: int) -> OrderOutcome:
+    async def give(self, order: Order, epoch: int, may_give: MaySend) -> OrderOutcome:
         """Give an order under the lease's epoch."""
         body: dict[str, Any] = {
             "order": order.kind.value,
@@ -224,9 +224,9 @@
         if order.serves is not None:
             serves = order.serves
             body["serves"] = [serves.model, serves.adapter, serves.version]
-        answer = await self._ask("POST", "/orders", orjson.dumps(body))
+        answer = await self._ask("POST", "/orders", orjson.dumps(body), may_give)
         if isinstance(answer, Unreachable):
-            return OrderOutcome.UNSURE
+            return OrderOutcome.NOT_SENT if answer.refused else OrderOutcome.UNSURE
         if answer.status == _OLD_EPOCH:
             return OrderOutcome.OLD_EPOCH
         return (
@@ -236,10 +236,16 @@
         )
 
     async def _ask(
-        self, method: str, path: str, data: bytes | None
+        self,
+        method: str,
+        path: str,
+        data: bytes | None,
+        may_send: MaySend | None = None,
     ) -> HttpReply | Unreachable:
         url = f"http://{self.address}{path}"
-        outcome = await self._fetcher.ask(method, url, self.timeout_ms, data)
+        outcome = await self._fetcher.ask(
+            method, url, self.timeout_ms, data, may_send=may_send
+        )
         match outcome:
             case HttpReply():
                 return outcome
--- a/src/coursekeel/entry/_calls_task.py
+++ b/src/coursekeel/entry/_calls_task.py
@@ -189,19 +189,20 @@
     async def _send(
         self, request: CallRequest, tried: set[str]
     ) -> ServiceReply | SendOutcome:
-        decision = await self._find_endpoint(request, tried)
+        deadline_ms = self.clock.now_ms() + request.policy.patience_ms
+        decision = await self._find_endpoint(request, tried, deadline_ms)
         if not isinstance(decision, Grant):
             return SendOutcome.NO_ENDPOINT
         tried.add(decision.endpoint_id)
         started_ms = self.clock.now_ms()
         try:
-            return await self._send_to(decision.endpoint_id, request)
+            return await self._send_to(decision.endpoint_id, request, deadline_ms)
         finally:
             run_ms = self.clock.now_ms() - started_ms
             self.routing.released(decision.endpoint_id, run_ms)
 
     def _find_endpoint(
-        self, request: CallRequest, tried: set[str]
+        self, request: CallRequest, tried: set[str], deadline_ms: float
     ) -> "Deferred[Decision]":
         decided: Deferred[Decision] = Deferred()
         placement = PlacementRequest(
@@ -210,7 +211,7 @@
             rank=request.policy.rank,
             pool=f"service/{request.service.name}",
             cost=1.0,
-            deadline_ms=self.clock.now_ms() + request.policy.patience_ms,
+            deadline_ms=deadline_ms,
             weight=request.team.weight,
             excluded=frozenset(tried),
         )
@@ -218,8 +219,14 @@
         return decided
 
     async def _send_to(
-        self, endpoint_id: str, request: CallRequest
+        self, endpoint_id: str, request: CallRequest, deadline_ms: float
     ) -> ServiceReply | SendOutcome:
+        def may_send() -> bool:
+            """Evidence and patience, looked at again once the connection stands."""
+            now_ms = self.clock.now_ms()
+            may_take = self.routing.router.may_take(endpoint_id, now_ms)
+            return may_take and now_ms < deadline_ms
+
         headers = {"content-type": request.content_type or "application/octet-stream"}
         if request.key:
             headers["idempotency-key"] = request.key
@@ -229,6 +236,7 @@
             request.service.timeout_ms,
             None if request.method in _SAFE_METHODS else request.body,
             headers,
+            may_send,
         )
         match outcome:
             case HttpReply():
--- a/src/coursekeel/entry/answers/_answer_placement.py
+++ b/src/coursekeel/entry/answers/_answer_placement.py
@@ -74,8 +74,11 @@
 
     def may_have(self, action: OpenAttempt) -> bool:
         """A copy is at an engine that routing didn't choose now; it may be leaving."""
-        may_take, now_ms = self.routing.router.may_take, self.clock.now_ms()
-        return action.way is not Way.COPY or may_take(action.endpoint_id, now_ms)
+        return action.way is not Way.COPY or self.takes_work(action.endpoint_id)
+
+    def takes_work(self, endpoint_id: str) -> bool:
+        """Say whether an engine is known to take new work now."""
+        return self.routing.router.may_take(endpoint_id, self.clock.now_ms())
 
     def take_place(self, action: OpenAttempt) -> bool:
         """Take the place that was granted, or one at the engine that keeps a copy.
--- a/src/coursekeel/entry/answers/_answer_task.py
+++ b/src/coursekeel/entry/answers/_answer_task.py
@@ -342,10 +342,15 @@
             prefix_tokens=self.ledger.tokens_from(0),
             priority=-request.policy.rank,
             cache_salt=request.team.name,
+            may_send=lambda: self._may_run_at(action.endpoint_id),
             copy_to=copy_to,
             copy_of=action.run_id if action.way is Way.COPY else "",
         )
 
+    def _may_run_at(self, endpoint_id: str) -> bool:
+        """Say whether a run may begin there, now that its connection stands."""
+        return not self.ended and self._placement.takes_work(endpoint_id)
+
     def _cancel(self, action: CancelAttempt) -> None:
         opened = self._open.get(action.attempt)
         if opened is None:
@@ -353,7 +358,9 @@
         opened.stream.close()
         self._let_go(action.attempt)
         engine = self.ports.engine(opened.endpoint_id)
-        if action.stops_run and opened.run_id and engine is not None:
+        # While the right to speak has lapsed, the run may be the next owner's.
+        stops_run = action.stops_run and self.may_send()
+        if stops_run and opened.run_id and engine is not None:
             spawn(engine.stop(opened.run_id), "stop_run", self.ports.reactor)
 
     def _let_go(self, attempt: int) -> None:
--- a/src/coursekeel/entry/control/_orders_task.py
+++ b/src/coursekeel/entry/control/_orders_task.py
@@ -102,7 +102,7 @@
                 await self._give(order, lease)
 
     def _may_order(self, lease: GroupLease, order: Order) -> bool:
-        """Read the clock right before the write: what was true a moment ago isn't.
+        """Read the clock again before the write: what was true a moment ago isn't.
 
         An endpoint that checks epochs refuses what comes too late by itself; for one
         that doesn't, the lease must outlast the slowest order.
@@ -115,7 +115,9 @@
         now_ms = self.clock.now_ms()
         if engine is None or not self._pacer.may_send(order, now_ms):
             return
-        outcome = await engine.give(order, lease.epoch)
+        outcome = await engine.give(
+            order, lease.epoch, lambda: self._may_order(lease, order)
+        )
         self.given += 1
         log_event(
             "order_given",
--- a/src/coursekeel/fetch/__init__.py
+++ b/src/coursekeel/fetch/__init__.py
@@ -1,6 +1,6 @@
 """Whole HTTP requests, sent at most once, whose outcomes are values."""
 
-from coursekeel.fetch._agent import direct_agent
+from coursekeel.fetch._agent import DirectAgents, MaySend, RightLapsed
 from coursekeel.fetch._arrival import Transfer
 from coursekeel.fetch._exchange import (
     Ending,
@@ -20,6 +20,7 @@
 
 __all__ = [
     "AnswerLost",
+    "DirectAgents",
     "Ending",
     "Exchange",
     "ExchangeHead",
@@ -28,8 +29,9 @@
     "FetchOutcome",
     "Fetcher",
     "HttpReply",
+    "MaySend",
     "NotReached",
     "OwnLink",
+    "RightLapsed",
     "Transfer",
-    "direct_agent",
 ]
--- a/src/coursekeel/fetch/_fetch.py
+++ b/src/coursekeel/fetch/_fetch.py
@@ -8,7 +8,7 @@
 from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.internet.error import ConnectError
 
-from coursekeel.fetch._agent import direct_agent
+from coursekeel.fetch._agent import DirectAgents, MaySend
 from coursekeel.fetch._arrival import AnswerArrival, ArrivingBody, Transfer
 from coursekeel.fetch._own_link import OwnLink
 from coursekeel.reactor import Reactor
@@ -50,7 +50,7 @@
 
 @define(eq=False)
 class Fetcher:
-    """Sends requests; never twice, whatever the method. See `direct_agent`.
+    """Sends requests; never twice, whatever the method. See `DirectAgents`.
 
     If answers may be long, ``transfer`` says how one that has begun may come, and
     ``link`` is told of them.
@@ -61,11 +61,14 @@
     keeps_connections: bool = True
     transfer: Transfer | None = None
     link: OwnLink | None = None
+    _agents: DirectAgents = field(init=False)
     _client: Any = field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        agent = direct_agent(self.reactor, self.connect_ms, self.keeps_connections)
-        self._client = treq.client.HTTPClient(agent)
+        self._agents = DirectAgents(
+            self.reactor, self.connect_ms, self.keeps_connections
+        )
+        self._client = treq.client.HTTPClient(self._agents.agent())
 
     async def ask(
         self,
@@ -74,15 +77,17 @@
         timeout_ms: float,
         data: bytes | None = None,
         headers: Mapping[str, str] | None = None,
+        may_send: MaySend | None = None,
     ) -> FetchOutcome:
         """Send one request and read its whole answer.
 
         It must be here within ``timeout_ms``; if there is a `transfer`, it must begin
-        within that time, and come as that says.
+        within that time, and come as that says. ``may_send`` is asked again once a
+        connection has been made; if it says no, nothing was reached.
         """
         arrival = AnswerArrival(self.reactor, timeout_ms, self.transfer, self.link)
         exchange: Deferred[HttpReply] = ensureDeferred(
-            self._exchange(method, url, data, headers, arrival)
+            self._exchange(method, url, data, headers, arrival, may_send)
         )
         arrival.watch(exchange)
         try:
@@ -102,8 +107,12 @@
         data: bytes | None,
         headers: Mapping[str, str] | None,
         arrival: AnswerArrival,
+        may_send: MaySend | None,
     ) -> HttpReply:
-        response = await self._client.request(
+        client = self._client
+        if may_send is not None:
+            client = treq.client.HTTPClient(self._agents.agent(may_send))
+        response = await client.request(
             method, url, data=data, headers=headers, allow_redirects=False
         )
         arrival.begun()
