--- a/tests/common/paused_entry.py
+++ b/tests/common/paused_entry.py
@@ -13,7 +13,7 @@
 
 from attrs import define
 
-__all__ = ["OWN_CALLER_POINTS", "RELAY_POINTS"]
+__all__ = ["OWN_CALLER_POINTS", "RELAY_POINTS", "WHOLE_ANSWER_POINT"]
 
 # In the order of a token's way. The last of each is right before the system call, or
 # the library's, that takes the bytes out of this program's hands.
@@ -25,6 +25,7 @@
     "loop_writes",
 )
 RELAY_POINTS = ("reply_made", "reply_taken")
+WHOLE_ANSWER_POINT = "body_written"
 
 
 @define
@@ -98,7 +99,7 @@
     from coursekeel.entry.answers._answer_task import AnswerTask
     from coursekeel.entry.answers._follower import Follower
     from coursekeel.entry.answers._relay import RelaySink
-    from coursekeel.entry.http._event_sinks import EventStream
+    from coursekeel.entry.http._event_sinks import EventStream, WholeAnswer
 
     match point:
         case "line_read":
@@ -111,6 +112,8 @@
             _after(EventStream, "tokens", stop)
         case "loop_writes":
             _while_written_is_unsent(stop)
+        case "body_written":
+            _after(WholeAnswer, "finish", stop)
         case "reply_made":
             _after(RelaySink, "tokens", stop)
         case "reply_taken":
--- a/tests/cover/test_journal_task.py
+++ b/tests/cover/test_journal_task.py
@@ -1,12 +1,14 @@
 """An entry's right to speak for durable answers, with a table that can be away."""
 
 from types import SimpleNamespace
+from unittest.mock import Mock
 
 import pytest
 from twisted.internet.defer import Deferred, succeed
 from twisted.internet.testing import MemoryReactorClock
 
 from coursekeel.answers import Ledger
+from coursekeel.entry.answers._answer_registry import AnswerRegistry
 from coursekeel.entry.answers._journal_task import JournalTask, seal
 from coursekeel.settings import Timers
 from coursekeel.storage import Committed, Rows, Unavailable
@@ -212,3 +214,18 @@
     lives(entry, 1)
     entry.task.forget(KEY)
     assert not entry.table.objects
+
+
+@pytest.mark.parametrize(("always_anothers", "deletes"), [(False, False), (True, True)])
+def test_only_what_always_was_anothers_is_deleted_when_an_answer_is_given_up(
+    entry, always_anothers, deletes
+):
+    ports, store = Mock(), Mock()
+    registry = AnswerRegistry(entry.reactor, "entry-1", ports, store, entry.task, 0)
+    ledger = Ledger("g")
+    entry.task.writer.track(KEY, ledger)
+    ledger.offer(0, [1, 2], ["a", "b"])
+    lives(entry, 1)
+    registry.fence(KEY, stops_run=always_anothers)
+    lives(entry, 1)
+    assert (not entry.table.objects) == deletes
--- a/tests/nocover/test_pauses_on_a_tokens_way.py
+++ b/tests/nocover/test_pauses_on_a_tokens_way.py
@@ -7,12 +7,18 @@
 
 import contextlib
 import signal
+import threading
+from http.client import HTTPException
 from pathlib import Path
 
 import pytest
 
-from standins.site import Site, sample_intent, wait_until
-from tests.common.paused_entry import OWN_CALLER_POINTS, RELAY_POINTS
+from standins.site import Http, Site, sample_intent, wait_until
+from tests.common.paused_entry import (
+    OWN_CALLER_POINTS,
+    RELAY_POINTS,
+    WHOLE_ANSWER_POINT,
+)
 from tests.common.sites import (
     FAST,
     GAP_MS,
@@ -97,3 +103,33 @@
         assert relayed.tokens == other.tokens
         later = relayed.event_ids[held:]
         assert later and not any(each.startswith(former) for each in later)
+
+
+def test_a_whole_answer_under_way_in_a_pause_stays_where_it_is():
+    with site_that_pauses(WHOLE_ANSWER_POINT) as site:
+        caller = dossier(100)
+        caller.request["stream"] = False
+        entry = site.entries["entry-1"]
+        answers = []
+
+        def ask():
+            headers = {"idempotency-key": caller.request_id}
+            http = Http(entry.port, caller.key)
+            try:
+                answers.append(
+                    http.ask("POST", "/v1/completions", caller.request, headers=headers)
+                )
+            except (OSError, HTTPException) as failure:
+                answers.append((0, failure))
+
+        thread = threading.Thread(target=ask, daemon=True)
+        thread.start()
+        pause_at_its_point(site)
+        other = twin_of(caller)
+        check(comes_back(other, site.entries["entry-2"].port))
+        site.processes["entry-1"].signal(signal.SIGCONT)
+        thread.join(15)
+        ((status, said),) = answers
+        assert status != 200, said
+        check(comes_back(caller, entry.port))
+        assert caller.tokens == other.tokens
