Who may be sent and who was lost with an endpoint stand apart from the gateway

The entry is to bar requests that end its engines by the same rules. The gate and the book of lost runs move to coursekeel.suspects; the gateway's watch keeps its question. No behaviour changes: the tests of the quarantine pass as they were but for imports.

--- a/src/coursekeel/gateway/_context.py
+++ b/src/coursekeel/gateway/_context.py
@@ -10,7 +10,6 @@
 from coursekeel.gateway._live_settings import LiveSettings
 from coursekeel.gateway._metrics import GatewayMetrics
 from coursekeel.gateway._retry_budgets import RetryBudgets
-from coursekeel.gateway.admission._quarantine_gate import QuarantineGate
 from coursekeel.gateway.admission._stream_lengths import StreamLengths
 from coursekeel.gateway.endpoints._crash_watch import CrashWatch
 from coursekeel.gateway.endpoints._endpoint_client import EndpointClient
@@ -18,6 +17,7 @@
 from coursekeel.gateway.site._known_site import KnownSite
 from coursekeel.reactor import Reactor
 from coursekeel.runtime import Clock, RoutingTask
+from coursekeel.suspects import QuarantineGate
 
 __all__ = ["GatewayContext"]
 
--- a/src/coursekeel/gateway/_gateway.py
+++ b/src/coursekeel/gateway/_gateway.py
@@ -33,7 +33,6 @@
 from coursekeel.gateway._live_settings import LiveSettings
 from coursekeel.gateway._metrics import GatewayMetrics
 from coursekeel.gateway._retry_budgets import RetryBudgets
-from coursekeel.gateway.admission._quarantine_gate import QuarantineGate
 from coursekeel.gateway.admission._stop_window import Shutdown, StopWindow
 from coursekeel.gateway.endpoints._crash_watch import CrashWatch
 from coursekeel.gateway.endpoints._endpoint_client import EndpointClient
@@ -50,6 +49,7 @@
 from coursekeel.routing import Router, RouterSettings
 from coursekeel.runtime import Clock, Role, RoutingTask
 from coursekeel.settings import GatewaySettings
+from coursekeel.suspects import QuarantineGate
 
 __all__ = ["Gateway"]
 
--- a/src/coursekeel/gateway/streams/_stream_task.py
+++ b/src/coursekeel/gateway/streams/_stream_task.py
@@ -43,7 +43,6 @@
 from coursekeel.gateway._metrics import LostRun
 from coursekeel.gateway._request import AdmittedRequest
 from coursekeel.gateway._retry_budgets import SendAccount
-from coursekeel.gateway.admission._quarantine_gate import QuarantinePass
 from coursekeel.gateway.admission._refusals import (
     ELSEWHERE_RETRY_MS,
     STOPS_ENDPOINTS,
@@ -59,6 +58,7 @@
 from coursekeel.gateway.streams._successors import Successors
 from coursekeel.routing import Decision, Grant
 from coursekeel.runtime import AnswerDriver, AnswerShell
+from coursekeel.suspects import QuarantinePass
 
 __all__ = ["StreamTask"]
 
--- a/src/coursekeel/gateway/whole/_whole_task.py
+++ b/src/coursekeel/gateway/whole/_whole_task.py
@@ -31,7 +31,6 @@
 from coursekeel.gateway._context import GatewayContext
 from coursekeel.gateway._request import AdmittedRequest
 from coursekeel.gateway._retry_budgets import SendAccount
-from coursekeel.gateway.admission._quarantine_gate import QuarantinePass
 from coursekeel.gateway.admission._queue_deadline import queue_deadline_ms
 from coursekeel.gateway.admission._refusals import (
     STOPS_ENDPOINTS,
@@ -42,6 +41,7 @@
 )
 from coursekeel.gateway.whole._whole_try import TryOwner, WholeTry
 from coursekeel.routing import Decision, Grant, PlacementRequest
+from coursekeel.suspects import QuarantinePass
 
 __all__ = ["WholeAnswerTask"]
 
--- a/src/coursekeel/gateway/admission/_quarantine_gate.py
+++ b/src/coursekeel/suspects/_gate.py
@@ -10,29 +10,28 @@
 """
 
 from collections.abc import Callable, Iterable
+from typing import Protocol
 
-from attrs import define, frozen
+from attrs import define
 
-from coursekeel.gateway._request import AdmittedRequest
 from coursekeel.quarantine import (
     Barred,
     Quarantine,
-    Sign,
     SuspectRecord,
     Trial,
 )
 from coursekeel.runtime import Clock
+from coursekeel.suspects._lost_runs import Suspect
 
-__all__ = ["QuarantineGate", "QuarantinePass", "Suspect"]
+__all__ = ["AskedRequest", "QuarantineGate", "QuarantinePass"]
 
 
-@frozen
-class Suspect:
-    """A request that an endpoint had when it ended, and when its run was lost."""
+class AskedRequest(Protocol):
+    """A request that may be suspect."""
 
-    fingerprint: str
-    sign: Sign
-    lost_ms: float
+    @property
+    def fingerprint(self) -> str:
+        """The same for what the same team asks again, whatever its id and instance."""
 
 
 @define(eq=False)
@@ -48,12 +47,12 @@
     tell: Callable[[list[SuspectRecord]], None]
     touched: Callable[[str], None]
 
-    def barred_ms(self, call: AdmittedRequest) -> float:
+    def barred_ms(self, call: AskedRequest) -> float:
         """For how long a request may not be sent; 0 if it may be."""
         verdict = self._verdict(call)
         return verdict.left_ms if isinstance(verdict, Barred) else 0.0
 
-    def begin_trial(self, call: AdmittedRequest) -> SuspectRecord | None:
+    def begin_trial(self, call: AskedRequest) -> SuspectRecord | None:
         """Let a request whose bar is over run once; None if it needs no trial."""
         if not isinstance(self._verdict(call), Trial):
             return None
@@ -72,7 +71,7 @@
         ]
         self._tell(found)
 
-    def proved_sound(self, call: AdmittedRequest) -> None:
+    def proved_sound(self, call: AskedRequest) -> None:
         """A request ran, and its endpoint lives."""
         if len(self.quarantine):
             now_ms = self.clock.now_ms()
@@ -85,7 +84,7 @@
         if learned:
             self.tell(learned)
 
-    def _verdict(self, call: AdmittedRequest) -> Barred | Trial | None:
+    def _verdict(self, call: AskedRequest) -> Barred | Trial | None:
         """Nothing is computed of a request while no request is barred."""
         if not self.quarantine.barred:
             return None
@@ -97,7 +96,7 @@
     """One request's leave to be sent, which ends when something is learned of it."""
 
     gate: QuarantineGate
-    call: AdmittedRequest
+    call: AskedRequest
     _trial: SuspectRecord | None = None
 
     def may_send(self) -> bool:
--- a/tests/cover/test_crash_watch.py
+++ b/tests/cover/test_crash_watch.py
@@ -9,12 +9,12 @@
 from coursekeel.fetch import Ending, ExchangeHead
 from coursekeel.forwarding import EndpointDirectory, EndpointRecord, RouteKind
 from coursekeel.gateway._metrics import LostRun
-from coursekeel.gateway.admission._quarantine_gate import (
+from coursekeel.gateway.endpoints._crash_watch import CrashWatch
+from coursekeel.quarantine import Quarantine, Sign
+from coursekeel.suspects import (
     QuarantineGate,
     QuarantinePass,
 )
-from coursekeel.gateway.endpoints._crash_watch import CrashWatch
-from coursekeel.quarantine import Quarantine, Sign
 from tests.cover.test_fingerprint import CALL
 
 WHOLE = evolve(CALL, route=evolve(CALL.route, kind=RouteKind.REPEATABLE))
--- a/tests/cover/test_stream_placement.py
+++ b/tests/cover/test_stream_placement.py
@@ -25,7 +25,6 @@
 from coursekeel.gateway._live_settings import LiveSettings
 from coursekeel.gateway._request import AdmittedRequest
 from coursekeel.gateway._retry_budgets import RetryBudgets
-from coursekeel.gateway.admission._quarantine_gate import QuarantineGate
 from coursekeel.gateway.endpoints._endpoint_client import EndpointClient
 from coursekeel.gateway.endpoints._endpoint_health import EndpointHealth
 from coursekeel.gateway.site._known_site import KnownSite
@@ -36,6 +35,7 @@
 from coursekeel.routing import Router
 from coursekeel.runtime import RoutingTask
 from coursekeel.settings import GatewayListen, GatewaySettings, RetryShare
+from coursekeel.suspects import QuarantineGate
 
 POOL = "engines"
 ROUTE = Route(
