The keeper of barred requests stands apart from the gateway, too

So that an entry keeps them by the same rules in its own table. No behaviour changes: the keeper's tests pass as they were but for that name.

--- a/src/coursekeel/gateway/_adapters.py
+++ b/src/coursekeel/gateway/_adapters.py
@@ -5,7 +5,7 @@
 """
 
 from abc import ABC, abstractmethod
-from collections.abc import Mapping, Sequence
+from collections.abc import Sequence
 from enum import Enum
 
 from attrs import frozen
@@ -23,13 +23,11 @@
     "HeadVerdict",
     "HeaderPairs",
     "HistoryGone",
-    "KeptRows",
     "OutboundRequest",
     "Reading",
     "Removed",
     "Source",
     "SourceFailed",
-    "SuspectTable",
     "Table",
     "UnreadableEntry",
     "UnreadableReport",
@@ -261,25 +259,3 @@
         self, table: Table, version: int, hold_ms: float, timeout_ms: float
     ) -> Reading | HistoryGone | SourceFailed:
         """Read what changed since ``version``, held until something did."""
-
-
-@frozen
-class KeptRows:
-    """What a table keeps by key, and the moment of the store's clock that it is of."""
-
-    values: Mapping[str, bytes]
-    store_ms: float
-
-
-class SuspectTable(ABC):
-    """Where barred requests are kept, so that they outlast all instances."""
-
-    @abstractmethod
-    async def read(self, timeout_ms: float) -> KeptRows | SourceFailed:
-        """Read all rows."""
-
-    @abstractmethod
-    async def write(
-        self, kept: Mapping[str, bytes], gone: Sequence[str], timeout_ms: float
-    ) -> SourceFailed | None:
-        """Put and remove rows, all or nothing; None if it was done."""
--- a/src/coursekeel/gateway/_gateway.py
+++ b/src/coursekeel/gateway/_gateway.py
@@ -19,7 +19,6 @@
     CallerDialect,
     EndpointDialect,
     Source,
-    SuspectTable,
     Table,
 )
 from coursekeel.gateway._context import GatewayContext
@@ -41,7 +40,6 @@
 from coursekeel.gateway.members._group import Group
 from coursekeel.gateway.site._follow_task import FollowedTable, FollowTask
 from coursekeel.gateway.site._known_site import KnownSite
-from coursekeel.gateway.site._suspect_keeper import SuspectKeeper
 from coursekeel.gateway.streams._successors import Successors
 from coursekeel.observe import log_event
 from coursekeel.quarantine import Quarantine
@@ -49,7 +47,7 @@
 from coursekeel.routing import Router, RouterSettings
 from coursekeel.runtime import Clock, Role, RoutingTask
 from coursekeel.settings import GatewaySettings
-from coursekeel.suspects import QuarantineGate
+from coursekeel.suspects import QuarantineGate, SuspectKeeper, SuspectTable
 
 __all__ = ["Gateway"]
 
--- a/src/coursekeel/suspects/__init__.py
+++ b/src/coursekeel/suspects/__init__.py
@@ -1,13 +1,19 @@
-"""Suspect requests as a role meets them: who may be sent, who was lost with whom."""
+"""Suspect requests as a role meets them: who may be sent, and what is kept."""
 
 from coursekeel.suspects._gate import AskedRequest, QuarantineGate, QuarantinePass
+from coursekeel.suspects._keeper import SuspectKeeper
 from coursekeel.suspects._lost_runs import LostRuns, Suspect, sign_of
+from coursekeel.suspects._table import KeptRows, SuspectTable, TableFailed
 
 __all__ = [
     "AskedRequest",
+    "KeptRows",
     "LostRuns",
     "QuarantineGate",
     "QuarantinePass",
     "Suspect",
+    "SuspectKeeper",
+    "SuspectTable",
+    "TableFailed",
     "sign_of",
 ]
--- a/src/coursekeel/gateway/site/_suspect_keeper.py
+++ b/src/coursekeel/suspects/_keeper.py
@@ -10,7 +10,6 @@
 
 from attrs import define, field
 
-from coursekeel.gateway._adapters import SourceFailed, SuspectTable
 from coursekeel.observe import log_event
 from coursekeel.quarantine import (
     KeptSuspect,
@@ -24,6 +23,7 @@
 )
 from coursekeel.reactor import Reactor
 from coursekeel.runtime import Clock, Periodic
+from coursekeel.suspects._table import SuspectTable, TableFailed
 
 __all__ = ["SuspectKeeper"]
 
@@ -86,7 +86,7 @@
     async def _read(self) -> bool:
         sent_ms = self.clock.now_ms()
         rows = await self.table.read(self.timeout_ms)
-        if isinstance(rows, SourceFailed):
+        if isinstance(rows, TableFailed):
             log_event("suspects_unread", reason=rows.reason)
             return False
         self._store_ahead_ms = rows.store_ms - sent_ms
--- a/tests/cover/test_suspect_keeper.py
+++ b/tests/cover/test_suspect_keeper.py
@@ -6,9 +6,13 @@
 from attrs import define, field
 from twisted.internet.task import Clock as FakeReactor
 
-from coursekeel.gateway._adapters import KeptRows, SourceFailed, SuspectTable
-from coursekeel.gateway.site._suspect_keeper import SuspectKeeper
 from coursekeel.quarantine import Barred, Quarantine, Sign, Trial
+from coursekeel.suspects import (
+    KeptRows,
+    SuspectKeeper,
+    SuspectTable,
+    TableFailed,
+)
 
 STORE_AHEAD_MS = 70_000.0
 
@@ -29,13 +33,13 @@
     async def read(self, timeout_ms):
         self.calls += 1
         if self.away:
-            return SourceFailed("away")
+            return TableFailed("away")
         return KeptRows(dict(self.rows), self.store_ms)
 
     async def write(self, kept, gone, timeout_ms):
         self.calls += 1
         if self.away:
-            return SourceFailed("away")
+            return TableFailed("away")
         self.rows |= kept
         for each in gone:
             self.rows.pop(each, None)
