Entries bar requests that end their endpoints, together

Symptom: at the product's own entries a request that ends what runs it was counted by answer: under a new id, or at another entry, it ended three engines more each time; the entry's services counted nothing at all.

Cause: what the gateways learn together (coursekeel.quarantine) the entries didn't have.

Change: entries use the same core, gate, book of lost runs and keeper. An engine or service that lost a run is asked once for its status, on a connection of its own; what is learned is told to all peers by gRPC at once, greetings carry a digest, and barred requests lie in the table. Attempts, calls and new requests ask the gate; what is ready under its own id is given though it is barred. What is the same request stands in one place for both roles. The stand-ins can be ended by a request.

Ruled out on the way: asking on a kept connection. One that had just been closed said nothing of its endpoint, so that three of six ended services weren't counted.

--- a/src/coursekeel/endpoints/_adapter.py
+++ b/src/coursekeel/endpoints/_adapter.py
@@ -134,8 +134,12 @@
         """Tell the engine to stop a run; a lost word is made good by its linger."""
 
     @abstractmethod
-    async def status(self) -> EndpointStatus | Unreachable:
-        """Ask the endpoint for its word."""
+    async def status(self, anew: bool = False) -> EndpointStatus | Unreachable:
+        """Ask the endpoint for its word.
+
+        ``anew`` asks on a connection of its own: one that was kept may just have been
+        closed, which says nothing of whether the endpoint lives.
+        """
 
     @abstractmethod
     async def give(
--- a/src/coursekeel/endpoints/_evidence.py
+++ b/src/coursekeel/endpoints/_evidence.py
@@ -99,12 +99,17 @@
     def may_take_new_work(self, endpoint_id: str, now_ms: float) -> bool:
         """Say whether there is fresh evidence that new work is welcome."""
         known = self._known.get(endpoint_id)
-        if known is None or known.listed_leaving:
-            return False
-        if known.incarnation in known.marked:
+        if known is None or self.is_leaving(endpoint_id):
             return False
         return now_ms - known.seen_ms <= self.fresh_ms
 
+    def is_leaving(self, endpoint_id: str) -> bool:
+        """Say whether somebody said that the endpoint, as it is now, leaves."""
+        known = self._known.get(endpoint_id)
+        if known is None:
+            return False
+        return known.listed_leaving or known.incarnation in known.marked
+
     def state(self, endpoint_id: str, now_ms: float) -> str:
         """The endpoint's state in a word, for operators."""
         known = self._known.get(endpoint_id)
--- a/src/coursekeel/endpoints/_http_engine.py
+++ b/src/coursekeel/endpoints/_http_engine.py
@@ -177,6 +177,7 @@
     timeout_ms: int
     _streams: DirectAgents = field(init=False)
     _fetcher: Fetcher = field(init=False)
+    _fresh: Fetcher = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         # A stream closes its connection, so none is kept for reuse.
@@ -184,6 +185,7 @@
             self.reactor, self.connect_ms, keeps_connections=False
         )
         self._fetcher = Fetcher(self.reactor, self.connect_ms)
+        self._fresh = Fetcher(self.reactor, self.connect_ms, keeps_connections=False)
 
     def open(self, order: GenerationOrder, listener: StreamListener) -> EngineStream:
         """Ask for a run."""
@@ -206,9 +208,10 @@
         """Tell the engine to stop a run."""
         await self._ask("DELETE", f"/streams/{run_id}", None)
 
-    async def status(self) -> EndpointStatus | Unreachable:
+    async def status(self, anew: bool = False) -> EndpointStatus | Unreachable:
         """Ask the endpoint for its word."""
-        answer = await self._ask("GET", "/status", None)
+        fetcher = self._fresh if anew else self._fetcher
+        answer = await self._ask("GET", "/status", None, fetcher=fetcher)
         if isinstance(answer, Unreachable):
             return answer
         return _status(orjson.loads(answer.body))
@@ -241,9 +244,10 @@
         path: str,
         data: bytes | None,
         may_send: MaySend | None = None,
+        fetcher: Fetcher | None = None,
     ) -> HttpReply | Unreachable:
         url = f"http://{self.address}{path}"
-        outcome = await self._fetcher.ask(
+        outcome = await (fetcher or self._fetcher).ask(
             method, url, self.timeout_ms, data, may_send=may_send
         )
         match outcome:
--- a/src/coursekeel/entry/_calls_task.py
+++ b/src/coursekeel/entry/_calls_task.py
@@ -1,9 +1,11 @@
 """The task that carries calls to plain services."""
 
+import math
+from functools import cached_property
 from typing import Any
 from uuid import uuid4
 
-from attrs import define, field
+from attrs import define, evolve, field
 from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
 
@@ -29,9 +31,11 @@
     claim_key,
     fingerprint_of,
 )
+from coursekeel.entry.suspects._endpoint_watch import EndpointWatch
 from coursekeel.fetch import AnswerLost, Fetcher, HttpReply, NotReached
 from coursekeel.intents import ClassPolicy, RouteIntent, ServiceIntent, TeamIntent
 from coursekeel.observe import log_event
+from coursekeel.quarantine import Sign
 from coursekeel.reactor import Reactor
 from coursekeel.routing import Decision, Grant, PlacementRequest
 from coursekeel.runtime import Clock, RoutingTask, spawn
@@ -42,6 +46,11 @@
     Transaction,
     TransactOutcome,
 )
+from coursekeel.suspects import (
+    QuarantineGate,
+    QuarantinePass,
+    request_fingerprint,
+)
 from coursekeel.units import SECONDS_PER_MINUTE
 
 __all__ = ["CallRequest", "CallsTask"]
@@ -82,6 +91,34 @@
         route = self.route
         return route is not None and route.repeatable
 
+    @cached_property
+    def fingerprint(self) -> str:
+        """The same for what the same team asks again, whatever its key and entry."""
+        service = self.service.name.encode()
+        asked = (b"call", service, self.method.encode(), self.path.encode(), self.body)
+        return request_fingerprint(self.team.name, *asked)
+
+
+@define(eq=False)
+class _CallRun:
+    """One call under way: whom it was sent to, its leave, and its caller."""
+
+    request: CallRequest
+    leave: QuarantinePass
+    reply: "Deferred[CallReply]" = field(factory=Deferred)
+    tried: set[str] = field(factory=set)
+
+    def answer(self, reply: CallReply) -> None:
+        """Give the final word, and why if endpoints ended under the request."""
+        barred_ms = self.leave.barred_ms
+        if reply.code == "no_endpoint" and barred_ms:
+            reply = evolve(
+                reply,
+                code="request_stops_engines",
+                retry_after_ms=math.ceil(barred_ms),
+            )
+        self.reply.callback(reply)
+
 
 @define(eq=False)
 class CallsTask:
@@ -95,6 +132,8 @@
     incarnation: str
     connect_ms: int
     address: Any
+    gate: QuarantineGate
+    watch: EndpointWatch
     _fetchers: dict[bool, Fetcher] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
@@ -111,9 +150,9 @@
             self._claim(request),
             keyed=bool(request.key),
         )
-        reply: Deferred[CallReply] = Deferred()
-        spawn(self._run(core, request, reply), "call", self.reactor)
-        return await reply
+        run = _CallRun(request, QuarantinePass(self.gate, request))
+        spawn(self._run(core, run), "call", self.reactor)
+        return await run.reply
 
     def _claim(self, request: CallRequest) -> ClaimRow | None:
         if request.repeatable or not request.key:
@@ -126,37 +165,28 @@
             expires_at_s=self.clock.wall_s() + request.policy.keep_s,
         )
 
-    async def _run(
-        self, core: CallCore, request: CallRequest, reply: "Deferred[CallReply]"
-    ) -> None:
-        tried: set[str] = set()
+    async def _run(self, core: CallCore, run: _CallRun) -> None:
         actions = core.handle(Begin())
         while actions:
             events: list[CallEvent] = []
             for action in actions:
-                event = await self._carry_out(action, request, tried, reply)
+                event = await self._carry_out(action, run)
                 if event is not None:
                     events.append(event)
             actions = [each for event in events for each in core.handle(event)]
 
-    async def _carry_out(
-        self,
-        action: CallAction,
-        request: CallRequest,
-        tried: set[str],
-        reply: "Deferred[CallReply]",
-    ) -> CallEvent | None:
+    async def _carry_out(self, action: CallAction, run: _CallRun) -> CallEvent | None:
         match action:
             case WriteClaim():
                 return ClaimAnswered(await self._write_claim(action.row))
             case ReadBack():
                 return ReadBackAnswered(await self.platform.read([action.key]))
             case Send():
-                return SendEnded(await self._send(request, tried))
+                return SendEnded(await self._send(run))
             case Record():
                 return Recorded(await self._record(action))
             case Reply():
-                reply.callback(action.reply)
+                run.answer(action.reply)
                 return None
 
     async def _write_claim(self, row: ClaimRow) -> TransactOutcome:
@@ -186,24 +216,23 @@
 
     # Sending.
 
-    async def _send(
-        self, request: CallRequest, tried: set[str]
-    ) -> ServiceReply | SendOutcome:
-        deadline_ms = self.clock.now_ms() + request.policy.patience_ms
-        decision = await self._find_endpoint(request, tried, deadline_ms)
+    async def _send(self, run: _CallRun) -> ServiceReply | SendOutcome:
+        if not run.leave.may_send():
+            return SendOutcome.NO_ENDPOINT
+        deadline_ms = self.clock.now_ms() + run.request.policy.patience_ms
+        decision = await self._find_endpoint(run, deadline_ms)
         if not isinstance(decision, Grant):
             return SendOutcome.NO_ENDPOINT
-        tried.add(decision.endpoint_id)
+        run.tried.add(decision.endpoint_id)
         started_ms = self.clock.now_ms()
         try:
-            return await self._send_to(decision.endpoint_id, request, deadline_ms)
+            return await self._send_to(decision.endpoint_id, run, deadline_ms)
         finally:
             run_ms = self.clock.now_ms() - started_ms
             self.routing.released(decision.endpoint_id, run_ms)
 
-    def _find_endpoint(
-        self, request: CallRequest, tried: set[str], deadline_ms: float
-    ) -> "Deferred[Decision]":
+    def _find_endpoint(self, run: _CallRun, deadline_ms: float) -> "Deferred[Decision]":
+        request = run.request
         decided: Deferred[Decision] = Deferred()
         placement = PlacementRequest(
             team=request.team.name,
@@ -213,19 +242,21 @@
             cost=1.0,
             deadline_ms=deadline_ms,
             weight=request.team.weight,
-            excluded=frozenset(tried),
+            excluded=frozenset(run.tried),
         )
         self.routing.place(placement, decided.callback)
         return decided
 
     async def _send_to(
-        self, endpoint_id: str, request: CallRequest, deadline_ms: float
+        self, endpoint_id: str, run: _CallRun, deadline_ms: float
     ) -> ServiceReply | SendOutcome:
+        request = run.request
+
         def may_send() -> bool:
-            """Evidence and patience, looked at again once the connection stands."""
+            """What was known before, looked at again once the connection stands."""
             now_ms = self.clock.now_ms()
             may_take = self.routing.router.may_take(endpoint_id, now_ms)
-            return may_take and now_ms < deadline_ms
+            return may_take and now_ms < deadline_ms and run.leave.may_send()
 
         headers = {"content-type": request.content_type or "application/octet-stream"}
         if request.key:
@@ -240,6 +271,7 @@
         )
         match outcome:
             case HttpReply():
+                self.gate.proved_sound(request)
                 return ServiceReply(outcome.status, outcome.content_type, outcome.body)
             case NotReached():
                 return SendOutcome.NOT_SENT
@@ -247,4 +279,5 @@
                 log_event(
                     "call_answer_lost", endpoint=endpoint_id, error=outcome.reason
                 )
+                self.watch.run_lost(request, endpoint_id, Sign.UNSEEN, engine=False)
                 return SendOutcome.MAYBE_SENT
--- a/src/coursekeel/entry/_entry.py
+++ b/src/coursekeel/entry/_entry.py
@@ -33,6 +33,8 @@
 from coursekeel.entry.http._operator import OperatorApi
 from coursekeel.entry.http._overview import Overview
 from coursekeel.entry.http._site import bounded_site
+from coursekeel.entry.suspects._endpoint_watch import EndpointWatch
+from coursekeel.entry.suspects._suspects_task import SuspectsTask
 from coursekeel.errors import SettingsInvalid
 from coursekeel.intents import Configuration
 from coursekeel.membership import Greeting, Isolation, PeerBook
@@ -76,6 +78,7 @@
         self._make_platform()
         self._make_routing()
         self._make_configuration()
+        self._make_suspects()
         self._make_answers()
         self._make_peers()
         self._make_adoption()
@@ -131,6 +134,23 @@
             self.endpoints,
         )
 
+    def _make_suspects(self) -> None:
+        self.suspects = SuspectsTask(
+            self.reactor,
+            self.clock,
+            self.platform,
+            self.settings.platform.timeout_ms,
+            lambda: self.peers.book.names,
+            lambda name, news: self.peers.tell_suspects(name, news),
+        )
+        self.watch = EndpointWatch(
+            self.reactor,
+            self.clock,
+            self.suspects.gate,
+            self.endpoints.evidence,
+            self._engine,
+        )
+
     def _make_answers(self) -> None:
         settings = self.settings
         self.journal = JournalTask(
@@ -154,6 +174,8 @@
             self._engine,
             lambda task: self.registry.ended(task),
             lambda task, name, head: self.registry.run_known(task, name, head),
+            self.suspects.gate,
+            self.watch,
             settings.limits.caller_lead_tokens,
             settings.copies,
         )
@@ -178,6 +200,7 @@
             self._heard,
             lambda: self.configuration.current,
             self._serve_follow,
+            self.suspects.told,
         )
         self.rollouts = RolloutTask(
             self.reactor,
@@ -215,6 +238,8 @@
             self.incarnation,
             settings.timers.connect_ms,
             self.endpoints.address,
+            self.suspects.gate,
+            self.watch,
         )
         readers = ReaderPorts(
             self.reactor,
@@ -292,6 +317,7 @@
             self.orders,
             self.rollouts,
             self.expiry,
+            self.suspects,
             self._keep_alive,
         ]
 
@@ -388,10 +414,12 @@
             self.configuration.current.revision,
             self.gate.draining,
             tuple(marks),
+            self.suspects.quarantine.digest,
         )
 
     def _heard(self, greeting: Greeting) -> None:
         self.configuration.hinted(greeting.seen_revision)
+        self.suspects.heard_digest(greeting.instance_id, greeting.suspects_digest)
         self.endpoints.hinted(
             [LeavingMark(m.endpoint_id, m.incarnation) for m in greeting.marks]
         )
--- a/src/coursekeel/entry/answers/_answer_task.py
+++ b/src/coursekeel/entry/answers/_answer_task.py
@@ -14,6 +14,7 @@
     AnswerCore,
     AttemptEnded,
     CancelAttempt,
+    Cancelled,
     Complete,
     CopyPlaced,
     Deliver,
@@ -46,6 +47,7 @@
 )
 from coursekeel.entry.answers._requests import GenerationRequest
 from coursekeel.entry.answers._sinks import Refusal
+from coursekeel.entry.suspects._endpoint_watch import EndpointWatch
 from coursekeel.observe import Metrics
 from coursekeel.reactor import Reactor
 from coursekeel.routing import Decision, Grant
@@ -56,6 +58,7 @@
     RoutingTask,
     spawn,
 )
+from coursekeel.suspects import QuarantineGate, QuarantinePass, sign_of
 
 __all__ = ["AnswerPorts", "AnswerTask"]
 
@@ -87,6 +90,8 @@
     engine: Callable[[str], EngineAdapter | None]
     ended: Callable[["AnswerTask"], None]
     run_known: Callable[["AnswerTask", str, StreamHead], None]
+    gate: QuarantineGate
+    watch: EndpointWatch
     caller_lead_tokens: int
     copies: bool
 
@@ -111,6 +116,7 @@
     _driver: AnswerDriver = field(init=False)
     _open: dict[int, OpenStream] = field(factory=dict)
     _placement: AnswerPlacement = field(init=False)
+    _leave: QuarantinePass = field(init=False)
     _measures: AnswerMeasures = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -120,6 +126,7 @@
             self.core, self, ports.reactor, ports.clock, _OWN_PAUSE_MS
         )
         self._placement = AnswerPlacement(ports.routing, ports.clock, self.request)
+        self._leave = QuarantinePass(ports.gate, self.request)
         self._measures = AnswerMeasures(
             self.request, self.core.label, self.ports.metrics, self.arrived_ms
         )
@@ -200,6 +207,7 @@
         opened = self._open.get(attempt)
         if opened is not None:
             opened.run_id = head.run_id
+            opened.head_ms = self.ports.clock.now_ms()
         self.tell(HeadArrived(attempt, head))
         if attempt in self._open and not self.ended:
             self.ports.run_known(self, self._open[attempt].endpoint_id, head)
@@ -210,14 +218,14 @@
         opened = self._open.get(attempt)
         if opened is None:
             return
-        if opened.begun:
-            self.ports.silence.heard(opened.endpoint_id, now_ms)
-        else:
+        if opened.first_ms is None:
             self._first_line(opened, now_ms)
+        else:
+            self.ports.silence.heard(opened.endpoint_id, now_ms)
         self.tell(line, now_ms)
 
     def _first_line(self, opened: OpenStream, now_ms: float) -> None:
-        opened.begun = True
+        opened.first_ms = now_ms
         self.ports.silence.opened(opened.endpoint_id, now_ms)
         if opened.holds_place:
             router = self.ports.routing.router
@@ -230,10 +238,19 @@
             if loss is Loss.REFUSED:
                 now_ms = self.ports.clock.now_ms()
                 self.ports.routing.router.turned_away(opened.endpoint_id, now_ms)
+            elif loss is not Loss.NOT_SENT and opened.begins:
+                self._run_lost(opened)
             self._let_go(attempt)
         if not self.core.ended:
             self.tell(AttemptEnded(attempt, loss))
 
+    def _run_lost(self, opened: OpenStream) -> None:
+        now_ms = self.ports.clock.now_ms()
+        ran_ms = None if opened.head_ms is None else now_ms - opened.head_ms
+        gave_ms = None if opened.first_ms is None else now_ms - opened.first_ms
+        sign = sign_of(ran_ms, gave_ms)
+        self.ports.watch.run_lost(self.request, opened.endpoint_id, sign, engine=True)
+
     def endpoint_silent(self, endpoint_id: str) -> None:
         """The whole endpoint fell silent."""
         if not self._driver.reading_held:
@@ -253,6 +270,7 @@
             case CancelAttempt():
                 self._cancel(action)
             case Complete():
+                self.ports.gate.proved_sound(self.request)
                 self._end()
             case Interrupt():
                 self.refusal = Refusal(
@@ -301,6 +319,9 @@
         self._end()
 
     def _open_attempt(self, action: OpenAttempt) -> None:
+        if not self._leave.may_send():
+            self._refuse_barred()
+            return
         engine = self.ports.engine(action.endpoint_id)
         if engine is None or not self._placement.may_have(action):
             self._placement.give_back()
@@ -316,11 +337,26 @@
             order = self._order(action, self._place_copy(action))
             stream = engine.open(order, listener)
         opened = OpenStream(
-            action.endpoint_id, stream, self.ports.clock.now_ms(), holds_place
+            action.endpoint_id,
+            stream,
+            self.ports.clock.now_ms(),
+            holds_place,
+            begins=action.way is not Way.OWN_STREAM,
         )
         opened.run_id = action.run_id
         self._open[action.attempt] = opened
 
+    def _refuse_barred(self) -> None:
+        """Endpoints ended under what is asked, here or at other entries."""
+        self.refusal = Refusal(
+            "request_stops_engines",
+            _MESSAGES["request_stops_engines"],
+            self._known_run(self.core.run_state),
+            math.ceil(self._leave.barred_ms),
+            self.ledger.next_position,
+        )
+        self.tell(Cancelled())
+
     def _place_copy(self, action: OpenAttempt) -> str:
         """Choose who keeps a copy of this run, and return the engine's address."""
         if not self.ports.copies:
@@ -349,7 +385,8 @@
 
     def _may_run_at(self, endpoint_id: str) -> bool:
         """Say whether a run may begin there, now that its connection stands."""
-        return not self.ended and self._placement.takes_work(endpoint_id)
+        may_run = not self.ended and self._leave.may_send()
+        return may_run and self._placement.takes_work(endpoint_id)
 
     def _cancel(self, action: CancelAttempt) -> None:
         opened = self._open.get(action.attempt)
@@ -365,7 +402,7 @@
 
     def _let_go(self, attempt: int) -> None:
         opened = self._open.pop(attempt)
-        if opened.begun:
+        if opened.first_ms is not None:
             self.ports.silence.closed(opened.endpoint_id)
         if opened.holds_place:
             run_ms = self.ports.clock.now_ms() - opened.opened_ms
--- a/src/coursekeel/entry/answers/_open_stream.py
+++ b/src/coursekeel/entry/answers/_open_stream.py
@@ -32,14 +32,20 @@
 
 @define(eq=False)
 class OpenStream:
-    """A stream under way, and the place at its endpoint that it holds."""
+    """A stream under way, and the place at its endpoint that it holds.
+
+    ``begins`` says that its run begins with it; ``head_ms`` and ``first_ms`` are when
+    its head and its first line came.
+    """
 
     endpoint_id: str
     stream: EngineStream
     opened_ms: float
     holds_place: bool
+    begins: bool
     run_id: str = ""
-    begun: bool = False
+    head_ms: float | None = None
+    first_ms: float | None = None
 
 
 class AttemptListener(StreamListener):
--- a/src/coursekeel/entry/answers/_requests.py
+++ b/src/coursekeel/entry/answers/_requests.py
@@ -1,5 +1,6 @@
 """Read a caller's generation request, checked before anything is done for it."""
 
+from functools import cached_property
 from typing import Any
 
 import orjson
@@ -8,6 +9,7 @@
 
 from coursekeel.errors import RequestInvalid
 from coursekeel.intents import ClassPolicy, Intent, ModelIntent, TeamIntent
+from coursekeel.suspects import request_fingerprint
 
 __all__ = ["GenerationRequest", "read_generation", "text_tokens"]
 
@@ -43,6 +45,11 @@
     stream: bool = False
     chat: bool = False
 
+    @cached_property
+    def fingerprint(self) -> str:
+        """The same for what the same team asks again, whatever its id and entry."""
+        return request_fingerprint(self.team.name, b"generation", self.body)
+
 
 def read_generation(
     body: bytes,
--- a/src/coursekeel/entry/control/_peers_task.py
+++ b/src/coursekeel/entry/control/_peers_task.py
@@ -17,7 +17,7 @@
 from coursekeel.reactor import Reactor
 from coursekeel.runtime import Clock, Periodic
 
-__all__ = ["FollowServer", "PeerRefused", "PeersTask"]
+__all__ = ["FollowServer", "PeerRefused", "PeersTask", "SuspectServer"]
 
 # A peer that doesn't answer for so long isn't reached in this round. Chosen, not
 # measured: the default interval of greetings.
@@ -44,6 +44,7 @@
 ]
 
 FollowServer = Callable[[peer_pb2.FollowRequest], AsyncIterator[peer_pb2.FollowReply]]
+SuspectServer = Callable[[peer_pb2.SuspectNews], peer_pb2.SuspectNews]
 
 
 @define(frozen=True)
@@ -72,6 +73,7 @@
     heard: Callable[[Greeting], None]
     configuration: Callable[[], Configuration]
     follow_server: FollowServer
+    suspect_server: SuspectServer
     sent_bytes: int = 0
     received_bytes: int = 0
     port: int = 0
@@ -120,6 +122,10 @@
         body = orjson.dumps(current.to_json())
         return peer_pb2.ConfigurationReply(revision=current.revision, body=body)
 
+    async def TellSuspects(self, request: Any, context: Any) -> Any:
+        """Take what a peer knows of suspect requests, and tell what it wants."""
+        return self.suspect_server(request)
+
     async def Follow(self, request: Any, context: Any) -> Any:
         """Relay an answer that this entry drives."""
         async for reply in self.follow_server(request):
@@ -169,6 +175,24 @@
 
     # Asking.
 
+    async def tell_suspects(self, instance_id: str, news: Any) -> Any:
+        """Tell a peer of suspect requests; its reply, None if it gave none."""
+        return await as_deferred(self._tell_suspects(instance_id, news))
+
+    async def _tell_suspects(self, instance_id: str, news: Any) -> Any:
+        stub = self._stub(instance_id)
+        if stub is None:
+            return None
+        try:
+            return await stub.TellSuspects(news, timeout=_GREETING_TIMEOUT_S)
+        except grpc.aio.AioRpcError as failure:
+            log_event("suspects_untold", peer=instance_id, reason=failure.code().name)
+            return None
+        except asyncio.CancelledError:
+            if not self._stopped:
+                raise
+            return None
+
     async def read_highest(self) -> Configuration | None:
         """The highest configuration among the peers that can be reached."""
         found: Configuration | None = None
@@ -275,6 +299,7 @@
             peer_pb2.LeavingMark(endpoint_id=m.endpoint_id, incarnation=m.incarnation)
             for m in greeting.marks
         ],
+        suspects_digest=greeting.suspects_digest,
     )
 
 
@@ -286,4 +311,5 @@
         message.applied_revision,
         message.leaving,
         tuple(LeavingMark(m.endpoint_id, m.incarnation) for m in message.marks),
+        message.suspects_digest,
     )
--- a/src/coursekeel/entry/http/_api.py
+++ b/src/coursekeel/entry/http/_api.py
@@ -1,9 +1,10 @@
 """The callers' interface to generations and their answers."""
 
+import math
 from typing import Any
 from uuid import uuid4
 
-from attrs import define, field
+from attrs import define, evolve, field
 from klein import Klein
 from twisted.internet.defer import Deferred
 
@@ -98,10 +99,13 @@
     async def _read(
         self, reader: AnswerReader, wanted: GenerationRequest, held: EventId | None
     ) -> None:
-        if held is not None and await reader.read():
+        barred = self._barred(wanted)
+        # What is ready is given, though nothing more may be run for it.
+        looks = held is not None or barred is not None
+        if looks and await reader.read():
             return
         if not self._is_here(wanted):
-            refusal = self._no_room(wanted)
+            refusal = barred or self._no_room(wanted)
             if refusal is not None:
                 reader.sink.refuse(refusal)
                 return
@@ -109,6 +113,16 @@
         if not await reader.read():
             reader.sink.refuse(_not_found())
 
+    def _barred(self, wanted: GenerationRequest) -> Refusal | None:
+        """Why nothing may be run for a request under which endpoints ended."""
+        barred_ms = self.registry.ports.gate.barred_ms(wanted)
+        if not barred_ms:
+            return None
+        refusal = self._refusal(
+            "request_stops_engines", "endpoints ended under this request", wanted.keyed
+        )
+        return evolve(refusal, retry_after_ms=math.ceil(barred_ms))
+
     def _no_room(self, wanted: GenerationRequest) -> Refusal | None:
         """Why a new answer can't be taken; what a caller's key did elsewhere counts."""
         team = wanted.team
@@ -136,7 +150,7 @@
             return refuse(request, not_run("bad_request", text))
         task = self.registry.find(wanted.team.name, wanted.request_id)
         if task is None:
-            refusal = self._no_room(wanted)
+            refusal = self._barred(wanted) or self._no_room(wanted)
             if refusal is not None:
                 return refuse(request, refusal)
             task = self.registry.start(wanted)
--- a/src/coursekeel/entry/http/_calls.py
+++ b/src/coursekeel/entry/http/_calls.py
@@ -25,6 +25,7 @@
     "store_unavailable": "the store can't be asked whether the key is new",
     "claim_unsure": "whether the key is new can't be settled now",
     "no_endpoint": "no endpoint of the service takes calls now",
+    "request_stops_engines": "endpoints ended under this call",
 }
 
 
--- a/src/coursekeel/gateway/_request.py
+++ b/src/coursekeel/gateway/_request.py
@@ -3,13 +3,13 @@
 Owns no state. Relies on the route table's types and on what the caller's headers said.
 """
 
-import hashlib
 from functools import cached_property
 
 from attrs import frozen
 
 from coursekeel.forwarding import Route, Team
 from coursekeel.gateway._adapters import CallerHeaders, HeaderPairs
+from coursekeel.suspects import request_fingerprint
 
 __all__ = ["AdmittedRequest"]
 
@@ -17,10 +17,6 @@
 # route's rank; those in use are single digits.
 _ROUTE_RANKS = 100
 
-# Bytes of a fingerprint: two of a billion requests are alike by chance with odds of one
-# in 10^11, and nobody can make one that is like another's.
-_FINGERPRINT_BYTES = 12
-
 
 @frozen
 class AdmittedRequest:
@@ -58,9 +54,5 @@
     @cached_property
     def fingerprint(self) -> str:
         """The same for what the same team asks again, whatever its id and instance."""
-        asked = hashlib.blake2b(digest_size=_FINGERPRINT_BYTES)
-        asked.update(self.team_name.encode())
-        for part in (self.method, self.host.encode(), self.target, self.body):
-            asked.update(b"%d:" % len(part))
-            asked.update(part)
-        return asked.hexdigest()
+        asked = (self.method, self.host.encode(), self.target, self.body)
+        return request_fingerprint(self.team_name, *asked)
--- a/src/coursekeel/membership/_peers.py
+++ b/src/coursekeel/membership/_peers.py
@@ -15,7 +15,10 @@
 
 @frozen
 class Greeting:
-    """One entry's own state, as it tells it."""
+    """One entry's own state, as it tells it.
+
+    ``suspects_digest`` is the same at all that know the same of suspect requests.
+    """
 
     instance_id: str
     incarnation: str
@@ -23,6 +26,7 @@
     applied_revision: int
     leaving: bool
     marks: tuple[LeavingMark, ...] = ()
+    suspects_digest: str = ""
 
 
 @define
--- a/src/coursekeel/quarantine/_messages.py
+++ b/src/coursekeel/quarantine/_messages.py
@@ -6,6 +6,7 @@
 """
 
 from enum import Enum
+from typing import TypeVar
 
 import attrs
 import orjson
@@ -23,8 +24,10 @@
     "UnreadableQuarantine",
     "decode_kept",
     "decode_quarantine",
+    "decode_told",
     "encode_kept",
     "encode_quarantine",
+    "encode_told",
     "record_of",
     "told_of",
 ]
@@ -101,6 +104,7 @@
     stored_ms: float = field(metadata={"key": "stored_ms"})
 
 
+_ReadT = TypeVar("_ReadT")
 _CONVERTER = message_converter(ToldStrike, ToldRecord, QuarantineMessage, KeptSuspect)
 
 
@@ -138,15 +142,35 @@
 
 def decode_kept(data: bytes) -> KeptSuspect | UnreadableQuarantine:
     """Read a stored record."""
-    try:
-        kept = _CONVERTER.structure(orjson.loads(data), KeptSuspect)
-    except Exception as failure:  # whatever lies in the store is a value here
-        faults = "; ".join(faults_of(failure, whole="row"))
-        return UnreadableQuarantine(faults[:_MAX_FAULT_CHARACTERS])
+    kept = _read(data, KeptSuspect, whole="row")
+    if isinstance(kept, UnreadableQuarantine):
+        return kept
     fault = _fault_of(kept.record)
     return UnreadableQuarantine(fault) if fault else kept
 
 
+def encode_told(told: ToldRecord) -> bytes:
+    """A record alone, for members that are told over connections."""
+    return orjson.dumps(attrs.asdict(told, value_serializer=_plain))
+
+
+def decode_told(data: bytes) -> ToldRecord | UnreadableQuarantine:
+    """Read a record that came alone."""
+    told = _read(data, ToldRecord, whole="record")
+    if isinstance(told, UnreadableQuarantine):
+        return told
+    fault = _fault_of(told)
+    return UnreadableQuarantine(fault) if fault else told
+
+
+def _read(data: bytes, kind: type[_ReadT], whole: str) -> _ReadT | UnreadableQuarantine:
+    try:
+        return _CONVERTER.structure(orjson.loads(data), kind)
+    except Exception as failure:  # whatever a store or a peer holds is a value here
+        faults = "; ".join(faults_of(failure, whole=whole))
+        return UnreadableQuarantine(faults[:_MAX_FAULT_CHARACTERS])
+
+
 def encode_quarantine(message: QuarantineMessage) -> bytes:
     """The datagram of a message."""
     return MARK + orjson.dumps(attrs.asdict(message, value_serializer=_plain))
@@ -162,13 +186,9 @@
         return UnreadableQuarantine(
             f"got {len(data)} bytes, expected at most {MAX_MESSAGE_BYTES}"
         )
-    try:
-        message = _CONVERTER.structure(
-            orjson.loads(data.removeprefix(MARK)), QuarantineMessage
-        )
-    except Exception as failure:  # whatever a stranger sends is a value here
-        faults = "; ".join(faults_of(failure, whole="message"))
-        return UnreadableQuarantine(faults[:_MAX_FAULT_CHARACTERS])
+    message = _read(data.removeprefix(MARK), QuarantineMessage, whole="message")
+    if isinstance(message, UnreadableQuarantine):
+        return message
     fault = next((f for f in map(_fault_of, message.records) if f), "")
     return UnreadableQuarantine(fault) if fault else message
 
--- a/src/coursekeel/suspects/__init__.py
+++ b/src/coursekeel/suspects/__init__.py
@@ -1,5 +1,6 @@
 """Suspect requests as a role meets them: who may be sent, and what is kept."""
 
+from coursekeel.suspects._fingerprint import request_fingerprint
 from coursekeel.suspects._gate import AskedRequest, QuarantineGate, QuarantinePass
 from coursekeel.suspects._keeper import SuspectKeeper
 from coursekeel.suspects._lost_runs import LostRuns, Suspect, sign_of
@@ -15,5 +16,6 @@
     "SuspectKeeper",
     "SuspectTable",
     "TableFailed",
+    "request_fingerprint",
     "sign_of",
 ]
--- a/standins/_engine.py
+++ b/standins/_engine.py
@@ -11,6 +11,7 @@
 from twisted.internet.task import LoopingCall
 
 from standins._copies import CopySender, KeptCopies
+from standins._service import CRASH_S
 from standins._tokens import SALTS, Chain, prompt_digest, text_of
 
 
@@ -157,6 +158,10 @@
         ) / 1000
 
     def _prefilled(self, run: Run) -> None:
+        text = self.faults.get("crashed_by")
+        if text and text in str(run.order["request"].get("prompt")):
+            self.reactor.callLater(CRASH_S, os._exit, 137)
+            return
         run.prefilled = True
 
     def tick(self) -> None:
--- a/standins/_service.py
+++ b/standins/_service.py
@@ -1,5 +1,6 @@
 """A plain service that counts how often each call ran."""
 
+import os
 from typing import Any
 
 import orjson
@@ -7,6 +8,10 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
 
+# From the beginning of a run that ends its endpoint to that end: 54 to 121 ms in a
+# recorded day.
+CRASH_S = 0.06
+
 
 class ServiceStandIn:
     def __init__(self, reactor: Any, name: str) -> None:
@@ -49,6 +54,10 @@
         key = request.getHeader("idempotency-key") or path
         service.ran[key] = service.ran.get(key, 0) + 1
         answer = orjson.dumps({"path": path, "key": key, "times": service.ran[key]})
+        text = service.faults.get("crashed_by")
+        if text and text in request.content.getvalue().decode():
+            service.reactor.callLater(CRASH_S, os._exit, 137)
+            return Deferred()
         if service.faults.get("lose_answers", 0) > 0:
             service.faults["lose_answers"] -= 1
             request.transport.abortConnection()
--- a/tests/cover/test_peers.py
+++ b/tests/cover/test_peers.py
@@ -21,6 +21,7 @@
         Mock(),
         Mock(),
         Mock(),
+        Mock(),
     )
 
 
