What waits at a connection is told once; the entry's health and gauges stand apart

A connection that is held back looked for its right every 50 ms and logged each look: 20 lines a second each, with 2,000 streams 40,000. It logs once until something left. Health, readiness and metrics, and the gauges, move out of the entry's file; it counts suspect and barred requests now, under the gateway's names.

Measured: the new test counts one line for each of two waits of a second.

--- a/src/coursekeel/entry/_entry.py
+++ b/src/coursekeel/entry/_entry.py
@@ -12,6 +12,7 @@
 
 from coursekeel.endpoints import EngineAdapter, LeavingMark
 from coursekeel.entry._calls_task import CallsTask
+from coursekeel.entry._gauges import add_gauges
 from coursekeel.entry.answers._adoption_task import AdoptionTask
 from coursekeel.entry.answers._answer_registry import AnswerRegistry
 from coursekeel.entry.answers._answer_store import AnswerStore
@@ -27,9 +28,9 @@
 from coursekeel.entry.control._rollout_task import RolloutTask
 from coursekeel.entry.http._api import CallerApi
 from coursekeel.entry.http._calls import ServiceApi
-from coursekeel.entry.http._common import send_json
 from coursekeel.entry.http._gate import Gate
 from coursekeel.entry.http._guarded_connection import listen_guarded
+from coursekeel.entry.http._health import HealthApi
 from coursekeel.entry.http._operator import OperatorApi
 from coursekeel.entry.http._overview import Overview
 from coursekeel.entry.http._site import bounded_site
@@ -252,6 +253,7 @@
         )
         self.gate = Gate(settings, self.configuration)
         self.caller_api = CallerApi(settings, self.gate, self.registry, readers)
+        self.health_api = HealthApi(self.gate, self.metrics)
         self.service_api = ServiceApi(self.gate, self.calls, self.clock, self.metrics)
         overview = Overview(
             settings,
@@ -267,26 +269,13 @@
         self.operator_api = OperatorApi(
             settings, self.configuration, self.rollouts, overview
         )
-        self._add_gauges()
-
-    def _add_gauges(self) -> None:
-        counters = self.platform.counters
-        gauge = self.metrics.gauge
-        gauge("coursekeel_store_reads", "Store reads so far", lambda: counters.reads)
-        gauge("coursekeel_store_writes", "Store writes so far", lambda: counters.writes)
-        gauge("coursekeel_waiting", "Requests that wait", lambda: self.router.waiting)
-        gauge(
-            "coursekeel_refused", "Requests refused so far", lambda: self.router.refused
-        )
-        gauge(
-            "coursekeel_adopted",
-            "Answers adopted so far",
-            lambda: self.adoption.adopted,
-        )
-        gauge(
-            "coursekeel_open_answers",
-            "Answers at work",
-            lambda: sum(not each.ended for each in self.registry.tasks.values()),
+        add_gauges(
+            self.metrics,
+            self.platform.counters,
+            self.router,
+            self.registry,
+            self.adoption,
+            self.suspects.quarantine,
         )
 
     # Starting and stopping.
@@ -351,25 +340,9 @@
         self.caller_api.routes(app)
         self.service_api.routes(app)
         self.operator_api.routes(app)
-        app.route("/healthz")(self._healthz)
-        app.route("/readyz")(self._readyz)
-        app.route("/metrics")(self._metrics)
+        self.health_api.routes(app)
         return app
 
-    def _healthz(self, request: Any) -> bytes:
-        return send_json(request, 200, {"healthy": True})
-
-    def _readyz(self, request: Any) -> bytes:
-        """The balancer's question: may this entry be given callers?"""
-        ready = self.configuration.ready and not self.gate.draining
-        return send_json(request, 200 if ready else 503, {"ready": ready})
-
-    def _metrics(self, request: Any) -> bytes:
-        content, headers = self.metrics.render([request.getHeader("accept") or ""])
-        for name, value in headers.items():
-            request.setHeader(name, value)
-        return content
-
     # Joins between tasks.
 
     def _may_take(self, endpoint_id: str, now_ms: float) -> bool:
--- a/src/coursekeel/entry/http/_guarded_connection.py
+++ b/src/coursekeel/entry/http/_guarded_connection.py
@@ -6,7 +6,7 @@
 before the system call that sends.
 
 Guards against: an owner that was paused and wakes sends what it wrote before the pause
-(7 of 80 plays of `test_a_frozen_owner_…`, ten at once). What is left of the window is
+(5 of 60 plays of `test_a_frozen_owner_…`, ten at once). What is left of the window is
 the span from the look at the clock to the system call, `python -m bench.sending`.
 
 Owns what of a guarded connection is held back. Relies on `SendingRight`.
@@ -38,6 +38,7 @@
 
     _right: SendingRight | None = None
     _released = False
+    _holds = False
     _look: Any = None
 
     def guard(self, right: SendingRight | None) -> None:
@@ -79,6 +80,7 @@
         if not right.may_send():
             self._hold()
             return 0
+        self._holds = False
         sent = super().writeSomeData(data)
         if not right.may_send():
             log_event("sent_past_right", logging.WARNING, bytes=sent)
@@ -95,8 +97,10 @@
     def _hold(self) -> None:
         """Wait with what is written until the right is there again, or gone."""
         self.stopWriting()
-        if self._look is None:
+        if not self._holds:
+            self._holds = True
             log_event("output_held", bytes=self._unsent_bytes)
+        if self._look is None:
             self._look = self.reactor.callLater(_HELD_LOOK_S, self._look_again)
 
     def _look_again(self) -> None:
--- a/src/coursekeel/storage/__init__.py
+++ b/src/coursekeel/storage/__init__.py
@@ -1,7 +1,7 @@
 """The platform's table, objects and instance list: interfaces and their clients."""
 
 from coursekeel.storage._batcher import Batcher
-from coursekeel.storage._http import HttpPlatform
+from coursekeel.storage._http import HttpPlatform, StoreCounters
 from coursekeel.storage._interface import (
     Committed,
     Conflict,
@@ -28,6 +28,7 @@
     "Platform",
     "Row",
     "Rows",
+    "StoreCounters",
     "TransactOutcome",
     "Transaction",
     "Unavailable",
--- a/tests/cover/test_guarded_connection.py
+++ b/tests/cover/test_guarded_connection.py
@@ -97,6 +97,20 @@
     assert 10 <= world.right.asked <= 30
 
 
+def test_the_log_tells_once_that_something_waits(world, monkeypatch):
+    told = []
+    module = "coursekeel.entry.http._guarded_connection"
+    monkeypatch.setattr(f"{module}.log_event", lambda name, **_: told.append(name))
+    for _ in range(2):
+        world.right.left_ms = 0.0
+        world.connection.write(b"token")
+        for _ in range(1_000):
+            round_of_the_reactor(world, 0.001)
+        world.right.left_ms = 1.0
+        round_of_the_reactor(world, ENOUGH_S)
+    assert told == ["output_held", "output_held"]
+
+
 def test_a_connection_with_nothing_under_way_can_still_say_where_to_go(world):
     world.connection.write(b"token")
     round_of_the_reactor(world)
