--- a/src/coursekeel/entry/answers/_relay.py
+++ b/src/coursekeel/entry/answers/_relay.py
@@ -17,7 +17,12 @@
 from coursekeel.answers import EventId, RunState
 from coursekeel.entry.answers._answer_task import AnswerTask
 from coursekeel.entry.answers._follower import Follower
-from coursekeel.entry.answers._sinks import AnswerSink, Refusal, SendingRight
+from coursekeel.entry.answers._sinks import (
+    HELD_LOOK_S,
+    AnswerSink,
+    Refusal,
+    SendingRight,
+)
 from coursekeel.peers import peer_pb2
 
 __all__ = [
@@ -31,9 +36,6 @@
 
 # Replies held for a slow reader before its peer is held up. Chosen, not measured.
 _MOST_WAITING = 64
-# How often an owner whose right has lapsed looks whether it is there again. Chosen, not
-# measured: the table answers within some ms.
-_HELD_LOOK_S = 0.05
 
 
 class RelaySink(AnswerSink):
@@ -160,7 +162,7 @@
         if left_ms > 0:
             reply.right_ms = 0 if math.isinf(left_ms) else math.ceil(left_ms)
             return reply
-        await asyncio.sleep(_HELD_LOOK_S)
+        await asyncio.sleep(HELD_LOOK_S)
     return peer_pb2.FollowReply(found=True, moved=True)
 
 
--- a/src/coursekeel/entry/http/_guarded_connection.py
+++ b/src/coursekeel/entry/http/_guarded_connection.py
@@ -18,16 +18,12 @@
 from twisted.internet.tcp import Port, Server
 from twisted.web.http import Request
 
-from coursekeel.entry.answers._sinks import SendingRight
+from coursekeel.entry.answers._sinks import HELD_LOOK_S, SendingRight
 from coursekeel.observe import log_event
 from coursekeel.reactor import Reactor
 
 __all__ = ["GuardedConnection", "connection_of", "listen_guarded"]
 
-# How often a right that has lapsed is asked for again while bytes are held back; each
-# time the table is asked, too. Chosen, not measured: the table answers within some ms.
-_HELD_LOOK_S = 0.05
-
 
 class GuardedConnection(Server):
     """The server's end of a connection, which can be guarded by a `SendingRight`.
@@ -101,7 +97,7 @@
             self._holds = True
             log_event("output_held", bytes=self._unsent_bytes)
         if self._look is None:
-            self._look = self.reactor.callLater(_HELD_LOOK_S, self._look_again)
+            self._look = self.reactor.callLater(HELD_LOOK_S, self._look_again)
 
     def _look_again(self) -> None:
         self._look = None
--- a/src/coursekeel/fetch/_exchange.py
+++ b/src/coursekeel/fetch/_exchange.py
@@ -156,6 +156,9 @@
     def abort(self) -> None:
         """Let go of the request at once; the sink hears nothing more."""
         self._over = True
+        self._close()
+
+    def _close(self) -> None:
         if self._connection is not None:
             transport: Any = self._connection.transport
             if transport is not None:
@@ -188,8 +191,7 @@
         Guards against: a process that was frozen there sends what it asked leave for
         before, for a caller whose time is over or to an endpoint that has left.
         """
-        self.abort()
-        self._over = False
+        self._close()
         self._end(Ending.WITHHELD, "right_lapsed")
 
     def _not_connected(self, failure: Any) -> None:
--- a/src/coursekeel/quarantine/_messages.py
+++ b/src/coursekeel/quarantine/_messages.py
@@ -145,8 +145,7 @@
     kept = _read(data, KeptSuspect, whole="row")
     if isinstance(kept, UnreadableQuarantine):
         return kept
-    fault = _fault_of(kept.record)
-    return UnreadableQuarantine(fault) if fault else kept
+    return _checked(kept, (kept.record,))
 
 
 def encode_told(told: ToldRecord) -> bytes:
@@ -159,8 +158,7 @@
     told = _read(data, ToldRecord, whole="record")
     if isinstance(told, UnreadableQuarantine):
         return told
-    fault = _fault_of(told)
-    return UnreadableQuarantine(fault) if fault else told
+    return _checked(told, (told,))
 
 
 def _read(data: bytes, kind: type[_ReadT], whole: str) -> _ReadT | UnreadableQuarantine:
@@ -189,8 +187,15 @@
     message = _read(data.removeprefix(MARK), QuarantineMessage, whole="message")
     if isinstance(message, UnreadableQuarantine):
         return message
-    fault = next((f for f in map(_fault_of, message.records) if f), "")
-    return UnreadableQuarantine(fault) if fault else message
+    return _checked(message, message.records)
+
+
+def _checked(
+    read: _ReadT, records: tuple[ToldRecord, ...]
+) -> _ReadT | UnreadableQuarantine:
+    """What was read, if each of its records can be used."""
+    fault = next((f for f in map(_fault_of, records) if f), "")
+    return UnreadableQuarantine(fault) if fault else read
 
 
 def _fault_of(told: ToldRecord) -> str:
