What comes before the first configuration waits for it

They listen again half a second before their first configuration is read over thin links, and said 503 `no_configuration` meanwhile. Their callers had just been cut and come back once: the refusal used that up.

Change: while the first readings are on their way a request waits for them, no longer than it would otherwise be told to stay away. It is served once routes and endpoints are known, and refused at once when a reading fails.

Ways: refuse (as it stood), hold (this), open the port only when it can serve (a refused connection is a failed try to the caller, and the balancer sends new ones anyway while a zone has nobody in; not built).

--- a/src/coursekeel/gateway/_dispatcher.py
+++ b/src/coursekeel/gateway/_dispatcher.py
@@ -1,5 +1,7 @@
 """Where requests arrive: admitted or refused, and given to the task that serves them.
 
+What comes before the first routes and endpoints are known waits (`StartHold`).
+
 Owns the count of open requests. Relies on `_admission` for the decision, and on
 `KnownSite` for what is known of routes and keys.
 """
@@ -7,7 +9,7 @@
 from collections.abc import Callable
 from http import HTTPStatus
 
-from attrs import define, evolve
+from attrs import define, evolve, field
 
 from coursekeel.gateway._adapters import CallerDialect, CallerHeaders, HeaderPairs
 from coursekeel.gateway._caller_reply import CallerReply
@@ -19,13 +21,16 @@
     NOT_YET_RETRY_MS,
     STOPS_ENDPOINTS,
     GatewayRefusal,
+    outage_wait_ms,
     refusal_retry_ms,
 )
+from coursekeel.gateway.admission._start_hold import FirstReadings, StartHold
 from coursekeel.gateway.admission._stop_window import Shutdown
 from coursekeel.gateway.endpoints._load_reports import LoadReports
 from coursekeel.gateway.streams._stream_task import StreamTask
 from coursekeel.gateway.streams._successors import Successors
 from coursekeel.gateway.whole._whole_task import WholeAnswerTask
+from coursekeel.units import MS_PER_SECOND
 
 __all__ = ["Dispatcher"]
 
@@ -44,6 +49,7 @@
     callers: CallerDialect
     shutdown: Shutdown
     alone_in_zone: Callable[[], bool]
+    hold: StartHold = field(factory=StartHold)
     open_requests: int = 0
 
     def take(self, request: CallerRequest) -> None:
@@ -53,12 +59,52 @@
         self.open_requests += 1
         request.notifyFinish().addBoth(self._over)
         reply = CallerReply(request, self.shutdown)
+        arrived_ms = self.context.clock.now_ms()
+
+        def serve() -> None:
+            self._serve(request, received, caller, reply, arrived_ms)
+
+        if self._may_hold():
+            self._hold(reply, caller, serve)
+        else:
+            serve()
+
+    def _may_hold(self) -> bool:
+        coming = self.hold.state is FirstReadings.COMING
+        has_room = self.open_requests <= self.context.settings.now.max_open_requests
+        return coming and has_room and not self.shutdown.begun
+
+    def _hold(
+        self, reply: CallerReply, caller: CallerHeaders, serve: Callable[[], None]
+    ) -> None:
+        number = self.hold.add(serve)
+        wait_ms = max(NOT_YET_RETRY_MS, outage_wait_ms(caller.deadline_ms))
+        release = self.context.reactor.callLater(
+            wait_ms / MS_PER_SECOND, self.hold.release, number
+        )
+
+        def caller_left() -> None:
+            self.hold.withdraw(number)
+            if release.active():
+                release.cancel()
+
+        # A timer that rings after its request was resumed finds nothing.
+        reply.on_gone(caller_left)
+
+    def _serve(
+        self,
+        request: CallerRequest,
+        received: HeaderPairs,
+        caller: CallerHeaders,
+        reply: CallerReply,
+        arrived_ms: float,
+    ) -> None:
         arrival = Arrival(request.host_name(), request.path_name(), caller.key)
         outcome = admit(arrival, self._admission())
         if isinstance(outcome, GatewayRefusal):
             self._refuse(reply, caller, outcome)
             return
-        call = self._admitted(request, received, caller, outcome)
+        call = self._admitted(request, received, caller, outcome, arrived_ms)
         if call is None:
             self._refuse(reply, caller, _NO_POOL)
         elif barred_ms := self.context.quarantine.barred_ms(call):
@@ -109,6 +155,7 @@
         received: HeaderPairs,
         caller: CallerHeaders,
         admitted: Admitted,
+        arrived_ms: float,
     ) -> AdmittedRequest | None:
         """The request with its pool; None if the configuration has no such pool."""
         context, route = self.context, admitted.route
@@ -117,7 +164,6 @@
         pool = routes.pools.get(route.pick_pool(context.random))
         if pool is None:
             return None
-        now_ms = context.clock.now_ms()
         within_ms = min(route.timeout_ms, caller.deadline_ms or route.timeout_ms)
         return AdmittedRequest(
             request.method,
@@ -130,6 +176,6 @@
             pool.name,
             pool.copies,
             admitted.team,
-            now_ms,
-            now_ms + within_ms,
+            arrived_ms,
+            arrived_ms + within_ms,
         )
--- a/src/coursekeel/gateway/_gateway.py
+++ b/src/coursekeel/gateway/_gateway.py
@@ -32,6 +32,7 @@
 from coursekeel.gateway._live_settings import LiveSettings
 from coursekeel.gateway._metrics import GatewayMetrics
 from coursekeel.gateway._retry_budgets import RetryBudgets
+from coursekeel.gateway.admission._start_hold import StartHold
 from coursekeel.gateway.admission._stop_window import Shutdown, StopWindow
 from coursekeel.gateway.endpoints._crash_watch import CrashWatch
 from coursekeel.gateway.endpoints._endpoint_client import EndpointClient
@@ -90,6 +91,7 @@
     _group: Group = field(init=False)
     _keeper: SuspectKeeper = field(init=False)
     _site: KnownSite = field(init=False)
+    _hold: StartHold = field(factory=StartHold)
     _metrics: GatewayMetrics = field(init=False)
     _dispatcher: Dispatcher = field(init=False)
     _follow_tasks: list[FollowTask] = field(init=False)
@@ -132,6 +134,7 @@
             routing,
             self._group.store_is_away_for_all,
             freshness,
+            self._hold,
         )
         self._metrics = GatewayMetrics(self.clock)
         client = EndpointClient(
@@ -172,6 +175,7 @@
             self.callers,
             self.shutdown,
             lambda: self._group.alone_in_zone,
+            self._hold,
         )
         self._follow_tasks = self._make_follow_tasks(random)
         self._add_gauges()
@@ -185,6 +189,7 @@
                 timers.configuration_gathering_ms,
                 site.take_configuration,
                 _needs_no_settling,
+                self._hold.failed,
             ),
             FollowedTable(
                 Table.ENDPOINTS,
@@ -192,6 +197,7 @@
                 timers.endpoints_gathering_ms,
                 site.take_endpoints,
                 site.endpoints_back,
+                self._hold.failed,
             ),
         )
 
@@ -255,6 +261,11 @@
             "Age of what is known of routes and keys",
             lambda: self._site.routes_age_ms / 1000,
         )
+        gauge(
+            "coursekeel_held_requests",
+            "Requests that wait for the first routes and endpoints",
+            lambda: len(self._hold),
+        )
         gauge(
             "coursekeel_open_requests",
             "Requests at work",
--- a/src/coursekeel/gateway/admission/_refusals.py
+++ b/src/coursekeel/gateway/admission/_refusals.py
@@ -26,6 +26,7 @@
     "STREAM_RETRY_MS",
     "WHOLE_RETRY_MS",
     "GatewayRefusal",
+    "outage_wait_ms",
     "refusal_after_loss",
     "refusal_retry_ms",
     "refusal_without_endpoint",
@@ -72,9 +73,13 @@
     """When a caller with ``time_ms`` may be served; ``usual_ms`` by other causes."""
     if code not in _COMMON_CAUSES:
         return usual_ms
-    part_ms = min(_OUTAGE_SHARE * (time_ms or 0.0), _OUTAGE_MOST_MS)
     spread = 1 - _OUTAGE_SPREAD / 2 + _OUTAGE_SPREAD * random.random()
-    return max(NOT_YET_RETRY_MS, part_ms * spread)
+    return max(NOT_YET_RETRY_MS, outage_wait_ms(time_ms) * spread)
+
+
+def outage_wait_ms(time_ms: float | None) -> float:
+    """How much of its ``time_ms`` a caller may wait for what no instance can do now."""
+    return min(_OUTAGE_SHARE * (time_ms or 0.0), _OUTAGE_MOST_MS)
 
 
 @frozen
--- a/src/coursekeel/gateway/site/_follow_task.py
+++ b/src/coursekeel/gateway/site/_follow_task.py
@@ -44,6 +44,10 @@
 _ANSWER_SLACK_MS = 600.0
 
 
+def _unheard() -> None:
+    """Nobody waits for the table."""
+
+
 @frozen
 class FollowedTable:
     """A table, and how it is followed.
@@ -51,7 +55,8 @@
     ``hold_ms`` is how long the store may hold a question until something changes.
     Changes come in bursts and each question is paid for, so after one the next waits
     for ``gathering_ms``. ``take`` puts a reading in force. After failures ``came_back``
-    is told how old the last proof was, in ms, before the reading is taken.
+    is told how old the last proof was, in ms, before the reading is taken. ``failed``
+    is told of each question that brought nothing.
     """
 
     table: Table
@@ -59,6 +64,7 @@
     gathering_ms: float
     take: Callable[[Reading], None]
     came_back: Callable[[float], None]
+    failed: Callable[[], None] = _unheard
 
 
 @define(eq=False)
@@ -185,6 +191,7 @@
     def _lost(self, reason: str) -> None:
         self._failures += 1
         self.feed.failed()
+        self.followed.failed()
         if self._failures == 1:
             age_ms = self.freshness.age_ms(self._name, self.clock.now_ms())
             log_event(
--- a/src/coursekeel/gateway/site/_known_site.py
+++ b/src/coursekeel/gateway/site/_known_site.py
@@ -32,6 +32,7 @@
 )
 from coursekeel.gateway._live_settings import LiveSettings
 from coursekeel.gateway._request import AdmittedRequest
+from coursekeel.gateway.admission._start_hold import StartHold
 from coursekeel.observe import log_event
 from coursekeel.reactor import Reactor
 from coursekeel.runtime import Clock, RoutingTask
@@ -59,6 +60,7 @@
     routing: RoutingTask
     away_for_all: Callable[[], bool] = _never
     freshness: Freshness = field(factory=Freshness)
+    hold: StartHold = field(factory=StartHold)
     routes: RouteTable | None = None
     endpoints_read: bool = False
     _settling: Any = None
@@ -128,6 +130,7 @@
             routes=len(configuration.routes),
         )
         self._tell_routing()
+        self._tell_hold()
 
     # Endpoints.
 
@@ -140,6 +143,12 @@
             for each in reading.entries:
                 self._take_change(each)
         self._tell_routing()
+        self._tell_hold()
+
+    def _tell_hold(self) -> None:
+        """What came before both tables were known can be served now."""
+        if self.routes is not None and self.endpoints_read:
+            self.hold.known()
 
     def _take_list(self, reading: Reading) -> None:
         pairs: list[tuple[EndpointRecord, int]] = []
--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -3,13 +3,14 @@
 import os
 import subprocess
 import sys
+import time
 
 import orjson
 import pytest
 
 from coursekeel.settings import parse_gateway_settings
 from standins.site import wait_until
-from tests.platform.site import ROOT, GatewaySite
+from tests.platform.site import ROOT, GatewaySite, events, read
 
 GOOD = {
     "instance_id": "g1",
@@ -97,6 +98,44 @@
         site.stop()
 
 
+def test_what_comes_while_the_first_configuration_is_on_its_way_is_served(tmp_path):
+    """Callers of instances that all died come back once, within the fraction of a
+    second that the first configuration takes over a thin link."""
+    site = GatewaySite(tmp_path)
+    try:
+        site.start(6)
+        site.store(bytes_per_s=4_000)
+        ports = site.start_gateway("g2", wait=False)
+        assert not site.ready(ports)
+        stream, whole = (
+            site.open(path, port=ports[0], deadline_ms="9000")[0]
+            for path in ("/stream/20", "/again/x")
+        )
+        answers = [read(each) for each in (stream, whole)]
+        assert [each.status for each in answers] == [200, 200]
+        assert answers[0].body == events(20)
+        assert "request_refused" not in site.log("g2")
+    finally:
+        site.stop()
+
+
+def test_what_waits_for_the_first_configuration_is_refused_once_it_fails(tmp_path):
+    """Nobody waits for what is known to be away, and nothing of it ran."""
+    site = GatewaySite(tmp_path)
+    try:
+        site.start(6)
+        site.store(fault="reset")
+        ports = site.start_gateway("g2", wait=False, store_ms=8_000)
+        connection, request_id = site.open("/again/x", port=ports[0])
+        begun_s = time.monotonic()
+        answer = read(connection)
+        assert answer.status == 503 and "retry-after" in answer.headers
+        assert time.monotonic() - begun_s < 0.4, "a tenth of its time is 0.5 s"
+        assert site.ran(request_id) == []
+    finally:
+        site.stop()
+
+
 UNUSED = (
     "coursekeel.entry",
     "coursekeel.intents",
