--- a/bench/sharing.py
+++ b/bench/sharing.py
@@ -15,6 +15,7 @@
     Route,
     RouteKind,
     RouteTable,
+    StoreMoment,
 )
 from coursekeel.gateway import Versioned
 from coursekeel.gateway.members._reading_codec import (
@@ -55,8 +56,8 @@
 
 
 def _row(routes: int) -> dict:
-    entries = (Versioned(_configuration(routes), 7),)
-    reading = RelayedReading(7, False, 0.0, 0.0, False, entries)
+    entries = (Versioned(_configuration(routes), StoreMoment(0, 7)),)
+    reading = RelayedReading(StoreMoment(0, 7), False, 0.0, 0.0, False, entries)
     encoder = ReadingEncoder()
     started = time.process_time()
     plain = encoder.encode(reading)
--- a/src/coursekeel/fetch/_fetch.py
+++ b/src/coursekeel/fetch/_fetch.py
@@ -18,11 +18,12 @@
 
 @frozen
 class HttpReply:
-    """The whole answer."""
+    """The whole answer; the names of its ``headers`` are lower case."""
 
     status: int
     content_type: str
     body: bytes
+    headers: Mapping[str, str] = field(factory=dict, eq=False)
 
 
 @frozen
@@ -118,5 +119,9 @@
         arrival.begun()
         body = ArrivingBody(arrival)
         response.deliverBody(body)
-        kind = response.headers.getRawHeaders("content-type", [""])[0]
-        return HttpReply(response.code, kind, await body.whole)
+        headers = {
+            name.decode("latin-1").lower(): values[-1].decode("latin-1")
+            for name, values in response.headers.getAllRawHeaders()
+        }
+        kind = headers.get("content-type", "")
+        return HttpReply(response.code, kind, await body.whole, headers)
--- a/src/coursekeel/forwarding/__init__.py
+++ b/src/coursekeel/forwarding/__init__.py
@@ -15,6 +15,7 @@
     Team,
     key_digest,
 )
+from coursekeel.forwarding._moment import StoreMoment
 
 __all__ = [
     "EndpointDirectory",
@@ -29,6 +30,7 @@
     "RouteKind",
     "RouteTable",
     "StoreClock",
+    "StoreMoment",
     "Team",
     "event_number",
     "key_digest",
--- a/src/coursekeel/forwarding/_directory.py
+++ b/src/coursekeel/forwarding/_directory.py
@@ -14,6 +14,7 @@
 from attrs import define, evolve, field
 
 from coursekeel.forwarding._model import EndpointRecord
+from coursekeel.forwarding._moment import StoreMoment
 
 __all__ = ["EndpointDirectory"]
 
@@ -47,18 +48,18 @@
     """Records by endpoint id, with what own requests met there beside them."""
 
     _records: dict[str, EndpointRecord] = field(factory=dict)
-    _versions: dict[str, int] = field(factory=dict)
+    _moments: dict[str, StoreMoment] = field(factory=dict)
     _health: dict[str, _Health] = field(factory=dict)
     _returning: bool = False
     _lapsed: set[str] = field(factory=set)
     _adopted: set[str] = field(factory=set)
     _once_listed: dict[str, None] = field(factory=dict)
 
-    def put(self, record: EndpointRecord, version: int) -> None:
+    def put(self, record: EndpointRecord, moment: StoreMoment) -> None:
         """Take a record; one older than what is known is passed over."""
-        if version < self._versions.get(record.endpoint_id, 0):
+        if moment < self._moment_of(record.endpoint_id):
             return
-        self._versions[record.endpoint_id] = version
+        self._moments[record.endpoint_id] = moment
         self._records[record.endpoint_id] = record
         self._lapsed.discard(record.endpoint_id)
         self._adopted.discard(record.endpoint_id)
@@ -81,9 +82,9 @@
             self._forget(endpoint_id)
         return gone
 
-    def remove(self, endpoint_id: str, version: int) -> None:
+    def remove(self, endpoint_id: str, moment: StoreMoment) -> None:
         """The list dropped the endpoint: it is gone, or about to be."""
-        if version < self._versions.get(endpoint_id, 0):
+        if moment < self._moment_of(endpoint_id):
             return
         record = self._records.get(endpoint_id)
         if self._returning and record is not None and not record.leaving:
@@ -98,21 +99,47 @@
             del self._once_listed[next(iter(self._once_listed))]
         self._records.pop(endpoint_id, None)
         self._health.pop(endpoint_id, None)
-        self._versions.pop(endpoint_id, None)
+        self._moments.pop(endpoint_id, None)
 
     def replace_all(
-        self, records: Iterable[tuple[EndpointRecord, int]], kept: Collection[str] = ()
+        self,
+        records: Iterable[tuple[EndpointRecord, StoreMoment]],
+        kept: Collection[str] = (),
     ) -> None:
         """Take a whole list; what it doesn't name is gone.
 
         ``kept`` are the ids that it names by entries that can't be read.
         """
-        listed = {record.endpoint_id: (record, ver) for record, ver in records}
+        listed = {record.endpoint_id: (record, at) for record, at in records}
         named = listed.keys() | set(kept)
         for endpoint_id in [each for each in self._records if each not in named]:
-            self.remove(endpoint_id, self._versions.get(endpoint_id, 0))
-        for record, version in listed.values():
-            self.put(record, version)
+            self.remove(endpoint_id, self._moment_of(endpoint_id))
+        for record, moment in listed.values():
+            self.put(record, moment)
+
+    def restore(
+        self,
+        records: Iterable[tuple[EndpointRecord, StoreMoment]],
+        kept: Collection[str] = (),
+    ) -> None:
+        """Take the whole list of a store that came back from an older copy.
+
+        The copy names endpoints that are gone since, and says of some that leave that
+        they don't: neither comes back to life by it. What it lacks counts as lapsed,
+        as after an outage, until `settle`: those that live write themselves again.
+        """
+        self.store_returned()
+        self.replace_all(self._as_known(records), kept)
+
+    def _as_known(
+        self, records: Iterable[tuple[EndpointRecord, StoreMoment]]
+    ) -> Iterable[tuple[EndpointRecord, StoreMoment]]:
+        for record, moment in records:
+            if record.endpoint_id in self._once_listed:
+                continue
+            known = self._records.get(record.endpoint_id)
+            leaving = record.leaving or (known is not None and known.leaving)
+            yield evolve(record, leaving=leaving), moment
 
     def record(self, endpoint_id: str) -> EndpointRecord | None:
         """The endpoint's record, if it is still listed."""
@@ -121,7 +148,7 @@
     def at_address(self, address: str) -> EndpointRecord | None:
         """The newest incarnation listed at an address."""
         there = [each for each in self._records.values() if each.address == address]
-        return max(there, key=self._version, default=None)
+        return max(there, key=self._moment, default=None)
 
     def pools(self) -> dict[str, list[str]]:
         """The ids of the endpoints of each pool.
@@ -132,7 +159,7 @@
         newest: dict[str, EndpointRecord] = {}
         for record in self._records.values():
             other = newest.get(record.address)
-            if other is None or self._version(record) > self._version(other):
+            if other is None or self._moment(record) > self._moment(other):
                 newest[record.address] = record
         pools: dict[str, list[str]] = {}
         for record in newest.values():
@@ -178,7 +205,8 @@
             return known
         record = evolve(old, endpoint_id=successor_id, leaving=False)
         # Newer than its predecessor, older than whatever the list will say of it.
-        self._versions[successor_id] = self._versions.get(endpoint_id, 0) + 1
+        before = self._moment_of(endpoint_id)
+        self._moments[successor_id] = evolve(before, version=before.version + 1)
         self._records[successor_id] = record
         self._adopted.add(successor_id)
         if self._returning:
@@ -204,5 +232,8 @@
             return True
         return not health.replaced and now_ms >= health.ejected_until_ms
 
-    def _version(self, record: EndpointRecord) -> int:
-        return self._versions.get(record.endpoint_id, 0)
+    def _moment(self, record: EndpointRecord) -> StoreMoment:
+        return self._moment_of(record.endpoint_id)
+
+    def _moment_of(self, endpoint_id: str) -> StoreMoment:
+        return self._moments.get(endpoint_id, StoreMoment())
--- a/src/coursekeel/forwarding/_freshness.py
+++ b/src/coursekeel/forwarding/_freshness.py
@@ -40,9 +40,15 @@
     """
 
     _least_offset_ms: float = math.inf
+    _era: int = 0
 
-    def local_ms(self, store_ms: float, received_ms: float) -> float:
-        """The local time at which the store made an answer, at the latest."""
+    def local_ms(self, era: int, store_ms: float, received_ms: float) -> float:
+        """The local time at which the store made an answer, at the latest.
+
+        A store that came back from a copy has another clock than before.
+        """
+        if era > self._era:
+            self._era, self._least_offset_ms = era, math.inf
         offset_ms = received_ms - store_ms
         self._least_offset_ms = min(self._least_offset_ms, offset_ms)
         return store_ms + self._least_offset_ms
--- a/src/coursekeel/gateway/_adapters.py
+++ b/src/coursekeel/gateway/_adapters.py
@@ -11,7 +11,11 @@
 from attrs import frozen
 
 from coursekeel.fetch import ExchangeHead, Transfer
-from coursekeel.forwarding import EndpointRecord, ForwardingConfiguration
+from coursekeel.forwarding import (
+    EndpointRecord,
+    ForwardingConfiguration,
+    StoreMoment,
+)
 
 __all__ = [
     "STORE_TRANSFER",
@@ -193,15 +197,15 @@
 
 @frozen
 class Versioned:
-    """An entry as of a version of the store."""
+    """An entry as of a moment of the store."""
 
     entry: ForwardingConfiguration | EndpointRecord | Removed | UnreadableEntry
-    version: int
+    moment: StoreMoment
 
 
 @frozen
 class Reading:
-    """What the store said: entries, the version to go on from, and its own time.
+    """What the store said: entries, the moment to go on from, and its own time.
 
     A ``whole`` reading names everything there is. One that a member of the group gave
     has ``proven_ms``, the moment of this process's clock that it proves, and no time of
@@ -209,7 +213,7 @@
     """
 
     entries: tuple[Versioned, ...]
-    version: int
+    moment: StoreMoment
     store_ms: float
     whole: bool
     proven_ms: float | None = None
@@ -217,7 +221,7 @@
 
 @frozen
 class HistoryGone:
-    """The store no longer has the changes since that version: read it whole."""
+    """The store no longer has the changes since that moment: read it whole."""
 
 
 @frozen
@@ -256,6 +260,9 @@
 
     @abstractmethod
     async def follow(
-        self, table: Table, version: int, hold_ms: float, timeout_ms: float
+        self, table: Table, since: StoreMoment, hold_ms: float, timeout_ms: float
     ) -> Reading | HistoryGone | SourceFailed:
-        """Read what changed since ``version``, held until something did."""
+        """Read what changed since a moment, held until something did.
+
+        A reading of another era than ``since`` proves nothing of what came between.
+        """
--- a/src/coursekeel/gateway/_gateway.py
+++ b/src/coursekeel/gateway/_gateway.py
@@ -190,6 +190,7 @@
                 site.take_configuration,
                 _needs_no_settling,
                 self._hold.failed,
+                self._store_restored,
             ),
             FollowedTable(
                 Table.ENDPOINTS,
@@ -218,6 +219,10 @@
             for each in self._followed_tables()
         ]
 
+    def _store_restored(self) -> None:
+        """The store forgot what was written since its copy was made."""
+        self._keeper.store_restored(self._group.is_mine)
+
     def _add_gauges(self) -> None:
         gauge = self._metrics.gauge
         gauge(
@@ -235,6 +240,11 @@
             "Answers of the store or a member given up while they were coming",
             lambda: self._group.source.answers_cut,
         )
+        gauge(
+            "coursekeel_store_restores",
+            "Times that the store came back from an older copy",
+            lambda: sum(each.restores for each in self._follow_tasks[:1]),
+        )
         gauge(
             "coursekeel_members",
             "Members of the group that nothing speaks against",
--- a/src/coursekeel/gateway/members/_group.py
+++ b/src/coursekeel/gateway/members/_group.py
@@ -111,6 +111,7 @@
                 },
             ),
             lambda table: self.feeds[table].asked_lately(),
+            lambda: self.feeds[Table.CONFIGURATION].configuration_version,
         )
 
     def _proven_ms(self) -> dict[str, float]:
@@ -131,6 +132,10 @@
         """Tell all others what this instance learned of suspect requests."""
         self._task.tell_suspects(records)
 
+    def is_mine(self, name: str) -> bool:
+        """Say whether this instance does for all what is called ``name``."""
+        return not self.swim.own or self.swim.chosen(name) == [self.swim.own]
+
     @property
     def members(self) -> int | None:
         """How many instances there are or were lately, this one included.
--- a/src/coursekeel/gateway/members/_member_reader.py
+++ b/src/coursekeel/gateway/members/_member_reader.py
@@ -10,6 +10,7 @@
 from attrs import define, frozen
 
 from coursekeel.fetch import Fetcher, HttpReply
+from coursekeel.forwarding import StoreMoment
 from coursekeel.gateway._adapters import Table
 from coursekeel.gateway.members._peer_server import TABLES_PATH
 from coursekeel.gateway.members._reading_codec import (
@@ -48,15 +49,28 @@
         self,
         address: str,
         table: Table,
-        since: int | None,
+        since: StoreMoment | None,
         wait_ms: float,
         timeout_ms: float,
     ) -> RelayedReading | NothingNewer | MemberFailed:
         """Ask once; the answer must begin within ``timeout_ms``."""
-        query = f"group={quote(self.group, safe='')}&wait_ms={int(wait_ms)}"
+        query = f"wait_ms={int(wait_ms)}"
         if since is not None:
             query += f"&since={since}"
-        url = f"http://{address}{TABLES_PATH}{table.value}?{query}"
+        return await self._ask(address, table, query, timeout_ms)
+
+    async def ask_above(
+        self, address: str, version: int, timeout_ms: float
+    ) -> RelayedReading | NothingNewer | MemberFailed:
+        """Ask for the configuration, if it is later than a version."""
+        query = f"wait_ms=0&above={version}"
+        return await self._ask(address, Table.CONFIGURATION, query, timeout_ms)
+
+    async def _ask(
+        self, address: str, table: Table, query: str, timeout_ms: float
+    ) -> RelayedReading | NothingNewer | MemberFailed:
+        group = quote(self.group, safe="")
+        url = f"http://{address}{TABLES_PATH}{table.value}?group={group}&{query}"
         outcome = await self.fetcher.ask("GET", url, timeout_ms)
         if not isinstance(outcome, HttpReply):
             return MemberFailed(outcome.reason, outcome.received_bytes)
--- a/src/coursekeel/gateway/members/_peer_server.py
+++ b/src/coursekeel/gateway/members/_peer_server.py
@@ -1,6 +1,8 @@
 """Where members of the group ask this instance what it knows.
 
-`GET /tables/NAME?group=…&since=…&wait_ms=…`; without ``since`` the whole table. Answers
+`GET /tables/NAME?group=…&since=…&wait_ms=…`; ``since`` is a moment,
+ERA.VERSION; without it the whole table. With ``above`` in its place, a version of the
+configuration, the whole if a later one is known. Answers
 200 with a reading, 404 if there is nothing newer than what the asker has, 400 to what
 can't be read, and 403 to members of another group. Nothing can be written here.
 
@@ -18,7 +20,7 @@
 
 from attrs import define, field, frozen
 
-from coursekeel.forwarding import RequestLimits
+from coursekeel.forwarding import RequestLimits, StoreMoment
 from coursekeel.gateway._adapters import Table
 from coursekeel.gateway._http import (
     CallerRequest,
@@ -49,7 +51,8 @@
 class _Question:
     table: Table
     group: str
-    since: int | None
+    since: StoreMoment | None
+    above: int | None
     wait_ms: int
 
 
@@ -89,6 +92,9 @@
 
         feed = self.feeds[question.table]
         encoder = self._encoders[question.table]
+        if question.above is not None:
+            feed.ask_above(question.above, told)
+            return
         withdraw = feed.ask(question.since, question.wait_ms, told)
         request.notifyFinish().addErrback(lambda _: withdraw())
 
@@ -107,10 +113,11 @@
     if request.method != b"GET" or not path.startswith(TABLES_PATH):
         raise ValueError(f"got {request.method!r} {path}, expected GET {TABLES_PATH}")
     query = parse_qs(bytes(request.uri).partition(b"?")[2].decode("latin-1"))
-    since = query.get("since")
+    since, above = query.get("since"), query.get("above")
     return _Question(
         Table(path.removeprefix(TABLES_PATH)),
         query["group"][0],
-        int(since[0]) if since else None,
+        StoreMoment.parse(since[0]) if since else None,
+        int(above[0]) if above else None,
         max(0, min(int(query["wait_ms"][0]), _MAX_WAIT_MS)),
     )
--- a/src/coursekeel/gateway/members/_reading_codec.py
+++ b/src/coursekeel/gateway/members/_reading_codec.py
@@ -23,6 +23,7 @@
     PoolShare,
     RequestLimits,
     Route,
+    StoreMoment,
     Team,
 )
 from coursekeel.gateway._adapters import Removed, UnreadableEntry, Versioned
@@ -48,7 +49,7 @@
     when it answered, both by its own clock. ``failing``: it doesn't reach the store.
     """
 
-    version: int
+    moment: StoreMoment
     whole: bool
     held_ms: float
     age_ms: float
@@ -67,7 +68,7 @@
 class _EntryForm:
     """One entry; exactly one of the last four is given."""
 
-    version: int
+    moment: StoreMoment
     configuration: ForwardingConfiguration | None = None
     endpoint: EndpointRecord | None = None
     removed: Removed | None = None
@@ -78,7 +79,7 @@
 class _ReadingForm:
     """A reading as it is decoded; `ReadingEncoder` writes the same fields."""
 
-    version: int
+    moment: StoreMoment
     whole: bool
     held_ms: float
     age_ms: float
@@ -87,6 +88,7 @@
 
 
 _CONVERTER = strict_converter(
+    StoreMoment,
     PoolShare,
     Route,
     Pool,
@@ -114,7 +116,7 @@
             self._written = orjson.Fragment(_encode_entries(reading.entries))
             self._entries = reading.entries
         form = {
-            "version": reading.version,
+            "moment": {"era": reading.moment.era, "version": reading.moment.version},
             "whole": reading.whole,
             "held_ms": reading.held_ms,
             "age_ms": reading.age_ms,
@@ -146,21 +148,21 @@
         faults = "; ".join(faults_of(failure, whole="reading"))
         return UnreadableReading(faults[:_MAX_FAULT_CHARACTERS])
     return RelayedReading(
-        form.version, form.whole, form.held_ms, form.age_ms, form.failing, entries
+        form.moment, form.whole, form.held_ms, form.age_ms, form.failing, entries
     )
 
 
 def _form_of(versioned: Versioned) -> _EntryForm:
-    entry, version = versioned.entry, versioned.version
+    entry, moment = versioned.entry, versioned.moment
     match entry:
         case ForwardingConfiguration():
-            return _EntryForm(version, configuration=entry)
+            return _EntryForm(moment, configuration=entry)
         case EndpointRecord():
-            return _EntryForm(version, endpoint=entry)
+            return _EntryForm(moment, endpoint=entry)
         case Removed():
-            return _EntryForm(version, removed=entry)
+            return _EntryForm(moment, removed=entry)
         case UnreadableEntry():
-            return _EntryForm(version, unreadable=entry)
+            return _EntryForm(moment, unreadable=entry)
 
 
 def _entry_of(form: _EntryForm) -> Versioned:
@@ -168,7 +170,7 @@
     entries = [each for each in given if each is not None]
     if len(entries) != 1:
         raise ValueError(f"got {len(entries)} kinds of entry, expected 1")
-    return Versioned(entries[0], form.version)
+    return Versioned(entries[0], form.moment)
 
 
 def _given(_field: Any, value: Any) -> bool:
--- a/src/coursekeel/gateway/members/_shared_source.py
+++ b/src/coursekeel/gateway/members/_shared_source.py
@@ -10,6 +10,9 @@
 peace: members that tell each other that all is well must not take that for the store's
 word, and one that the store fell silent for must not keep a change from the others.
 
+A store that has eras may be an older copy whose operator hasn't written again yet. So
+one that has read its first configuration there asks a member, once, for a later one.
+
 Owns which members are left alone for a moment, and when the store was asked. Relies on
 `Swim` for the members and on `Source` for the store.
 """
@@ -20,9 +23,9 @@
 from random import Random
 
 import xxhash
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
-from coursekeel.forwarding import Freshness
+from coursekeel.forwarding import Freshness, StoreMoment
 from coursekeel.gateway._adapters import (
     HistoryGone,
     Reading,
@@ -114,11 +117,13 @@
     freshness: Freshness
     terms: SharingTerms
     asked_lately: Callable[[Table], bool]
+    configuration_version: Callable[[], int]
     relayed: int = 0
     store_calls: int = 0
     answers_cut: int = 0
     _asked: dict[Table, _Asked] = field(factory=lambda: {t: _Asked() for t in Table})
     _silent_until_ms: dict[str, float] = field(factory=dict)
+    _compared: bool = False
 
     def hold_ms(self, table: Table, usual_ms: float) -> float:
         """Whoever others ask must learn sooner than one that nobody asks."""
@@ -140,19 +145,21 @@
         return await self._read_store(table, timeout_ms)
 
     async def follow(
-        self, table: Table, version: int, hold_ms: float, timeout_ms: float
+        self, table: Table, since: StoreMoment, hold_ms: float, timeout_ms: float
     ) -> _Outcome:
-        """Read what changed since a version, held until something did."""
+        """Read what changed since a moment, held until something did."""
         peace_ms = self.terms.peace_ms[table]
+        if (later := await self._later_configuration(table, since)) is not None:
+            return later
         if self._asks_store() and not self._store_was_just_asked(table):
-            outcome = await self._follow_store(table, version, hold_ms, timeout_ms)
+            outcome = await self._follow_store(table, since, hold_ms, timeout_ms)
             if not isinstance(outcome, SourceFailed):
                 return outcome
-            relayed = await self._from_members(table, version, 0.0, peace_ms)
+            relayed = await self._from_members(table, since, 0.0, peace_ms)
             return relayed if relayed is not None else outcome
         asked_any = bool(self._candidates(table))
         held_ms = self._member_hold_ms(table, hold_ms, peace_ms)
-        relayed = await self._from_members(table, version, held_ms, peace_ms)
+        relayed = await self._from_members(table, since, held_ms, peace_ms)
         if relayed is not None:
             return relayed
         if not self._store_is_due(table):
@@ -160,7 +167,31 @@
         # Asking members in vain took its time already: the proof must come at once.
         shared_ms = min(hold_ms, self.terms.shared_hold_ms[table])
         wait_ms = 0.0 if asked_any else shared_ms
-        return await self._follow_store(table, version, wait_ms, timeout_ms)
+        return await self._follow_store(table, since, wait_ms, timeout_ms)
+
+    async def _later_configuration(
+        self, table: Table, since: StoreMoment
+    ) -> Reading | None:
+        """A member's configuration, if the store gave an older one than it knows.
+
+        The position in the store stays that of this instance's own reading.
+        """
+        if self._compared or not since.era or table is not Table.CONFIGURATION:
+            return None
+        for address in self._candidates(table)[:_MOST_ASKED]:
+            sent_ms, version = self.clock.now_ms(), self.configuration_version()
+            limit_ms = self.terms.slack_ms
+            told = await self.members.ask_above(address, version, limit_ms)
+            if isinstance(told, MemberFailed):
+                continue
+            self._compared = True
+            if isinstance(told, NothingNewer):
+                return None
+            entries = tuple(evolve(each, moment=since) for each in told.entries)
+            proven_ms = sent_ms - max(told.age_ms, 0.0)
+            log_event("later_configuration", member=address)
+            return Reading(entries, since, 0.0, whole=False, proven_ms=proven_ms)
+        return None
 
     def _member_hold_ms(self, table: Table, hold_ms: float, peace_ms: float) -> float:
         """Held no longer than until the proof known here is older than in peace."""
@@ -200,10 +231,10 @@
         return outcome
 
     async def _follow_store(
-        self, table: Table, version: int, hold_ms: float, timeout_ms: float
+        self, table: Table, since: StoreMoment, hold_ms: float, timeout_ms: float
     ) -> _Outcome:
         self._calls_store(table)
-        outcome = await self.store.follow(table, version, hold_ms, timeout_ms)
+        outcome = await self.store.follow(table, since, hold_ms, timeout_ms)
         self._store_answered(table, outcome)
         return outcome
 
@@ -251,7 +282,7 @@
     # Members.
 
     async def _from_members(
-        self, table: Table, since: int | None, wait_ms: float, peace_ms: float
+        self, table: Table, since: StoreMoment | None, wait_ms: float, peace_ms: float
     ) -> Reading | None:
         """A member's reading that helps; None if none has one.
 
@@ -283,7 +314,7 @@
     def _relayed(self, table: Table, told: RelayedReading, proven_ms: float) -> Reading:
         self.relayed += 1
         self._asked[table].reached_ms = self.clock.now_ms()
-        return Reading(told.entries, told.version, 0.0, told.whole, proven_ms=proven_ms)
+        return Reading(told.entries, told.moment, 0.0, told.whole, proven_ms=proven_ms)
 
     def _is_fresher(self, table: Table, proven_ms: float) -> bool:
         return proven_ms > self.freshness.proven_ms(table.value)
--- a/src/coursekeel/gateway/members/_table_feed.py
+++ b/src/coursekeel/gateway/members/_table_feed.py
@@ -1,10 +1,11 @@
 """One table as this instance knows it, for the members of its group that ask.
 
-Rule: a question names the version up to which the asker knows the table. It is answered
+Rule: a question names the moment up to which the asker knows the table. It is answered
 as soon as there is more to tell, a newer proof, or the news that this instance doesn't
 reach the store; at the latest when its time is over. The answer says how old the proof
 is. An asker that knows more than this instance gets nothing from it, so that nobody's
-knowledge goes back.
+knowledge goes back. A configuration isn't replaced by an older one, which a store that
+came back from a copy may have until its operator writes again.
 
 Owns the rows known, what changed since the table was read whole, and the questions that
 wait. Relies on `FollowTask`, which tells of each reading.
@@ -14,9 +15,13 @@
 from collections.abc import Callable
 from typing import Any
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
-from coursekeel.forwarding import EndpointRecord, ForwardingConfiguration
+from coursekeel.forwarding import (
+    EndpointRecord,
+    ForwardingConfiguration,
+    StoreMoment,
+)
 from coursekeel.gateway._adapters import Reading, Removed, Versioned
 from coursekeel.gateway.members._reading_codec import RelayedReading
 from coursekeel.reactor import Reactor
@@ -48,7 +53,7 @@
 
 @define(eq=False)
 class _Waiter:
-    since: int
+    since: StoreMoment
     asked_ms: float
     told: _Told
     timer: Any = None
@@ -61,8 +66,8 @@
     reactor: Reactor
     clock: Clock
     failing: bool = False
-    _version: int | None = None
-    _complete_since: int = 0
+    _moment: StoreMoment | None = None
+    _complete_since: StoreMoment = field(factory=StoreMoment)
     _proven_ms: float = 0.0
     _rows: dict[str, Versioned] = field(factory=dict)
     _gone: int = 0
@@ -73,14 +78,15 @@
 
     def took(self, reading: Reading, proven_ms: float) -> None:
         """A reading was taken, which proves the table as of a moment."""
+        known = self._rows.get(_CONFIGURATION)
         if reading.whole or self._gone > _MAX_GONE:
             kept = {} if reading.whole else self._present()
             self._rows, self._gone = kept, 0
-            self._complete_since = reading.version
+            self._complete_since = reading.moment
         for each in reading.entries:
-            self._rows[_key_of(each)] = each
+            self._rows[_key_of(each)] = _newest(known, each)
             self._gone += isinstance(each.entry, Removed)
-        self._version = reading.version
+        self._moment = reading.moment
         self._proven_ms = max(self._proven_ms, proven_ms)
         self.failing = False
         self._wake()
@@ -97,10 +103,12 @@
 
     # What others ask.
 
-    def ask(self, since: int | None, wait_ms: float, told: _Told) -> Callable[[], None]:
+    def ask(
+        self, since: StoreMoment | None, wait_ms: float, told: _Told
+    ) -> Callable[[], None]:
         """Answer now or later; calling what is returned withdraws the question."""
         now_ms = self._asked_ms = self.clock.now_ms()
-        if self._version is None:
+        if self._moment is None:
             told(NotAhead())
             return _nothing
         if since is None or self._answers_at_once(since):
@@ -112,15 +120,32 @@
         self._waiters.append(waiter)
         return lambda: self._withdraw(waiter)
 
+    @property
+    def configuration_version(self) -> int:
+        """The version of the configuration known here, -1 if there is none."""
+        row = self._rows.get(_CONFIGURATION)
+        if row is None or not isinstance(row.entry, ForwardingConfiguration):
+            return -1
+        return row.entry.version
+
+    def ask_above(self, version: int, told: _Told) -> None:
+        """Answer whole if a later configuration than the asker's is known here."""
+        if self.configuration_version > version:
+            told(self._answer(None, self.clock.now_ms()))
+        else:
+            told(NotAhead())
+
     def asked_lately(self) -> bool:
         """Say whether members ask here: they ask again within a moment."""
         return self.clock.now_ms() - self._asked_ms < _ASKED_LATELY_MS
 
-    def _answers_at_once(self, since: int) -> bool:
+    def _answers_at_once(self, since: StoreMoment) -> bool:
         if self.failing:
             return True
-        assert self._version is not None
-        return since < self._version and bool(self._changes(since))
+        assert self._moment is not None
+        if since.era < self._moment.era:
+            return True
+        return since < self._moment and bool(self._changes(since))
 
     def _withdraw(self, waiter: _Waiter) -> None:
         if waiter in self._waiters:
@@ -128,9 +153,9 @@
             waiter.timer.cancel()
 
     def _wake(self) -> None:
-        assert self._version is not None or self.failing
+        assert self._moment is not None or self.failing
         for waiter in list(self._waiters):
-            behind = self._version is None or waiter.since > self._version
+            behind = self._moment is None or waiter.since > self._moment
             if self.failing or not behind:
                 self._withdraw(waiter)
                 waiter.told(self._answer(waiter.since, waiter.asked_ms))
@@ -139,14 +164,15 @@
         self._waiters.remove(waiter)
         waiter.told(self._answer(waiter.since, waiter.asked_ms))
 
-    def _answer(self, since: int | None, asked_ms: float) -> Answered:
-        if self._version is None or (since is not None and since > self._version):
+    def _answer(self, since: StoreMoment | None, asked_ms: float) -> Answered:
+        if self._moment is None or (since is not None and since > self._moment):
             return NotAhead()
         now_ms = self.clock.now_ms()
         whole = since is None or since < self._complete_since
-        entries = tuple(self._present().values()) if whole else self._changes(since)
+        least = StoreMoment() if since is None else since
+        entries = tuple(self._present().values()) if whole else self._changes(least)
         return RelayedReading(
-            self._version,
+            self._moment,
             whole,
             now_ms - asked_ms,
             now_ms - self._proven_ms,
@@ -154,10 +180,19 @@
             entries,
         )
 
-    def _changes(self, since: int | None) -> tuple[Versioned, ...]:
-        least = -1 if since is None else since
-        newer = [each for each in self._rows.values() if each.version > least]
-        return tuple(sorted(newer, key=lambda each: each.version))
+    def _changes(self, since: StoreMoment) -> tuple[Versioned, ...]:
+        newer = [each for each in self._rows.values() if each.moment > since]
+        return tuple(sorted(newer, key=lambda each: each.moment))
+
+
+def _newest(known: Versioned | None, read: Versioned) -> Versioned:
+    """What is told of a row: never a configuration older than the one known."""
+    before = known.entry if known is not None else None
+    if not isinstance(before, ForwardingConfiguration):
+        return read
+    if not isinstance(read.entry, ForwardingConfiguration):
+        return read
+    return evolve(read, entry=before) if before.version > read.entry.version else read
 
 
 def _key_of(versioned: Versioned) -> str:
--- a/src/coursekeel/gateway/site/_follow_task.py
+++ b/src/coursekeel/gateway/site/_follow_task.py
@@ -1,6 +1,9 @@
 """Keeps one table of the store as this instance knows it.
 
-Owns the version up to which the table was read. Relies on a `Source` for each question,
+Rule: a position is good within its era only. After a store has come back from an older
+copy its table is read whole again, and an answer of an earlier era changes nothing.
+
+Owns the moment up to which the table was read. Relies on a `Source` for each question,
 and tells `Freshness` which moment each answer proves.
 """
 
@@ -9,11 +12,16 @@
 from random import Random
 from traceback import format_exception
 
-from attrs import define, frozen
+from attrs import define, field, frozen
 from twisted.internet.task import deferLater
 
 from coursekeel.errors import InvariantBroken
-from coursekeel.forwarding import Freshness, StoreClock, proven_moment_ms
+from coursekeel.forwarding import (
+    Freshness,
+    StoreClock,
+    StoreMoment,
+    proven_moment_ms,
+)
 from coursekeel.gateway._adapters import (
     HistoryGone,
     Reading,
@@ -45,7 +53,7 @@
 
 
 def _unheard() -> None:
-    """Nobody waits for the table."""
+    """Nobody needs to know."""
 
 
 @frozen
@@ -56,7 +64,8 @@
     Changes come in bursts and each question is paid for, so after one the next waits
     for ``gathering_ms``. ``take`` puts a reading in force. After failures ``came_back``
     is told how old the last proof was, in ms, before the reading is taken. ``failed``
-    is told of each question that brought nothing.
+    is told of each question that brought nothing, ``restored`` before the first
+    reading of a later era is taken.
     """
 
     table: Table
@@ -65,6 +74,7 @@
     take: Callable[[Reading], None]
     came_back: Callable[[float], None]
     failed: Callable[[], None] = _unheard
+    restored: Callable[[], None] = _unheard
 
 
 @define(eq=False)
@@ -85,7 +95,10 @@
     freshness: Freshness
     store_clock: StoreClock
     feed: TableFeed
-    _version: int | None = None
+    restores: int = 0
+    _since: StoreMoment | None = None
+    _era: int | None = None
+    _last: StoreMoment = field(factory=StoreMoment)
     _stopped: bool = False
     _failures: int = 0
     _changes: int = 0
@@ -126,7 +139,7 @@
         except Exception as failure:
             error = "".join(format_exception(failure))
             log_event("follow_failed", logging.ERROR, table=self._name, error=error)
-            self._version = None
+            self._since = None
             self._failures += 1
 
     async def _once(self) -> None:
@@ -134,30 +147,65 @@
         held_ms = self._hold_ms()
         outcome = await self._ask(held_ms)
         match outcome:
-            case Reading():
+            case Reading() if self._is_of_this_era(outcome):
                 self._take(outcome, sent_ms, held_ms)
+            case Reading():
+                pass
             case HistoryGone():
-                log_event("history_gone", table=self._name, since=self._version)
-                self._version = None
+                log_event("history_gone", table=self._name, since=self._since)
+                self._since = None
             case SourceFailed():
                 self._lost(outcome.reason)
 
+    def _is_of_this_era(self, reading: Reading) -> bool:
+        """Say whether a reading counts; one that doesn't changes nothing."""
+        era, known = reading.moment.era, self._era
+        if known is not None and era < known:
+            log_event(
+                "store_era_fell",
+                logging.WARNING,
+                table=self._name,
+                moment=reading.moment,
+                era=known,
+            )
+            self._since = None
+            self._lost(f"era {era} after {known}")
+            return False
+        if known is None or era == known:
+            self._era = era
+            return True
+        if not reading.whole:
+            # Its position is of the era before: what lies between isn't known.
+            self._since = None
+            return False
+        log_event(
+            "store_restored",
+            logging.WARNING,
+            table=self._name,
+            before=self._last,
+            moment=reading.moment,
+        )
+        self._era = era
+        self.restores += 1
+        self.followed.restored()
+        return True
+
     def _hold_ms(self) -> float:
         """How long the store may hold the next question.
 
         A store that failed is asked for an answer at once: a question that it holds
         would hang for the whole hold, and its return would be seen so much later.
         """
-        if self._version is None or self._failures:
+        if self._since is None or self._failures:
             return 0.0
         return self.source.hold_ms(self.followed.table, self.followed.hold_ms)
 
     async def _ask(self, held_ms: float) -> Reading | HistoryGone | SourceFailed:
         table = self.followed.table
-        if self._version is None:
+        if self._since is None:
             return await self.source.read(table, self.timeout_ms)
         longest_ms = held_ms + _ANSWER_SLACK_MS
-        return await self.source.follow(table, self._version, held_ms, longest_ms)
+        return await self.source.follow(table, self._since, held_ms, longest_ms)
 
     def _take(self, reading: Reading, sent_ms: float, held_ms: float) -> None:
         now_ms = self.clock.now_ms()
@@ -166,7 +214,7 @@
         self._relayed = reading.proven_ms is not None
         moment_ms = self._proven_ms(reading, sent_ms, held_ms, now_ms)
         self.freshness.proved(self._name, moment_ms)
-        self._version = reading.version
+        self._since = self._last = reading.moment
         if reading.entries or reading.whole:
             self._changes += 1
             self.followed.take(reading)
@@ -180,7 +228,8 @@
             return reading.proven_ms
         proven_hold_ms = 0.0 if reading.entries else held_ms
         moment_ms = proven_moment_ms(sent_ms, now_ms, proven_hold_ms)
-        made_ms = self.store_clock.local_ms(reading.store_ms, now_ms)
+        era, store_ms = reading.moment.era, reading.store_ms
+        made_ms = self.store_clock.local_ms(era, store_ms, now_ms)
         return min(moment_ms, made_ms)
 
     def _came_back(self, now_ms: float) -> None:
--- a/src/coursekeel/gateway/site/_known_site.py
+++ b/src/coursekeel/gateway/site/_known_site.py
@@ -22,6 +22,7 @@
     Freshness,
     RequestLimits,
     RouteTable,
+    StoreMoment,
 )
 from coursekeel.gateway._adapters import (
     Reading,
@@ -63,6 +64,7 @@
     hold: StartHold = field(factory=StartHold)
     routes: RouteTable | None = None
     endpoints_read: bool = False
+    _endpoints_era: int = 0
     _settling: Any = None
 
     # Routes and keys.
@@ -117,7 +119,7 @@
                 case ForwardingConfiguration():
                     self._put_in_force(each.entry)
                 case UnreadableEntry():
-                    _log_unreadable(Table.CONFIGURATION, each.entry, each.version)
+                    _log_unreadable(Table.CONFIGURATION, each.entry, each.moment)
 
     def _put_in_force(self, configuration: ForwardingConfiguration) -> None:
         routes = self.routes
@@ -136,9 +138,11 @@
 
     def take_endpoints(self, reading: Reading) -> None:
         """Take the whole list of endpoints, or changes of it."""
+        restored = self.endpoints_read and reading.moment.era > self._endpoints_era
         self.endpoints_read = True
+        self._endpoints_era = reading.moment.era
         if reading.whole:
-            self._take_list(reading)
+            self._take_list(reading, restored)
         else:
             for each in reading.entries:
                 self._take_change(each)
@@ -150,30 +154,34 @@
         if self.routes is not None and self.endpoints_read:
             self.hold.known()
 
-    def _take_list(self, reading: Reading) -> None:
-        pairs: list[tuple[EndpointRecord, int]] = []
+    def _take_list(self, reading: Reading, restored: bool) -> None:
+        pairs: list[tuple[EndpointRecord, StoreMoment]] = []
         unreadable: list[str] = []
         for each in reading.entries:
             match each.entry:
                 case EndpointRecord():
-                    pairs.append((each.entry, each.version))
+                    pairs.append((each.entry, each.moment))
                 case UnreadableEntry():
                     unreadable.append(each.entry.entry_id)
-                    _log_unreadable(Table.ENDPOINTS, each.entry, each.version)
-        self.directory.replace_all(pairs, kept=unreadable)
+                    _log_unreadable(Table.ENDPOINTS, each.entry, each.moment)
+        if restored:
+            self.directory.restore(pairs, kept=unreadable)
+            self._settle_later()
+        else:
+            self.directory.replace_all(pairs, kept=unreadable)
 
     def _take_change(self, change: Versioned) -> None:
-        entry, version = change.entry, change.version
+        entry, moment = change.entry, change.moment
         match entry:
             case EndpointRecord():
                 if entry.leaving:
                     log_event("endpoint_leaving", endpoint=entry.endpoint_id)
-                self.directory.put(entry, version)
+                self.directory.put(entry, moment)
             case Removed():
                 log_event("endpoint_gone", endpoint=entry.entry_id)
-                self.directory.remove(entry.entry_id, version)
+                self.directory.remove(entry.entry_id, moment)
             case UnreadableEntry():
-                _log_unreadable(Table.ENDPOINTS, entry, version)
+                _log_unreadable(Table.ENDPOINTS, entry, moment)
 
     def endpoints_back(self, lost_for_ms: float) -> None:
         """The list is read again after an outage of the store of ``lost_for_ms``.
@@ -185,6 +193,10 @@
         if lost_for_ms < timers.endpoints_lapse_ms:
             return
         self.directory.store_returned()
+        self._settle_later()
+
+    def _settle_later(self) -> None:
+        timers = self.settings.timers
         if self._settling is not None and self._settling.active():
             self._settling.cancel()
         self._settling = self.reactor.callLater(
@@ -237,12 +249,12 @@
         self.routing.review()
 
 
-def _log_unreadable(table: Table, entry: UnreadableEntry, version: int) -> None:
+def _log_unreadable(table: Table, entry: UnreadableEntry, moment: StoreMoment) -> None:
     log_event(
         "row_unreadable",
         logging.WARNING,
         table=table.value,
         key=entry.entry_id,
-        version=version,
+        moment=moment,
         fault=entry.fault,
     )
--- a/src/coursekeel/group/_swim.py
+++ b/src/coursekeel/group/_swim.py
@@ -147,6 +147,11 @@
         live = self.alive(zone)
         return max(live, key=_weight, default="")
 
+    def chosen(self, name: str, count: int = 1) -> list[str]:
+        """Who does what ``name`` says: all that see the same members agree."""
+        live = self.alive()
+        return sorted(live, key=lambda each: -_weight(f"{name}/{each}"))[:count]
+
     def in_touch(self, now_ms: float) -> bool:
         """Say whether most of the members that are known can be reached from here."""
         if now_ms - self._heard_ms > 2 * self.terms.period_ms:
--- a/src/coursekeel/quarantine/_quarantine.py
+++ b/src/coursekeel/quarantine/_quarantine.py
@@ -87,6 +87,10 @@
         """How many requests are barred, those included whose bar is over."""
         return len(self._barred)
 
+    def barred_fingerprints(self) -> list[str]:
+        """The requests that are barred, those included whose bar is over."""
+        return list(self._barred)
+
     def record(self, fingerprint: str) -> SuspectRecord | None:
         """What is known of a request."""
         return self._records.get(fingerprint)
--- a/src/coursekeel/suspects/_keeper.py
+++ b/src/coursekeel/suspects/_keeper.py
@@ -3,11 +3,15 @@
 Rule: what bars a request is written by those that saw an endpoint end under it, and
 removed by whoever proves it sound; every instance reads the table once, when it starts.
 What the others know travels between them (`coursekeel.quarantine`): the table is for
-the moment at which nobody is left who could tell.
+the moment at which nobody is left who could tell. Rows that a store forgot when it came
+back from an older copy are written again by those that saw an endpoint end, and by one
+of all members for each request, since those that saw it may be gone.
 
 Owns what is still to be written, at most one row a request. Relies on `SuspectTable`.
 """
 
+from collections.abc import Callable
+
 from attrs import define, field
 
 from coursekeel.observe import log_event
@@ -61,6 +65,18 @@
         """Call the store no more."""
         self._work.stop()
 
+    def store_restored(self, is_mine: Callable[[str], bool]) -> None:
+        """The table is that of an older copy; ``is_mine``: written again from here.
+
+        The copy is read first: its rows and its clock may be of another time.
+        """
+        self._store_ahead_ms = None
+        barred = self.quarantine.barred_fingerprints()
+        again = [each for each in barred if each in self._own or is_mine(each)]
+        log_event("suspects_written_again", rows=len(again))
+        self._due |= dict.fromkeys(again)
+        self._work.start()
+
     def touched(self, fingerprint: str) -> None:
         """This instance learned something of a request by itself."""
         self._own[fingerprint] = None
--- a/tests/common/group_world.py
+++ b/tests/common/group_world.py
@@ -16,6 +16,7 @@
     ForwardingConfiguration,
     Freshness,
     StoreClock,
+    StoreMoment,
     Team,
     key_digest,
 )
@@ -55,6 +56,7 @@
         self.reactor = FakeReactor()
         self.random = Random(seed)
         self.version = 1
+        self.era = 0
         self.keys = frozenset({"k0", "k1", "k2", "k3"})
         self.revoked_ms: dict[str, float] = {}
         self.away: set[str] = set()
@@ -75,6 +77,10 @@
     def now_ms(self) -> float:
         return self.reactor.seconds() * 1000
 
+    @property
+    def moment(self) -> StoreMoment:
+        return StoreMoment(self.era, self.version)
+
     def run(self, for_ms: float) -> None:
         for _ in range(int(for_ms / STEP_MS)):
             self.reactor.advance(STEP_MS / 1000)
@@ -102,10 +108,10 @@
     def reading(self, since: int | None) -> Reading:
         teams = (Team("t", tuple(key_digest(each) for each in sorted(self.keys))),)
         entry = ForwardingConfiguration(self.version, teams=teams, keyed=True)
-        entries = (Versioned(entry, self.version),)
-        if since == self.version:
+        entries = (Versioned(entry, self.moment),)
+        if since == self.moment:
             entries = ()
-        return Reading(entries, self.version, self.now_ms, whole=since is None)
+        return Reading(entries, self.moment, self.now_ms, whole=since is None)
 
     def answer(self, name: str, held: Deferred, value) -> None:
         """Bring an answer to an instance; a frozen one gets it when it wakes."""
@@ -161,7 +167,7 @@
             if world.refuses_at_once:
                 world.answer(self.name, held, SourceFailed("status 503"))
             return held
-        if since is None or since < world.version or not hold_ms:
+        if since is None or since < world.moment or not hold_ms:
             world.answer(self.name, held, world.reading(since))
             return held
         waiter = (self.name, since, held)
@@ -190,6 +196,14 @@
         )
         return await held
 
+    async def ask_above(self, address, version, timeout_ms):
+        world, held = self.world, Deferred()
+        world.later(timeout_ms, self._too_late, held)
+        if (address in world.cut) == (self.name in world.cut):
+            feed = world.instances[address].feed
+            feed.ask_above(version, lambda answer: self._told(held, answer))
+        return await held
+
     def _reach(self, address, since, wait_ms, held) -> None:
         world = self.world
         if (address in world.cut) != (self.name in world.cut):
@@ -250,6 +264,7 @@
                 {Table.CONFIGURATION: TIMERS.configuration_peace_ms},
             ),
             lambda _: self.feed.asked_lately(),
+            lambda: self.feed.configuration_version,
         )
         table = FollowedTable(
             Table.CONFIGURATION,
--- a/tests/cover/test_crash_watch.py
+++ b/tests/cover/test_crash_watch.py
@@ -15,6 +15,7 @@
     QuarantineGate,
     QuarantinePass,
 )
+from tests.common.moments import at
 from tests.cover.test_fingerprint import CALL
 
 WHOLE = evolve(CALL, route=evolve(CALL.route, kind=RouteKind.REPEATABLE))
@@ -44,7 +45,7 @@
 
     def put(self, name: str, leaving: bool = False) -> None:
         record = EndpointRecord(name, "engines", "h", 1, "z", 8, leaving)
-        self.directory.put(record, 1)
+        self.directory.put(record, at(1))
 
     def lost(self, name: str, call=CALL, **run) -> None:
         self.watch.run_lost(call, LostRun(name, "ResponseFailed", **run))
@@ -128,7 +129,7 @@
     if leaving:
         watched.put("e0", leaving=True)
     else:
-        watched.directory.remove("e0", 1)
+        watched.directory.remove("e0", at(1))
     watched.lost("e0", ran_ms=60)
     assert watched.sinks == []
 
--- a/tests/cover/test_follow_task.py
+++ b/tests/cover/test_follow_task.py
@@ -11,6 +11,7 @@
 from coursekeel.gateway._adapters import Reading, Source, SourceFailed, Table
 from coursekeel.gateway.members._table_feed import TableFeed
 from coursekeel.gateway.site._follow_task import FollowedTable, FollowTask
+from tests.common.moments import at
 
 
 @define(eq=False)
@@ -49,7 +50,7 @@
         StoreClock(),
         TableFeed(reactor, clock),
     )
-    reading = Reading((), 3, 0.0, whole=False)
+    reading = Reading((), at(3), 0.0, whole=False)
     task.start()
     source.answers[0].callback(reading)
     source.answers[1].callback(SourceFailed("silent"))
@@ -58,3 +59,42 @@
     reactor.advance(0.5)
     task.stop()
     assert source.holds == [0.0, 4_000, 0.0, 4_000]
+
+
+def followed_table(reactor, source, **told):
+    clock = Mock(now_ms=lambda: reactor.seconds() * 1000)
+    freshness = Freshness()
+    table = FollowedTable(Table.ENDPOINTS, 4_000, 0, Mock(), Mock(), **told)
+    feed = TableFeed(reactor, clock)
+    task = FollowTask(
+        reactor, clock, Random(1), source, table, 1_000, freshness, StoreClock(), feed
+    )
+    task.start()
+    return task, table, freshness
+
+
+def test_after_a_restore_the_table_is_read_whole_before_anything_of_it_counts():
+    reactor, source, restored = FakeReactor(), ScriptedSource(), Mock()
+    task, table, _ = followed_table(reactor, source, restored=restored)
+    source.answers[0].callback(Reading((), at(412), 0.0, whole=True))
+    reactor.advance(0)
+    taken = table.take.call_count
+    source.answers[1].callback(Reading((), at(412, era=1), 0.0, whole=False))
+    assert table.take.call_count == taken, "412 of another era is another 412"
+    assert source.holds[2] == 0.0
+    source.answers[2].callback(Reading((), at(400, era=1), 0.0, whole=True))
+    assert restored.call_count == 1
+    assert table.take.call_count == taken + 1
+    task.stop()
+
+
+def test_a_late_answer_of_the_era_before_proves_nothing():
+    reactor, source = FakeReactor(), ScriptedSource()
+    task, table, freshness = followed_table(reactor, source)
+    source.answers[0].callback(Reading((), at(5, era=2), 0.0, whole=True))
+    proven_ms, taken = freshness.proven_ms("endpoints"), table.take.call_count
+    reactor.advance(1)
+    source.answers[1].callback(Reading((), at(900, era=1), 0.0, whole=True))
+    assert freshness.proven_ms("endpoints") == proven_ms
+    assert table.take.call_count == taken
+    task.stop()
--- a/tests/cover/test_forwarding.py
+++ b/tests/cover/test_forwarding.py
@@ -3,6 +3,7 @@
 import math
 from random import Random
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
@@ -19,12 +20,14 @@
     RouteKind,
     RouteTable,
     StoreClock,
+    StoreMoment,
     Team,
     event_number,
     key_digest,
     proven_moment_ms,
     split_events,
 )
+from tests.common.moments import at
 
 ONE_POOL = (PoolShare("p"),)
 
@@ -88,8 +91,8 @@
 
 def test_an_answer_from_the_past_proves_only_the_past():
     clock = StoreClock()
-    assert clock.local_ms(1_000.0, 5_004.0) == 5_004.0
-    assert clock.local_ms(2_000.0, 9_004.0) == 6_004.0
+    assert clock.local_ms(0, 1_000.0, 5_004.0) == 5_004.0
+    assert clock.local_ms(0, 2_000.0, 9_004.0) == 6_004.0
 
 
 class _BeliefUnderFaults(RuleBasedStateMachine):
@@ -130,7 +133,7 @@
         self.held_version = version
         held_ms = hold_ms if fresh else 0.0
         moment_ms = proven_moment_ms(sent_ms, self.now_ms, held_ms)
-        made_local_ms = self.clock.local_ms(made_ms - 7_777.0, self.now_ms)
+        made_local_ms = self.clock.local_ms(0, made_ms - 7_777.0, self.now_ms)
         self.freshness.proved("t", min(moment_ms, made_local_ms))
 
     @invariant()
@@ -156,72 +159,72 @@
 
 def test_an_older_row_changes_nothing():
     directory = EndpointDirectory()
-    directory.put(endpoint("a", leaving=True), 7)
-    directory.put(endpoint("a"), 6)
+    directory.put(endpoint("a", leaving=True), at(7))
+    directory.put(endpoint("a"), at(6))
     assert not directory.may_take("a", 0.0)
 
 
 def test_a_leaving_or_gone_endpoint_takes_nothing():
     directory = EndpointDirectory()
-    directory.put(endpoint("a"), 1)
+    directory.put(endpoint("a"), at(1))
     assert directory.may_take("a", 0.0)
-    directory.put(endpoint("a", leaving=True), 2)
+    directory.put(endpoint("a", leaving=True), at(2))
     assert not directory.may_take("a", 0.0)
-    directory.remove("a", 3)
+    directory.remove("a", at(3))
     assert not directory.may_take("a", 0.0)
 
 
 def test_of_two_incarnations_at_an_address_the_newer_is_served():
     directory = EndpointDirectory()
-    directory.put(endpoint("new"), 9)
-    directory.put(endpoint("old"), 4)
-    directory.put(endpoint("other", port=2), 1)
+    directory.put(endpoint("new"), at(9))
+    directory.put(endpoint("old"), at(4))
+    directory.put(endpoint("other", port=2), at(1))
     assert sorted(directory.pools()["p"]) == ["new", "other"]
 
 
 def test_a_whole_list_takes_away_what_it_does_not_name():
     directory = EndpointDirectory()
-    directory.put(endpoint("a"), 1)
-    directory.replace_all([(endpoint("b", port=2), 2)])
+    directory.put(endpoint("a"), at(1))
+    directory.replace_all([(endpoint("b", port=2), at(2))])
     assert directory.pools() == {"p": ["b"]}
 
 
 def test_entries_that_lapsed_in_an_outage_serve_until_the_list_settles():
     directory = EndpointDirectory()
-    directory.put(endpoint("a"), 1)
-    directory.put(endpoint("b", port=2), 2)
+    directory.put(endpoint("a"), at(1))
+    directory.put(endpoint("b", port=2), at(2))
     directory.store_returned()
-    directory.remove("a", 3)
+    directory.remove("a", at(3))
     directory.replace_all([])
     assert sorted(directory.pools()["p"]) == ["a", "b"]
     assert directory.may_take("a", 0.0)
-    directory.put(endpoint("b", port=2), 4)
+    directory.put(endpoint("b", port=2), at(4))
     assert directory.settle() == ["a"]
     assert directory.pools() == {"p": ["b"]}
-    directory.remove("b", 5)
+    directory.remove("b", at(5))
     assert directory.pools() == {}
 
 
 def test_an_endpoint_that_was_leaving_when_its_entry_lapsed_is_gone():
     directory = EndpointDirectory()
-    directory.put(endpoint("a", leaving=True), 1)
+    directory.put(endpoint("a", leaving=True), at(1))
     directory.store_returned()
-    directory.remove("a", 2)
+    directory.remove("a", at(2))
     assert directory.record("a") is None
 
 
 def test_own_evidence_holds_for_an_entry_that_lapsed():
     directory = EndpointDirectory()
-    directory.put(endpoint("a"), 1)
+    directory.put(endpoint("a"), at(1))
     directory.store_returned()
-    directory.remove("a", 2)
+    directory.remove("a", at(2))
     directory.failed("a", 0.0)
     assert not directory.may_take("a", 1.0)
 
 
 def test_an_ejection_doubles_while_proofs_follow_each_other():
     directory = EndpointDirectory()
-    directory.put(endpoint("a"), 1)
+    directory.put(endpoint("a"), at(1))
     first = directory.failed("a", 0.0)
     assert not directory.may_take("a", first - 1)
     assert directory.may_take("a", first)
@@ -232,14 +235,14 @@
 
 def test_a_failure_while_ejected_adds_nothing():
     directory = EndpointDirectory()
-    directory.put(endpoint("a"), 1)
+    directory.put(endpoint("a"), at(1))
     first = directory.failed("a", 0.0)
     assert directory.failed("a", 10.0) == first - 10.0
 
 
 def test_a_replaced_incarnation_is_never_trusted_again():
     directory = EndpointDirectory()
-    directory.put(endpoint("a"), 1)
+    directory.put(endpoint("a"), at(1))
     directory.replaced("a")
     assert not directory.may_take("a", 1e9)
 
@@ -295,3 +298,57 @@
 def test_an_event_may_begin_with_another_line():
     assert event_number(b"weight-versions: 3\nid: 4\ndata: x\n\n") == 4
     assert event_number(b"data: x\n\n") is None
+
+
+# The store comes back from an older copy.
+
+
+def test_versions_that_are_given_out_again_count_as_later():
+    directory = EndpointDirectory()
+    directory.put(endpoint("a"), at(412))
+    directory.put(endpoint("a", leaving=True), at(12, era=1))
+    assert not directory.may_take("a", 0.0)
+    directory.put(endpoint("a"), at(413))
+    assert not directory.may_take("a", 0.0), "a late word of the era before"
+
+
+def test_a_copy_brings_nothing_back_to_life_and_takes_nothing_away_at_once():
+    directory = EndpointDirectory()
+    for port, name in enumerate(("lives", "lacked", "leaves", "gone"), 1):
+        directory.put(endpoint(name, port), at(port))
+    directory.put(endpoint("leaves", 3, leaving=True), at(8))
+    directory.remove("gone", at(9))
+    copy = [
+        (endpoint(name, port), at(port, era=1))
+        for port, name in ((1, "lives"), (3, "leaves"), (4, "gone"))
+    ]
+    directory.restore(copy)
+    taking = [
+        each
+        for each in ("lives", "lacked", "leaves", "gone")
+        if directory.may_take(each, 0.0)
+    ]
+    assert taking == ["lives", "lacked"]
+    assert directory.settle() == ["lacked"]
+
+
+def test_an_endpoint_that_registers_after_a_restore_is_served_whatever_was_known():
+    directory = EndpointDirectory()
+    directory.put(endpoint("a"), at(3))
+    directory.remove("a", at(4))
+    directory.restore([(endpoint("a"), at(3, era=1))])
+    directory.put(endpoint("a"), at(4, era=1))
+    assert directory.may_take("a", 0.0)
+
+
+def test_a_restored_stores_clock_is_learned_anew():
+    clock = StoreClock()
+    assert clock.local_ms(0, 9_000.0, 9_004.0) == 9_004.0
+    assert clock.local_ms(1, 1_000.0, 9_504.0) == 9_504.0
+
+
+def test_a_moment_is_written_and_read():
+    assert StoreMoment.parse(str(at(412, era=3))) == at(412, era=3)
+    for text in ("412", "x.1", "1.", "-1.2"):
+        with pytest.raises(ValueError):
+            StoreMoment.parse(text)
--- a/tests/cover/test_freshness_machine.py
+++ b/tests/cover/test_freshness_machine.py
@@ -19,6 +19,7 @@
 from coursekeel.gateway._live_settings import LiveSettings
 from coursekeel.gateway.site._known_site import KnownSite
 from coursekeel.settings import GatewayListen, GatewaySettings
+from tests.common.moments import at
 
 NAMES = ("a", "b", "c")
 KEYS = ("k1", "k2", "k3")
@@ -67,7 +68,7 @@
     def write(self, entry: EndpointRecord | Removed) -> None:
         self.version += 1
         name = entry.entry_id if isinstance(entry, Removed) else entry.endpoint_id
-        self.rows[name] = Versioned(entry, self.version)
+        self.rows[name] = Versioned(entry, at(self.version))
 
     @rule(name=st.sampled_from(NAMES), leaving=st.booleans())
     def an_endpoint_writes_its_row(self, name: str, leaving: bool) -> None:
@@ -95,7 +96,7 @@
             self.lost_for_ms += HOLD_MS
             self.reactor.advance(HOLD_MS / 1000)
             return
-        rows = [each for each in self.rows.values() if each.version > self.seen]
+        rows = [each for each in self.rows.values() if each.moment > at(self.seen)]
         self.read(rows, whole=False, late_ms=late_ms)
 
     @rule(late_ms=st.integers(0, 300))
@@ -113,7 +114,7 @@
             self.lost_for_ms = 0.0
         self.freshness.proved("list", proven_moment_ms(sent_ms, self.now_ms, 0.0))
         self.seen = version
-        self.site.take_endpoints(Reading(tuple(rows), version, self.now_ms, whole))
+        self.site.take_endpoints(Reading(tuple(rows), at(version), self.now_ms, whole))
 
     @rule(key=st.sampled_from(KEYS))
     def a_key_is_taken_away(self, key: str) -> None:
@@ -135,8 +136,10 @@
             read = ForwardingConfiguration(
                 version=version, teams=(Team("t", _digests(keys)),), keyed=True
             )
-            entry = Versioned(read, version)
-            self.site.take_configuration(Reading((entry,), version, self.now_ms, False))
+            entry = Versioned(read, at(version))
+            self.site.take_configuration(
+                Reading((entry,), at(version), self.now_ms, False)
+            )
 
     @rule(wait_ms=st.integers(1, 3_000))
     def time_passes_or_the_process_is_frozen(self, wait_ms: int) -> None:
@@ -153,7 +156,7 @@
     @invariant()
     def what_was_read_as_leaving_takes_nothing(self) -> None:
         for name, row in self.rows.items():
-            if row.version > self.seen or not isinstance(row.entry, EndpointRecord):
+            if row.moment > at(self.seen) or not isinstance(row.entry, EndpointRecord):
                 continue
             taken = self.directory.may_take(name, self.now_ms)
             assert taken is not row.entry.leaving
@@ -161,7 +164,7 @@
     @invariant()
     def what_was_read_as_gone_is_used_only_while_the_list_settles(self) -> None:
         for name, row in self.rows.items():
-            gone = isinstance(row.entry, Removed) and row.version <= self.seen
+            gone = isinstance(row.entry, Removed) and row.moment <= at(self.seen)
             if gone and self.directory.may_take(name, self.now_ms):
                 assert self.reactor.getDelayedCalls()
 
--- a/tests/cover/test_shared_source.py
+++ b/tests/cover/test_shared_source.py
@@ -23,6 +23,7 @@
     encode_reading,
 )
 from tests.common.group_world import TIMERS, Instance, World
+from tests.common.moments import at
 
 ZONES = ["a", "a", "a", "b", "c"]
 
@@ -232,10 +233,10 @@
 
 def test_every_kind_of_entry_comes_through_as_it_was():
     entries = (
-        Versioned(Removed("e1"), 5),
-        Versioned(UnreadableEntry("e2", "slots: got 'x', expected int"), 6),
+        Versioned(Removed("e1"), at(5)),
+        Versioned(UnreadableEntry("e2", "slots: got 'x', expected int"), at(6)),
     )
-    reading = RelayedReading(7, False, 1.5, 2.0, True, entries)
+    reading = RelayedReading(at(7, 2), False, 1.5, 2.0, True, entries)
     assert decode_reading(encode_reading(reading)) == reading
 
 
@@ -296,3 +297,46 @@
 
 GroupMachine.TestCase.settings = settings(max_examples=40, stateful_step_count=20)
 TestGroup = GroupMachine.TestCase
+
+
+def test_a_restored_store_takes_no_key_back_to_life_nor_a_configuration_back():
+    """The copy is of before the revocation; its operator has not written again."""
+    world = World(ZONES)
+    world.run(5_000)
+    before = world.version
+    world.change("k1")
+    world.run(2_000)
+    world.keys, world.version, world.era = world.keys | {"k1"}, before, 1
+    world.run(5_000)
+    for each in world.instances.values():
+        assert not each.acts_on("k1")
+        assert each.acts_on("k2")
+        assert each.feed.configuration_version == before + 1
+
+
+def test_one_that_starts_after_a_restore_learns_what_the_copy_lacks():
+    world = World(ZONES)
+    world.run(5_000)
+    before = world.version
+    world.change("k1")
+    world.run(2_000)
+    world.keys, world.version, world.era = world.keys | {"k1"}, before, 1
+    world.run(3_000)
+    newcomer = world.instances["i4"] = Instance(world, "i4", "c")
+    newcomer.task.start()
+    world.run(2_000)
+    assert newcomer.acts_on("k2")
+    assert not newcomer.acts_on("k1")
+
+
+def test_instances_of_two_eras_find_together():
+    """The store turns one away, which learns of the restore by its neighbours alone."""
+    world = World(ZONES)
+    world.run(5_000)
+    world.away = {"i4"}
+    world.version, world.era = 3, 1
+    world.run(6_000)
+    world.change("k3")
+    world.run(3_000)
+    assert world.instances["i4"].acts_on("k2")
+    assert not any(each.acts_on("k3") for each in world.instances.values())
--- a/tests/cover/test_slowdown_machine.py
+++ b/tests/cover/test_slowdown_machine.py
@@ -9,6 +9,7 @@
 from coursekeel.gateway._retry_budgets import shared_budget
 from coursekeel.routing import Grant, PlacementRequest, Refuse, Router
 from coursekeel.settings import RetryShare
+from tests.common.moments import at
 
 POOL = "p"
 INSTANCES = 9
@@ -32,7 +33,7 @@
         for number in range(ENDPOINTS):
             name, zone = f"e{number}", f"z{number % 3}"
             record = EndpointRecord(name, POOL, "127.0.0.1", number + 1, zone, SLOTS)
-            self.directory.put(record, 1)
+            self.directory.put(record, at(1))
         self.router = Router("z0", self.random, self.directory.may_take)
         self.router.endpoints.configure(
             self.directory.pools(), self.directory.zones(), self.directory.slots()
--- a/tests/cover/test_stream_placement.py
+++ b/tests/cover/test_stream_placement.py
@@ -36,6 +36,7 @@
 from coursekeel.runtime import RoutingTask
 from coursekeel.settings import GatewayListen, GatewaySettings, RetryShare
 from coursekeel.suspects import QuarantineGate
+from tests.common.moments import at
 
 POOL = "engines"
 ROUTE = Route(
@@ -84,7 +85,7 @@
         for number in range(3):
             name, zone = f"e{number}", f"zone-{number}"
             record = EndpointRecord(name, POOL, "127.0.0.1", number + 1, zone, 8)
-            self.directory.put(record, 1)
+            self.directory.put(record, at(1))
         self.router = Router("zone-0", Random(1), self.directory.may_take)
         self.router.endpoints.configure(
             self.directory.pools(), self.directory.zones(), self.directory.slots()
@@ -253,7 +254,7 @@
     before = site.held()
     site.reports.ask_all = Mock()
     task.start()
-    site.directory.remove("e1", 2)
+    site.directory.remove("e1", at(2))
     site.router.sent_to_copy("e1")
     task.tell(Granted("e1"))
     assert site.held() == before
@@ -279,7 +280,7 @@
     had said that it leaves, and went there."""
     site.start(copies=True)
     begin(site, site.client.sinks[0])
-    site.directory.put(evolve(_keeper(site), leaving=True), 2)
+    site.directory.put(evolve(_keeper(site), leaving=True), at(2))
     site.client.sinks[0].ended(Ending.CUT, "reset")
     assert not site.client.sent[1].copy_from
     assert site.client.sent[1].endpoint.endpoint_id != _keeper(site).endpoint_id
@@ -291,8 +292,8 @@
     site.start(copies=True)
     begin(site, site.client.sinks[0])
     old = _keeper(site)
-    site.directory.remove(old.endpoint_id, 2)
-    site.directory.put(evolve(old, endpoint_id="other", pool="plain"), 3)
+    site.directory.remove(old.endpoint_id, at(2))
+    site.directory.put(evolve(old, endpoint_id="other", pool="plain"), at(3))
     site.client.sinks[0].ended(Ending.CUT, "reset")
     assert {send.endpoint.pool for send in site.client.sent} == {POOL}
 
@@ -331,9 +332,9 @@
         case "belief_old":
             site.known.fresh = False
         case "leaving":
-            site.directory.put(evolve(endpoint, leaving=True), 2)
+            site.directory.put(evolve(endpoint, leaving=True), at(2))
         case "gone":
-            site.directory.remove(endpoint.endpoint_id, 2)
+            site.directory.remove(endpoint.endpoint_id, at(2))
         case "too_late":
             site.clock.now_ms = lambda: due_ms
     assert not sink.may_send()
@@ -347,7 +348,7 @@
     monkeypatch.setattr(EndpointHealth, "unreachable", unreachable)
     sink, _ = start(site)
     first = site.client.sent[0].endpoint
-    site.directory.put(evolve(first, leaving=True), 2)
+    site.directory.put(evolve(first, leaving=True), at(2))
     sink.ended(Ending.WITHHELD, "right_lapsed")
     assert len(site.client.sent) == 2
     assert site.client.sent[1].endpoint.endpoint_id != first.endpoint_id
--- a/tests/cover/test_successors.py
+++ b/tests/cover/test_successors.py
@@ -15,6 +15,7 @@
     RouteTable,
 )
 from coursekeel.gateway._adapters import EndpointReport, HeadVerdict
+from tests.common.moments import at
 from tests.cover.test_stream_placement import POOL, Site, begin
 
 OLD = EndpointRecord("old", POOL, "127.0.0.1", 9, "zone-1", 8)
@@ -22,7 +23,7 @@
 
 def directory() -> EndpointDirectory:
     made = EndpointDirectory()
-    made.put(OLD, 5)
+    made.put(OLD, at(5))
     return made
 
 
@@ -37,25 +38,25 @@
 
 def test_one_that_the_list_dropped_is_leaving_and_no_successor():
     made = directory()
-    made.put(evolve(OLD, endpoint_id="new"), 6)
-    made.remove("new", 7)
+    made.put(evolve(OLD, endpoint_id="new"), at(6))
+    made.remove("new", at(7))
     assert made.adopt("old", "new") is None
 
 
 def test_one_that_the_list_calls_leaving_stays_so():
     made = directory()
-    made.put(evolve(OLD, endpoint_id="new", leaving=True), 6)
+    made.put(evolve(OLD, endpoint_id="new", leaving=True), at(6))
     assert made.adopt("old", "new").leaving
     assert not made.may_take("new", 0.0)
 
 
 def test_the_lists_return_keeps_a_successor_that_it_names_and_no_other():
     made = directory()
-    made.put(evolve(OLD, endpoint_id="old2", port=10), 5)
+    made.put(evolve(OLD, endpoint_id="old2", port=10), at(5))
     made.adopt("old", "new")
     made.adopt("old2", "new2")
     made.store_returned()
-    made.put(evolve(OLD, endpoint_id="new"), 8)
+    made.put(evolve(OLD, endpoint_id="new"), at(8))
     assert made.settle() == ["new2"]
     assert made.may_take("new", 0.0)
     assert made.record("new2") is None
--- a/tests/cover/test_suspect_keeper.py
+++ b/tests/cover/test_suspect_keeper.py
@@ -149,3 +149,25 @@
     table.reactor.pump([0.5] * 3)
     assert isinstance(again.verdict(), Barred)
     assert list(table.rows) == ["f"]
+
+
+def test_rows_that_a_restored_store_forgot_are_written_again():
+    """By who saw the endpoints end, and by one of all for those whose writer died."""
+    table = ScriptedTable(FakeReactor())
+    writer = Kept(table)
+    writer.bar("seen")
+    writer.reactor.advance(2)
+    other = Kept(table)
+    other.reactor.advance(1)
+    assert other.quarantine.is_barred("seen")
+    table.rows.clear()
+    other.keeper.store_restored(lambda _: False)
+    other.reactor.advance(2)
+    assert not table.rows
+    writer.keeper.store_restored(lambda _: False)
+    writer.reactor.advance(2)
+    assert list(table.rows) == ["seen"]
+    table.rows.clear()
+    other.keeper.store_restored(lambda each: each == "seen")
+    other.reactor.advance(2)
+    assert list(table.rows) == ["seen"]
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -1,5 +1,7 @@
 """A small stand-in of the users' platform: its store and its servers, one process.
 
+The store names its era in every answer, and comes back from an older copy on order.
+
 `python -m tests.platform.standin SERVERS` prints the ports of its control site, its
 store and its servers. Faults are set over the control site; what ran is read there.
 """
@@ -17,6 +19,7 @@
 from klein import Klein  # noqa: E402
 from twisted.internet import reactor  # noqa: E402
 from twisted.internet.defer import Deferred  # noqa: E402
+from twisted.internet.error import ConnectionAborted  # noqa: E402
 from twisted.internet.task import deferLater  # noqa: E402
 from twisted.web.server import Site  # noqa: E402
 
@@ -35,6 +38,11 @@
     def __init__(self) -> None:
         self.rows: dict[tuple[str, str], dict[str, Any]] = {}
         self.version = 1
+        self.era = 1
+        # What a restore brings back: the rows and the version of a moment.
+        self.copy: tuple[dict[tuple[str, str], dict[str, Any]], int] = ({}, 1)
+        # What an answer names as its era in place of the true one; empty for none.
+        self.era_told: str | None = None
         self.oldest = 0
         self.fault = ""
         self.calls = 0
@@ -59,6 +67,18 @@
         row |= {"gone": True} if value is None else {"value": value}
         self.rows[table, key] = row | {"ver": self.version}
 
+    def take_copy(self) -> None:
+        self.copy = (dict(self.rows), self.version)
+
+    def restore(self) -> None:
+        """Come back from the copy; questions that were held are cut."""
+        rows, self.version = self.copy
+        self.rows = dict(rows)
+        self.era += 1
+        waiting, self.waiting = self.waiting, []
+        for *_, held in waiting:
+            held.errback(ConnectionAborted())
+
     def of(self, table: str) -> list[dict[str, Any]]:
         return [row for (name, _), row in self.rows.items() if name == table]
 
@@ -103,6 +123,9 @@
             if (fault := self._faulted(request)) is not None:
                 return fault
             call = orjson.loads(request.content.read())
+            if (unmet := self._unmet(call["expected-rev"])) is not None:
+                request.setResponseCode(412)
+                return unmet
             for row in call["put"]:
                 self.put_encoded(row["table"], row["key"], row["value"])
             for row in call["remove"]:
@@ -116,7 +139,7 @@
                 return fault
             table = request.args[b"table"][0].decode()
             since = int(request.args[b"since-rev"][0])
-            if since < self.oldest:
+            if since < self.oldest or since > self.version:
                 request.setResponseCode(410)
                 return b"{}"
             if any(r["ver"] > since for (t, _), r in self.rows.items() if t == table):
@@ -126,10 +149,25 @@
             self.waiting.append(waiter)
             wait_s = int(request.args[b"wait-ms"][0]) / 1000
             reactor.callLater(wait_s, self._wait_over, waiter)
-            return held.addCallback(lambda body: self._send(request, body))
+            return held.addCallbacks(
+                lambda body: self._send(request, body), lambda _: self._cut(request)
+            )
 
         return app
 
+    def _cut(self, request: Any) -> Any:
+        request.transport.abortConnection()
+        return Deferred()
+
+    def _unmet(self, expected: list[dict[str, Any]]) -> bytes | None:
+        """The rows as they are where one isn't as a condition says; else None."""
+        rows = [self.rows.get((each["table"], each["key"])) for each in expected]
+        present = [None if each is None or "gone" in each else each for each in rows]
+        versions = [each["ver"] if each else 0 for each in present]
+        if versions == [each["ver"] for each in expected]:
+            return None
+        return self._answer([each for each in present if each])
+
     def _send(self, request: Any, body: bytes) -> Any:
         """Give an answer at the pace of the link."""
         if not self.bytes_per_s:
@@ -169,6 +207,9 @@
 
     def _faulted(self, request: Any) -> Any:
         self.calls += 1
+        told = str(self.era) if self.era_told is None else self.era_told
+        if told:
+            request.setHeader("store-era", told)
         if self.fault.isdigit():
             request.setResponseCode(int(self.fault))
             return b"{}"
@@ -422,6 +463,11 @@
         if body.pop("open_silent", False):
             # What is open is never answered; new connections work.
             store.waiting.clear()
+        if body.pop("copy", False):
+            store.take_copy()
+        if body.pop("restore", False):
+            store.restore()
+        store.era_told = body.pop("era_told", store.era_told)
         if body.pop("compact", False):
             store.oldest = store.version
         store.bytes_per_s = body.pop("bytes_per_s", store.bytes_per_s)
@@ -434,7 +480,8 @@
     @app.route("/store", methods=["GET"])
     def state(request: Any) -> bytes:
         kept = [r["key"] for r in store.of("suspects") if "value" in r]
-        return orjson.dumps({"calls": store.calls, "cut": store.cut, "kept": kept})
+        told = {"calls": store.calls, "cut": store.cut, "kept": kept, "era": store.era}
+        return orjson.dumps(told)
 
     @app.route("/servers/<name>", methods=["POST"])
     def server_faults(request: Any, name: str) -> bytes:
--- a/tests/platform/test_malformed_input.py
+++ b/tests/platform/test_malformed_input.py
@@ -26,6 +26,7 @@
 from coursekeel.gateway.site._follow_task import FollowedTable, FollowTask
 from coursekeel.gateway.site._known_site import KnownSite
 from coursekeel.settings import GatewayListen, GatewaySettings
+from tests.common.moments import at
 from tests.platform.site import ROOT, configuration
 
 sys.path.insert(0, str(ROOT / "platform"))
@@ -241,7 +242,7 @@
 def outcome_of(body: bytes, table: Table, whole: bool) -> Any:
     source = PlatformSource(FakeReactor(), "127.0.0.1:1")
     source._rows._fetcher = Mock(ask=lambda *_: succeed(HttpReply(200, "json", body)))
-    asked = source.read(table, 1.0) if whole else source.follow(table, 1, 1.0, 1.0)
+    asked = source.read(table, 1.0) if whole else source.follow(table, at(1), 1.0, 1.0)
     found: list[Any] = []
     ensureDeferred(asked).addBoth(found.append)
     return found[0]
