One that starts after a restore asks any member for a later configuration

Cause: it asked only those that it would ask for the table.

Change: any member that is alive is asked.

Measured: two of the three cases of test_one_that_starts_after_a_restore_learns_what_the_copy_lacks fail before and pass after.

--- a/src/coursekeel/gateway/members/_shared_source.py
+++ b/src/coursekeel/gateway/members/_shared_source.py
@@ -178,7 +178,8 @@
         """
         if self._compared or not since.era or table is not Table.CONFIGURATION:
             return None
-        for address in self._candidates(table)[:_MOST_ASKED]:
+        others = [each for each in self.swim.alive() if each != self.swim.own]
+        for address in sorted(others, key=self._turn)[:_MOST_ASKED]:
             sent_ms, version = self.clock.now_ms(), self.configuration_version()
             limit_ms = self.terms.slack_ms
             told = await self.members.ask_above(address, version, limit_ms)
--- a/tests/cover/test_shared_source.py
+++ b/tests/cover/test_shared_source.py
@@ -314,15 +314,18 @@
         assert each.feed.configuration_version == before + 1
 
 
-def test_one_that_starts_after_a_restore_learns_what_the_copy_lacks():
-    world = World(ZONES)
+@pytest.mark.parametrize("zones", [ZONES, ["a"] * 5, ["a", "a"]])
+def test_one_that_starts_after_a_restore_learns_what_the_copy_lacks(zones):
+    """Also one that is to ask for its zone, and so has nobody to ask for it."""
+    world = World(zones)
     world.run(5_000)
     before = world.version
     world.change("k1")
     world.run(2_000)
     world.keys, world.version, world.era = world.keys | {"k1"}, before, 1
     world.run(3_000)
-    newcomer = world.instances["i4"] = Instance(world, "i4", "c")
+    last = f"i{len(zones) - 1}"
+    newcomer = world.instances[last] = Instance(world, last, zones[-1])
     newcomer.task.start()
     world.run(2_000)
     assert newcomer.acts_on("k2")
