Roll-outs: a new version is tried on few requests and judged by all

Cause: an order of a roll-out was passed over in silence, and new versions got requests like any endpoint.

Change: a package of cores (orders, shares, counters that only grow, a sequential judge, the conductor with its chart) and a thin task. Two members chosen by hashing conduct; all report to them each half second and obey their rulings. What is condemned gets nothing more, also while the store is away; the record follows under a condition. Before the deadline all new requests go to the new version, and `completed` is written once nothing runs at the old.

Ways: shares that grow with the evidence lose against versions that turn bad late, since the bound counts all requests; a lease for one conductor costs its term; everybody judging costs the square of the members in datagrams.

--- /dev/null
+++ b/src/coursekeel/canary/__init__.py
@@ -0,0 +1,57 @@
+"""Roll-outs: a new version is tried on few requests, judged, and completed or not."""
+
+from coursekeel.canary._conductor import CONDUCTORS, Conductor
+from coursekeel.canary._judge import Judge, SequentialJudge
+from coursekeel.canary._messages import (
+    CANARY_MARK,
+    RolloutMessage,
+    RolloutReport,
+    Ruling,
+    UnreadableRollout,
+    decode_rollout,
+    encode_report,
+    encode_ruling,
+)
+from coursekeel.canary._model import (
+    CanaryBounds,
+    Phase,
+    RecordConflict,
+    RecordFailed,
+    RecordState,
+    RolloutOrder,
+    RolloutRecord,
+    RolloutRecords,
+    Side,
+)
+from coursekeel.canary._rollouts import PoolRollout, Rollouts
+from coursekeel.canary._tally import Evidence, RowKey, Tally, row_of
+
+__all__ = [
+    "CANARY_MARK",
+    "CONDUCTORS",
+    "CanaryBounds",
+    "Conductor",
+    "Evidence",
+    "Judge",
+    "Phase",
+    "PoolRollout",
+    "RecordConflict",
+    "RecordFailed",
+    "RecordState",
+    "RolloutMessage",
+    "RolloutOrder",
+    "RolloutRecord",
+    "RolloutRecords",
+    "RolloutReport",
+    "Rollouts",
+    "RowKey",
+    "Ruling",
+    "SequentialJudge",
+    "Side",
+    "Tally",
+    "UnreadableRollout",
+    "decode_rollout",
+    "encode_report",
+    "encode_ruling",
+    "row_of",
+]
--- a/src/coursekeel/forwarding/_directory.py
+++ b/src/coursekeel/forwarding/_directory.py
@@ -145,6 +145,10 @@
         """The endpoint's record, if it is still listed."""
         return self._records.get(endpoint_id)
 
+    def known(self, endpoint_id: str) -> tuple[EndpointRecord, StoreMoment]:
+        """A listed endpoint's record, and since when the list says so."""
+        return self._records[endpoint_id], self._moment_of(endpoint_id)
+
     def at_address(self, address: str) -> EndpointRecord | None:
         """The newest incarnation listed at an address."""
         there = [each for each in self._records.values() if each.address == address]
--- a/src/coursekeel/forwarding/_model.py
+++ b/src/coursekeel/forwarding/_model.py
@@ -133,7 +133,10 @@
 
 @frozen
 class EndpointRecord:
-    """One incarnation of an endpoint, as the list of endpoints tells of it."""
+    """One incarnation of an endpoint, as the list of endpoints tells of it.
+
+    ``version`` is of its software, empty if it doesn't say.
+    """
 
     endpoint_id: str
     pool: str
@@ -142,6 +145,7 @@
     zone: str = ""
     slots: int = 0
     leaving: bool = False
+    version: str = ""
 
     @property
     def address(self) -> str:
--- a/src/coursekeel/gateway/_adapters.py
+++ b/src/coursekeel/gateway/_adapters.py
@@ -10,6 +10,7 @@
 
 from attrs import frozen
 
+from coursekeel.canary import RolloutOrder
 from coursekeel.fetch import ExchangeHead, Transfer
 from coursekeel.forwarding import (
     EndpointRecord,
@@ -170,7 +171,10 @@
 
 
 class Table(Enum):
-    """What a gateway follows in the site's store."""
+    """What a gateway follows in the site's store.
+
+    The configuration's table holds the orders of roll-outs too.
+    """
 
     CONFIGURATION = "configuration"
     ENDPOINTS = "endpoints"
@@ -199,7 +203,13 @@
 class Versioned:
     """An entry as of a moment of the store."""
 
-    entry: ForwardingConfiguration | EndpointRecord | Removed | UnreadableEntry
+    entry: (
+        ForwardingConfiguration
+        | EndpointRecord
+        | RolloutOrder
+        | Removed
+        | UnreadableEntry
+    )
     moment: StoreMoment
 
 
--- a/src/coursekeel/gateway/_context.py
+++ b/src/coursekeel/gateway/_context.py
@@ -14,6 +14,7 @@
 from coursekeel.gateway.endpoints._crash_watch import CrashWatch
 from coursekeel.gateway.endpoints._endpoint_client import EndpointClient
 from coursekeel.gateway.endpoints._endpoint_health import EndpointHealth
+from coursekeel.gateway.rollouts._version_choice import VersionChoice
 from coursekeel.gateway.site._known_site import KnownSite
 from coursekeel.reactor import Reactor
 from coursekeel.runtime import Clock, RoutingTask
@@ -38,4 +39,5 @@
     metrics: GatewayMetrics
     quarantine: QuarantineGate
     crashes: CrashWatch
+    versions: VersionChoice = field(factory=VersionChoice)
     lengths: StreamLengths = field(factory=StreamLengths)
--- a/src/coursekeel/gateway/_gateway.py
+++ b/src/coursekeel/gateway/_gateway.py
@@ -13,6 +13,7 @@
 from attrs import define, field
 from twisted.internet.task import deferLater
 
+from coursekeel.canary import CanaryBounds, RolloutRecords, Rollouts
 from coursekeel.fetch import OwnLink
 from coursekeel.forwarding import EndpointDirectory, Freshness, StoreClock
 from coursekeel.gateway._adapters import (
@@ -39,6 +40,8 @@
 from coursekeel.gateway.endpoints._endpoint_health import EndpointHealth
 from coursekeel.gateway.endpoints._load_reports import LoadReports
 from coursekeel.gateway.members._group import Group
+from coursekeel.gateway.rollouts._rollout_task import RolloutTask, report_period_ms
+from coursekeel.gateway.rollouts._version_choice import VersionChoice
 from coursekeel.gateway.site._follow_task import FollowedTable, FollowTask
 from coursekeel.gateway.site._known_site import KnownSite
 from coursekeel.gateway.streams._successors import Successors
@@ -83,6 +86,7 @@
     endpoints: EndpointDialect
     link: OwnLink
     suspect_table: SuspectTable
+    rollout_records: RolloutRecords
     read_settings: Callable[[], GatewaySettings] | None = None
     clock: Clock = field(factory=Clock)
     shutdown: Shutdown = field(factory=Shutdown)
@@ -92,6 +96,7 @@
     _keeper: SuspectKeeper = field(init=False)
     _site: KnownSite = field(init=False)
     _hold: StartHold = field(factory=StartHold)
+    _rollouts: RolloutTask = field(init=False)
     _metrics: GatewayMetrics = field(init=False)
     _dispatcher: Dispatcher = field(init=False)
     _follow_tasks: list[FollowTask] = field(init=False)
@@ -125,6 +130,13 @@
             self.link,
             quarantine,
             self._keeper.changed,
+            lambda message: self._rollouts.received(message),
+        )
+        canary = self.settings.canary
+        rollouts = Rollouts(
+            CanaryBounds(canary.share, canary.slack, canary.rollback_ms),
+            random,
+            self._report_period_ms,
         )
         self._site = KnownSite(
             self.reactor,
@@ -135,6 +147,20 @@
             self._group.store_is_away_for_all,
             freshness,
             self._hold,
+            rollouts,
+            lambda: self._rollouts.ordered(),
+        )
+        self._rollouts = RolloutTask(
+            self.reactor,
+            self.clock,
+            self._group.swim,
+            rollouts,
+            self._site,
+            self._router,
+            self.rollout_records,
+            self.settings.timers.store_ms,
+            self._report_period_ms,
+            self._group.send,
         )
         self._metrics = GatewayMetrics(self.clock)
         client = EndpointClient(
@@ -166,6 +192,7 @@
                 gate,
                 self._metrics,
             ),
+            VersionChoice(self.clock, rollouts, self._router),
         )
         reports = LoadReports(context)
         self._dispatcher = Dispatcher(
@@ -191,6 +218,7 @@
                 _needs_no_settling,
                 self._hold.failed,
                 self._store_restored,
+                site.orders_proved,
             ),
             FollowedTable(
                 Table.ENDPOINTS,
@@ -219,8 +247,13 @@
             for each in self._followed_tables()
         ]
 
+    def _report_period_ms(self) -> float:
+        members = self._group.members or 1
+        return report_period_ms(members, self._live.now.canary.rollback_ms)
+
     def _store_restored(self) -> None:
         """The store forgot what was written since its copy was made."""
+        self._rollouts.store_restored()
         self._keeper.store_restored(self._group.is_mine)
 
     def _add_gauges(self) -> None:
@@ -349,6 +382,7 @@
         log_event("gateway_drained", open_requests=dispatcher.open_requests)
         await self._close_connections(window.last_ms)
         self._keeper.stop()
+        self._rollouts.stop()
         for task in self._follow_tasks:
             task.stop()
         log_event("gateway_stopped", open_requests=dispatcher.open_requests)
--- a/src/coursekeel/gateway/members/_group.py
+++ b/src/coursekeel/gateway/members/_group.py
@@ -10,6 +10,7 @@
 
 from attrs import define, field
 
+from coursekeel.canary import RolloutMessage
 from coursekeel.fetch import Fetcher, OwnLink, Transfer
 from coursekeel.forwarding import Freshness
 from coursekeel.gateway._adapters import STORE_TRANSFER, Source, Table
@@ -51,6 +52,7 @@
     link: OwnLink
     quarantine: Quarantine
     bar_changed: Callable[[QuarantineEvent], None]
+    rollout_told: Callable[[RolloutMessage], None]
     swim: Swim = field(init=False)
     source: SharedSource = field(init=False)
     feeds: dict[Table, TableFeed] = field(init=False)
@@ -83,6 +85,7 @@
             gossip,
             self._proven_ms,
             self.bar_changed,
+            self.rollout_told,
         )
 
     def _make_source(self) -> SharedSource:
@@ -128,6 +131,10 @@
         if self.swim.own:
             self._task.stop()
 
+    def send(self, address: str, data: bytes) -> None:
+        """Give a datagram to a member."""
+        self._task.send(address, data)
+
     def tell_suspects(self, records: list[SuspectRecord]) -> None:
         """Tell all others what this instance learned of suspect requests."""
         self._task.tell_suspects(records)
--- a/src/coursekeel/gateway/members/_group_task.py
+++ b/src/coursekeel/gateway/members/_group_task.py
@@ -13,6 +13,12 @@
 from attrs import define, field
 from twisted.internet.protocol import DatagramProtocol
 
+from coursekeel.canary import (
+    CANARY_MARK,
+    RolloutMessage,
+    UnreadableRollout,
+    decode_rollout,
+)
 from coursekeel.group import (
     Outgoing,
     Swim,
@@ -53,7 +59,8 @@
     """Sends and receives what `Swim` and `QuarantineGossip` say.
 
     ``proven_ms`` gives the moments of this instance's own proofs, by table;
-    ``bar_changed`` is told of each request that is barred, or no longer.
+    ``bar_changed`` is told of each request that is barred, or no longer, and
+    ``rollout_told`` of what members say of roll-outs.
     """
 
     reactor: Reactor
@@ -62,6 +69,7 @@
     gossip: QuarantineGossip
     proven_ms: Callable[[], dict[str, float]]
     bar_changed: Callable[[QuarantineEvent], None]
+    rollout_told: Callable[[RolloutMessage], None]
     _ticks: Periodic = field(init=False)
     _refused: int = 0
     _refusals_told_ms: float = float("-inf")
@@ -94,7 +102,15 @@
             self._tell(self.gossip.learned(records, self.clock.now_ms()))
         self._log_events()
 
+    def send(self, address: str, data: bytes) -> None:
+        """Send a datagram that somebody else wrote."""
+        if self.transport is not None:
+            self._write(address, data)
+
     def datagramReceived(self, data: bytes, addr: Any) -> None:
+        if data.startswith(CANARY_MARK):
+            self._take_rollout(data, addr)
+            return
         marked = data.startswith(MARK)
         message = decode_quarantine(data) if marked else decode_message(data)
         fault = self._fault_of(message, addr)
@@ -109,13 +125,29 @@
             self._tell(self.gossip.received(message, now_ms))
         self._log_events()
 
+    def _take_rollout(self, data: bytes, addr: Any) -> None:
+        read = decode_rollout(data)
+        if isinstance(read, UnreadableRollout):
+            self._refuse(read.fault, addr)
+            return
+        group, message = read
+        fault = self._stranger(group, message.sender, addr)
+        if fault:
+            self._refuse(fault, addr)
+        else:
+            self.rollout_told(message)
+
     def _fault_of(self, message: _Message, addr: Any) -> str:
         if isinstance(message, UnreadableMessage | UnreadableQuarantine):
             return message.fault
-        if message.group != self.swim.group:
-            return f"group: got {message.group!r:.60}, expected {self.swim.group!r:.60}"
-        if message.sender != f"{addr[0]}:{addr[1]}":
-            return f"sender: got {message.sender!r:.60}, expected the datagram's own"
+        return self._stranger(message.group, message.sender, addr)
+
+    def _stranger(self, group: str, sender: str, addr: Any) -> str:
+        """Why a message isn't from who it names; empty if it is."""
+        if group != self.swim.group:
+            return f"group: got {group!r:.60}, expected {self.swim.group!r:.60}"
+        if sender != f"{addr[0]}:{addr[1]}":
+            return f"sender: got {sender!r:.60}, expected the datagram's own"
         return ""
 
     def _refuse(self, fault: str, addr: Any) -> None:
--- a/src/coursekeel/gateway/members/_reading_codec.py
+++ b/src/coursekeel/gateway/members/_reading_codec.py
@@ -16,6 +16,7 @@
 import orjson
 from attrs import define, field, frozen
 
+from coursekeel.canary import RolloutOrder
 from coursekeel.forwarding import (
     EndpointRecord,
     ForwardingConfiguration,
@@ -66,11 +67,12 @@
 
 @frozen
 class _EntryForm:
-    """One entry; exactly one of the last four is given."""
+    """One entry; exactly one of the last five is given."""
 
     moment: StoreMoment
     configuration: ForwardingConfiguration | None = None
     endpoint: EndpointRecord | None = None
+    order: RolloutOrder | None = None
     removed: Removed | None = None
     unreadable: UnreadableEntry | None = None
 
@@ -96,6 +98,7 @@
     RequestLimits,
     ForwardingConfiguration,
     EndpointRecord,
+    RolloutOrder,
     Removed,
     UnreadableEntry,
     _EntryForm,
@@ -159,6 +162,8 @@
             return _EntryForm(moment, configuration=entry)
         case EndpointRecord():
             return _EntryForm(moment, endpoint=entry)
+        case RolloutOrder():
+            return _EntryForm(moment, order=entry)
         case Removed():
             return _EntryForm(moment, removed=entry)
         case UnreadableEntry():
@@ -166,7 +171,13 @@
 
 
 def _entry_of(form: _EntryForm) -> Versioned:
-    given = (form.configuration, form.endpoint, form.removed, form.unreadable)
+    given = (
+        form.configuration,
+        form.endpoint,
+        form.order,
+        form.removed,
+        form.unreadable,
+    )
     entries = [each for each in given if each is not None]
     if len(entries) != 1:
         raise ValueError(f"got {len(entries)} kinds of entry, expected 1")
--- a/src/coursekeel/gateway/members/_table_feed.py
+++ b/src/coursekeel/gateway/members/_table_feed.py
@@ -17,6 +17,7 @@
 
 from attrs import define, evolve, field, frozen
 
+from coursekeel.canary import RolloutOrder
 from coursekeel.forwarding import (
     EndpointRecord,
     ForwardingConfiguration,
@@ -38,8 +39,9 @@
 # Chosen, not measured.
 _ASKED_LATELY_MS = 3_000.0
 
-# The one row of the table of configurations.
+# The one configuration, and what its table's orders of roll-outs are kept under.
 _CONFIGURATION = "configuration"
+_ORDER = "rollout/"
 
 
 @frozen
@@ -201,6 +203,8 @@
         return _CONFIGURATION
     if isinstance(entry, EndpointRecord):
         return entry.endpoint_id
+    if isinstance(entry, RolloutOrder):
+        return _ORDER + entry.pool
     return entry.entry_id
 
 
--- a/src/coursekeel/gateway/site/_follow_task.py
+++ b/src/coursekeel/gateway/site/_follow_task.py
@@ -65,7 +65,8 @@
     for ``gathering_ms``. ``take`` puts a reading in force. After failures ``came_back``
     is told how old the last proof was, in ms, before the reading is taken. ``failed``
     is told of each question that brought nothing, ``restored`` before the first
-    reading of a later era is taken.
+    reading of a later era is taken, and ``proved`` up to which moment all of the
+    table is known.
     """
 
     table: Table
@@ -75,6 +76,7 @@
     came_back: Callable[[float], None]
     failed: Callable[[], None] = _unheard
     restored: Callable[[], None] = _unheard
+    proved: Callable[[StoreMoment], None] = lambda _: None
 
 
 @define(eq=False)
@@ -218,6 +220,7 @@
         if reading.entries or reading.whole:
             self._changes += 1
             self.followed.take(reading)
+        self.followed.proved(reading.moment)
         self.feed.took(reading, moment_ms)
 
     def _proven_ms(
--- a/src/coursekeel/gateway/site/_known_site.py
+++ b/src/coursekeel/gateway/site/_known_site.py
@@ -1,5 +1,7 @@
 """What an instance knows of its site: routes and keys, endpoints, and how fresh.
 
+Which of a pool's endpoints may serve during a roll-out, `Rollouts` says.
+
 Owns the route table, the directory of endpoints and the moments at which the store last
 proved them. Each reading is in force when the method that takes it returns. Relies on
 `FollowTask` for the readings, and tells routing of every change of the endpoints.
@@ -11,10 +13,12 @@
 import logging
 import math
 from collections.abc import Callable
+from random import Random
 from typing import Any
 
 from attrs import define, field
 
+from coursekeel.canary import CanaryBounds, RolloutOrder, Rollouts
 from coursekeel.forwarding import (
     EndpointDirectory,
     EndpointRecord,
@@ -46,10 +50,18 @@
 _LISTED_WITHIN_S = 6.0
 
 
+# What the configuration's table holds an order under.
+_ORDER = "rollout/"
+
+
 def _never() -> bool:
     return False
 
 
+def _no_orders() -> Rollouts:
+    return Rollouts(CanaryBounds(), Random(0), lambda: 0.0)
+
+
 @define(eq=False)
 class KnownSite:
     """The routes, keys and endpoints that are in force here."""
@@ -62,10 +74,14 @@
     away_for_all: Callable[[], bool] = _never
     freshness: Freshness = field(factory=Freshness)
     hold: StartHold = field(factory=StartHold)
+    rollouts: Rollouts = field(factory=_no_orders)
+    ordered: Callable[[], None] = lambda: None
     routes: RouteTable | None = None
     endpoints_read: bool = False
     _endpoints_era: int = 0
+    _orders_era: int = 0
     _settling: Any = None
+    _tried_pools: dict[str, str] = field(factory=dict)
 
     # Routes and keys.
 
@@ -113,14 +129,45 @@
         return self.routes.team(call.caller.key) is not None
 
     def take_configuration(self, reading: Reading) -> None:
-        """Take a configuration; one that isn't newer is passed over."""
+        """Take a configuration and orders; what isn't newer is passed over."""
+        restored = reading.moment.era > self._orders_era
+        self._orders_era = reading.moment.era
+        if reading.whole and not restored:
+            # An order that a copy lacks is written again.
+            orders = [e.entry for e in reading.entries]
+            kept = [e.pool for e in orders if isinstance(e, RolloutOrder)]
+            self.rollouts.withdrawn(kept)
         for each in reading.entries:
             match each.entry:
                 case ForwardingConfiguration():
                     self._put_in_force(each.entry)
+                case RolloutOrder():
+                    self._take_order(each.entry, each.moment)
+                case Removed() if each.entry.entry_id.startswith(_ORDER):
+                    self.rollouts.withdrawn_one(each.entry.entry_id[len(_ORDER) :])
+                    self.tell_routing()
                 case UnreadableEntry():
                     _log_unreadable(Table.CONFIGURATION, each.entry, each.moment)
 
+    def _take_order(self, order: RolloutOrder, moment: StoreMoment) -> None:
+        begun = self.rollouts.ordered(order, moment, self.clock.now_ms())
+        if begun is None:
+            return
+        log_event(
+            "rollout_ordered",
+            pool=order.pool,
+            target=order.target,
+            within_ms=round(order.duration_ms),
+            moment=moment,
+        )
+        self.tell_routing()
+        self.ordered()
+
+    def orders_proved(self, moment: StoreMoment) -> None:
+        """All orders up to a moment are known."""
+        if self.rollouts.orders_read(moment):
+            self.tell_routing()
+
     def _put_in_force(self, configuration: ForwardingConfiguration) -> None:
         routes = self.routes
         if routes and configuration.version <= routes.configuration.version:
@@ -131,7 +178,7 @@
             version=configuration.version,
             routes=len(configuration.routes),
         )
-        self._tell_routing()
+        self.tell_routing()
         self._tell_hold()
 
     # Endpoints.
@@ -146,7 +193,7 @@
         else:
             for each in reading.entries:
                 self._take_change(each)
-        self._tell_routing()
+        self.tell_routing()
         self._tell_hold()
 
     def _tell_hold(self) -> None:
@@ -206,12 +253,12 @@
     def _settled(self) -> None:
         for endpoint_id in self.directory.settle():
             log_event("endpoint_gone", endpoint=endpoint_id, reason="not_back")
-        self._tell_routing()
+        self.tell_routing()
 
     def endpoint_replaced(self, endpoint_id: str) -> None:
         """Another incarnation answered at the endpoint's address: this one is over."""
         self.directory.replaced(endpoint_id)
-        self._tell_routing()
+        self.tell_routing()
 
     def adopt(self, endpoint_id: str, successor_id: str) -> EndpointRecord | None:
         """Take the endpoint that has another's address now; None if it may not be."""
@@ -224,7 +271,7 @@
             self.reactor.callLater(
                 _LISTED_WITHIN_S, self._look_for_adopted, successor_id, now_ms
             )
-            self._tell_routing()
+            self.tell_routing()
         return record
 
     def _look_for_adopted(self, successor_id: str, adopted_ms: float) -> None:
@@ -235,17 +282,22 @@
         if proven_ms >= adopted_ms + _LISTED_WITHIN_S * MS_PER_SECOND:
             log_event("endpoint_gone", endpoint=successor_id, reason="not_listed")
             self.directory.disown(successor_id)
-            self._tell_routing()
+            self.tell_routing()
             return
         self.reactor.callLater(
             _LISTED_WITHIN_S, self._look_for_adopted, successor_id, adopted_ms
         )
 
-    def _tell_routing(self) -> None:
-        directory = self.directory
-        self.routing.router.endpoints.configure(
-            directory.pools(), directory.zones(), directory.slots()
-        )
+    def tell_routing(self) -> None:
+        """Tell routing which endpoints may serve which pool now."""
+        directory, router = self.directory, self.routing.router
+        pools = self.rollouts.split(directory.pools(), directory.known)
+        router.endpoints.configure(pools, directory.zones(), directory.slots())
+        for tried, pool in self._tried_pools.items():
+            if tried not in pools:
+                router.move(tried, pool)
+        orders = self.rollouts.by_pool.items()
+        self._tried_pools = {rollout.tried_pool: pool for pool, rollout in orders}
         self.routing.review()
 
 
--- a/src/coursekeel/gateway/streams/_placement.py
+++ b/src/coursekeel/gateway/streams/_placement.py
@@ -100,12 +100,13 @@
     ) -> PlacementRequest:
         call, caller = self.call, self.call.caller
         begun = action.continuing or action.held_tokens > 0
+        first = not begun and self._request is None
         tokens = caller.prompt_tokens + caller.output_tokens
         return PlacementRequest(
             team=call.team_name,
             request_class=call.route.name,
             rank=call.rank,
-            pool=call.pool,
+            pool=self.context.versions.pool_for(call, first),
             cost=float(tokens) or _UNKNOWN_COST,
             deadline_ms=call.due_ms if begun else queue_deadline_ms(call, now_ms),
             prompt_tokens=caller.prompt_tokens,
@@ -152,7 +153,7 @@
         record = directory.at_address(self._copies.get(action.endpoint_id, ""))
         if record is None or record.leaving or record.pool != self.call.pool:
             return None
-        return record
+        return record if self.context.versions.may_have(record) else None
 
     def place_copy(self, action: OpenAttempt) -> EndpointRecord | None:
         """Choose who keeps a copy of a run; None if nobody does."""
--- a/src/coursekeel/gateway/streams/_stream_attempt.py
+++ b/src/coursekeel/gateway/streams/_stream_attempt.py
@@ -192,6 +192,9 @@
         if load is not None and not self.from_copy:
             waited_ms = self._first_ms - self.started_ms
             load.reading.began(task.call.caller.prompt_tokens, waited_ms)
+        if not self.from_copy:
+            took_ms = self._first_ms - self.started_ms
+            task.context.versions.first_event(task.call, self.endpoint_id, took_ms)
         router.succeeded(self.endpoint_id, task.call.route.name)
 
     def _take(self, numbers: list[int], events: list[bytes]) -> None:
@@ -221,10 +224,16 @@
         task = self.task
         label = task.core.attempts[self.number].label
         position = task.core.ledger.next_position
+        self._tell_versions(failed=False)
         self._release(failed=False)
         task.attempt_over(self.number)
         task.tell(FinishArrived(self.number, label, position, "end"))
 
+    def _tell_versions(self, failed: bool) -> None:
+        context = self.task.context
+        took_ms = context.clock.now_ms() - self.started_ms
+        context.versions.ended(self.task.call, self.endpoint_id, failed, took_ms)
+
     def _other_answer(self, head: ExchangeHead, ending: Ending) -> None:
         task = self.task
         verdict = self._verdict(head)
@@ -233,6 +242,7 @@
         elif verdict is HeadVerdict.NOT_RUN:
             self._turned_away()
         elif self._is_final(verdict, head, ending):
+            self._tell_versions(head.status >= HTTPStatus.INTERNAL_SERVER_ERROR)
             self._release(failed=False)
             task.attempt_over(self.number)
             task.answered_otherwise(head, bytes(self._buffer))
--- a/src/coursekeel/gateway/streams/_stream_task.py
+++ b/src/coursekeel/gateway/streams/_stream_task.py
@@ -231,6 +231,8 @@
             return False
         if context.clock.now_ms() >= self.call.due_ms:
             return False
+        if not context.versions.may_have(record):
+            return False
         may_act = context.site.may_still_send(self.call, self._begun)
         return may_act and self._pass.may_send()
 
@@ -315,8 +317,17 @@
         """An attempt was lost before the answer was whole."""
         self._caller.lost(lost, self.core.ledger.next_position)
         self._placement.lost(lost.endpoint_id)
+        self._tell_versions(lost)
         self.context.crashes.run_lost(self.call, lost)
 
+    def _tell_versions(self, lost: LostRun) -> None:
+        """A failure that the endpoint said is its own; others may share a cause."""
+        versions = self.context.versions
+        if lost.why.startswith("status_"):
+            versions.ended(self.call, lost.endpoint_id, True, 0.0)
+        else:
+            versions.lost(self.call, lost.endpoint_id)
+
     # Ends.
 
     def _complete(self) -> None:
--- a/src/coursekeel/gateway/whole/_whole_task.py
+++ b/src/coursekeel/gateway/whole/_whole_task.py
@@ -122,7 +122,7 @@
             team=self.call.team_name,
             request_class=self.call.route.name,
             rank=self.call.rank,
-            pool=self.call.pool,
+            pool=self.context.versions.pool_for(self.call, not self._tried),
             cost=_CALL_COST,
             deadline_ms=queue_deadline_ms(self.call, now_ms),
             excluded=frozenset(self._tried),
@@ -178,7 +178,9 @@
     def may_still_send(self, endpoint_id: str) -> bool:
         """Say whether the request may be sent there, now that its connection stands."""
         record = self._reachable(endpoint_id)
-        return record is not None and not record.leaving and not self._refused_code()
+        if record is None or record.leaving:
+            return False
+        return self.context.versions.may_have(record) and not self._refused_code()
 
     def _give_back(self, endpoint_id: str) -> None:
         prompt_tokens = self.call.caller.prompt_tokens
--- a/src/coursekeel/gateway/whole/_whole_try.py
+++ b/src/coursekeel/gateway/whole/_whole_try.py
@@ -72,6 +72,7 @@
         outcome = self._outcome(ending, reason)
         failed = not isinstance(outcome, ServiceReply) or outcome.failed
         self._log(outcome)
+        self._tell_versions(outcome)
         if ending in (Ending.CUT, Ending.NO_ANSWER):
             self._tell_lost(reason)
         if not failed:
@@ -127,6 +128,15 @@
             return
         self.context.metrics.try_ended(self.call, self.endpoint_id, result)
 
+    def _tell_versions(self, outcome: ServiceReply | SendOutcome) -> None:
+        """What an endpoint turned away says nothing of its version."""
+        versions = self.context.versions
+        if isinstance(outcome, ServiceReply):
+            took_ms = self.context.clock.now_ms() - self._started_ms
+            versions.ended(self.call, self.endpoint_id, outcome.failed, took_ms)
+        elif outcome is SendOutcome.MAYBE_SENT:
+            versions.lost(self.call, self.endpoint_id)
+
     def _tell_lost(self, reason: str) -> None:
         ran_ms = None
         if self._head is not None:
@@ -140,6 +150,7 @@
         self._exchange.abort()
         self._release(failed=True)
         self._log(SendOutcome.MAYBE_SENT)
+        self.context.versions.ended(self.call, self.endpoint_id, True, 0.0)
         self.owner.try_ended(SendOutcome.MAYBE_SENT)
 
     def _release(self, failed: bool) -> None:
--- a/src/coursekeel/routing/_known_endpoints.py
+++ b/src/coursekeel/routing/_known_endpoints.py
@@ -65,6 +65,10 @@
         """Say whether any endpoint is known for the pool, able or not."""
         return bool(self._by_pool.get(pool))
 
+    def has_room(self, pool: str, now_ms: float) -> bool:
+        """Say whether one of the pool's endpoints could take a request now."""
+        return any(load.limit.free for load in self._able(pool, now_ms))
+
     def lost(self, pool: str, endpoint_id: str, now_ms: float) -> None:
         """An endpoint was found dead, or lost a run; its zone may be failing."""
         load = self._loads.get(endpoint_id)
--- a/src/coursekeel/routing/_queue.py
+++ b/src/coursekeel/routing/_queue.py
@@ -56,6 +56,10 @@
                     return request
         return None
 
+    def requests(self) -> list[PlacementRequest]:
+        """All that wait, team by team."""
+        return [each for team in self._teams.values() for each in team.waiting]
+
     def head(self) -> PlacementRequest | None:
         """The request whose turn it is; asking again gives the same one."""
         while self._turns:
--- a/src/coursekeel/routing/_router.py
+++ b/src/coursekeel/routing/_router.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from random import Random
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from coursekeel.routing._budget import RetryBudget
 from coursekeel.routing._forecast import Forecast, RefusalTerms
@@ -126,6 +126,13 @@
             if queue.remove(number) is not None:
                 return
 
+    def move(self, pool: str, to: str) -> None:
+        """What waits for a pool that is no more waits for another."""
+        for key in [each for each in self._queues if each[2] == pool]:
+            for request in self._queues.pop(key).requests():
+                moved = evolve(request, pool=to)
+                self._queue_of(moved).add(moved)
+
     def review(self, now_ms: float) -> list[Decision]:
         """Grant what can be granted and refuse what has waited too long."""
         decisions: list[Decision] = []
--- a/src/coursekeel/settings/__init__.py
+++ b/src/coursekeel/settings/__init__.py
@@ -1,6 +1,7 @@
 """An entry's settings: one checked, frozen value read from JSON with comments."""
 
 from coursekeel.settings._gateway import (
+    CanaryShare,
     GatewayListen,
     GatewaySettings,
     GatewayTimers,
@@ -26,6 +27,7 @@
 
 __all__ = [
     "PROFILES",
+    "CanaryShare",
     "EntrySettings",
     "GatewayListen",
     "GatewaySettings",
--- a/src/coursekeel/settings/_gateway.py
+++ b/src/coursekeel/settings/_gateway.py
@@ -8,7 +8,13 @@
 
 from coursekeel.units import MS_PER_SECOND
 
-__all__ = ["GatewayListen", "GatewaySettings", "GatewayTimers", "RetryShare"]
+__all__ = [
+    "CanaryShare",
+    "GatewayListen",
+    "GatewaySettings",
+    "GatewayTimers",
+    "RetryShare",
+]
 
 
 # Shares of `revoke_ms`. A proof is at most a hold old when the store goes, so an
@@ -180,6 +186,19 @@
     window_s: float = field(default=10, metadata={"least": 1})
 
 
+@frozen
+class CanaryShare:
+    """What a version that is tried may get, over all instances.
+
+    ``share`` is of its pool's requests, ``slack`` a number beside that. Nothing more
+    may be sent to it ``rollback_ms`` after its fiftieth bad answer.
+    """
+
+    share: float = field(default=0.1, metadata={"least": 0, "most": 1})
+    slack: float = field(default=50, metadata={"least": 0})
+    rollback_ms: float = field(default=5_000, metadata={"least": 1_000})
+
+
 @frozen
 class GatewaySettings:
     """Everything a gateway is told. ``zone`` is its availability zone.
@@ -194,6 +213,7 @@
     store: str
     timers: GatewayTimers = field(factory=GatewayTimers)
     retries: RetryShare = field(factory=RetryShare)
+    canary: CanaryShare = field(factory=CanaryShare)
     max_open_requests: int = field(default=1_000, metadata={"least": 1})
     log_level: str = "INFO"
     seed: int | None = None
--- a/src/coursekeel/settings/_load.py
+++ b/src/coursekeel/settings/_load.py
@@ -13,6 +13,7 @@
 
 from coursekeel.errors import SettingsInvalid
 from coursekeel.settings._gateway import (
+    CanaryShare,
     GatewayListen,
     GatewaySettings,
     GatewayTimers,
@@ -53,7 +54,13 @@
         Limits,
         EntrySettings,
     ),
-    GatewaySettings: (GatewayListen, GatewayTimers, RetryShare, GatewaySettings),
+    GatewaySettings: (
+        GatewayListen,
+        GatewayTimers,
+        RetryShare,
+        CanaryShare,
+        GatewaySettings,
+    ),
 }
 
 
--- a/tests/cover/test_charts.py
+++ b/tests/cover/test_charts.py
@@ -5,7 +5,7 @@
 from coursekeel.charts import load_chart, parse_chart
 from coursekeel.errors import ChartError, InvariantBroken
 
-CHARTS = ["answer", "attempt", "call", "endpoint", "lease", "plan"]
+CHARTS = ["answer", "attempt", "call", "endpoint", "lease", "plan", "rollout"]
 
 
 @pytest.mark.parametrize("name", CHARTS)
--- a/tests/cover/test_group_view.py
+++ b/tests/cover/test_group_view.py
@@ -36,6 +36,7 @@
         Mock(),
         Quarantine(),
         Mock(),
+        Mock(),
     )
     freshness.proved(TABLE.value, NOW_MS - 8_000)
     made.feeds[TABLE].failing = True
--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -82,14 +82,14 @@
     processes: list[subprocess.Popen[bytes]] = field(factory=list)
     version: int = 1
 
-    def start(self, servers: int) -> None:
+    def start(self, servers: int, listed: int | None = None) -> None:
         standin = self.start_process(
             ["-m", "tests.platform.standin", str(servers)], "standin"
         )
         control, self.store_port, *self.server_ports = standin
         self.control = Http(control)
         self.put([("op", "config", configuration())])
-        for number in range(servers):
+        for number in range(servers if listed is None else listed):
             self.put_server(number)
         self.ports = self.start_gateway("g1")
 
@@ -179,16 +179,31 @@
     def put(self, rows: list[tuple[str, str, Any]]) -> None:
         self.control.ask("POST", "/rows", [list(each) for each in rows])
 
-    def put_server(self, number: int, state: str = "ready") -> None:
-        self.put([self.server_row(number, state)])
+    def put_server(
+        self, number: int, state: str = "ready", version: str = "v1"
+    ) -> None:
+        self.put([self.server_row(number, state, version)])
 
-    def server_row(self, number: int, state: str = "ready") -> tuple[str, str, Any]:
+    def order(self, pool: str, target: Any, duration_s: float) -> None:
+        """The operator orders that a version be rolled out."""
+        row = {"service": pool, "target-version": target, "duration-s": duration_s}
+        self.put([("op", f"rollout/{pool}", row)])
+
+    def rollout(self, pool: str) -> str:
+        """What operators read of a roll-out, empty if nothing yet."""
+        rows = self.control.get("/store")["status"]
+        return str(rows.get(f"rollout/{pool}", {}).get("state", ""))
+
+    def server_row(
+        self, number: int, state: str = "ready", version: str = "v1"
+    ) -> tuple[str, str, Any]:
         row = {
             "service": "plain" if number >= 3 else "engines",
             "address": f"127.0.0.1:{self.server_ports[number]}",
             "zone": ZONES[number % 3],
             "slots": 8,
             "state": state,
+            "version": version,
         }
         return "servers", self.identity(number), row
 
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -8,7 +8,7 @@
 
 import sys
 import time
-from base64 import b64encode
+from base64 import b64decode, b64encode
 from typing import Any
 
 from twisted.internet import asyncioreactor
@@ -481,6 +481,11 @@
     def state(request: Any) -> bytes:
         kept = [r["key"] for r in store.of("suspects") if "value" in r]
         told = {"calls": store.calls, "cut": store.cut, "kept": kept, "era": store.era}
+        told["status"] = {
+            row["key"]: orjson.loads(b64decode(row["value"]))
+            for row in store.of("status")
+            if "value" in row
+        }
         return orjson.dumps(told)
 
     @app.route("/servers/<name>", methods=["POST"])
--- a/tests/quality/test_core_imports.py
+++ b/tests/quality/test_core_imports.py
@@ -9,6 +9,7 @@
 CORES = (
     "answers",
     "calls",
+    "canary",
     "charts",
     "explain",
     "forwarding",
