--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -23,6 +23,7 @@
     recovery,
     relay,
     resume,
+    rollout,
     sending,
     sharing,
 )
@@ -43,6 +44,7 @@
         ("sharing", sharing.measure),
         ("quarantine", quarantine.measure),
         ("sending", sending.measure),
+        ("rollout", rollout.measure),
         ("relay", lambda: relay.measure((80, 160, 320))),
         ("resume", lambda: resume.measure(runs=6)),
         ("delivery", lambda: delivery.measure(runs=5)),
--- a/src/coursekeel/canary/_conductor.py
+++ b/src/coursekeel/canary/_conductor.py
@@ -38,9 +38,9 @@
 CONDUCTORS = 2
 # Of the bound on the share; the rest is for luck and for repeats.
 _SHARE_USED = 0.8
-# Of the slack, spread over the requests that are expected: without it a pool with few
-# requests would be judged by none.
-_SLACK_USED = 0.4
+# Of the slack, spread over the requests that are expected while the version is tried:
+# without it a pool with few requests would be judged by none.
+_SLACK_USED = 0.5
 _MOST_SHARE = 0.5
 # Until so many answers are in, and the pool's rate is known, a part of the share.
 _FIRST_ANSWERS = 20
@@ -160,7 +160,7 @@
         if tried < _FIRST_ANSWERS and elapsed_ms < _FIRST_MS:
             return _FIRST_PART * usual
         answers = tried + self.evidence.answers(Side.OLD)
-        expected = answers * self.order.duration_ms / max(elapsed_ms, _FIRST_MS)
+        expected = answers * self._closing_at_ms / max(elapsed_ms, _FIRST_MS)
         of_slack = _SLACK_USED * self.bounds.slack / max(expected, 1.0)
         return min(usual + of_slack, _MOST_SHARE)
 
