--- a/src/coursekeel/canary/_judge.py
+++ b/src/coursekeel/canary/_judge.py
@@ -122,6 +122,14 @@
     return new.bad * math.log(harmed / share) + of_good
 
 
+def _sum(totals: Mapping[RowKey, Tally], side: Side) -> Tally:
+    found = Tally()
+    for (_, of), tally in totals.items():
+        if of is side:
+            found = found.plus(tally)
+    return found
+
+
 @define(eq=False)
 class SequentialJudge(Judge):
     """Condemns by cumulative sums."""
@@ -134,8 +142,11 @@
     def condemns(self, totals: Mapping[RowKey, Tally]) -> bool:
         """Take a look."""
         all_old, all_new = _Count(), _Count()
+        usual = usual_limit(_sum(totals, Side.OLD))
         for row in {number for number, _ in totals}:
+            # A row with few answers is held against what is usual for all.
             limit = usual_limit(totals.get((row, Side.OLD), Tally()))
+            limit = usual if limit is None else limit
             old = self._grown(totals, (row, Side.OLD), limit)
             new = self._grown(totals, (row, Side.NEW), limit)
             sums = self._rows.setdefault(row, _Sums())
