--- a/src/coursekeel/answers/_journal.py
+++ b/src/coursekeel/answers/_journal.py
@@ -14,8 +14,7 @@
 
 __all__ = ["JournalEntry", "JournalReader", "JournalWriter", "Segment"]
 
-# zlib's fastest level: segments are small, and written while answers run. Chosen, not
-# measured.
+# zlib's fastest level: segments are small, and written while answers run.
 _FAST = 1
 
 
--- a/src/coursekeel/answers/_policy.py
+++ b/src/coursekeel/answers/_policy.py
@@ -18,7 +18,7 @@
     ``own_stream_tries`` bounds how often an engine's own run is read again before it
     counts as lost.
 
-    The defaults are chosen, not measured; classes set their own in the intent, the
+    Classes set their own in the intent, the
     gateway in `StreamTask`. What silence costs is measured by `bench.resume`.
     """
 
--- a/src/coursekeel/calls/_claims.py
+++ b/src/coursekeel/calls/_claims.py
@@ -12,8 +12,8 @@
 
 __all__ = ["ClaimRow", "ClaimState", "claim_key", "fingerprint_of"]
 
-# The largest reply that a claim's row keeps for a second call with its key. Chosen, not
-# measured: rows are small, and a booking's confirmation is some hundred bytes.
+# The largest reply that a claim's row keeps for a second call with its key. Rows are
+# small, and a booking's confirmation is some hundred bytes.
 _KEPT_BODY_BYTES = 64 * 1024
 
 
--- a/src/coursekeel/cli/_client.py
+++ b/src/coursekeel/cli/_client.py
@@ -11,8 +11,7 @@
 
 __all__ = ["EntryClient"]
 
-# For one question of the command line. Chosen, not measured: longer than an entry needs
-# for any answer.
+# For one question of the command line. Longer than an entry needs for any answer.
 _TIMEOUT_S = 30
 
 
--- a/src/coursekeel/endpoints/_evidence.py
+++ b/src/coursekeel/endpoints/_evidence.py
@@ -15,7 +15,7 @@
 __all__ = ["EvidenceBook", "LeavingMark"]
 
 # How many incarnations before the present one are remembered, so that a late report of
-# one isn't taken for news. Chosen, not measured: more restarts than a minute brings.
+# one isn't taken for news. More restarts than a minute brings.
 _FORMER_KEPT = 8
 
 
--- a/src/coursekeel/endpoints/_http_body.py
+++ b/src/coursekeel/endpoints/_http_body.py
@@ -10,8 +10,7 @@
 
 __all__ = ["ChunkedBody"]
 
-# What is written to a socket at a time, the usual size of a socket's buffer. Chosen,
-# not measured.
+# What is written to a socket at a time, the usual size of a socket's buffer.
 _PIECE_BYTES = 64 * 1024
 
 
--- a/src/coursekeel/endpoints/_http_engine.py
+++ b/src/coursekeel/endpoints/_http_engine.py
@@ -39,8 +39,8 @@
 
 # An engine that checks epochs refuses an order under an old one so.
 _OLD_EPOCH = HTTPStatus.CONFLICT
-# The longest line of an engine's stream; a line is some tokens. Chosen, not measured:
-# it bounds what a broken engine can make this process hold.
+# The longest line of an engine's stream; a line is some tokens. It bounds what a broken
+# engine can make this process hold.
 _LINE_LIMIT_BYTES = 1 << 20
 _JSON = Headers({"content-type": ["application/json"]})
 
--- a/src/coursekeel/endpoints/_silence.py
+++ b/src/coursekeel/endpoints/_silence.py
@@ -14,7 +14,7 @@
 
 __all__ = ["SilenceSettings", "SilenceWatch"]
 
-# How much of the usual gap each new one replaces. Chosen, not measured.
+# How much of the usual gap each new one replaces.
 _NEWEST_SHARE = 0.1
 
 
@@ -28,7 +28,7 @@
     ``own_pause_ms`` late shows that this process was paused: it judges nobody.
 
     The floor is the setting `silence_floor_ms`; resume latency with it is measured by
-    `bench.resume` (docs/design/answers.md). The others are chosen, not measured.
+    `bench.resume` (docs/design/answers.md).
     """
 
     floor_ms: float = 400
--- a/src/coursekeel/entry/_calls_task.py
+++ b/src/coursekeel/entry/_calls_task.py
@@ -55,8 +55,7 @@
 
 __all__ = ["CallRequest", "CallsTask"]
 
-# For half a minute the table may be away before a call's result is given up. Chosen,
-# not measured.
+# For half a minute the table may be away before a call's result is given up.
 _RECORD_TRIES = 30
 _RECORD_PAUSE_S = 1.0  # see above
 _SAFE_METHODS = ("GET", "HEAD")
--- a/src/coursekeel/entry/_entry.py
+++ b/src/coursekeel/entry/_entry.py
@@ -47,14 +47,14 @@
 
 __all__ = ["Entry"]
 
-# Connections that the kernel holds until they are accepted. Chosen, not measured.
+# Connections that the kernel holds until they are accepted.
 _BACKLOG = 512
-# How long a reader waits for an owner to be found again. Chosen, not measured: longer
-# than an adoption takes (a lease and its margin, 3 s by default).
+# How long a reader waits for an owner to be found again. Longer than an adoption takes
+# (a lease and its margin, 3 s by default).
 _READER_PATIENCE_MS = 30_000
-# Leaving marks told in one greeting. Chosen for the size of a greeting, not measured.
+# Leaving marks told in one greeting: more would make it long.
 _MARKS_A_GREETING = 16
-# How often a stopping entry looks whether it has served all. Chosen, not measured.
+# How often a stopping entry looks whether it has served all.
 _DRAIN_LOOK_S = 0.05
 
 
--- a/src/coursekeel/entry/answers/_adoption_task.py
+++ b/src/coursekeel/entry/answers/_adoption_task.py
@@ -43,17 +43,16 @@
 
 __all__ = ["AdoptionTask"]
 
-# A lapse is seen within a third of a lease after it. Chosen, not measured: each look
-# scans all entries' rows.
+# A lapse is seen within a third of a lease after it. Each look scans all entries' rows.
 _LOOKS_A_LEASE = 3
 _BOTH_PREFIX = "leases/"
 # Rows that one scan reads: more than the 380 nodes of docs/CAPACITY.md.
 _MOST_LEASES = 1_000
 # Ended incarnations looked at in one round, so that a site's restart is adopted in
-# steps. Chosen, not measured.
+# steps.
 _MOST_ORPHANS = 16
 # How long an incarnation's journal stays after its last answer was adopted: adopters
-# read it until their own journal holds the rest. Chosen, not measured.
+# read it until their own journal holds the rest.
 _GARBAGE_AFTER_S = 60.0
 
 
--- a/src/coursekeel/entry/answers/_answer_measures.py
+++ b/src/coursekeel/entry/answers/_answer_measures.py
@@ -10,7 +10,7 @@
 __all__ = ["AnswerMeasures"]
 
 # One gap in so many is observed: a histogram's entry costs more than passing a token
-# on. Chosen, not measured.
+# on.
 _GAP_SAMPLE = 64
 
 
--- a/src/coursekeel/entry/answers/_answer_registry.py
+++ b/src/coursekeel/entry/answers/_answer_registry.py
@@ -36,19 +36,18 @@
 
 __all__ = ["AnswerRegistry"]
 
-# Between two tries to write an answer's row. Chosen, not measured.
+# Between two tries to write an answer's row.
 _RETRY_S = 1.0
 # How long an answer without a caller runs on when it isn't durable: callers that lost
-# their connection come back within seconds. Chosen, not measured.
+# their connection come back within seconds.
 _RETURN_WINDOW_S = 15.0
-# How long an ended answer is kept here for callers that come back for its rest. Chosen,
-# not measured.
+# How long an ended answer is kept here for callers that come back for its rest.
 _KEPT_AFTER_END_S = 30.0
 # A durable answer with the caller's key begins without its row after so long, so that a
-# first token doesn't wait for a slow store. Chosen, not measured.
+# first token doesn't wait for a slow store.
 _CLAIM_WAIT_S = 0.15
 # How often, and how many times (3 s in all), it is looked whether a request stands in
-# the store. Chosen, not measured.
+# the store.
 _STORED_LOOK_S = 0.02
 _STORED_LOOKS = 150  # see above
 
--- a/src/coursekeel/entry/answers/_answer_store.py
+++ b/src/coursekeel/entry/answers/_answer_store.py
@@ -21,7 +21,7 @@
 __all__ = ["AnswerStore", "StoredResult", "ended_already", "is_own"]
 
 # Prompts and results up to this size lie in the answer's row, larger ones in the object
-# store. Chosen, not measured: one call fewer for the common dossier.
+# store. One call fewer for the common dossier.
 _INLINE_BYTES = 32 * 1024
 
 
--- a/src/coursekeel/entry/answers/_answer_task.py
+++ b/src/coursekeel/entry/answers/_answer_task.py
@@ -63,7 +63,7 @@
 __all__ = ["AnswerPorts", "AnswerTask"]
 
 # An alarm this late tells of a pause of this process. Less than the least silence that
-# a profile judges by (`silence_floor_ms`, 400). Chosen, not measured.
+# a profile judges by (`silence_floor_ms`, 400).
 _OWN_PAUSE_MS = 250.0
 _MESSAGES = {
     "interrupted": "no endpoint could go on with the answer in time",
--- a/src/coursekeel/entry/answers/_expiry_task.py
+++ b/src/coursekeel/entry/answers/_expiry_task.py
@@ -13,9 +13,8 @@
 __all__ = ["ExpiryTask"]
 
 # What has expired is deleted by some entry within about a minute; nobody waits for it.
-# Chosen, not measured.
 _INTERVAL_MS = 30_000
-# Rows of one scan, so that one entry's round stays short. Chosen, not measured.
+# Rows of one scan, so that one entry's round stays short.
 _MOST_AT_ONCE = 100
 
 
--- a/src/coursekeel/entry/answers/_follower.py
+++ b/src/coursekeel/entry/answers/_follower.py
@@ -10,10 +10,10 @@
 
 __all__ = ["FollowedAnswer", "Follower"]
 
-# Tokens of one event to a caller that is far behind. Chosen, not measured.
+# Tokens of one event to a caller that is far behind.
 _MOST_TOKENS_AN_EVENT = 512
 # A caller that holds a little more than this entry waits for the rest instead of being
-# told to drop it. Chosen, not measured: some seconds of a stream.
+# told to drop it. Some seconds of a stream.
 _WAIT_AT_MOST_TOKENS = 256
 
 
--- a/src/coursekeel/entry/answers/_journal_task.py
+++ b/src/coursekeel/entry/answers/_journal_task.py
@@ -36,13 +36,13 @@
 
 LEASES_PREFIX = "leases/entry/"
 ORPHANS_PREFIX = "leases/orphan/"
-# Two renewals may be lost before a lease lapses. Chosen, not measured.
+# Two renewals may be lost before a lease lapses.
 _RENEWALS_A_LEASE = 3
 # A pause of this process longer than half a lease may be long enough for others: see
 # `OutageWatch`.
 _GAPS_A_LEASE = 2
-# How often it is noted that this process is awake. Chosen, not measured: often enough
-# that a late timer is no gap.
+# How often it is noted that this process is awake. Often enough that a late timer is no
+# gap.
 _BEATS_A_GAP = 5
 
 
--- a/src/coursekeel/entry/answers/_reader.py
+++ b/src/coursekeel/entry/answers/_reader.py
@@ -23,10 +23,9 @@
 
 __all__ = ["AnswerReader", "CallerSink", "ReaderPorts", "instance_of"]
 
-# Between two looks for an answer's owner. Chosen, not measured.
+# Between two looks for an answer's owner.
 _LOOK_AGAIN_S = 0.1
-# An owner that doesn't reply for so long is looked for again: it may be frozen. Chosen,
-# not measured.
+# An owner that doesn't reply for so long is looked for again: it may be frozen.
 _FIRST_REPLY_S = 1.5
 
 
--- a/src/coursekeel/entry/answers/_relay.py
+++ b/src/coursekeel/entry/answers/_relay.py
@@ -34,7 +34,7 @@
     "take_reply",
 ]
 
-# Replies held for a slow reader before its peer is held up. Chosen, not measured.
+# Replies held for a slow reader before its peer is held up.
 _MOST_WAITING = 64
 
 
--- a/src/coursekeel/entry/answers/_requests.py
+++ b/src/coursekeel/entry/answers/_requests.py
@@ -18,10 +18,9 @@
 # The field's rule of thumb for English text. It only weighs requests against each
 # other; engines count for themselves.
 _CHARACTERS_PER_TOKEN = 4
-# What a photograph weighs beside text. Chosen, not measured.
+# What a photograph weighs beside text.
 _TOKENS_PER_IMAGE = 512
-# Prompts that share so much are sent to the same endpoint first. Chosen, not measured:
-# about a system prompt.
+# Prompts that share so much are sent to the same endpoint first. About a system prompt.
 _PREFIX_CHARACTERS = 1_024
 
 
--- a/src/coursekeel/entry/answers/_sinks.py
+++ b/src/coursekeel/entry/answers/_sinks.py
@@ -9,7 +9,7 @@
 __all__ = ["HELD_LOOK_S", "AnswerSink", "Refusal", "SendingRight"]
 
 # How often a right that has lapsed is asked for again while something waits for it; the
-# table is asked each time, too. Chosen, not measured: it answers within some ms.
+# table is asked each time, too. It answers within some ms.
 HELD_LOOK_S = 0.05
 
 
--- a/src/coursekeel/entry/control/_orders_task.py
+++ b/src/coursekeel/entry/control/_orders_task.py
@@ -14,7 +14,7 @@
 
 __all__ = ["OrdersTask"]
 
-# A lapse is seen within a third of a lease after it. Chosen, not measured.
+# A lapse is seen within a third of a lease after it.
 _LOOKS_A_LEASE = 3
 
 
--- a/src/coursekeel/entry/control/_peers_task.py
+++ b/src/coursekeel/entry/control/_peers_task.py
@@ -19,14 +19,14 @@
 
 __all__ = ["FollowServer", "PeerRefused", "PeersTask", "SuspectServer"]
 
-# A peer that doesn't answer for so long isn't reached in this round. Chosen, not
-# measured: the default interval of greetings.
+# A peer that doesn't answer for so long isn't reached in this round. The default
+# interval of greetings.
 _GREETING_TIMEOUT_S = 1.0
 # The largest message between entries: a configuration at the size of docs/CAPACITY.md.
 _BODY_LIMIT_BYTES = 32 << 20
-# Half of what an idle channel may be silent. Chosen, not measured.
+# Half of what an idle channel may be silent.
 _KEEPALIVE_MS = 1_000
-# How often a full reader is asked whether it has room again. Chosen, not measured.
+# How often a full reader is asked whether it has room again.
 _SLOW_READER_S = 0.02
 _OPTIONS = [
     ("grpc.max_receive_message_length", _BODY_LIMIT_BYTES),
--- a/src/coursekeel/entry/control/_rollout_task.py
+++ b/src/coursekeel/entry/control/_rollout_task.py
@@ -16,7 +16,7 @@
 __all__ = ["RolloutTask"]
 
 # How often a pending revision is looked at: accepted follows the last acknowledgement
-# by at most that. Chosen, not measured.
+# by at most that.
 _INTERVAL_MS = 200
 # Rows that one scan reads: more than the 380 nodes of docs/CAPACITY.md.
 _MOST_LEASES = 1_000
--- a/src/coursekeel/entry/http/_api.py
+++ b/src/coursekeel/entry/http/_api.py
@@ -25,7 +25,7 @@
 
 __all__ = ["CallerApi"]
 
-# A caller whose answer is looked for elsewhere comes back then. Chosen, not measured.
+# A caller whose answer is looked for elsewhere comes back then.
 _RETRY_AFTER_MS = 1_000
 
 
--- a/src/coursekeel/entry/http/_gate.py
+++ b/src/coursekeel/entry/http/_gate.py
@@ -13,10 +13,9 @@
 
 __all__ = ["Gate", "check_id"]
 
-# Ids stand in row keys and log lines. Chosen, not measured.
+# Ids stand in row keys and log lines.
 _ID_LIMIT = 128
 # An entry that starts or stops: another one, or this one a second later, can serve.
-# Chosen, not measured.
 _RETRY_AFTER_MS = 1_000
 
 
--- a/src/coursekeel/entry/http/_operator.py
+++ b/src/coursekeel/entry/http/_operator.py
@@ -27,7 +27,7 @@
 
 __all__ = ["OperatorApi"]
 
-# An operator whose change met the store's trouble. Chosen, not measured.
+# An operator whose change met the store's trouble.
 _RETRY_AFTER_MS = 1_000
 
 
--- a/src/coursekeel/entry/suspects/_suspects_task.py
+++ b/src/coursekeel/entry/suspects/_suspects_task.py
@@ -28,10 +28,10 @@
 
 __all__ = ["SuspectsTask"]
 
-# How often what is too old is forgotten. Chosen, not measured: it is kept for a day.
+# How often what is too old is forgotten. It is kept for a day.
 _FORGET_MS = 60_000.0
 # A peer is asked for everything at most once in so long: the digests of some greetings
-# under way at once are all answered by one. Chosen, not measured.
+# under way at once are all answered by one.
 _ASKED_LATELY_MS = 300.0
 
 
--- a/src/coursekeel/fetch/_agent.py
+++ b/src/coursekeel/fetch/_agent.py
@@ -14,7 +14,6 @@
 __all__ = ["DirectAgents", "MaySend", "RightLapsed"]
 
 # Kept connections to one host, for calls that may be repeated and for the store.
-# Chosen, not measured.
 _CONNECTIONS_PER_HOST = 16
 
 
--- a/src/coursekeel/fetch/_own_link.py
+++ b/src/coursekeel/fetch/_own_link.py
@@ -16,8 +16,7 @@
 # Shorter answers pass within 26 ms at 5 Mbit/s, and hold nothing up.
 _LONG_BYTES = 16 * 1024
 # After a piece so long, until the next, or until what waited behind the last is here: a
-# read of the socket brings 64 kB at the most, which take 105 ms at 5 Mbit/s. Chosen,
-# not measured.
+# read of the socket brings 64 kB at the most, which take 105 ms at 5 Mbit/s.
 _SETTLING_S = 0.15
 
 
--- a/src/coursekeel/forwarding/_directory.py
+++ b/src/coursekeel/forwarding/_directory.py
@@ -19,18 +19,18 @@
 __all__ = ["EndpointDirectory"]
 
 # The first ejection: longer than an endpoint that only paused needs to answer again,
-# shorter than a restart. Chosen, not measured.
+# shorter than a restart.
 _FIRST_EJECTION_MS = 700.0
 # About as long as the list takes to drop a dead endpoint at most; after that the list
-# speaks. Chosen, not measured.
+# speaks.
 _LONGEST_EJECTION_MS = 6_000.0
 # An endpoint that failed no request for so long after an ejection begins anew with the
-# first. Chosen, not measured.
+# first.
 _FORGIVEN_MS = 5_000.0
 
 # Ids that the list named and dropped, the latest: a server that leaves without saying
-# so serves on for some seconds, and must not be taken for a new one. Chosen, not
-# measured: more than leave a site within a minute.
+# so serves on for some seconds, and must not be taken for a new one. More than leave a
+# site within a minute.
 _MAX_ONCE_LISTED = 1_000
 
 
--- a/src/coursekeel/forwarding/_freshness.py
+++ b/src/coursekeel/forwarding/_freshness.py
@@ -14,7 +14,7 @@
 __all__ = ["Freshness", "StoreClock", "proven_moment_ms"]
 
 # A timer of the store may ring so much early by this clock, since the two differ in
-# rounding. Chosen, not measured: a proof that is 5 ms older than it might be.
+# rounding. A proof that is 5 ms older than it might be.
 _TIMER_SLACK_MS = 5.0
 
 
--- a/src/coursekeel/forwarding/_model.py
+++ b/src/coursekeel/forwarding/_model.py
@@ -111,7 +111,7 @@
 class RequestLimits:
     """Bounds on what a caller may send, and on how long it may idle.
 
-    The defaults hold until a configuration is known; they are chosen, not measured.
+    The defaults hold until a configuration is known.
     """
 
     header_bytes: int = 16_384
--- a/src/coursekeel/gateway/_adapters.py
+++ b/src/coursekeel/gateway/_adapters.py
@@ -248,8 +248,8 @@
 # How an answer of the store may come once it has begun. A pause of a second is longer
 # than two segments lost in a row cost (RFC 6298's least time-out is a second before a
 # path is known, 200 ms on Linux after); 20 s carry 12 MB over 5 Mbit/s, 45,000 routes
-# at the 280 bytes that one takes in a row of the users' store. The bytes are a
-# seventh of the least memory of an instance of theirs. Chosen, not measured.
+# at the 280 bytes that one takes in a row of the users' store. The bytes are a seventh
+# of the least memory of an instance of theirs.
 STORE_TRANSFER = Transfer(pause_ms=1_000, most_ms=20_000, most_bytes=20 << 20)
 
 
--- a/src/coursekeel/gateway/_gateway.py
+++ b/src/coursekeel/gateway/_gateway.py
@@ -55,17 +55,17 @@
 
 __all__ = ["Gateway"]
 
-# Connections that the kernel holds until they are accepted. Chosen, not measured: more
-# than all instances' callers open in the time that a busy process needs for a turn.
+# Connections that the kernel holds until they are accepted. More than all instances'
+# callers open in the time that a busy process needs for a turn.
 _BACKLOG = 512
 
-# How often a stopping instance looks whether it has served all. Chosen, not measured: a
-# small part of what is left of the grace at its end.
+# How often a stopping instance looks whether it has served all. A small part of what is
+# left of the grace at its end.
 _DRAIN_LOOK_S = 0.05
 
 # Routing's refusals tell callers to come back within these bounds, and a continuing
 # request waits so long for an endpoint outside failing zones. A site's callers have
-# seconds, not the minute of the product's own intents. Chosen, not measured.
+# seconds, not the minute of the product's own intents.
 _ROUTER_SETTINGS = RouterSettings(
     retry_after_least_ms=50, retry_after_most_ms=1_000, avoid_ms=100
 )
--- a/src/coursekeel/gateway/_retry_budgets.py
+++ b/src/coursekeel/gateway/_retry_budgets.py
@@ -38,12 +38,12 @@
 
 __all__ = ["RetryBudgets", "SendAccount", "fit_budget", "shared_budget"]
 
-# For an instance without an address for peers. Chosen, not measured: a little above
-# the instances of a small site, with its spares.
+# For an instance without an address for peers. A little above the instances of a small
+# site, with its spares.
 _PLANNED_INSTANCES = 14
 
 # For one that has just begun, while the others have shared all among themselves: what
-# comes back to it is next to nothing until it knows them. Chosen, not measured.
+# comes back to it is next to nothing until it knows them.
 _UNKNOWN_INSTANCES = 50
 
 # How much of an instance's part comes back over the window; the rest is there at the
--- a/src/coursekeel/gateway/admission/_queue_deadline.py
+++ b/src/coursekeel/gateway/admission/_queue_deadline.py
@@ -12,7 +12,7 @@
 
 __all__ = ["queue_deadline_ms"]
 
-# Of the route's latency aim. Chosen, not measured.
+# Of the route's latency aim.
 _QUEUED_SHARE = 0.25
 
 
--- a/src/coursekeel/gateway/admission/_refusals.py
+++ b/src/coursekeel/gateway/admission/_refusals.py
@@ -37,20 +37,19 @@
 STOPS_ENDPOINTS = "request_stops_engines"
 
 # Another instance can most likely serve it now: this one's keys are too old, it is
-# stopping, or it has spent its own part of a retry budget. Chosen, not measured.
+# stopping, or it has spent its own part of a retry budget.
 ELSEWHERE_RETRY_MS = 50.0
 
-# Nothing was found for a whole answer, or its time ran out before it was sent. Chosen,
-# not measured; a share of the 0.3 to 1 s that such routes aim at.
+# Nothing was found for a whole answer, or its time ran out before it was sent. A share
+# of the 0.3 to 1 s that such routes aim at.
 WHOLE_RETRY_MS = 100.0
 
-# The same for a stream, whose first event may take seconds anyway. Chosen, not
-# measured.
+# The same for a stream, whose first event may take seconds anyway.
 STREAM_RETRY_MS = 150.0
 
 # The instance itself isn't able to serve yet or any more: no configuration, no pool of
 # that name, too many requests open. About as long as a configuration takes to be read
-# (the pause after a failed read is 150 to 600 ms). Chosen, not measured.
+# (the pause after a failed read is 150 to 600 ms).
 NOT_YET_RETRY_MS = 300.0
 
 # Where the cause is common to all: no instance that has just started knows the
--- a/src/coursekeel/gateway/admission/_stop_window.py
+++ b/src/coursekeel/gateway/admission/_stop_window.py
@@ -18,20 +18,19 @@
 
 # The balancer asks for readiness every second and takes an instance out after two
 # refusals (the users' page on the wire): 2 s at the most, and 0.6 s for new connections
-# on their way. The 0.6 s are chosen, not measured.
+# on their way.
 _BALANCER_TOLD_MS = 2_600.0
 
-# A grace shorter than twice that is split in halves. Chosen, not measured: no site has
-# one.
+# A grace shorter than twice that is split in halves. No site has one.
 _MAX_TOLD_SHARE = 0.5
 
 # What is left of the grace for the process to end by itself, after the last answer.
-# 0.48 s of the usual 8; chosen, not measured.
+# 0.48 s of the usual 8.
 _EXIT_SHARE = 0.06
 
 # Before an instance has seen how long streams take, one is taken so early in the grace.
-# Chosen, not measured. Where long ones took 9 s of a grace of 8, it let two to four
-# streams of a day with stops in turn begin and be cut at the end of the grace.
+# Where long ones took 9 s of a grace of 8, it let two to four streams of a day with
+# stops in turn begin and be cut at the end of the grace.
 _LATE_STREAM_SHARE = 0.096
 
 
--- a/src/coursekeel/gateway/admission/_stream_lengths.py
+++ b/src/coursekeel/gateway/admission/_stream_lengths.py
@@ -8,7 +8,7 @@
 
 __all__ = ["StreamLengths"]
 
-# How much the newest stream counts. Chosen, not measured: some twenty streams.
+# How much the newest stream counts. Some twenty streams.
 _NEWEST_SHARE = 0.1
 # Nine in ten streams are shorter than the mean and so many mean deviations, if their
 # lengths spread evenly around it.
--- a/src/coursekeel/gateway/endpoints/_endpoint_client.py
+++ b/src/coursekeel/gateway/endpoints/_endpoint_client.py
@@ -26,8 +26,8 @@
 __all__ = ["EndpointClient"]
 
 
-# Connections are waited for so long while this instance's own link is full: more than
-# a configuration of 1,469 routes takes at 5 Mbit/s (0.66 s). Chosen, not measured.
+# Connections are waited for so long while this instance's own link is full: more than a
+# configuration of 1,469 routes takes at 5 Mbit/s (0.66 s).
 _FULL_LINK_CONNECT_MS = 1_000.0
 
 
--- a/src/coursekeel/gateway/members/_group.py
+++ b/src/coursekeel/gateway/members/_group.py
@@ -32,10 +32,10 @@
 
 __all__ = ["Group"]
 
-# A connection within a site takes a few ms. Chosen, not measured.
+# A connection within a site takes a few ms.
 _CONNECT_MS = 250
 # Word of another member's fresher proof takes some periods of the pings to come round,
-# and its age is known to a tick of either side. Chosen, not measured.
+# and its age is known to a tick of either side.
 _FRESHER_MS = 1_500.0
 
 
--- a/src/coursekeel/gateway/members/_group_task.py
+++ b/src/coursekeel/gateway/members/_group_task.py
@@ -45,10 +45,10 @@
 __all__ = ["GroupTask"]
 
 # How often the core looks at its deadlines: a part of the 300 ms in which a member
-# answers. Chosen, not measured.
+# answers.
 _TICK_MS = 150.0
 # One line at the most in so long for datagrams that are refused: a stranger must not
-# fill the log. Chosen, not measured.
+# fill the log.
 _REFUSALS_TOLD_MS = 1_000.0
 
 _Message = SwimMessage | UnreadableMessage | QuarantineMessage | UnreadableQuarantine
--- a/src/coursekeel/gateway/members/_peer_server.py
+++ b/src/coursekeel/gateway/members/_peer_server.py
@@ -37,9 +37,8 @@
 
 TABLES_PATH = "/tables/"
 # Questions come with no body and few headers, and a member asks again within seconds.
-# Chosen, not measured.
 _LIMITS = RequestLimits(header_bytes=4_096, body_bytes=0, idle_timeout_ms=15_000)
-# The longest that a question is held, whatever it asks for. Chosen, not measured.
+# The longest that a question is held, whatever it asks for.
 _MAX_WAIT_MS = 5_000
 # The fastest level: the slowest makes a reading smaller by 3 in 100 (see above).
 _COMPRESSION_LEVEL = 1
--- a/src/coursekeel/gateway/members/_reading_codec.py
+++ b/src/coursekeel/gateway/members/_reading_codec.py
@@ -38,7 +38,7 @@
     "encode_reading",
 ]
 
-# Enough of a fault for a log line. Chosen, not measured.
+# Enough of a fault for a log line.
 _MAX_FAULT_CHARACTERS = 200
 
 
--- a/src/coursekeel/gateway/members/_shared_source.py
+++ b/src/coursekeel/gateway/members/_shared_source.py
@@ -45,27 +45,25 @@
 
 __all__ = ["SharedSource", "SharingTerms"]
 
-# A member that gave no answer, or none that helps, is left alone for so long. Chosen,
-# not measured: a member that is gone is known to be after some seconds.
+# A member that gave no answer, or none that helps, is left alone for so long. A member
+# that is gone is known to be after some seconds.
 _SILENT_AVOIDED_MS = 3_000.0
 _STALE_AVOIDED_MS = 1_000.0
 # In a smaller availability zone each asks the store itself: one that asks for two must
 # ask twice as often, so that nothing is saved, and what each proves is its own.
 _LEAST_SHARING = 3
-# Members that are asked before the store. Chosen, not measured.
+# Members that are asked before the store.
 _MOST_ASKED = 2
-# A proof that is younger by less isn't worth another question. Chosen, not measured.
+# A proof that is younger by less isn't worth another question.
 _FRESHER_MS = 500.0
 # While members answer and none has a newer proof, a store that didn't answer this
 # instance is asked so seldom: those who ask for their zones look for its return.
-# Chosen, not measured.
 _STORE_AGAIN_MS = 3_000.0
 # Whoever asks the store for a zone leaves one that failed alone for so long, and asks
-# members meanwhile. Chosen, not measured: about the pause of a task that follows the
-# store alone.
+# members meanwhile. About the pause of a task that follows the store alone.
 _STORE_PAUSE_MS = 600.0
 # Members count as answering for so long after one did: longer than one that had nothing
-# newer is left alone. Chosen, not measured.
+# newer is left alone.
 _REACHED_LATELY_MS = 2_500.0
 
 _Outcome = Reading | HistoryGone | SourceFailed
--- a/src/coursekeel/gateway/members/_table_feed.py
+++ b/src/coursekeel/gateway/members/_table_feed.py
@@ -32,11 +32,10 @@
 __all__ = ["Answered", "NotAhead", "TableFeed"]
 
 # Rows that are gone are kept so that an asker hears of them; beyond this the next
-# answers are whole. Chosen, not measured: more than go in a minute at a large site.
+# answers are whole. More than go in a minute at a large site.
 _MAX_GONE = 1_000
 
 # Longer than a member may hold a question, and the time until it is asked again.
-# Chosen, not measured.
 _ASKED_LATELY_MS = 3_000.0
 
 # The one configuration, and what its table's orders of roll-outs are kept under.
--- a/src/coursekeel/gateway/site/_follow_task.py
+++ b/src/coursekeel/gateway/site/_follow_task.py
@@ -40,15 +40,14 @@
 # Pauses after failed questions double from the first to the longest, each shortened by
 # lot to between half and all of it. Long enough that a store in trouble isn't asked
 # much more than in peace (once in some seconds), short enough that its return is seen
-# well before the two seconds after which missing endpoints count as gone. Chosen, not
-# measured.
+# well before the two seconds after which missing endpoints count as gone.
 _FIRST_PAUSE_MS = 300.0  # see above
 _LONGEST_PAUSE_MS = 600.0  # see above
 # More doublings than reach the longest pause would only make greater numbers.
 _MAX_DOUBLINGS = 3
 
-# How much later than its hold an answer may begin before the question is given up.
-# Chosen, not measured; the store's own answers take some ms.
+# How much later than its hold an answer may begin before the question is given up. The
+# store's own answers take some ms.
 _ANSWER_SLACK_MS = 600.0
 
 
--- a/src/coursekeel/gateway/site/_known_site.py
+++ b/src/coursekeel/gateway/site/_known_site.py
@@ -45,8 +45,8 @@
 
 __all__ = ["KnownSite"]
 
-# A list that is followed names a new endpoint within two heartbeats of 1.2 s (the
-# usual ones) and the time its changes gather. Chosen, not measured: twice that.
+# A list that is followed names a new endpoint within two heartbeats of 1.2 s (the usual
+# ones) and the time its changes gather. Twice that.
 _LISTED_WITHIN_S = 6.0
 
 
--- a/src/coursekeel/gateway/streams/_begin_watch.py
+++ b/src/coursekeel/gateway/streams/_begin_watch.py
@@ -22,15 +22,14 @@
 
 # When an endpoint is first asked after a run that hasn't begun, and then again. A pause
 # of 700 ms makes a stream nearly worthless to its caller (the usual aim for gaps), so
-# that two questions must fit into not much more; each costs a connection. Chosen, not
-# measured.
+# that two questions must fit into not much more; each costs a connection.
 _FIRST_QUESTION_MS = 450.0
 _NEXT_QUESTION_MS = 400.0  # see above
 # One missing report may be the question's own fault.
 _REPORTS_MISSED = 2
-# A report lags by about 200 ms; after so long a run that was taken is in it. Chosen,
-# not measured. Without this rule streams waited 18 s at endpoints that never began
-# them (`platform/test_translation.py`).
+# A report lags by about 200 ms; after so long a run that was taken is in it. Without
+# this rule streams waited 18 s at endpoints that never began them
+# (`platform/test_translation.py`).
 _SURELY_TAKEN_MS = 700.0
 
 
--- a/src/coursekeel/gateway/whole/_whole_task.py
+++ b/src/coursekeel/gateway/whole/_whole_task.py
@@ -49,11 +49,10 @@
 _CALL_COST = 1.0
 
 # The least that a try may take while another could follow, in aims of its route. Less
-# would give up answers that are merely slow. Chosen, not measured.
+# would give up answers that are merely slow.
 _LEAST_TRY_TARGETS = 1.5
 
-# With less than this left a request isn't sent: no answer takes less. Chosen, not
-# measured.
+# With less than this left a request isn't sent: no answer takes less.
 _LEAST_REMAINING_MS = 5.0
 
 # The log's status of a request whose caller left: none was given.
--- a/src/coursekeel/group/_messages.py
+++ b/src/coursekeel/group/_messages.py
@@ -28,7 +28,7 @@
 # Below the payload of one Ethernet frame, so that no datagram is split.
 MAX_MESSAGE_BYTES = 1_400
 
-# Enough of a fault for a log line. Chosen, not measured.
+# Enough of a fault for a log line.
 _MAX_FAULT_CHARACTERS = 200
 
 
--- a/src/coursekeel/group/_swim.py
+++ b/src/coursekeel/group/_swim.py
@@ -39,7 +39,7 @@
 # Members that ping a silent one in the place of whoever got no answer (SWIM's k).
 _HELPERS = 2
 # A ping that got no answer for so much of a period came to nothing, before the next one
-# is sent. Chosen, not measured.
+# is sent.
 _ANSWER_SHARE = 0.9
 
 
@@ -52,8 +52,7 @@
     that isn't known or to a lost member; ``forgotten_ms`` until a lost one is
     forgotten. Everybody is asked for again after ``first_census_ms``, then after twice
     as long each time up to ``last_census_ms``: when all start at once, the first that a
-    seed names are few. Without it 74 that start at once all knew each other after 40 s.
-    The others are chosen, not measured (`python -m bench.membership` gives their cost).
+    seed names are few.
     """
 
     period_ms: float = 1_000.0
--- a/src/coursekeel/observe/_logs.py
+++ b/src/coursekeel/observe/_logs.py
@@ -13,7 +13,7 @@
 _LOGGER = logging.getLogger("coursekeel")
 _NEEDS_QUOTES = frozenset(" \"'\\=\n\r\t")
 # What may wait for a slow reader: some thousand lines, a small part of an instance's
-# 128 MB. Chosen, not measured.
+# 128 MB.
 _MOST_BYTES = 256 * 1024
 
 
--- a/src/coursekeel/quarantine/_gossip.py
+++ b/src/coursekeel/quarantine/_gossip.py
@@ -34,7 +34,7 @@
 # members misses one of the others with odds of e^-1.5, and the next round e^-3.
 _FANOUT = 3
 # A member is sent everything at most once in so long: two that hear of each other by
-# several pings at once need it once. Chosen, not measured.
+# several pings at once need it once.
 _SENT_LATELY_MS = 300.0
 # No datagram bears more records than this: one with one endpoint has 110 bytes.
 _MOST_RECORDS = 12
--- a/src/coursekeel/quarantine/_messages.py
+++ b/src/coursekeel/quarantine/_messages.py
@@ -34,7 +34,7 @@
 
 # No JSON object begins with it.
 MARK = b"Q"
-# Enough of a fault for a log line. Chosen, not measured.
+# Enough of a fault for a log line.
 _MAX_FAULT_CHARACTERS = 200
 
 
--- a/src/coursekeel/quarantine/_quarantine.py
+++ b/src/coursekeel/quarantine/_quarantine.py
@@ -44,7 +44,7 @@
 # Requests that are remembered; beyond that the least suspect go first, of these the
 # oldest by the hour, and then by their fingerprints: members whose clocks differ by
 # some ms must keep the same ones, or they would send each other the rest for ever. 512
-# are 65 datagrams (`bench.quarantine`). Chosen, not measured.
+# are 65 datagrams (`bench.quarantine`).
 _MAX_RECORDS = 512
 _HOUR_MS = 3_600_000.0  # see above
 
--- a/src/coursekeel/quarantine/_record.py
+++ b/src/coursekeel/quarantine/_record.py
@@ -14,10 +14,10 @@
 __all__ = ["MAX_NAME", "Sign", "Strike", "SuspectRecord", "merged"]
 
 # Endpoints in one record. Three end it; more are those that ended at the same moment,
-# of which as many fit one datagram. Chosen, not measured.
+# of which as many fit one datagram.
 _MAX_STRIKES = 12
-# Fingerprints have 24 characters; longer ids of endpoints are hashed. Chosen, not
-# measured: a datagram bears a record with the most endpoints.
+# Fingerprints have 24 characters; longer ids of endpoints are hashed. A datagram bears
+# a record with the most endpoints.
 MAX_NAME = 24
 
 
--- a/src/coursekeel/routing/_budget.py
+++ b/src/coursekeel/routing/_budget.py
@@ -12,8 +12,8 @@
 
 __all__ = ["RetryBudget"]
 
-# Without a bound of its own a budget holds what so many successes earn. Chosen, not
-# measured: a hundred requests are a second or two of one instance's traffic.
+# Without a bound of its own a budget holds what so many successes earn. A hundred
+# requests are a second or two of one instance's traffic.
 _SAVED_SUCCESSES = 100
 
 
@@ -23,8 +23,8 @@
 
     ``per_success`` is how many one success earns, and ``most`` how many can be saved
     up; without it, those of a hundred successes. The reserve of 10 and its refill of 5
-    a second are chosen, not measured: they let an idle class resume a few streams at
-    once (`tests/cover/test_slowdown_machine.py` keeps the bound that follows).
+    a second let an idle class resume a few streams at once
+    (`tests/cover/test_slowdown_machine.py` keeps the bound that follows).
     """
 
     per_success: float
--- a/src/coursekeel/routing/_forecast.py
+++ b/src/coursekeel/routing/_forecast.py
@@ -23,11 +23,10 @@
 __all__ = ["Forecast", "RefusalTerms"]
 
 # How much of a request's time its wait may take and still leave it hope: the forecast
-# errs by a fifth or so, and the request must be sent and answered as well. Chosen, not
-# measured.
+# errs by a fifth or so, and the request must be sent and answered as well.
 _HOPEFUL_SHARE = 0.8
 
-# The time to come back is up to so much longer, by lot. Chosen, not measured.
+# The time to come back is up to so much longer, by lot.
 _SPREAD_SHARE = 0.25
 
 
--- a/src/coursekeel/routing/_limits.py
+++ b/src/coursekeel/routing/_limits.py
@@ -13,14 +13,14 @@
 
 __all__ = ["ConcurrencyLimit"]
 
-# Before an endpoint has said how many runs it works on at once. Chosen, not measured.
+# Before an endpoint has said how many runs it works on at once.
 _START = 64.0
 # One run at least, or nothing would show that the endpoint takes work again.
 _LEAST = 1.0
 # Stands for "no bound known"; no endpoint has so many slots.
 _MOST = 4096.0
 # Multiplicative decrease: gentle for a queue, which a report shows late, and stronger
-# for a refusal, which costs its caller a try. Chosen, not measured.
+# for a refusal, which costs its caller a try.
 _AFTER_REFUSAL = 0.8
 _AFTER_QUEUE = 0.95  # see above
 
--- a/src/coursekeel/routing/_load.py
+++ b/src/coursekeel/routing/_load.py
@@ -12,20 +12,19 @@
 
 __all__ = ["EndpointLoad"]
 
-# How much the newest run counts in the averages of run length and of failures. Chosen,
-# not measured: an endpoint that fails every run passes the failing share of `_score`
-# with its second one.
+# How much the newest run counts in the averages of run length and of failures. An
+# endpoint that fails every run passes the failing share of `_score` with its second
+# one.
 _NEWEST_SHARE = 0.2
 
 # Reports with a queue shrink the limit once in so long: a queue outlives a report. The
-# same as `RouterSettings.refusal_hold_ms`. Chosen, not measured.
+# same as `RouterSettings.refusal_hold_ms`.
 _REPORT_HOLD_MS = 1_000.0
 
-# A run's length until the first has ended. Chosen, not measured.
+# A run's length until the first has ended.
 _USUAL_RUN_MS = 2_000.0
 
-# How many prompts sent lately are remembered. Chosen for memory (some 50 kB an
-# endpoint at the most), not measured.
+# How many prompts sent lately are remembered: some 50 kB an endpoint at the most.
 _MAX_PROMPTS = 512
 
 
--- a/src/coursekeel/routing/_queue.py
+++ b/src/coursekeel/routing/_queue.py
@@ -12,7 +12,7 @@
 __all__ = ["FairQueue"]
 
 # What a team's turn gives it, in the cost of requests (tokens of a generation, 1 for a
-# call): about a tenth of a long prompt, so that turns pass often. Chosen, not measured.
+# call): about a tenth of a long prompt, so that turns pass often.
 _QUANTUM = 512.0
 
 
--- a/src/coursekeel/routing/_rate.py
+++ b/src/coursekeel/routing/_rate.py
@@ -4,8 +4,8 @@
 
 __all__ = ["QueueRate"]
 
-# How much of the average each grant that took time replaces. Chosen, not measured:
-# about twenty grants, a second of a busy queue.
+# How much of the average each grant that took time replaces. About twenty grants, a
+# second of a busy queue.
 _NEWEST_SHARE = 0.05
 
 
--- a/src/coursekeel/routing/_reading.py
+++ b/src/coursekeel/routing/_reading.py
@@ -9,15 +9,15 @@
 
 __all__ = ["ReadingSpeed"]
 
-# Before the first stream has begun. Chosen, not measured: engines that were seen read 5
-# and 8 tokens a ms, 0.2 and 0.125 each.
+# Before the first stream has begun. Engines that were seen read 5 and 8 tokens a ms,
+# 0.2 and 0.125 each.
 _UNTRIED_MS_PER_TOKEN = 0.15
 
-# How much of the way to a slower reading each one moves the estimate. Chosen, not
-# measured: a fifth of the way after ten.
+# How much of the way to a slower reading each one moves the estimate. A fifth of the
+# way after ten.
 _SLOWER_SHARE = 0.02
 
-# A shorter prompt tells more of the way there than of reading. Chosen, not measured.
+# A shorter prompt tells more of the way there than of reading.
 _LEAST_TOKENS = 500
 
 
--- a/src/coursekeel/routing/_router.py
+++ b/src/coursekeel/routing/_router.py
@@ -18,8 +18,7 @@
 
 __all__ = ["Router", "RouterSettings"]
 
-# What a success earns of a retry in a class whose intent says nothing of it. Chosen,
-# not measured.
+# What a success earns of a retry in a class whose intent says nothing of it.
 _USUAL_RETRY_SHARE = 0.2
 
 
@@ -30,8 +29,7 @@
     ``refusal_hold_ms``: refusals of one endpoint within it shrink its limit once.
     ``avoid_ms``: a continuing request waits so long for an endpoint that it need not
     avoid. ``continuing_at_once``: so many of them are looked at in one review, since
-    each costs a choice over the whole pool. All chosen, not measured, but for the
-    gateway's, which stand in `Gateway`.
+    each costs a choice over the whole pool. The gateway's own stand in `Gateway`.
     """
 
     queue_limit: int = 1_000
--- a/src/coursekeel/routing/_score.py
+++ b/src/coursekeel/routing/_score.py
@@ -33,7 +33,7 @@
 ]
 
 # A first token from an endpoint that does nothing else. The same for all, so that it
-# decides nothing; it keeps scores readable as times. Chosen, not measured.
+# decides nothing; it keeps scores readable as times.
 _BASE_MS = 50.0
 
 # While an endpoint reads a prompt piece by piece, the runs beside it stand nearly
@@ -43,15 +43,15 @@
 # trouble, eight seeds; by half of them 0.012, between 0.003 and 0.020).
 _HELD_UP_SHARE = 0.83
 
-# Another zone's way there and back; it only breaks ties. Chosen, not measured.
+# Another zone's way there and back; it only breaks ties.
 _OTHER_ZONE_MS = 2.0
 
 # A run that doesn't fit waits for another to end, or pushes one out: about as long as a
-# stream takes. Chosen, not measured.
+# stream takes.
 _MEMORY_FULL_MS = 5_000.0
 
 # What an endpoint that fails every run is behind one that fails none: more than a
-# second try costs. Chosen, not measured.
+# second try costs.
 _ALL_FAILING_MS = 4_000.0
 
 # How much of a prompt's reading time its own endpoint may lie behind: less than one run
@@ -60,13 +60,12 @@
 _AFFINITY_SHARE = 0.5
 
 # The same for a caller that comes back with a part of its answer: its prompt was surely
-# read, and its instance is gone. Together with leaving failing zones alone it took a
-# day with failing zones from 0.425 to 0.478; not measured alone.
+# read, and its instance is gone.
 _RESUMED_AFFINITY_SHARE = 2.0
 
 # From this share of failed runs on an endpoint counts as failing, and then so many
 # choices are made by lot: a failing endpoint is never the better one, and without a try
-# now and then nobody would find out that it works again. Chosen, not measured.
+# now and then nobody would find out that it works again.
 _FAILING_SHARE = 0.3
 _EXPLORED_SHARE = 0.03  # see above
 
--- a/src/coursekeel/routing/_zones.py
+++ b/src/coursekeel/routing/_zones.py
@@ -3,9 +3,7 @@
 Rule: when several endpoints of a zone were lost within a moment, the zone is avoided
 for new work and for copies, as long as other zones have room. Reason: power and
 networks fail by zone, and then its endpoints die one after the other: without the rule
-a copy's own copy was once placed in the zone that had just died. Measured together with
-stronger prompt affinity: a day with failing zones 0.425 before, 0.478 after. The three
-constants by themselves are chosen, not measured.
+a copy's own copy would be placed in the zone that has just died.
 
 A core: the time is given, in ms.
 """
--- a/src/coursekeel/runtime/_answer_driver.py
+++ b/src/coursekeel/runtime/_answer_driver.py
@@ -19,8 +19,8 @@
 
 __all__ = ["AnswerDriver", "AnswerShell"]
 
-# How often an answer whose reading is held looks whether it still is. Chosen, not
-# measured: a held answer has pieces in hand, so that nothing waits for this.
+# How often an answer whose reading is held looks whether it still is. A held answer has
+# pieces in hand, so that nothing waits for this.
 _HELD_LOOK_MS = 500.0
 
 
--- a/src/coursekeel/runtime/_process.py
+++ b/src/coursekeel/runtime/_process.py
@@ -17,9 +17,9 @@
 
 EXIT_BROKEN = 70  # EX_SOFTWARE of sysexits.h
 # Allocations between two looks of the garbage collector (Python's own is 700): most
-# objects here are freed by their count. Chosen, not measured.
+# objects here are freed by their count.
 _COLLECT_AFTER = 20_000
-# How often lines that a slow reader left waiting are tried again. Chosen, not measured.
+# How often lines that a slow reader left waiting are tried again.
 _FLUSH_MS = 500
 
 
--- a/src/coursekeel/runtime/_routing_task.py
+++ b/src/coursekeel/runtime/_routing_task.py
@@ -16,8 +16,7 @@
 __all__ = ["RoutingTask"]
 
 # How often waiting requests are looked at when nothing else happens, so that those
-# whose time is over are refused. Chosen, not measured: a small part of any route's
-# time.
+# whose time is over are refused. A small part of any route's time.
 _REVIEW_MS = 50
 
 
--- a/src/coursekeel/settings/_gateway.py
+++ b/src/coursekeel/settings/_gateway.py
@@ -1,7 +1,6 @@
 """The settings of one gateway, as one frozen value.
 
-Owns the gateway's bounds of time and what follows from them. The defaults are chosen,
-not measured, where no line says otherwise; deployments set their own.
+Owns the gateway's bounds of time and what follows from them. Deployments set their own.
 """
 
 from attrs import field, frozen
@@ -23,7 +22,7 @@
 _KEY_AGE_SHARE = 0.92
 _HOLD_SHARE = 0.34  # see above
 # More than a hold and its answer, so that an instance in touch with the store can
-# always call a key unknown. Chosen, not measured.
+# always call a key unknown.
 _UNKNOWN_SHARE = 0.52
 # Of `drain_ms`; the rest is for the store's answer, for the queue here, and for the way
 # there. 450 ms at 2 s: with 800 ms a quiet day had 0.801 to 0.810 in place of 0.838.
@@ -38,14 +37,12 @@
 _LATE_SHARE = 0.1  # see above
 # Of `drain_ms`, how long a member of the group may hold a question, and how much later
 # its answer may come. With the gathering they bound how late the news of an endpoint
-# that leaves comes past a member that fell silent: 0.775 of the bound. Chosen, not
-# measured.
+# that leaves comes past a member that fell silent: 0.775 of the bound.
 _MEMBER_HOLD_SHARE = 0.4
 _MEMBER_SLACK_SHARE = 0.15  # see above
 # Of `configuration_ms`, how long a member's answer may take from its head to its end. A
 # whole configuration of 1,469 routes has 24 kB on the way, 40 ms at 5 Mbit/s; from a
-# member whose link is full the store's own, of 411 kB, is sooner here. Chosen, not
-# measured.
+# member whose link is full the store's own, of 411 kB, is sooner here.
 _MEMBER_TRANSFER_SHARE = 0.25
 
 
--- a/src/coursekeel/storage/_batcher.py
+++ b/src/coursekeel/storage/_batcher.py
@@ -19,7 +19,7 @@
 
 __all__ = ["Batcher"]
 
-# Transactions put together into one call. Chosen, not measured.
+# Transactions put together into one call.
 _MOST_IN_A_BATCH = 64
 
 
--- a/src/coursekeel/storage/_http.py
+++ b/src/coursekeel/storage/_http.py
@@ -34,7 +34,7 @@
 
 # How an object may come once it has begun. A prompt of 4 MiB takes 7 s at 5 Mbit/s; an
 # answer whose prompt had to come within the limit on a call was never adopted over such
-# a link. Chosen, not measured.
+# a link.
 _OBJECT_TRANSFER = Transfer(pause_ms=1_000, most_ms=20_000, most_bytes=64 << 20)
 
 
--- a/src/coursekeel/suspects/_keeper.py
+++ b/src/coursekeel/suspects/_keeper.py
@@ -32,7 +32,7 @@
 __all__ = ["SuspectKeeper"]
 
 # The pause after a call that failed, and between two writes: what is learned at once is
-# written at once. Chosen, not measured.
+# written at once.
 _PAUSE_MS = 500.0
 # Rows in one call; the users' store takes a hundred.
 _MOST_ROWS = 50
