A stream isn't given up as silent where its engines live through silences

Cause: engines that read a long prompt hold up all that run beside it, on some for longer than the 280 ms after which a run counts as lost.

Change: after a run was given up as silent its endpoint is asked once for its report. A pool whose endpoints answer then is remembered for half a minute; there an endpoint is asked before a run is given up, and a run that its report names is waited for, four silences at the most, and while no repeat is left for as long as it is named. Elsewhere nothing changes.

Ways: a longer silence for all costs every dark death as much; a limit learned from pauses never sees those that were cut short; asking always costs 150 ms at each dark death.

Measured: test_engines_that_pause_for_longer_than_silence_is_borne_lose_no_streams sent the second stream 7 times before and once after.

--- a/src/coursekeel/gateway/_context.py
+++ b/src/coursekeel/gateway/_context.py
@@ -14,6 +14,7 @@
 from coursekeel.gateway.endpoints._crash_watch import CrashWatch
 from coursekeel.gateway.endpoints._endpoint_client import EndpointClient
 from coursekeel.gateway.endpoints._endpoint_health import EndpointHealth
+from coursekeel.gateway.endpoints._lived_silences import LivedSilences
 from coursekeel.gateway.rollouts._version_choice import VersionChoice
 from coursekeel.gateway.site._known_site import KnownSite
 from coursekeel.reactor import Reactor
@@ -40,4 +41,5 @@
     quarantine: QuarantineGate
     crashes: CrashWatch
     versions: VersionChoice = field(factory=VersionChoice)
+    lived: LivedSilences = field(factory=LivedSilences)
     lengths: StreamLengths = field(factory=StreamLengths)
--- a/src/coursekeel/gateway/streams/_stream_attempt.py
+++ b/src/coursekeel/gateway/streams/_stream_attempt.py
@@ -111,6 +111,11 @@
         if self.task.call.route.kind is RouteKind.RESUMABLE:
             self._watch_beginning()
 
+    @property
+    def has_begun(self) -> bool:
+        """Say whether the endpoint has given an event of the run."""
+        return self._events > 0
+
     def _send(self, outbound: OutboundRequest) -> None:
         self._outbound = outbound
         endpoints = self.task.context.endpoints
--- a/src/coursekeel/gateway/streams/_stream_task.py
+++ b/src/coursekeel/gateway/streams/_stream_task.py
@@ -22,6 +22,7 @@
     Complete,
     CopyPlaced,
     Deliver,
+    EndpointSilent,
     Event,
     Expected,
     Granted,
@@ -53,6 +54,7 @@
 )
 from coursekeel.gateway.endpoints._load_reports import LoadReports
 from coursekeel.gateway.streams._placement import StreamPlacement
+from coursekeel.gateway.streams._silence_doubt import SilenceDoubt
 from coursekeel.gateway.streams._stream_attempt import AttemptOwner, StreamAttempt
 from coursekeel.gateway.streams._stream_reply import StreamReply
 from coursekeel.gateway.streams._successors import Successors
@@ -63,7 +65,7 @@
 __all__ = ["StreamTask"]
 
 # An alarm this late tells of a pause of this process. Less than `silence_ms`, so that a
-# pause isn't taken for the silence of every endpoint at once. Chosen, not measured.
+# pause isn't taken for the silence of every endpoint at once.
 _OWN_PAUSE_MS = 100.0
 
 
@@ -82,6 +84,7 @@
     _caller: StreamReply = field(init=False)
     _sends: SendAccount = field(init=False)
     _pass: QuarantinePass = field(init=False)
+    _doubt: SilenceDoubt = field(init=False)
     _open: dict[int, StreamAttempt] = field(factory=dict)
     _refused: str = ""
     _retry_after_ms: float = STREAM_RETRY_MS
@@ -104,8 +107,24 @@
             context.reactor,
             context.clock,
             _OWN_PAUSE_MS,
-            silence_counts=lambda: not context.endpoints.link.full,
+            silence_counts=self._silence_counts,
         )
+        self._doubt = SilenceDoubt(
+            context.clock,
+            self.reports,
+            context.lived,
+            call.pool,
+            call.caller.request_id,
+            lambda endpoint_id: self.tell(EndpointSilent(endpoint_id)),
+            lambda: not self._sends.budget.is_spent(context.clock.now_ms()),
+        )
+
+    def _silence_counts(self) -> bool:
+        """Say whether a run that is silent is lost by that."""
+        if self.context.endpoints.link.full:
+            return False
+        begun = [each.endpoint_id for each in self._open.values() if each.has_begun]
+        return self._doubt.counts(begun, self.core.ledger.next_position)
 
     def _policy(self) -> AnswerPolicy:
         """A stream that may not be resumed runs once, however long it is silent.
@@ -283,6 +302,7 @@
             return
         if not self.core.ended and not self._caller.waits_for_recovery:
             self.lost(attempt.lost_run("silent"))
+            self._doubt.given_up(attempt.endpoint_id)
         attempt.close()
 
     def is_open(self, number: int) -> bool:
--- a/src/coursekeel/routing/_window_budget.py
+++ b/src/coursekeel/routing/_window_budget.py
@@ -66,6 +66,12 @@
         self.saved = 0.0
         return self.random.random() < left
 
+    def is_spent(self, now_ms: float) -> bool:
+        """Say whether there is no whole repeat now."""
+        self._lapse(now_ms)
+        self._refill(now_ms)
+        return self.saved + sum(each.part for each in self._earned) < 1
+
     def give_back(self) -> None:
         """A repeat that was taken reached nobody after all."""
         self.saved = min(self.saved + 1, max(self.most, 1.0))
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -407,7 +407,8 @@
             self.faults["dark"] = True
             return
         request.write(event)
-        reactor.callLater(_EVENT_GAP_S, self._event, request, run_id, number + 1, last)
+        gap_s = self.faults.get("gap_ms", 1000 * _EVENT_GAP_S) / 1000
+        reactor.callLater(gap_s, self._event, request, run_id, number + 1, last)
 
     def _is_crashed_by(self, path: str, body: str) -> bool:
         text = self.faults.get("crashed_by", "")
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -420,3 +420,16 @@
     figures = site.metrics()
     assert "coursekeel_requests_total" in figures
     assert "coursekeel_belief_age_seconds" in figures
+
+
+def test_engines_that_pause_for_longer_than_silence_is_borne_lose_no_streams(site):
+    """They hold up their runs while they read others' prompts. The first run that is
+    given up shows that its engine lives; from then on engines are asked first."""
+    for name in ("s0", "s1", "s2"):
+        site.faults(name, gap_ms=340)
+    first = site.ask("/stream/4", deadline_ms="15000")
+    assert (first.status, first.body) == (200, events(4))
+    connection, request_id = site.open("/stream/6", deadline_ms="15000")
+    answer = read(connection)
+    assert (answer.status, answer.body) == (200, events(6))
+    assert len(site.ran(request_id)) == 1
