Roll-outs: explain names versions, and who starts midway learns what was in force

Cause: an instance that starts during a roll-out sees the versions side by side and could only guess which was in force; with an order of the old version, which stops a roll-out, it guessed wrongly. A version whose order was taken away counted as one that no order names, and got requests.

Change: rulings tell the versions in force, unless they are a guess.

--- a/src/coursekeel/canary/_conductor.py
+++ b/src/coursekeel/canary/_conductor.py
@@ -141,7 +141,7 @@
             self._machine.feed(name)
             self.reason = self.reason or "recorded"
 
-    def ruling(self, own: str, now_ms: float) -> Ruling:
+    def ruling(self, own: str, now_ms: float, in_force: tuple[str, ...] = ()) -> Ruling:
         """What instances are told."""
         return Ruling(
             own,
@@ -151,6 +151,7 @@
             self.phase,
             self._share(now_ms),
             self._elapsed(now_ms),
+            in_force,
         )
 
     def _share(self, now_ms: float) -> float:
--- a/src/coursekeel/canary/_messages.py
+++ b/src/coursekeel/canary/_messages.py
@@ -43,7 +43,8 @@
     """What a conducting member says of a roll-out.
 
     ``moment`` is the order's in the store; ``share`` of new requests may go to the new
-    version while it is tried; ``elapsed_ms`` has passed since the order.
+    version while it is tried; ``elapsed_ms`` has passed since the order. The versions
+    ``in_force`` before it are for who started since; none if they are a guess.
     """
 
     sender: str
@@ -53,6 +54,7 @@
     phase: Phase
     share: float
     elapsed_ms: float
+    in_force: tuple[str, ...] = ()
 
 
 @frozen
@@ -110,6 +112,7 @@
     life: int = 0
     old_runs: int = field(default=0, metadata={"key": "old_runs"})
     rows: tuple[_RowForm, ...] = ()
+    in_force: tuple[str, ...] = field(default=(), metadata={"key": "in_force"})
 
 
 _CONVERTER = message_converter(_RowForm, _Form)
@@ -117,7 +120,8 @@
 
 def encode_ruling(group: str, ruling: Ruling) -> bytes:
     """The datagram of a ruling."""
-    return _encoded(evolve(_form(group, ruling), share=ruling.share))
+    form = _form(group, ruling)
+    return _encoded(evolve(form, share=ruling.share, in_force=ruling.in_force))
 
 
 def encode_report(group: str, report: RolloutReport) -> Iterator[bytes]:
@@ -188,6 +192,7 @@
             phase,
             min(max(form.share, 0.0), 1.0),
             max(form.elapsed_ms, 0.0),
+            form.in_force,
         )
     return RolloutReport(
         form.sender,
--- a/src/coursekeel/canary/_rollouts.py
+++ b/src/coursekeel/canary/_rollouts.py
@@ -73,6 +73,7 @@
     by_pool: dict[str, PoolRollout] = field(factory=dict)
     life: int = field(init=False)
     _in_force: dict[str, set[str]] = field(factory=dict)
+    _guessed: set[str] = field(factory=set)
     _taken_back: dict[str, set[str]] = field(factory=dict)
     _orders_read: StoreMoment | None = None
     _version_of: dict[str, str] = field(factory=dict)
@@ -110,9 +111,13 @@
             self.withdrawn_one(pool)
 
     def withdrawn_one(self, pool: str) -> None:
-        """A pool has no order any more; what was taken back stays so."""
+        """A pool has no order any more; what wasn't completed is taken back."""
         rollout = self.by_pool.pop(pool, None)
-        if rollout is not None and rollout.phase is Phase.ROLLED_BACK:
+        self._new_endpoints.pop(pool, None)
+        self._old_endpoints.pop(pool, None)
+        if rollout is None or rollout.phase is Phase.COMPLETED:
+            return
+        if rollout.order.target not in self._in_force[pool]:
             self._taken_back.setdefault(pool, set()).add(rollout.order.target)
 
     def orders_read(self, moment: StoreMoment) -> bool:
@@ -169,6 +174,7 @@
         in_force = self._in_force[pool]
         if not in_force:
             in_force |= set(versions.values()) - {target}
+            self._guessed.add(pool)
         new = sorted(name for name, version in versions.items() if version == target)
         old = [n for n, v in versions.items() if v in in_force and v != target]
         self._new_endpoints[pool], self._old_endpoints[pool] = new, old
@@ -216,6 +222,14 @@
             return not new
         return new or rollout.phase is Phase.TRYING or not self.has_new(endpoint.pool)
 
+    def ordered_version(self, endpoint_id: str) -> str:
+        """An endpoint's version, if its pool has an order; empty otherwise."""
+        if not self.by_pool:
+            return ""
+        version = self._version_of.get(endpoint_id, "")
+        sides = (*self._old_endpoints.values(), *self._new_endpoints.values())
+        return version if any(endpoint_id in each for each in sides) else ""
+
     def ended(
         self,
         pool: str,
@@ -254,13 +268,28 @@
         if rollout is None or not rollout.obeys(ruling):
             return False
         rollout.began_ms = min(rollout.began_ms, now_ms - ruling.elapsed_ms)
+        learned = self._learn_in_force(ruling)
         if ruling.phase is Phase.TRYING:
             rollout.share, rollout.heard_ms = ruling.share, now_ms
         if ruling.phase.rank <= rollout.phase.rank:
-            return False
+            return learned
         rollout.phase = ruling.phase
         return True
 
+    def _learn_in_force(self, ruling: Ruling) -> bool:
+        """Who started after an order can only guess what was in force before it."""
+        if ruling.pool not in self._guessed or not ruling.in_force:
+            return False
+        self._guessed.discard(ruling.pool)
+        self._in_force[ruling.pool] = set(ruling.in_force)
+        return True
+
+    def known_in_force(self, pool: str) -> tuple[str, ...]:
+        """The versions in force before a pool's order; none if that is a guess."""
+        if pool in self._guessed:
+            return ()
+        return tuple(sorted(self._in_force.get(pool, ())))
+
     def report(
         self, pool: str, own: str, old_runs: int, now_ms: float
     ) -> RolloutReport:
--- a/src/coursekeel/explain/_explain.py
+++ b/src/coursekeel/explain/_explain.py
@@ -152,6 +152,9 @@
         for line in losses
     )
     sends = f"{last.get('sends')} send(s)" + (f" ({where})" if where else "")
+    versions = [each.get("version") for each in about if each.get("version")]
+    if versions:
+        sends += f", during a roll-out, to version {' then '.join(versions)}"
     if outcome == "answered":
         return f"It was answered with {status} after {sends}."
     if outcome == "caller_left":
--- a/src/coursekeel/gateway/_metrics.py
+++ b/src/coursekeel/gateway/_metrics.py
@@ -135,8 +135,12 @@
         load: EndpointLoad | None,
         candidates: int = 0,
         copy_id: str = "",
+        version: str = "",
     ) -> None:
-        """A request is sent to an endpoint, for these reasons."""
+        """A request is sent to an endpoint, for these reasons.
+
+        ``version`` is the endpoint's, if its pool has an order of a roll-out.
+        """
         now_ms = self.clock.now_ms()
         fields: dict[str, Any] = {
             "request": call.caller.request_id,
@@ -146,6 +150,8 @@
         }
         if copy_id:
             fields["copy"] = copy_id
+        if version:
+            fields["version"] = version
         if load is not None:
             fields["own_running"] = load.limit.running
             fields["limit"] = int(load.limit.limit)
--- a/src/coursekeel/gateway/rollouts/_rollout_task.py
+++ b/src/coursekeel/gateway/rollouts/_rollout_task.py
@@ -180,7 +180,7 @@
     def _rule(self, conducted: _Conducted, before: Phase) -> None:
         """Obey the own ruling; one that changes the phase is told to all at once."""
         conductor = conducted.conductor
-        ruling = conductor.ruling(self.own, self.clock.now_ms())
+        ruling = self._ruling(conducted)
         self._heard(ruling)
         if conductor.phase is before:
             return
@@ -195,6 +195,11 @@
         for address in self.swim.others():
             self.send(address, encode_ruling(self.swim.group, ruling))
 
+    def _ruling(self, conducted: _Conducted) -> Ruling:
+        conductor = conducted.conductor
+        in_force = self.rollouts.known_in_force(conductor.order.pool)
+        return conductor.ruling(self.own, self.clock.now_ms(), in_force)
+
     # What members say.
 
     def received(self, message: RolloutMessage) -> None:
@@ -230,8 +235,8 @@
             if self._is_open(rollout):
                 self._ticks.start()
         if conducted.read_before:
-            ruling = conducted.conductor.ruling(self.own, self.clock.now_ms())
-            self.send(report.sender, encode_ruling(self.swim.group, ruling))
+            ruling = encode_ruling(self.swim.group, self._ruling(conducted))
+            self.send(report.sender, ruling)
 
     # The record.
 
--- a/src/coursekeel/gateway/rollouts/_version_choice.py
+++ b/src/coursekeel/gateway/rollouts/_version_choice.py
@@ -46,6 +46,10 @@
         """Say whether a request may still be sent to the endpoint."""
         return self.rollouts.may_have(endpoint)
 
+    def named(self, endpoint_id: str) -> str:
+        """The endpoint's version while its pool has an order; empty otherwise."""
+        return self.rollouts.ordered_version(endpoint_id)
+
     def ended(
         self, call: AdmittedRequest, endpoint_id: str, failed: bool, took_ms: float
     ) -> None:
--- a/src/coursekeel/gateway/streams/_stream_task.py
+++ b/src/coursekeel/gateway/streams/_stream_task.py
@@ -272,6 +272,7 @@
             context.routing.router.load(action.endpoint_id),
             self._placement.asked,
             copy_to,
+            context.versions.named(action.endpoint_id),
         )
         attempt = StreamAttempt(
             self, action.attempt, action.endpoint_id, action.way is Way.COPY, now_ms
--- a/src/coursekeel/gateway/whole/_whole_task.py
+++ b/src/coursekeel/gateway/whole/_whole_task.py
@@ -190,7 +190,8 @@
         remaining_ms = self._remaining_ms
         call, endpoint_id = self.call, record.endpoint_id
         load = self.context.routing.router.load(endpoint_id)
-        self.context.metrics.chosen(call, endpoint_id, "whole", load)
+        version = self.context.versions.named(endpoint_id)
+        self.context.metrics.chosen(call, endpoint_id, "whole", load, version=version)
         outbound = OutboundRequest(
             record, call.caller.request_id, call.team_name, remaining_ms
         )
--- a/tests/cover/test_canary.py
+++ b/tests/cover/test_canary.py
@@ -121,6 +121,44 @@
     assert pool.split() == {"p": ["a"]}, "nor does the end of its order"
 
 
+def test_a_version_whose_order_is_taken_away_gets_nothing_until_it_is_ordered_again():
+    pool = Pool(a="v1", b="v2")
+    pool.rollouts.ordered(ORDER, at(7), 0.0)
+    pool.split()
+    pool.rollouts.withdrawn([])
+    pool.rollouts.orders_read(at(20))
+    assert pool.split() == {"p": ["a"]}
+    pool.rollouts.ordered(ORDER, at(21), 0.0)
+    assert pool.split() == {"p": ["a"], "p@v2": ["b"]}
+
+
+def test_an_order_of_the_version_in_force_stops_a_roll_out():
+    pool = Pool(a="v1", b="v2")
+    pool.rollouts.ordered(ORDER, at(7), 0.0)
+    pool.split()
+    pool.rollouts.ordered(RolloutOrder("p", "v1", 9_000), at(8), 0.0)
+    assert pool.split()["p"] == ["a"]
+    assert all("b" not in names for names in pool.split().values())
+
+
+def test_one_that_starts_during_a_roll_out_learns_which_version_was_in_force():
+    """An order of the version in force stops a roll-out; both versions are listed."""
+    pool = Pool(a="v1", b="v2")
+    pool.rollouts.ordered(RolloutOrder("p", "v1", 9_000), at(8), 0.0)
+    assert pool.split()["p"] == ["b"], "a guess"
+    ruling = Ruling("i0", "p", "v1", at(8), Phase.TRYING, 0.1, 0.0, ("v1",))
+    assert pool.rollouts.heard(ruling, 0.0)
+    assert pool.split()["p"] == ["a"]
+    assert pool.rollouts.known_in_force("p") == ("v1",)
+
+
+def test_a_guess_is_told_to_nobody():
+    pool = Pool(a="v1", b="v2")
+    pool.rollouts.ordered(ORDER, at(7), 0.0)
+    pool.split()
+    assert pool.rollouts.known_in_force("p") == ()
+
+
 def test_while_it_closes_and_once_it_is_completed_only_the_new_version_serves():
     pool = Pool(a="v1", b="v2", c="v2")
     pool.rollouts.ordered(ORDER, at(7), 0.0)
@@ -231,7 +269,7 @@
         assert group == "g"
         parts += part.rows
     assert parts == list(whole.rows)
-    ruling = Ruling("i0", "p", "v2", at(7, era=3), Phase.CLOSING, 0.25, 1.5)
+    ruling = Ruling("i0", "p", "v2", at(7, era=3), Phase.CLOSING, 0.25, 1.5, ("v1",))
     assert decode_rollout(encode_ruling("g", ruling)) == ("g", ruling)
 
 
--- a/tests/cover/test_logs.py
+++ b/tests/cover/test_logs.py
@@ -138,6 +138,19 @@
     assert "may have run" in told.cause and "s3: maybe_sent" in told.cause
 
 
+def test_a_request_of_a_roll_out_is_told_which_versions_it_met():
+    told = explain(
+        "r1",
+        lines(
+            "event=endpoint_chosen request=r1 endpoint=e1 version=v2",
+            "event=try_ended request=r1 endpoint=e1 outcome=status_500",
+            "event=endpoint_chosen request=r1 endpoint=e2 version=v1",
+            "event=request_ended request=r1 outcome=answered status=200 sends=2",
+        ),
+    )
+    assert "during a roll-out, to version v2 then v1" in told.cause
+
+
 def test_a_request_of_a_killed_instance_ends_without_a_word():
     told = explain("r1", lines("event=endpoint_chosen request=r1 endpoint=s3"))
     assert "stopped before it gave a final word" in told.cause
