Fleets roll out under faults; without a record that was read nothing is ruled

Cause: a conductor that couldn't read the record gave its ruling all the same, though a verdict may lie in the store; found by the new test.

Change: no ruling before the record was read. A fleet of tasks on one clock plays roll-outs with lost datagrams, a frozen instance, a killed conductor, a newcomer and a store that is away, from 3 to 380 instances.

--- a/src/coursekeel/gateway/rollouts/_rollout_task.py
+++ b/src/coursekeel/gateway/rollouts/_rollout_task.py
@@ -261,7 +261,8 @@
                 await self._read_record(conducted)
             if conducted.record is not None and not self._is_recorded(conducted):
                 await self._write_record(conducted, conducted.record)
-            self._rule(conducted, before)
+            if conducted.read_before:
+                self._rule(conducted, before)
         finally:
             conducted.writing = False
 
--- /dev/null
+++ b/tests/cover/test_rollout_fleet.py
@@ -0,0 +1,296 @@
+"""A fleet rolls a version out together: bounds hold, whatever is lost or dies.
+
+Each instance is a `RolloutTask` on one simulated clock; datagrams are drawn to be lost,
+an instance freezes, the member that leads is killed, one starts midway, and the store
+may be away. Requests come to instances by lot.
+"""
+
+import math
+from random import Random
+from unittest.mock import Mock
+
+import pytest
+from twisted.internet.task import Clock as FakeReactor
+
+from coursekeel.canary import (
+    CanaryBounds,
+    Phase,
+    RecordConflict,
+    RecordFailed,
+    RecordState,
+    RolloutOrder,
+    RolloutRecord,
+    RolloutRecords,
+    Rollouts,
+    decode_rollout,
+)
+from coursekeel.forwarding import EndpointRecord
+from coursekeel.gateway.rollouts._rollout_task import RolloutTask, report_period_ms
+from tests.common.moments import at
+
+BOUNDS = CanaryBounds()
+STEP_MS = 50
+POOL, TARGET = "p", "v2"
+
+
+class StoreRecord(RolloutRecords):
+    """The one record, written under conditions."""
+
+    def __init__(self) -> None:
+        self.record = RolloutRecord(None, "", at(0))
+        self.away = False
+        self.states: list[RecordState] = []
+
+    async def read(self, pool, timeout_ms):
+        return RecordFailed("away") if self.away else self.record
+
+    async def write(self, order, state, before, timeout_ms):
+        if self.away:
+            return RecordFailed("away")
+        if before != self.record:
+            return RecordConflict()
+        moment = at(self.record.moment.version + 10)
+        self.record = RolloutRecord(state, order.target, moment)
+        self.states.append(state)
+        return self.record
+
+
+class Instance:
+    """One member, which may be frozen or dead."""
+
+    def __init__(self, fleet: "Fleet", name: str) -> None:
+        self.fleet, self.name = fleet, name
+        self.awake = True
+        self.alive = True
+        clock = Mock(now_ms=lambda: fleet.now_ms)
+        self.rollouts = Rollouts(BOUNDS, Random(fleet.random.random()), fleet.period_ms)
+        swim = Mock(own=name, group="g")
+        swim.chosen = fleet.chosen
+        swim.alive = lambda: fleet.members()
+        swim.others = lambda: [each for each in fleet.members() if each != name]
+        self.site = Mock(tell_routing=self.split)
+        router = Mock(load=lambda _: None)
+        self.task = RolloutTask(
+            fleet.reactor,
+            clock,
+            swim,
+            self.rollouts,
+            self.site,
+            router,
+            fleet.store,
+            1_000,
+            fleet.period_ms,
+            lambda to, data: fleet.send(name, to, data),
+        )
+        # A frozen process's timers ring when it wakes.
+        tick = self.task._tick
+        self.task._ticks.work = lambda: tick() if self.runs else _nothing()
+
+    @property
+    def runs(self) -> bool:
+        return self.alive and self.awake
+
+    def split(self) -> None:
+        self.rollouts.split({POOL: list(ENDPOINTS)}, lambda e: (ENDPOINTS[e], at(1)))
+
+    def order(self, moment) -> None:
+        self.rollouts.ordered(
+            RolloutOrder(POOL, TARGET, self.fleet.duration_ms),
+            moment,
+            self.fleet.now_ms,
+        )
+        self.split()
+        self.task.ordered()
+
+    def serve(self, bad: bool) -> bool:
+        """Take one request; True if it went to the new version."""
+        fleet, now_ms = self.fleet, self.fleet.now_ms
+        pool = self.rollouts.pool_for(POOL, now_ms, True, lambda _: True)
+        closing = self.rollouts.by_pool[POOL].phase in (Phase.CLOSING, Phase.COMPLETED)
+        new = pool != POOL or closing
+        endpoint = fleet.random.choice(NEW if new else OLD)
+        failed = fleet.random.random() < (fleet.fails if new and bad else 0.02)
+        self.rollouts.ended(POOL, "r", endpoint, failed, 100.0, now_ms)
+        fleet.bad_ms += [now_ms] if new and bad and failed else []
+        return new
+
+
+async def _nothing() -> None:
+    """A frozen process does nothing."""
+
+
+OLD, NEW = ["a1", "a2", "a3"], ["b1", "b2", "b3"]
+ENDPOINTS = {
+    name: EndpointRecord(name, POOL, "h", 1, "z", 4, False, version)
+    for names, version in ((OLD, "v1"), (NEW, TARGET))
+    for name in names
+}
+
+
+class Fleet:
+    """All instances, and what reaches whom."""
+
+    def __init__(
+        self,
+        size: int,
+        seed: int,
+        duration_ms: float = 20_000,
+        fails: float = 1.0,
+        lost: float = 0.1,
+    ) -> None:
+        self.reactor, self.random = FakeReactor(), Random(seed)
+        self.duration_ms, self.fails, self.lost = duration_ms, fails, lost
+        self.store = StoreRecord()
+        self.size = size
+        self.requests = self.exposed = 0
+        self.exposed_ms: list[float] = []
+        self.bad_ms: list[float] = []
+        self.instances = {f"i{n}": Instance(self, f"i{n}") for n in range(size)}
+
+    @property
+    def now_ms(self) -> float:
+        return self.reactor.seconds() * 1000
+
+    def period_ms(self) -> float:
+        return report_period_ms(self.size, BOUNDS.rollback_ms)
+
+    def members(self) -> list[str]:
+        return [name for name, each in self.instances.items() if each.alive]
+
+    def chosen(self, _name: str, count: int) -> list[str]:
+        return sorted(self.members())[:count]
+
+    def send(self, sender: str, to: str, data: bytes) -> None:
+        group, message = decode_rollout(data)
+        assert (group, message.sender) == ("g", sender)
+        if self.random.random() >= self.lost:
+            wait_s = self.random.uniform(0, 0.04)
+            self.reactor.callLater(wait_s, self._arrive, to, message)
+
+    def _arrive(self, to: str, message) -> None:
+        other = self.instances.get(to)
+        if other is None or not other.alive:
+            return
+        if other.awake:
+            other.task.received(message)
+        else:
+            self.reactor.callLater(STEP_MS / 1000, self._arrive, to, message)
+
+    def order(self) -> None:
+        for each in self.instances.values():
+            self.reactor.callLater(self.random.uniform(0, 1), each.order, at(1))
+
+    def run(self, for_ms: float, rate_s: float, bad: bool = True) -> None:
+        for _ in range(int(for_ms / STEP_MS)):
+            self.reactor.advance(STEP_MS / 1000)
+            awake = [
+                each
+                for each in self.instances.values()
+                if each.runs and POOL in each.rollouts.by_pool
+            ]
+            for _ in range(_drawn(rate_s * STEP_MS / 1000, self.random)):
+                self.requests += 1
+                if awake and self.random.choice(awake).serve(bad):
+                    self.exposed += 1
+                    self.exposed_ms.append(self.now_ms)
+
+    def phases(self) -> set[Phase]:
+        return {
+            each.rollouts.by_pool[POOL].phase
+            for each in self.instances.values()
+            if each.runs
+        }
+
+
+def _drawn(mean: float, random: Random) -> int:
+    return math.floor(mean) + (random.random() < mean % 1)
+
+
+def assert_bounds(fleet: Fleet) -> None:
+    assert fleet.exposed <= BOUNDS.share * fleet.requests + BOUNDS.slack
+    if len(fleet.bad_ms) >= 50:
+        assert fleet.exposed_ms[-1] <= fleet.bad_ms[49] + BOUNDS.rollback_ms
+
+
+@pytest.mark.parametrize("size, fails", [(3, 0.3), (3, 1.0), (73, 0.3), (380, 1.0)])
+def test_a_bad_version_is_taken_back_within_its_bounds(size, fails):
+    """Though a tenth of all datagrams is lost, one instance freezes, the member that
+    leads is killed, and one starts midway."""
+    fleet = Fleet(size, seed=size, fails=fails)
+    fleet.order()
+    fleet.run(1_500, rate_s=100)
+    fleet.instances["i1"].awake = False
+    fleet.run(1_000, rate_s=100)
+    fleet.instances["i0"].alive = False
+    newcomer = fleet.instances["i0b"] = Instance(fleet, "i0b")
+    newcomer.order(at(1))
+    fleet.run(2_000, rate_s=100)
+    fleet.instances["i1"].awake = True
+    fleet.run(9_000 if size < 380 else 4_000, rate_s=100)
+    assert_bounds(fleet)
+    assert fleet.phases() == {Phase.ROLLED_BACK}
+    assert fleet.store.record.state is RecordState.ROLLED_BACK
+
+
+@pytest.mark.parametrize("size", [3, 73])
+def test_a_good_version_is_completed_in_time_though_the_leader_is_killed(size):
+    fleet = Fleet(size, seed=size, duration_ms=12_000)
+    fleet.order()
+    fleet.run(3_000, rate_s=100, bad=False)
+    fleet.instances["i0"].alive = False
+    fleet.run(10_000, rate_s=100, bad=False)
+    assert fleet.store.record.state is RecordState.COMPLETED
+    assert fleet.phases() == {Phase.COMPLETED}
+    assert fleet.store.states[-1] is RecordState.COMPLETED
+
+
+def test_while_the_store_is_away_a_bad_version_is_taken_back_all_the_same():
+    fleet = Fleet(9, seed=4)
+    fleet.order()
+    fleet.run(2_000, rate_s=50, bad=False)
+    fleet.store.away = True
+    fleet.run(8_000, rate_s=50)
+    assert fleet.phases() == {Phase.ROLLED_BACK}
+    assert fleet.store.record.state is RecordState.RUNNING
+    fleet.store.away = False
+    fleet.run(2_000, rate_s=50)
+    assert fleet.store.record.state is RecordState.ROLLED_BACK
+    assert_bounds(fleet)
+
+
+def test_while_no_record_can_be_read_nothing_goes_to_the_new_version():
+    """Its verdict may lie in the store already."""
+    fleet = Fleet(3, seed=4)
+    fleet.store.away = True
+    fleet.order()
+    fleet.run(6_000, rate_s=50)
+    assert fleet.exposed == 0
+
+
+def test_instances_that_all_start_anew_obey_the_recorded_verdict():
+    fleet = Fleet(5, seed=2)
+    fleet.order()
+    fleet.run(10_000, rate_s=100)
+    assert fleet.phases() == {Phase.ROLLED_BACK}
+    exposed = fleet.exposed
+    fleet.instances = {f"j{n}": Instance(fleet, f"j{n}") for n in range(5)}
+    fleet.order()
+    fleet.run(5_000, rate_s=100)
+    assert fleet.exposed == exposed
+    assert fleet.phases() == {Phase.ROLLED_BACK}
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_halves_that_do_not_hear_each_other_end_in_one_state(seed):
+    """Two members conduct and lose most of what they are sent; the first final state
+    that is recorded stands for all."""
+    fleet = Fleet(4, seed=seed, duration_ms=8_000, fails=0.25, lost=0.6)
+    fleet.order()
+    fleet.run(12_000, rate_s=60)
+    fleet.lost = 0.0
+    fleet.run(6_000, rate_s=60)
+    final = fleet.store.record.state
+    assert final is not RecordState.RUNNING
+    assert fleet.phases() == {Phase(final.value)}
+    finals = [each for each in fleet.store.states if each is not RecordState.RUNNING]
+    assert len(set(finals)) == 1
