--- a/src/coursekeel/gateway/_gateway.py
+++ b/src/coursekeel/gateway/_gateway.py
@@ -24,6 +24,7 @@
 )
 from coursekeel.gateway._context import GatewayContext
 from coursekeel.gateway._dispatcher import Dispatcher
+from coursekeel.gateway._gauges import add_gauges
 from coursekeel.gateway._http import (
     OpenConnections,
     StatusPage,
@@ -205,7 +206,15 @@
             self._hold,
         )
         self._follow_tasks = self._make_follow_tasks(random)
-        self._add_gauges()
+        add_gauges(
+            self._metrics,
+            self._group,
+            self._router,
+            self._site,
+            self._hold,
+            self._dispatcher,
+            self._follow_tasks[0],
+        )
 
     def _followed_tables(self) -> tuple[FollowedTable, ...]:
         site, timers = self._site, self.settings.timers
@@ -256,65 +265,6 @@
         self._rollouts.store_restored()
         self._keeper.store_restored(self._group.is_mine)
 
-    def _add_gauges(self) -> None:
-        gauge = self._metrics.gauge
-        gauge(
-            "coursekeel_store_reads",
-            "Store reads so far",
-            lambda: self._group.source.store_calls,
-        )
-        gauge(
-            "coursekeel_member_reads",
-            "Readings that members of the group gave so far",
-            lambda: self._group.source.relayed,
-        )
-        gauge(
-            "coursekeel_answers_cut",
-            "Answers of the store or a member given up while they were coming",
-            lambda: self._group.source.answers_cut,
-        )
-        gauge(
-            "coursekeel_store_restores",
-            "Times that the store came back from an older copy",
-            lambda: sum(each.restores for each in self._follow_tasks[:1]),
-        )
-        gauge(
-            "coursekeel_members",
-            "Members of the group that nothing speaks against",
-            lambda: len(self._group.swim.alive()),
-        )
-        gauge(
-            "coursekeel_suspect_requests",
-            "Requests that are remembered because endpoints ended under them",
-            lambda: len(self._group.quarantine),
-        )
-        gauge(
-            "coursekeel_barred_requests",
-            "Requests that are barred because they end endpoints",
-            lambda: self._group.quarantine.barred,
-        )
-        gauge("coursekeel_waiting", "Requests that wait", lambda: self._router.waiting)
-        gauge(
-            "coursekeel_refused",
-            "Requests refused so far",
-            lambda: self._router.refused,
-        )
-        gauge(
-            "coursekeel_belief_age_seconds",
-            "Age of what is known of routes and keys",
-            lambda: self._site.routes_age_ms / 1000,
-        )
-        gauge(
-            "coursekeel_held_requests",
-            "Requests that wait for the first routes and endpoints",
-            lambda: len(self._hold),
-        )
-        gauge(
-            "coursekeel_open_requests",
-            "Requests at work",
-            lambda: self._dispatcher.open_requests,
-        )
-
     # Starting.
 
     async def start(self) -> None:
--- /dev/null
+++ b/src/coursekeel/gateway/_gauges.py
@@ -0,0 +1,81 @@
+"""What a gateway's metrics show of its parts at the moment of asking."""
+
+from coursekeel.gateway._dispatcher import Dispatcher
+from coursekeel.gateway._metrics import GatewayMetrics
+from coursekeel.gateway.admission._start_hold import StartHold
+from coursekeel.gateway.members._group import Group
+from coursekeel.gateway.site._follow_task import FollowTask
+from coursekeel.gateway.site._known_site import KnownSite
+from coursekeel.routing import Router
+from coursekeel.units import MS_PER_SECOND
+
+__all__ = ["add_gauges"]
+
+
+def add_gauges(
+    metrics: GatewayMetrics,
+    group: Group,
+    router: Router,
+    site: KnownSite,
+    hold: StartHold,
+    dispatcher: Dispatcher,
+    followed: FollowTask,
+) -> None:
+    """Have each part looked at whenever the metrics are read."""
+    gauge = metrics.gauge
+    gauge(
+        "coursekeel_store_reads",
+        "Store reads so far",
+        lambda: group.source.store_calls,
+    )
+    gauge(
+        "coursekeel_member_reads",
+        "Readings that members of the group gave so far",
+        lambda: group.source.relayed,
+    )
+    gauge(
+        "coursekeel_answers_cut",
+        "Answers of the store or a member given up while they were coming",
+        lambda: group.source.answers_cut,
+    )
+    gauge(
+        "coursekeel_store_restores",
+        "Times that the store came back from an older copy",
+        lambda: followed.restores,
+    )
+    gauge(
+        "coursekeel_members",
+        "Members of the group that nothing speaks against",
+        lambda: len(group.swim.alive()),
+    )
+    gauge(
+        "coursekeel_suspect_requests",
+        "Requests that are remembered because endpoints ended under them",
+        lambda: len(group.quarantine),
+    )
+    gauge(
+        "coursekeel_barred_requests",
+        "Requests that are barred because they end endpoints",
+        lambda: group.quarantine.barred,
+    )
+    gauge("coursekeel_waiting", "Requests that wait", lambda: router.waiting)
+    gauge(
+        "coursekeel_refused",
+        "Requests refused so far",
+        lambda: router.refused,
+    )
+    gauge(
+        "coursekeel_belief_age_seconds",
+        "Age of what is known of routes and keys",
+        lambda: site.routes_age_ms / MS_PER_SECOND,
+    )
+    gauge(
+        "coursekeel_held_requests",
+        "Requests that wait for the first routes and endpoints",
+        lambda: len(hold),
+    )
+    gauge(
+        "coursekeel_open_requests",
+        "Requests at work",
+        lambda: dispatcher.open_requests,
+    )
