Soak: the store comes back from a copy that was made some seconds before

The stand-in takes a copy when the fault begins and comes back from it at its end, with a risen era; half a second later the operator and the servers have written again.

--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -45,6 +45,7 @@
     STORE_RESETS = "store_resets"
     STORE_FORGETS = "store_forgets"
     STORE_OPEN_SILENT = "store_open_silent"
+    STORE_RESTORED = "store_restored"
     CONFIGURATION_CHANGED = "configuration_changed"
     KEY_REVOKED = "key_revoked"
     ENGINES_CRASH = "engines_crash"
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -53,6 +53,8 @@
 }
 # Whatever is asked below a path that names it ends its servers.
 GUILTY = "guilty"
+# How long the operator and the servers take to write again after a restore.
+_WRITTEN_AGAIN_S = 0.5
 # How long a server is away after its process ended.
 _DOWN_S = 1.0
 _ALWAYS = {"crashed_by": GUILTY, "down_s": _DOWN_S}
@@ -186,6 +188,8 @@
                 self.site.store(compact=True)
             case FaultKind.STORE_OPEN_SILENT:
                 self._store_open_silent()
+            case FaultKind.STORE_RESTORED:
+                self.site.store(copy=True)
             case FaultKind.CONFIGURATION_CHANGED:
                 self._configure()
             case FaultKind.KEY_REVOKED:
@@ -215,6 +219,8 @@
         elif kind is FaultKind.GATEWAY_PAUSED:
             self._send(target, signal.SIGCONT)
             self._back(target)
+        elif kind is FaultKind.STORE_RESTORED:
+            self._store_restored()
         elif kind is FaultKind.ENGINE_LEAVES:
             # What said that it leaves doesn't come back; another takes its place.
             self._engine_replaced(target)
@@ -266,6 +272,15 @@
         self.evidence.store_faults.append(StoreFault(now_s, now_s))
         self.site.store(open_silent=True)
 
+    def _store_restored(self) -> None:
+        """It comes back from the copy that was made when the fault began.
+
+        A fault of the store until the operator and the servers have written again.
+        """
+        now_s = time.monotonic()
+        self.evidence.store_faults.append(StoreFault(now_s, now_s + _WRITTEN_AGAIN_S))
+        self.site.store(restore=True, again_s=_WRITTEN_AGAIN_S)
+
     def _key_revoked(self) -> None:
         self._keys = (KEY,)
         self._configure()
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -70,15 +70,30 @@
     def take_copy(self) -> None:
         self.copy = (dict(self.rows), self.version)
 
-    def restore(self) -> None:
-        """Come back from the copy; questions that were held are cut."""
+    def restore(self, again_s: float | None = None) -> None:
+        """Come back from the copy; questions that were held are cut.
+
+        After ``again_s`` the operator and the servers have written again.
+        """
+        lost = dict(self.rows)
         rows, self.version = self.copy
         self.rows = dict(rows)
         self.era += 1
+        if again_s is not None:
+            reactor.callLater(again_s, self._write_again, lost)
         waiting, self.waiting = self.waiting, []
         for *_, held in waiting:
             held.errback(ConnectionAborted())
 
+    def _write_again(self, lost: dict[tuple[str, str], dict[str, Any]]) -> None:
+        for table in ("op", "servers"):
+            theirs = {key for name, key in {**self.rows, **lost} if name == table}
+            for key in sorted(theirs):
+                was = lost.get((table, key), {}).get("value")
+                if self.rows.get((table, key), {}).get("value") != was:
+                    self.put_encoded(table, key, was)
+            self.wake(table)
+
     def of(self, table: str) -> list[dict[str, Any]]:
         return [row for (name, _), row in self.rows.items() if name == table]
 
@@ -467,7 +482,7 @@
         if body.pop("copy", False):
             store.take_copy()
         if body.pop("restore", False):
-            store.restore()
+            store.restore(body.pop("again_s", None))
         store.era_told = body.pop("era_told", store.era_told)
         if body.pop("compact", False):
             store.oldest = store.version
