A malformed order takes nothing away, and a final word is both conductors'

Cause: read again. A whole reading whose order can't be read counted as one without it, so that the version in trial was taken back; the conductor that doesn't lead stayed trying after the other's final word, and would tell that to who starts later; and each change of the list looked every endpoint up in lists.

Change: an order that can't be read stays as it was; a ruling with a final phase is taken by an own conductor too; names are looked up in a set.

--- a/src/coursekeel/canary/_rollouts.py
+++ b/src/coursekeel/canary/_rollouts.py
@@ -143,10 +143,11 @@
             else:
                 moments = {name: record_of(name)[1] for name in names}
                 split[pool] = self._without_order(pool, versions, moments)
+        listed = {name for names in pools.values() for name in names}
         self._version_of = {
             name: version
             for name, version in self._version_of.items()
-            if any(name in names for names in pools.values())
+            if name in listed
         }
         return split
 
--- a/src/coursekeel/gateway/rollouts/_rollout_task.py
+++ b/src/coursekeel/gateway/rollouts/_rollout_task.py
@@ -212,6 +212,9 @@
             self._take_report(message)
 
     def _heard(self, ruling: Ruling) -> None:
+        conducted = self._conducted.get(ruling.pool)
+        if conducted is not None and ruling.phase.final:
+            self._other_judged(conducted.conductor, ruling)
         if not self.rollouts.heard(ruling, self.clock.now_ms()):
             return
         log_event(
@@ -223,6 +226,12 @@
         )
         self.site.tell_routing()
 
+    def _other_judged(self, conductor: Conductor, ruling: Ruling) -> None:
+        """The other conductor's final word is this one's too."""
+        ours = ruling.target == conductor.order.target
+        if ours and ruling.moment >= conductor.moment:
+            conductor.found(RecordState(ruling.phase.value))
+
     def _take_report(self, report: RolloutReport) -> None:
         rollout = self.rollouts.by_pool.get(report.pool)
         if rollout is None or report.target != rollout.order.target:
--- a/src/coursekeel/gateway/site/_known_site.py
+++ b/src/coursekeel/gateway/site/_known_site.py
@@ -134,9 +134,7 @@
         self._orders_era = reading.moment.era
         if reading.whole and not restored:
             # An order that a copy lacks is written again.
-            orders = [e.entry for e in reading.entries]
-            kept = [e.pool for e in orders if isinstance(e, RolloutOrder)]
-            self.rollouts.withdrawn(kept)
+            self.rollouts.withdrawn(_pools_of_orders(reading))
         for each in reading.entries:
             match each.entry:
                 case ForwardingConfiguration():
@@ -301,6 +299,18 @@
         self.routing.review()
 
 
+def _pools_of_orders(reading: Reading) -> list[str]:
+    """The pools whose orders a reading names; one that can't be read stays."""
+    pools = []
+    for each in reading.entries:
+        match each.entry:
+            case RolloutOrder():
+                pools.append(each.entry.pool)
+            case UnreadableEntry() if each.entry.entry_id.startswith(_ORDER):
+                pools.append(each.entry.entry_id.removeprefix(_ORDER))
+    return pools
+
+
 def _log_unreadable(table: Table, entry: UnreadableEntry, moment: StoreMoment) -> None:
     log_event(
         "row_unreadable",
--- a/tests/cover/test_rollout_fleet.py
+++ b/tests/cover/test_rollout_fleet.py
@@ -230,6 +230,10 @@
     assert_bounds(fleet)
     assert fleet.phases() == {Phase.ROLLED_BACK}
     assert fleet.store.record.state is RecordState.ROLLED_BACK
+    for each in fleet.instances.values():
+        conducted = each.task._conducted.get(POOL)
+        if each.runs and conducted is not None:
+            assert conducted.conductor.phase is Phase.ROLLED_BACK
 
 
 @pytest.mark.parametrize("size", [3, 73])
--- a/tests/platform/test_rollout.py
+++ b/tests/platform/test_rollout.py
@@ -185,6 +185,21 @@
     assert site.rollout("plain") == ""
 
 
+def test_a_malformed_order_in_the_place_of_a_good_one_takes_nothing_away(site):
+    site.order("plain", "v2", 60)
+    wait_until(lambda: "event=rollout_ordered" in site.log(), "the order is read")
+    bad = {"service": "plain", "target-version": "v2", "duration-s": "soon"}
+    site.put([("op", "rollout/plain", bad)])
+    wait_until(lambda: "key=rollout/plain" in site.log(), "it is told")
+    site.store(compact=True)
+    site.configure()
+    wait_until(lambda: f"version={site.version}" in site.log(), "all is read again")
+    list_new(site)
+    with asked(site):
+        wait_until(lambda: ran(site, NEW) > 0, "it is tried", 5)
+        assert ran(site, NEW) <= 0.1 * ran(site, OLD + NEW) + 50
+
+
 def test_a_verdict_that_a_restored_store_forgot_is_recorded_again(site):
     for name in NEW:
         site.faults(name, fail=10_000)
