Tests: the line that names a process's ports counts once it is whole

With PYTHONUNBUFFERED set, as here, each piece of a print is a write of its own; the readers took a line without its end.

Change: both readers wait for the line's end. Nothing else of what they check changes. Not seen failing again: it needs a read between two writes.

--- a/standins/site.py
+++ b/standins/site.py
@@ -100,8 +100,9 @@
         text = self.log.read_text()[self._before :]
         if self._process.poll() is not None:
             raise RuntimeError(f"didn't start: {text[-2000:]}")
-        for line in text.splitlines():
-            if line.startswith("listening "):
+        for line in text.splitlines(keepends=True):
+            # Unbuffered, a line is written piece by piece.
+            if line.startswith("listening ") and line.endswith("\n"):
                 return [int(each) for each in line.split()[1:]]
         return []
 
--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -145,8 +145,9 @@
 
         def listening() -> list[int]:
             assert process.poll() is None, log.read_text()[-3_000:]
-            for line in log.read_text().splitlines():
-                if line.startswith("listening "):
+            for line in log.read_text().splitlines(keepends=True):
+                # Unbuffered, a line is written piece by piece.
+                if line.startswith("listening ") and line.endswith("\n"):
                     return [int(each) for each in line.split()[1:]]
             return []
 
