--- a/src/coursekeel/canary/__init__.py
+++ b/src/coursekeel/canary/__init__.py
@@ -17,11 +17,13 @@
     Phase,
     RecordConflict,
     RecordFailed,
-    RecordState,
     RolloutOrder,
     RolloutRecord,
     RolloutRecords,
+    RolloutState,
     Side,
+    order_id,
+    pool_of_order,
 )
 from coursekeel.canary._rollouts import PoolRollout, Rollouts
 from coursekeel.canary._tally import Evidence, RowKey, Tally, row_of
@@ -37,12 +39,12 @@
     "PoolRollout",
     "RecordConflict",
     "RecordFailed",
-    "RecordState",
     "RolloutMessage",
     "RolloutOrder",
     "RolloutRecord",
     "RolloutRecords",
     "RolloutReport",
+    "RolloutState",
     "Rollouts",
     "RowKey",
     "Ruling",
@@ -53,5 +55,7 @@
     "decode_rollout",
     "encode_report",
     "encode_ruling",
+    "order_id",
+    "pool_of_order",
     "row_of",
 ]
--- a/src/coursekeel/canary/_conductor.py
+++ b/src/coursekeel/canary/_conductor.py
@@ -24,8 +24,8 @@
 from coursekeel.canary._model import (
     CanaryBounds,
     Phase,
-    RecordState,
     RolloutOrder,
+    RolloutState,
     Side,
 )
 from coursekeel.canary._tally import Evidence
@@ -109,13 +109,13 @@
             self._machine.feed("condemned")
             self.reason = reason
 
-    def wanted(self, now_ms: float, members: Collection[str]) -> RecordState:
+    def wanted(self, now_ms: float, members: Collection[str]) -> RolloutState:
         """What the record should say now."""
         if self.phase is Phase.ROLLED_BACK:
-            return RecordState.ROLLED_BACK
+            return RolloutState.ROLLED_BACK
         if self.phase is Phase.COMPLETED or self._may_complete(now_ms, members):
-            return RecordState.COMPLETED
-        return RecordState.RUNNING
+            return RolloutState.COMPLETED
+        return RolloutState.RUNNING
 
     def _may_complete(self, now_ms: float, members: Collection[str]) -> bool:
         """Say whether nothing runs at the old version any more, or no time is left."""
@@ -129,15 +129,17 @@
             for each in seen
         )
 
-    def recorded(self, state: RecordState) -> None:
+    def recorded(self, state: RolloutState) -> None:
         """The record says so, by this member's own write."""
-        if state is RecordState.COMPLETED and self._machine.takes("recorded_completed"):
+        if state is RolloutState.COMPLETED and self._machine.takes(
+            "recorded_completed"
+        ):
             self._machine.feed("recorded_completed")
 
-    def found(self, state: RecordState) -> None:
+    def found(self, state: RolloutState) -> None:
         """Another member wrote a final state; the first one counts."""
         name = f"found_{state.value}"
-        if state is not RecordState.RUNNING and self._machine.takes(name):
+        if state is not RolloutState.RUNNING and self._machine.takes(name):
             self._machine.feed(name)
             self.reason = self.reason or "recorded"
 
--- a/src/coursekeel/canary/_messages.py
+++ b/src/coursekeel/canary/_messages.py
@@ -5,7 +5,7 @@
 knows nothing of sockets.
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from typing import Any
 
 import attrs
@@ -127,17 +127,18 @@
 def encode_report(group: str, report: RolloutReport) -> Iterator[bytes]:
     """The datagrams of a report, each with as many rows as it bears."""
     form = evolve(_form(group, report), life=report.life, old_runs=report.old_runs)
-    rows = [_row_form(each) for each in report.rows]
-    while True:
-        count = max(len(rows), 1)
-        data = _encoded(evolve(form, rows=tuple(rows)))
-        while len(data) > MAX_MESSAGE_BYTES and count > 1:
-            count -= 1
-            data = _encoded(evolve(form, rows=tuple(rows[:count])))
-        yield data
-        rows = rows[count:]
-        if not rows:
-            return
+    room = MAX_MESSAGE_BYTES - len(_encoded(form))
+    taken: list[bytes] = []
+    taken_bytes = 0
+    for row in report.rows:
+        encoded = orjson.dumps(attrs.asdict(_row_form(row)))
+        row_bytes = len(encoded) + len(b",")
+        if taken and taken_bytes + row_bytes > room:
+            yield _encoded(form, taken)
+            taken, taken_bytes = [], 0
+        taken.append(encoded)
+        taken_bytes += row_bytes
+    yield _encoded(form, taken)
 
 
 def _form(group: str, message: RolloutMessage) -> _Form:
@@ -154,8 +155,10 @@
     )
 
 
-def _encoded(form: _Form) -> bytes:
-    return CANARY_MARK + orjson.dumps(attrs.asdict(form, filter=_is_told))
+def _encoded(form: _Form, rows: Iterable[bytes] = ()) -> bytes:
+    fields = attrs.asdict(form, filter=_is_told)
+    fields["rows"] = [orjson.Fragment(each) for each in rows]
+    return CANARY_MARK + orjson.dumps(fields)
 
 
 def _is_told(_field: Any, value: Any) -> bool:
@@ -171,7 +174,9 @@
 def decode_rollout(data: bytes) -> tuple[str, RolloutMessage] | UnreadableRollout:
     """Read a datagram that begins with `CANARY_MARK`: its group, and what it says."""
     if len(data) > MAX_MESSAGE_BYTES:
-        return UnreadableRollout(f"got {len(data)} bytes, expected fewer")
+        return UnreadableRollout(
+            f"got {len(data)} bytes, expected at most {MAX_MESSAGE_BYTES}"
+        )
     try:
         value = orjson.loads(data.removeprefix(CANARY_MARK))
         form = _CONVERTER.structure(value, _Form)
--- a/src/coursekeel/canary/_model.py
+++ b/src/coursekeel/canary/_model.py
@@ -19,14 +19,19 @@
     "Phase",
     "RecordConflict",
     "RecordFailed",
-    "RecordState",
     "RolloutOrder",
     "RolloutRecord",
     "RolloutRecords",
+    "RolloutState",
     "Side",
+    "order_id",
+    "pool_of_order",
 ]
 
 
+_ORDER = "rollout/"
+
+
 @frozen
 class RolloutOrder:
     """``pool`` is to be served by endpoints of version ``target`` within the time."""
@@ -36,6 +41,16 @@
     duration_ms: float
 
 
+def order_id(pool: str) -> str:
+    """The id of a pool's order among the entries of its table."""
+    return f"{_ORDER}{pool}"
+
+
+def pool_of_order(entry_id: str) -> str:
+    """The pool whose order an entry is; empty if it is another entry."""
+    return entry_id.removeprefix(_ORDER) if entry_id.startswith(_ORDER) else ""
+
+
 class Side(Enum):
     """Which endpoints of a pool: those in force before the order, or its target's."""
 
@@ -66,7 +81,7 @@
         return list(Phase).index(self)
 
 
-class RecordState(Enum):
+class RolloutState(Enum):
     """What operators read of a roll-out."""
 
     RUNNING = "running"
@@ -90,10 +105,14 @@
 class RolloutRecord:
     """The record as it lies in the store; without a ``state`` there is none."""
 
-    state: RecordState | None
+    state: RolloutState | None
     target: str
     moment: StoreMoment
 
+    def answers(self, order: RolloutOrder, given: StoreMoment) -> bool:
+        """Say whether it is of an order that was given at a moment, and not older."""
+        return self.target == order.target and self.moment > given
+
 
 @frozen
 class RecordConflict:
@@ -118,7 +137,7 @@
     async def write(
         self,
         order: RolloutOrder,
-        state: RecordState,
+        state: RolloutState,
         before: RolloutRecord,
         timeout_ms: float,
     ) -> RolloutRecord | RecordConflict | RecordFailed:
--- a/src/coursekeel/canary/_rollouts.py
+++ b/src/coursekeel/canary/_rollouts.py
@@ -81,6 +81,11 @@
     _old_endpoints: dict[str, list[str]] = field(factory=dict)
     _waits: bool = False
 
+    @classmethod
+    def none(cls) -> "Rollouts":
+        """Those of an instance that reads no orders."""
+        return cls(CanaryBounds(), Random(0), lambda: 0.0)
+
     def __attrs_post_init__(self) -> None:
         self.life = self.random.getrandbits(_LIFE_BITS)
 
@@ -134,36 +139,29 @@
     ) -> dict[str, list[str]]:
         """The endpoints that may serve, by what routing calls their pool."""
         self._waits = False
+        self._version_of = {}
         split: dict[str, list[str]] = {}
         for pool, names in pools.items():
-            versions = {name: record_of(name)[0].version for name in names}
+            known = {name: record_of(name) for name in names}
+            versions = {name: record.version for name, (record, _) in known.items()}
             self._version_of |= versions
             if pool in self.by_pool:
                 split |= self._split_ordered(self.by_pool[pool], versions)
             else:
-                moments = {name: record_of(name)[1] for name in names}
+                moments = {name: moment for name, (_, moment) in known.items()}
                 split[pool] = self._without_order(pool, versions, moments)
-        listed = {name for names in pools.values() for name in names}
-        self._version_of = {
-            name: version
-            for name, version in self._version_of.items()
-            if name in listed
-        }
         return split
 
     def _without_order(
         self, pool: str, versions: dict[str, str], moments: dict[str, StoreMoment]
     ) -> list[str]:
-        known = self._in_force.setdefault(pool, set())
+        known, read = self._in_force.setdefault(pool, set()), self._orders_read
         if not known:
             known |= set(versions.values())
-        known -= self._taken_back.get(pool, set())
         for name, version in versions.items():
-            read = self._orders_read
-            if version in known or version in self._taken_back.get(pool, set()):
-                continue
             if read is not None and moments[name] <= read:
                 known.add(version)
+        known -= self._taken_back.get(pool, set())
         serving = [name for name, version in versions.items() if version in known]
         self._waits |= len(serving) < len(versions)
         return serving
--- a/src/coursekeel/gateway/_adapters.py
+++ b/src/coursekeel/gateway/_adapters.py
@@ -219,7 +219,8 @@
 
     A ``whole`` reading names everything there is. One that a member of the group gave
     has ``proven_ms``, the moment of this process's clock that it proves, and no time of
-    the store's.
+    the store's. ``restored``: the first that is taken after the store came back from
+    an older copy.
     """
 
     entries: tuple[Versioned, ...]
@@ -227,6 +228,7 @@
     store_ms: float
     whole: bool
     proven_ms: float | None = None
+    restored: bool = False
 
 
 @frozen
--- a/src/coursekeel/gateway/_gateway.py
+++ b/src/coursekeel/gateway/_gateway.py
@@ -41,7 +41,7 @@
 from coursekeel.gateway.endpoints._endpoint_health import EndpointHealth
 from coursekeel.gateway.endpoints._load_reports import LoadReports
 from coursekeel.gateway.members._group import Group
-from coursekeel.gateway.rollouts._rollout_task import RolloutTask, report_period_ms
+from coursekeel.gateway.rollouts._rollout_task import CanaryTask, report_period_ms
 from coursekeel.gateway.rollouts._version_choice import VersionChoice
 from coursekeel.gateway.site._follow_task import FollowedTable, FollowTask
 from coursekeel.gateway.site._known_site import KnownSite
@@ -97,7 +97,7 @@
     _keeper: SuspectKeeper = field(init=False)
     _site: KnownSite = field(init=False)
     _hold: StartHold = field(factory=StartHold)
-    _rollouts: RolloutTask = field(init=False)
+    _rollouts: CanaryTask = field(init=False)
     _metrics: GatewayMetrics = field(init=False)
     _dispatcher: Dispatcher = field(init=False)
     _follow_tasks: list[FollowTask] = field(init=False)
@@ -151,7 +151,7 @@
             rollouts,
             lambda: self._rollouts.ordered(),
         )
-        self._rollouts = RolloutTask(
+        self._rollouts = CanaryTask(
             self.reactor,
             self.clock,
             self._group.swim,
--- a/src/coursekeel/gateway/members/_table_feed.py
+++ b/src/coursekeel/gateway/members/_table_feed.py
@@ -17,7 +17,7 @@
 
 from attrs import define, evolve, field, frozen
 
-from coursekeel.canary import RolloutOrder
+from coursekeel.canary import RolloutOrder, order_id
 from coursekeel.forwarding import (
     EndpointRecord,
     ForwardingConfiguration,
@@ -38,9 +38,8 @@
 # Longer than a member may hold a question, and the time until it is asked again.
 _ASKED_LATELY_MS = 3_000.0
 
-# The one configuration, and what its table's orders of roll-outs are kept under.
+# The one configuration; its table holds the orders of roll-outs too.
 _CONFIGURATION = "configuration"
-_ORDER = "rollout/"
 
 
 @frozen
@@ -203,7 +202,7 @@
     if isinstance(entry, EndpointRecord):
         return entry.endpoint_id
     if isinstance(entry, RolloutOrder):
-        return _ORDER + entry.pool
+        return order_id(entry.pool)
     return entry.entry_id
 
 
--- a/src/coursekeel/gateway/rollouts/_rollout_task.py
+++ b/src/coursekeel/gateway/rollouts/_rollout_task.py
@@ -19,12 +19,12 @@
     Phase,
     PoolRollout,
     RecordFailed,
-    RecordState,
     RolloutMessage,
     RolloutRecord,
     RolloutRecords,
     RolloutReport,
     Rollouts,
+    RolloutState,
     Ruling,
     encode_report,
     encode_ruling,
@@ -36,12 +36,12 @@
 from coursekeel.routing import Router
 from coursekeel.runtime import Clock, Periodic, spawn
 
-__all__ = ["RolloutTask", "report_period_ms"]
+__all__ = ["CanaryTask", "report_period_ms"]
 
 _Send = Callable[[str, bytes], None]
 
 # How often a fleet reports: one that conducts for 380 members takes 330 reports a
-# second, 0.15 ms of a core each.
+# second.
 _LEAST_PERIOD_MS = 500.0
 _PERIOD_A_MEMBER_MS = 3.0
 # Of the time until a condemned version gets nothing more: a report, a verdict that is
@@ -68,7 +68,7 @@
 
 
 @define(eq=False)
-class RolloutTask:
+class CanaryTask:
     """One instance's part in all roll-outs; ``send`` gives a datagram to a member."""
 
     reactor: Reactor
@@ -134,14 +134,14 @@
         report = self.rollouts.report(
             pool, self.own, self._old_runs(pool), self.clock.now_ms()
         )
-        for address in self._conductors(pool):
-            if address == self.own:
-                self._conducted_of(rollout).conductor.report(
-                    report, self.clock.now_ms()
-                )
-            else:
-                for data in encode_report(self.swim.group, report):
-                    self.send(address, data)
+        conductors = self._conductors(pool)
+        if self.own in conductors:
+            conducted = self._conducted_of(rollout)
+            conducted.conductor.report(report, self.clock.now_ms())
+        others = [each for each in conductors if each != self.own]
+        for data in encode_report(self.swim.group, report) if others else ():
+            for address in others:
+                self.send(address, data)
 
     def _old_runs(self, pool: str) -> int:
         loads = [self.router.load(e) for e in self.rollouts.old_endpoints(pool)]
@@ -230,7 +230,7 @@
         """The other conductor's final word is this one's too."""
         ours = ruling.target == conductor.order.target
         if ours and ruling.moment >= conductor.moment:
-            conductor.found(RecordState(ruling.phase.value))
+            conductor.found(RolloutState(ruling.phase.value))
 
     def _take_report(self, report: RolloutReport) -> None:
         rollout = self.rollouts.by_pool.get(report.pool)
@@ -249,17 +249,14 @@
 
     # The record.
 
-    def _wanted(self, conducted: _Conducted) -> RecordState:
+    def _wanted(self, conducted: _Conducted) -> RolloutState:
         now_ms = self.clock.now_ms()
         members = self.swim.alive() if self.swim.own else [_ALONE]
         return conducted.conductor.wanted(now_ms, members)
 
     def _is_recorded(self, conducted: _Conducted) -> bool:
         record, conductor = conducted.record, conducted.conductor
-        if record is None:
-            return False
-        ours = record.target == conductor.order.target
-        if not ours or record.moment < conductor.moment:
+        if record is None or not record.answers(conductor.order, conductor.moment):
             return False
         return record.state is self._wanted(conducted)
 
@@ -282,14 +279,14 @@
             log_event("rollout_unread", reason=record.reason)
             return
         conducted.record, conducted.read_before = record, True
-        ours = record.target == conductor.order.target
-        if ours and record.state is not None and record.moment > conductor.moment:
+        ours = record.answers(conductor.order, conductor.moment)
+        if ours and record.state is not None:
             conductor.found(record.state)
 
     async def _write_record(self, conducted: _Conducted, before: RolloutRecord) -> None:
         conductor, wanted = conducted.conductor, self._wanted(conducted)
         conductors = self._conductors(conductor.order.pool)
-        if wanted is not RecordState.ROLLED_BACK and conductors[0] != self.own:
+        if wanted is not RolloutState.ROLLED_BACK and conductors[0] != self.own:
             # The other conductor writes it; what it wrote is read at the next look.
             conducted.record = None
             return
--- a/src/coursekeel/gateway/rollouts/_version_choice.py
+++ b/src/coursekeel/gateway/rollouts/_version_choice.py
@@ -3,11 +3,9 @@
 Owns nothing. Relies on `Rollouts`, a core, for every decision.
 """
 
-from random import Random
-
 from attrs import define, field
 
-from coursekeel.canary import CanaryBounds, Rollouts
+from coursekeel.canary import Rollouts
 from coursekeel.forwarding import EndpointRecord
 from coursekeel.gateway._request import AdmittedRequest
 from coursekeel.routing import Router
@@ -19,16 +17,12 @@
 _FIRST_EVENT = "#first"
 
 
-def _no_orders() -> Rollouts:
-    return Rollouts(CanaryBounds(), Random(0), lambda: 0.0)
-
-
 @define(eq=False)
 class VersionChoice:
     """One gateway's; without a ``router`` there are no orders."""
 
     clock: Clock = field(factory=Clock)
-    rollouts: Rollouts = field(factory=_no_orders)
+    rollouts: Rollouts = field(factory=Rollouts.none)
     router: Router | None = None
 
     def pool_for(self, call: AdmittedRequest, first: bool) -> str:
--- a/src/coursekeel/gateway/site/_follow_task.py
+++ b/src/coursekeel/gateway/site/_follow_task.py
@@ -12,7 +12,7 @@
 from random import Random
 from traceback import format_exception
 
-from attrs import define, field, frozen
+from attrs import define, evolve, frozen
 from twisted.internet.task import deferLater
 
 from coursekeel.errors import InvariantBroken
@@ -98,8 +98,7 @@
     feed: TableFeed
     restores: int = 0
     _since: StoreMoment | None = None
-    _era: int | None = None
-    _last: StoreMoment = field(factory=StoreMoment)
+    _last: StoreMoment | None = None
     _stopped: bool = False
     _failures: int = 0
     _changes: int = 0
@@ -148,20 +147,22 @@
         held_ms = self._hold_ms()
         outcome = await self._ask(held_ms)
         match outcome:
-            case Reading() if self._is_of_this_era(outcome):
-                self._take(outcome, sent_ms, held_ms)
             case Reading():
-                pass
+                reading = self._of_this_era(outcome)
+                if reading is not None:
+                    self._take(reading, sent_ms, held_ms)
             case HistoryGone():
                 log_event("history_gone", table=self._name, since=self._since)
                 self._since = None
             case SourceFailed():
                 self._lost(outcome.reason)
 
-    def _is_of_this_era(self, reading: Reading) -> bool:
-        """Say whether a reading counts; one that doesn't changes nothing."""
-        era, known = reading.moment.era, self._era
-        if known is not None and era < known:
+    def _of_this_era(self, reading: Reading) -> Reading | None:
+        """The reading, if it counts; one that doesn't changes nothing."""
+        if self._last is None or reading.moment.era == self._last.era:
+            return reading
+        era, known = reading.moment.era, self._last.era
+        if era < known:
             log_event(
                 "store_era_fell",
                 logging.WARNING,
@@ -171,14 +172,11 @@
             )
             self._since = None
             self._lost(f"era {era} after {known}")
-            return False
-        if known is None or era == known:
-            self._era = era
-            return True
+            return None
         if not reading.whole:
             # Its position is of the era before: what lies between isn't known.
             self._since = None
-            return False
+            return None
         log_event(
             "store_restored",
             logging.WARNING,
@@ -186,10 +184,9 @@
             before=self._last,
             moment=reading.moment,
         )
-        self._era = era
         self.restores += 1
         self.followed.restored()
-        return True
+        return evolve(reading, restored=True)
 
     def _hold_ms(self) -> float:
         """How long the store may hold the next question.
--- a/src/coursekeel/gateway/site/_known_site.py
+++ b/src/coursekeel/gateway/site/_known_site.py
@@ -13,12 +13,11 @@
 import logging
 import math
 from collections.abc import Callable
-from random import Random
 from typing import Any
 
 from attrs import define, field
 
-from coursekeel.canary import CanaryBounds, RolloutOrder, Rollouts
+from coursekeel.canary import RolloutOrder, Rollouts, pool_of_order
 from coursekeel.forwarding import (
     EndpointDirectory,
     EndpointRecord,
@@ -50,18 +49,10 @@
 _LISTED_WITHIN_S = 6.0
 
 
-# What the configuration's table holds an order under.
-_ORDER = "rollout/"
-
-
 def _never() -> bool:
     return False
 
 
-def _no_orders() -> Rollouts:
-    return Rollouts(CanaryBounds(), Random(0), lambda: 0.0)
-
-
 @define(eq=False)
 class KnownSite:
     """The routes, keys and endpoints that are in force here."""
@@ -74,12 +65,10 @@
     away_for_all: Callable[[], bool] = _never
     freshness: Freshness = field(factory=Freshness)
     hold: StartHold = field(factory=StartHold)
-    rollouts: Rollouts = field(factory=_no_orders)
+    rollouts: Rollouts = field(factory=Rollouts.none)
     ordered: Callable[[], None] = lambda: None
     routes: RouteTable | None = None
     endpoints_read: bool = False
-    _endpoints_era: int = 0
-    _orders_era: int = 0
     _settling: Any = None
     _tried_pools: dict[str, str] = field(factory=dict)
 
@@ -130,9 +119,7 @@
 
     def take_configuration(self, reading: Reading) -> None:
         """Take a configuration and orders; what isn't newer is passed over."""
-        restored = reading.moment.era > self._orders_era
-        self._orders_era = reading.moment.era
-        if reading.whole and not restored:
+        if reading.whole and not reading.restored:
             # An order that a copy lacks is written again.
             self.rollouts.withdrawn(_pools_of_orders(reading))
         for each in reading.entries:
@@ -141,8 +128,8 @@
                     self._put_in_force(each.entry)
                 case RolloutOrder():
                     self._take_order(each.entry, each.moment)
-                case Removed() if each.entry.entry_id.startswith(_ORDER):
-                    self.rollouts.withdrawn_one(each.entry.entry_id[len(_ORDER) :])
+                case Removed() if pool := pool_of_order(each.entry.entry_id):
+                    self.rollouts.withdrawn_one(pool)
                     self.tell_routing()
                 case UnreadableEntry():
                     _log_unreadable(Table.CONFIGURATION, each.entry, each.moment)
@@ -183,11 +170,9 @@
 
     def take_endpoints(self, reading: Reading) -> None:
         """Take the whole list of endpoints, or changes of it."""
-        restored = self.endpoints_read and reading.moment.era > self._endpoints_era
         self.endpoints_read = True
-        self._endpoints_era = reading.moment.era
         if reading.whole:
-            self._take_list(reading, restored)
+            self._take_list(reading)
         else:
             for each in reading.entries:
                 self._take_change(each)
@@ -199,7 +184,7 @@
         if self.routes is not None and self.endpoints_read:
             self.hold.known()
 
-    def _take_list(self, reading: Reading, restored: bool) -> None:
+    def _take_list(self, reading: Reading) -> None:
         pairs: list[tuple[EndpointRecord, StoreMoment]] = []
         unreadable: list[str] = []
         for each in reading.entries:
@@ -209,7 +194,7 @@
                 case UnreadableEntry():
                     unreadable.append(each.entry.entry_id)
                     _log_unreadable(Table.ENDPOINTS, each.entry, each.moment)
-        if restored:
+        if reading.restored:
             self.directory.restore(pairs, kept=unreadable)
             self._settle_later()
         else:
@@ -306,8 +291,8 @@
         match each.entry:
             case RolloutOrder():
                 pools.append(each.entry.pool)
-            case UnreadableEntry() if each.entry.entry_id.startswith(_ORDER):
-                pools.append(each.entry.entry_id.removeprefix(_ORDER))
+            case UnreadableEntry() if pool := pool_of_order(each.entry.entry_id):
+                pools.append(pool)
     return pools
 
 
--- a/tests/cover/test_canary.py
+++ b/tests/cover/test_canary.py
@@ -11,10 +11,10 @@
     Conductor,
     Evidence,
     Phase,
-    RecordState,
     RolloutOrder,
     RolloutReport,
     Rollouts,
+    RolloutState,
     Ruling,
     SequentialJudge,
     Side,
@@ -387,12 +387,12 @@
         made.look(now_ms, leading=True, has_new=True)
     assert made.phase is Phase.CLOSING
     reported(made, 8_000, tally(700), tally(90), Phase.CLOSING, old_runs=2)
-    assert made.wanted(8_000, ["i0"]) is RecordState.RUNNING
+    assert made.wanted(8_000, ["i0"]) is RolloutState.RUNNING
     reported(made, 9_000, tally(700), tally(90), Phase.CLOSING)
-    assert made.wanted(9_000, ["i0"]) is RecordState.COMPLETED
-    assert made.wanted(9_000, ["i0", "i1"]) is RecordState.RUNNING, "i1 said nothing"
-    assert made.wanted(11_500, ["i0", "i1"]) is RecordState.COMPLETED, "time is over"
-    made.recorded(RecordState.COMPLETED)
+    assert made.wanted(9_000, ["i0"]) is RolloutState.COMPLETED
+    assert made.wanted(9_000, ["i0", "i1"]) is RolloutState.RUNNING, "i1 said nothing"
+    assert made.wanted(11_500, ["i0", "i1"]) is RolloutState.COMPLETED, "time is over"
+    made.recorded(RolloutState.COMPLETED)
     assert made.phase is Phase.COMPLETED
 
 
@@ -419,9 +419,9 @@
     reported(made, 100, tally(90), tally(30, 25))
     made.look(100, leading=True, has_new=True)
     assert made.phase is Phase.ROLLED_BACK
-    made.found(RecordState.COMPLETED)
+    made.found(RolloutState.COMPLETED)
     assert made.phase is Phase.COMPLETED, "the old endpoints have stopped by now"
-    made.found(RecordState.ROLLED_BACK)
+    made.found(RolloutState.ROLLED_BACK)
     assert made.phase is Phase.COMPLETED
 
 
--- a/tests/cover/test_rollout_fleet.py
+++ b/tests/cover/test_rollout_fleet.py
@@ -1,6 +1,6 @@
 """A fleet rolls a version out together: bounds hold, whatever is lost or dies.
 
-Each instance is a `RolloutTask` on one simulated clock; datagrams are drawn to be lost,
+Each instance is a `CanaryTask` on one simulated clock; datagrams are drawn to be lost,
 an instance freezes, the member that leads is killed, one starts midway, and the store
 may be away. Requests come to instances by lot.
 """
@@ -17,15 +17,15 @@
     Phase,
     RecordConflict,
     RecordFailed,
-    RecordState,
     RolloutOrder,
     RolloutRecord,
     RolloutRecords,
     Rollouts,
+    RolloutState,
     decode_rollout,
 )
 from coursekeel.forwarding import EndpointRecord
-from coursekeel.gateway.rollouts._rollout_task import RolloutTask, report_period_ms
+from coursekeel.gateway.rollouts._rollout_task import CanaryTask, report_period_ms
 from tests.common.moments import at
 
 BOUNDS = CanaryBounds()
@@ -39,7 +39,7 @@
     def __init__(self) -> None:
         self.record = RolloutRecord(None, "", at(0))
         self.away = False
-        self.states: list[RecordState] = []
+        self.states: list[RolloutState] = []
 
     async def read(self, pool, timeout_ms):
         return RecordFailed("away") if self.away else self.record
@@ -70,7 +70,7 @@
         swim.others = lambda: [each for each in fleet.members() if each != name]
         self.site = Mock(tell_routing=self.split)
         router = Mock(load=lambda _: None)
-        self.task = RolloutTask(
+        self.task = CanaryTask(
             fleet.reactor,
             clock,
             swim,
@@ -229,7 +229,7 @@
     fleet.run(9_000 if size < 380 else 4_000, rate_s=100)
     assert_bounds(fleet)
     assert fleet.phases() == {Phase.ROLLED_BACK}
-    assert fleet.store.record.state is RecordState.ROLLED_BACK
+    assert fleet.store.record.state is RolloutState.ROLLED_BACK
     for each in fleet.instances.values():
         conducted = each.task._conducted.get(POOL)
         if each.runs and conducted is not None:
@@ -243,9 +243,9 @@
     fleet.run(3_000, rate_s=100, bad=False)
     fleet.instances["i0"].alive = False
     fleet.run(10_000, rate_s=100, bad=False)
-    assert fleet.store.record.state is RecordState.COMPLETED
+    assert fleet.store.record.state is RolloutState.COMPLETED
     assert fleet.phases() == {Phase.COMPLETED}
-    assert fleet.store.states[-1] is RecordState.COMPLETED
+    assert fleet.store.states[-1] is RolloutState.COMPLETED
 
 
 def test_while_the_store_is_away_a_bad_version_is_taken_back_all_the_same():
@@ -255,10 +255,10 @@
     fleet.store.away = True
     fleet.run(8_000, rate_s=50)
     assert fleet.phases() == {Phase.ROLLED_BACK}
-    assert fleet.store.record.state is RecordState.RUNNING
+    assert fleet.store.record.state is RolloutState.RUNNING
     fleet.store.away = False
     fleet.run(2_000, rate_s=50)
-    assert fleet.store.record.state is RecordState.ROLLED_BACK
+    assert fleet.store.record.state is RolloutState.ROLLED_BACK
     assert_bounds(fleet)
 
 
@@ -294,7 +294,7 @@
     fleet.lost = 0.0
     fleet.run(6_000, rate_s=60)
     final = fleet.store.record.state
-    assert final is not RecordState.RUNNING
+    assert final is not RolloutState.RUNNING
     assert fleet.phases() == {Phase(final.value)}
-    finals = [each for each in fleet.store.states if each is not RecordState.RUNNING]
+    finals = [each for each in fleet.store.states if each is not RolloutState.RUNNING]
     assert len(set(finals)) == 1
--- a/tests/platform/test_store_restored.py
+++ b/tests/platform/test_store_restored.py
@@ -7,7 +7,7 @@
 import pytest
 
 from standins.site import wait_until
-from tests.platform.site import KEY, GatewaySite, configuration, free_port
+from tests.platform.site import KEY, GatewaySite, free_port
 
 
 @pytest.fixture
@@ -26,11 +26,6 @@
     return site.log(name).count("event=store_restored") >= 2
 
 
-def write_rows_again(site: GatewaySite, *rows) -> None:
-    """What the operator and the servers wrote is written again."""
-    site.put([("op", "config", configuration(site.version)), *rows])
-
-
 def test_changes_after_a_restore_are_in_force_though_their_versions_were_given_out(
     site,
 ):
