Logs tell which configuration a send acted on, and that a machine stood still

Cause: the log of a request that ran with a revoked key can't tell whether its instance held an older configuration under a young proof, an old proof, or a clock that had stood still.

Change: endpoint_chosen names the configuration's version and the age of its proof, configuration_applied the store's moment and whose word it was; a look every half a second compares CLOCK_BOOTTIME with CLOCK_MONOTONIC and logs what was added. No decision is changed.

--- a/src/coursekeel/forwarding/__init__.py
+++ b/src/coursekeel/forwarding/__init__.py
@@ -2,7 +2,12 @@
 
 from coursekeel.forwarding._directory import EndpointDirectory
 from coursekeel.forwarding._events import EventLedger, event_number, split_events
-from coursekeel.forwarding._freshness import Freshness, StoreClock, proven_moment_ms
+from coursekeel.forwarding._freshness import (
+    Belief,
+    Freshness,
+    StoreClock,
+    proven_moment_ms,
+)
 from coursekeel.forwarding._model import (
     EndpointRecord,
     ForwardingConfiguration,
@@ -18,6 +23,7 @@
 from coursekeel.forwarding._moment import StoreMoment
 
 __all__ = [
+    "Belief",
     "EndpointDirectory",
     "EndpointRecord",
     "EventLedger",
--- a/src/coursekeel/forwarding/_freshness.py
+++ b/src/coursekeel/forwarding/_freshness.py
@@ -9,9 +9,9 @@
 
 import math
 
-from attrs import define, field
+from attrs import define, field, frozen
 
-__all__ = ["Freshness", "StoreClock", "proven_moment_ms"]
+__all__ = ["Belief", "Freshness", "StoreClock", "proven_moment_ms"]
 
 # A timer of the store may ring so much early by this clock, since the two differ in
 # rounding. A proof that is 5 ms older than it might be.
@@ -72,3 +72,14 @@
     def proven_ms(self, table: str) -> float:
         """The last proven moment; minus infinity if there is none."""
         return self._proven_ms.get(table, -math.inf)
+
+
+@frozen
+class Belief:
+    """What routes and keys are taken from: a version, and the age of its last proof.
+
+    ``age_ms`` is infinite, and ``version`` -1, before anything is known.
+    """
+
+    version: int = -1
+    age_ms: float = math.inf
--- a/src/coursekeel/gateway/_gateway.py
+++ b/src/coursekeel/gateway/_gateway.py
@@ -163,7 +163,7 @@
             self._report_period_ms,
             self._group.send,
         )
-        self._metrics = GatewayMetrics(self.clock)
+        self._metrics = GatewayMetrics(self.clock, self._site.belief)
         client = EndpointClient(
             self.reactor, self.clock, self._live, self.endpoints, self.link
         )
--- a/src/coursekeel/gateway/_metrics.py
+++ b/src/coursekeel/gateway/_metrics.py
@@ -11,6 +11,7 @@
 
 from attrs import define, field, frozen
 
+from coursekeel.forwarding import Belief
 from coursekeel.gateway._request import AdmittedRequest
 from coursekeel.gateway.admission._refusals import STOPS_ENDPOINTS, GatewayRefusal
 from coursekeel.observe import LabelSets, Metrics, log_event
@@ -43,9 +44,13 @@
 
 @define(eq=False)
 class GatewayMetrics:
-    """Turns what happened into one log line and the metrics it moves."""
+    """Turns what happened into one log line and the metrics it moves.
+
+    ``belief`` gives what routes and keys are taken from now.
+    """
 
     clock: Clock
+    belief: Callable[[], Belief] = Belief
     metrics: Metrics = field(factory=Metrics)
     _counted: LabelSets = field(
         factory=lambda: LabelSets(_MAX_COUNTED_SETS, kept=("outcome",))
@@ -141,12 +146,14 @@
 
         ``version`` is the endpoint's, if its pool has an order of a roll-out.
         """
-        now_ms = self.clock.now_ms()
+        now_ms, belief = self.clock.now_ms(), self.belief()
         fields: dict[str, Any] = {
             "request": call.caller.request_id,
             "endpoint": endpoint_id,
             "way": way,
             "remaining_ms": round(call.due_ms - now_ms),
+            "configuration": belief.version,
+            "belief_age_ms": logged_age_ms(belief.age_ms),
         }
         if copy_id:
             fields["copy"] = copy_id
--- a/src/coursekeel/gateway/site/_known_site.py
+++ b/src/coursekeel/gateway/site/_known_site.py
@@ -19,6 +19,7 @@
 
 from coursekeel.canary import RolloutOrder, Rollouts, pool_of_order
 from coursekeel.forwarding import (
+    Belief,
     EndpointDirectory,
     EndpointRecord,
     ForwardingConfiguration,
@@ -79,6 +80,12 @@
         """How old the last proof of routes and keys is; infinite if there is none."""
         return self.freshness.age_ms(Table.CONFIGURATION.value, self.clock.now_ms())
 
+    def belief(self) -> Belief:
+        """What routes and keys are taken from now."""
+        if self.routes is None:
+            return Belief()
+        return Belief(self.routes.configuration.version, self.routes_age_ms)
+
     @property
     def limits(self) -> RequestLimits:
         """The bounds on callers' requests that are in force."""
@@ -125,7 +132,8 @@
         for each in reading.entries:
             match each.entry:
                 case ForwardingConfiguration():
-                    self._put_in_force(each.entry)
+                    relayed = reading.proven_ms is not None
+                    self._put_in_force(each.entry, each.moment, relayed)
                 case RolloutOrder():
                     self._take_order(each.entry, each.moment)
                 case Removed() if pool := pool_of_order(each.entry.entry_id):
@@ -153,7 +161,12 @@
         if self.rollouts.orders_read(moment):
             self.tell_routing()
 
-    def _put_in_force(self, configuration: ForwardingConfiguration) -> None:
+    def _put_in_force(
+        self,
+        configuration: ForwardingConfiguration,
+        moment: StoreMoment,
+        relayed: bool,
+    ) -> None:
         routes = self.routes
         if routes and configuration.version <= routes.configuration.version:
             return
@@ -162,6 +175,8 @@
             "configuration_applied",
             version=configuration.version,
             routes=len(configuration.routes),
+            moment=moment,
+            source="member" if relayed else "store",
         )
         self.tell_routing()
         self._tell_hold()
--- a/src/coursekeel/runtime/_process.py
+++ b/src/coursekeel/runtime/_process.py
@@ -11,7 +11,9 @@
 from coursekeel.errors import InvariantBroken
 from coursekeel.observe import flush_logs, log_event
 from coursekeel.reactor import Reactor
+from coursekeel.runtime._clock import Clock
 from coursekeel.runtime._periodic import Periodic, spawn
+from coursekeel.runtime._suspension import SuspensionWatch
 
 __all__ = ["Role", "install_reactor", "run_role"]
 
@@ -19,8 +21,9 @@
 # Allocations between two looks of the garbage collector (Python's own is 700): most
 # objects here are freed by their count.
 _COLLECT_AFTER = 20_000
-# How often lines that a slow reader left waiting are tried again.
-_FLUSH_MS = 500
+# How often lines that a slow reader left waiting are tried again, and the clocks are
+# compared.
+_LOOK_MS = 500
 
 
 class Role(ABC):
@@ -96,9 +99,18 @@
         for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
             signal.signal(number, on_signal)
 
-    # What a slow reader of the log left unwritten.
-    flushing = Periodic(reactor, "flush_logs", _FLUSH_MS, _flush)
-    reactor.callWhenRunning(flushing.start)
+    clock = Clock()
+    suspension = SuspensionWatch(clock.suspended_ms())
+
+    async def look() -> None:
+        suspended_ms = suspension.look(clock.suspended_ms())
+        if suspended_ms:
+            log_event("suspended", logging.WARNING, for_ms=round(suspended_ms))
+        # What a slow reader of the log left unwritten.
+        flush_logs()
+
+    looking = Periodic(reactor, "look", _LOOK_MS, look)
+    reactor.callWhenRunning(looking.start)
     reactor.callWhenRunning(lambda: spawn(role.start(), "start", reactor))
     reactor.callWhenRunning(listen)
     _collect_seldom()
@@ -106,10 +118,6 @@
     return EXIT_BROKEN if watch.broken else 0
 
 
-async def _flush() -> None:
-    flush_logs()
-
-
 def _collect_seldom() -> None:
     """Collect seldom: what lives long is frozen, what doesn't is freed by count."""
     gc.collect()
--- a/tests/cover/test_gateway_metrics.py
+++ b/tests/cover/test_gateway_metrics.py
@@ -2,6 +2,7 @@
 
 from unittest.mock import Mock
 
+from coursekeel.forwarding import Belief
 from coursekeel.gateway._metrics import GatewayMetrics
 
 TEAMS, ROUTES = 24, 100
@@ -42,3 +43,13 @@
     first, second = page(), page()
     counted = [each for each in first if each.startswith("coursekeel_requests_total{")]
     assert counted and set(counted) <= set(second)
+
+
+def test_a_send_names_the_configuration_and_the_age_of_its_proof(monkeypatch):
+    """Without them a request that ran with a revoked key can't be traced by its log."""
+    told = Mock()
+    monkeypatch.setattr("coursekeel.gateway._metrics.log_event", told)
+    metrics = GatewayMetrics(Mock(now_ms=lambda: 100.0), lambda: Belief(41, 1_250.4))
+    metrics.chosen(Mock(due_ms=900.0), "e", "whole", None)
+    assert told.call_args.kwargs["configuration"] == 41
+    assert told.call_args.kwargs["belief_age_ms"] == 1_250
