Known red: a key that ended while a machine was suspended is served

Change: a gateway whose steady clock stands still while it is stopped (tests/common/suspended_gateway.py), and a test in which a key ends meanwhile and the store is silent as the instance wakes.

--- /dev/null
+++ b/tests/common/suspended_gateway.py
@@ -0,0 +1,45 @@
+"""A gateway whose machine can be suspended, as far as its process can tell.
+
+`python -m tests.common.suspended_gateway` runs a gateway as `platform/serve.py` does.
+SIGUSR1 stops it until somebody sends SIGCONT, and its steady clock with it: what
+`time.monotonic` gives goes on from the moment of the stop, for timers too, while
+CLOCK_BOOTTIME and the time of day count the time between.
+"""
+
+import os
+import signal
+import sys
+import time
+from pathlib import Path
+
+_PLATFORM = Path(__file__).parents[2] / "platform"
+_monotonic = time.monotonic
+
+
+class _SteadyClock:
+    """Stands in for `time.monotonic`."""
+
+    def __init__(self) -> None:
+        self.stood_still_s = 0.0
+
+    def __call__(self) -> float:
+        return _monotonic() - self.stood_still_s
+
+    def suspend(self, _number: int, _frame: object) -> None:
+        begun_s = _monotonic()
+        os.kill(os.getpid(), signal.SIGSTOP)
+        self.stood_still_s += _monotonic() - begun_s
+
+
+def _main() -> int:
+    clock = _SteadyClock()
+    time.monotonic = clock
+    signal.signal(signal.SIGUSR1, clock.suspend)
+    sys.path.insert(0, str(_PLATFORM))
+    import serve
+
+    return serve.main()
+
+
+if __name__ == "__main__":
+    sys.exit(_main())
--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -100,6 +100,7 @@
         listen: dict[str, str] | None = None,
         seeds: list[str] | None = None,
         retries: dict[str, float] | None = None,
+        program: tuple[str, ...] = ("platform/serve.py",),
         **timers: float,
     ) -> list[int]:
         settings = {
@@ -123,9 +124,7 @@
         }
         file = self.folder / f"{name}.json"
         file.write_bytes(orjson.dumps(settings))
-        ports = self.start_process(
-            ["platform/serve.py"], name, COURSEKEEL_SETTINGS=str(file)
-        )
+        ports = self.start_process(list(program), name, COURSEKEEL_SETTINGS=str(file))
         if wait:
             wait_until(lambda: self.ready(ports), "the gateway is ready")
         return ports
--- a/tests/platform/test_revoked_keys.py
+++ b/tests/platform/test_revoked_keys.py
@@ -1,7 +1,9 @@
 """Keys that end while instances are away: real gateways before the stand-in."""
 
 import signal
+import time
 from collections.abc import Iterator
+from pathlib import Path
 
 import pytest
 
@@ -12,12 +14,14 @@
 # More writes than lie between the copy and the positions that instances hold, so that
 # the restored store gives out all of their versions again.
 WRITES = 30
+# What `GatewaySite` sets.
+REVOKE_MS = 1_300
 
 
 class Zone:
     """Three gateways of one availability zone, one of which asks the store for all."""
 
-    def __init__(self, site: GatewaySite) -> None:
+    def __init__(self, site: GatewaySite, program: tuple[str, ...]) -> None:
         self.site = site
         port = free_port("127.0.0.21")
         addresses = [f"127.0.0.{21 + number}:{port}" for number in range(3)]
@@ -26,7 +30,11 @@
             listen = {"peers": address}
             self.ports.append(
                 site.start_gateway(
-                    f"m{number}", wait=False, listen=listen, seeds=addresses
+                    f"m{number}",
+                    wait=False,
+                    listen=listen,
+                    seeds=addresses,
+                    program=program,
                 )
             )
             self.processes.append(site.processes[-1])
@@ -52,18 +60,31 @@
         for number in numbers:
             self.processes[number].send_signal(what)
 
+    def is_stopped(self, number: int) -> bool:
+        stat = Path(f"/proc/{self.processes[number].pid}/stat").read_text()
+        return stat.rpartition(")")[2].split()[0] == "T"
 
-@pytest.fixture
-def zone(tmp_path) -> Iterator[Zone]:
-    site = GatewaySite(tmp_path)
+
+def _zone(folder: Path, *program: str) -> Iterator[Zone]:
+    site = GatewaySite(folder)
     try:
         site.start(6)
         site.configure(keys=(KEY, SPARE))
-        yield Zone(site)
+        yield Zone(site, program)
     finally:
         site.stop()
 
 
+@pytest.fixture
+def zone(tmp_path) -> Iterator[Zone]:
+    yield from _zone(tmp_path, "platform/serve.py")
+
+
+@pytest.fixture
+def suspendable_zone(tmp_path) -> Iterator[Zone]:
+    yield from _zone(tmp_path, "-m", "tests.common.suspended_gateway")
+
+
 @pytest.mark.parametrize("away", [(0,), (1,), (2,), (0, 1, 2)])
 def test_a_key_that_ends_as_the_store_is_restored_ends_for_who_was_away(zone, away):
     """Callers saw two instances of one zone, and no others, serve a key long after it
@@ -96,3 +117,29 @@
     wait_until(lambda: zone.statuses(SPARE) == [401] * 3, "the key ends everywhere", 6)
     assert all(zone.statuses(SPARE) == [401] * 3 for _ in range(10))
     assert zone.statuses(KEY) == [200] * 3
+
+
+@pytest.mark.parametrize("suspended", [(0,), (0, 1, 2)])
+def test_a_key_that_ends_while_a_machine_is_suspended_is_not_acted_on(
+    suspendable_zone, suspended
+):
+    """Callers saw instances that had just woken serve a key that had ended meanwhile.
+
+    1. The machine is suspended for longer than `revoke_ms`; the key is taken away.
+    2. The store is silent, so that none learns of it as it wakes.
+    3. A woken instance takes a request before it has heard of anybody.
+    """
+    zone, site = suspendable_zone, suspendable_zone.site
+    zone.signal(suspended, signal.SIGUSR1)
+    wait_until(lambda: all(map(zone.is_stopped, suspended)), "they are suspended")
+    site.store(fault="silent")
+    site.configure(keys=(KEY,))
+    acknowledged_s = time.monotonic()
+    over_s = acknowledged_s + 1.5 * REVOKE_MS / 1000
+    wait_until(lambda: time.monotonic() > over_s, "the bound on keys is over")
+    zone.signal(suspended, signal.SIGCONT)
+    assert 200 not in [zone.statuses(SPARE)[each] for each in suspended]
+    assert all(200 not in zone.statuses(SPARE) for _ in range(5))
+    site.store(fault="")
+    wait_until(lambda: zone.statuses(SPARE) == [401] * 3, "the key ends everywhere", 6)
+    assert zone.statuses(KEY) == [200] * 3
