Known red: a proof claims time for which the store held no question

Change: the world of tests/cover/test_shared_source.py brings the store's answers late to an instance, starts instances anew, and says which of them claim a later proof than they can have: one that doesn't know a version knows the table as of its acknowledgement at most. Timers of a frozen instance can be withdrawn there.

--- a/tests/common/group_world.py
+++ b/tests/common/group_world.py
@@ -1,8 +1,8 @@
 """Instances that share one store's table, on one clock, without sockets.
 
 Each has its own `FollowTask`, `TableFeed`, `SharedSource` and `KnownSite`. The store
-may be away for some, links between instances may be slow or cut, and an instance may
-freeze: whatever reaches it meanwhile comes when it wakes.
+may be away for some or answer them late, links between instances may be slow or cut,
+and an instance may freeze: whatever reaches it meanwhile comes when it wakes.
 """
 
 from random import Random
@@ -59,6 +59,9 @@
         self.era = 0
         self.keys = frozenset({"k0", "k1", "k2", "k3"})
         self.revoked_ms: dict[str, float] = {}
+        self.acknowledged_ms: dict[int, float] = {}
+        # How much later than others' the store's answers come to an instance.
+        self.late_ms: dict[str, float] = {}
         self.away: set[str] = set()
         self.refuses_at_once = False
         self.cut: set[str] = set()
@@ -91,6 +94,7 @@
     def change(self, revoked: str = "") -> None:
         """A new version is acknowledged; it may take a key away."""
         self.version += 1
+        self.acknowledged_ms[self.version] = self.now_ms
         if revoked in self.keys:
             self.keys -= {revoked}
             self.revoked_ms[revoked] = self.now_ms
@@ -103,7 +107,7 @@
             return
         self.waiting.remove(waiter)
         if name not in self.away:
-            self.answer(name, held, self.reading(since))
+            self.store_answer(name, held, self.reading(since))
 
     def reading(self, since: int | None) -> Reading:
         teams = (Team("t", tuple(key_digest(each) for each in sorted(self.keys))),)
@@ -113,6 +117,34 @@
             entries = ()
         return Reading(entries, self.moment, self.now_ms, whole=since is None)
 
+    def store_answer(self, name: str, held: Deferred, value) -> None:
+        """The store makes an answer now, which may be late on its way."""
+        late_ms = self.late_ms.get(name, 0.0)
+        self.later(late_ms, self.answer, name, held, value)
+
+    def start_anew(self, name: str) -> "Instance":
+        """An instance ends, and another begins in its place."""
+        before = self.instances[name]
+        before.task.stop()
+        again = self.instances[name] = Instance(self, name, before.zone)
+        again.task.start()
+        return again
+
+    def too_young_proofs(self) -> dict[str, float]:
+        """By how much, in ms, instances claim a later proof than they can have.
+
+        Who doesn't know a version knows the table as of its acknowledgement at most.
+        """
+        found = {}
+        for name, each in self.instances.items():
+            if each.site.routes is None:
+                continue
+            unknown = each.site.routes.configuration.version + 1
+            if unknown in self.acknowledged_ms:
+                proven_ms = each.freshness.proven_ms(Table.CONFIGURATION.value)
+                found[name] = proven_ms - self.acknowledged_ms[unknown]
+        return {name: by_ms for name, by_ms in found.items() if by_ms > 0}
+
     def answer(self, name: str, held: Deferred, value) -> None:
         """Bring an answer to an instance; a frozen one gets it when it wakes."""
         wait_ms = self.random.uniform(0, 40)
@@ -128,6 +160,19 @@
             held.callback(value)
 
 
+class Alarm:
+    """A timer of an instance, which is put off while the instance is frozen."""
+
+    def __init__(self) -> None:
+        self.call = None
+
+    def cancel(self) -> None:
+        self.call.cancel()
+
+    def active(self) -> bool:
+        return self.call.active()
+
+
 class FrozenClock:
     """A reactor and clock of one instance, whose timers ring when it wakes."""
 
@@ -138,13 +183,16 @@
         return self.world.now_ms
 
     def callLater(self, delay_s, then, *arguments, **named):
+        alarm, reactor = Alarm(), self.world.reactor
+
         def ring():
             if self.instance.frozen:
-                self.callLater(STEP_MS / 1000, then, *arguments, **named)
+                alarm.call = reactor.callLater(STEP_MS / 1000, ring)
             else:
                 then(*arguments, **named)
 
-        return self.world.reactor.callLater(delay_s, ring)
+        alarm.call = reactor.callLater(delay_s, ring)
+        return alarm
 
 
 class StoreOf(Source):
@@ -168,7 +216,7 @@
                 world.answer(self.name, held, SourceFailed("status 503"))
             return held
         if since is None or since < world.moment or not hold_ms:
-            world.answer(self.name, held, world.reading(since))
+            world.store_answer(self.name, held, world.reading(since))
             return held
         waiter = (self.name, since, held)
         world.waiting.append(waiter)
--- a/tests/cover/test_shared_source.py
+++ b/tests/cover/test_shared_source.py
@@ -22,7 +22,7 @@
     decode_reading,
     encode_reading,
 )
-from tests.common.group_world import TIMERS, Instance, World
+from tests.common.group_world import STEP_MS, TIMERS, Instance, World
 from tests.common.moments import at
 
 ZONES = ["a", "a", "a", "b", "c"]
@@ -209,6 +209,35 @@
     assert not broken(spoil=False)
 
 
+@pytest.mark.parametrize("late_ms", [0, 400, 700, 1_000, 1_150])
+def test_a_proof_claims_no_time_for_which_the_store_held_nothing(late_ms):
+    """An instance asks a member in vain and then the store, without a hold. All of the
+    store's answers have come late since it started, so that the store's clock doesn't
+    tell how late this one is. A change is made at any moment of that."""
+    too_young = [
+        (changed_ms, by_ms)
+        for changed_ms in range(0, 2_600, 100)
+        for by_ms in _claimed_past_a_change(late_ms, changed_ms)
+    ]
+    assert too_young == []
+
+
+def _claimed_past_a_change(late_ms: float, changed_ms: float) -> list[float]:
+    world = World(["a", "a", "a"])
+    world.run(5_000)
+    world.late_ms["i0"] = late_ms
+    world.start_anew("i0")
+    world.run(3_000)
+    world.instances["i2"].frozen = True
+    world.run(changed_ms)
+    world.change()
+    claimed = []
+    for _ in range(50):
+        world.run(STEP_MS)
+        claimed += [ms for name, ms in world.too_young_proofs().items() if name == "i0"]
+    return claimed[:1]
+
+
 def _ageless(_self, told: RelayedReading) -> RelayedReading:
     return evolve(told, age_ms=0.0, failing=False)
 
