--- a/tests/cover/test_follow_task.py
+++ b/tests/cover/test_follow_task.py
@@ -98,3 +98,27 @@
     assert freshness.proven_ms("endpoints") == proven_ms
     assert table.take.call_count == taken
     task.stop()
+
+
+def test_a_reading_that_could_not_be_put_in_force_proves_nothing():
+    """An instance whose every reading raised in here acted on the keys of the last one
+    that hadn't, for good: each reading counted as a proof before it was taken."""
+    reactor, source = FakeReactor(), ScriptedSource()
+    task, table, freshness = followed_table(reactor, source)
+
+    def answer(number: int) -> None:
+        store_ms = reactor.seconds() * 1000
+        source.answers[number].callback(Reading((), at(9), store_ms, whole=True))
+
+    answer(0)
+    reactor.advance(1)
+    proven_ms = freshness.proven_ms("endpoints")
+    table.take.side_effect = ValueError("a fault of ours")
+    for number in (1, 2, 3):
+        answer(number)
+        reactor.advance(1)
+        assert freshness.proven_ms("endpoints") == proven_ms
+    table.take.side_effect = None
+    answer(4)
+    assert freshness.proven_ms("endpoints") > proven_ms
+    task.stop()
