A reading that can't be put in force proves nothing

Callers could be served with an ended key for good by an instance whose every reading of the configuration raised as it was taken.

Cause: the proof counted before the reading was taken, and stood when taking it raised, while what was known stayed as it was.

Change: when taking a reading raises, the moment that was proven before it counts again. Why this holds: what is known then is at least what was known at that moment.

--- a/src/coursekeel/forwarding/_freshness.py
+++ b/src/coursekeel/forwarding/_freshness.py
@@ -65,6 +65,10 @@
         if moment_ms > self._proven_ms.get(table, -math.inf):
             self._proven_ms[table] = moment_ms
 
+    def withdrawn(self, table: str, before_ms: float) -> None:
+        """The last proof counts no more; the moment proven before it does."""
+        self._proven_ms[table] = before_ms
+
     def age_ms(self, table: str, now_ms: float) -> float:
         """How long ago the last proven moment was; infinite if there is none."""
         return now_ms - self.proven_ms(table)
--- a/src/coursekeel/gateway/site/_follow_task.py
+++ b/src/coursekeel/gateway/site/_follow_task.py
@@ -211,14 +211,27 @@
             self._came_back(now_ms)
         self._relayed = reading.proven_ms is not None
         moment_ms = self._proven_ms(reading, question, now_ms)
-        self.freshness.proved(self._name, moment_ms)
+        self._put_in_force(reading, moment_ms)
         self._since = self._last = reading.moment
-        if reading.entries or reading.whole:
-            self._changes += 1
-            self.followed.take(reading)
-        self.followed.proved(reading.moment)
         self.feed.took(reading, moment_ms)
 
+    def _put_in_force(self, reading: Reading, moment_ms: float) -> None:
+        """Take a reading, and count its proof.
+
+        The proof counts first, since what waits for the first reading is served as it
+        is taken. If taking it raises, what is known is still what was proven before.
+        """
+        before_ms = self.freshness.proven_ms(self._name)
+        self.freshness.proved(self._name, moment_ms)
+        try:
+            if reading.entries or reading.whole:
+                self._changes += 1
+                self.followed.take(reading)
+            self.followed.proved(reading.moment)
+        except Exception:
+            self.freshness.withdrawn(self._name, before_ms)
+            raise
+
     def _proven_ms(
         self, reading: Reading, question: StoreQuestion, now_ms: float
     ) -> float:
--- a/tests/cover/test_follow_task.py
+++ b/tests/cover/test_follow_task.py
@@ -101,8 +101,13 @@
 
 
 def test_a_reading_that_could_not_be_put_in_force_proves_nothing():
-    """An instance whose every reading raised in here acted on the keys of the last one
-    that hadn't, for good: each reading counted as a proof before it was taken."""
+    """Callers could be served with an ended key for good by an instance whose every
+    reading of the configuration raised as it was taken.
+
+    Cause: the proof counted before the reading was taken, and stood when that raised,
+    while what was known stayed as it was. Evidence: the age of the proof fell with each
+    such reading, and now it grows until one can be taken.
+    """
     reactor, source = FakeReactor(), ScriptedSource()
     task, table, freshness = followed_table(reactor, source)
 
