A team that names no keys has none

Cause: a row whose team names no keys, or null, could not be read, so that the configuration before stayed in force, with keys that this one took away.

--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -145,6 +145,15 @@
     assert read.keyed
 
 
+@pytest.mark.parametrize("keys", [{}, {"api-keys": None}, {"api-keys": []}], ids=str)
+def test_a_team_whose_last_key_went_has_none(keys):
+    """However the row says so: a configuration that can't be read leaves the one before
+    in force, with the keys that this one took away."""
+    read = read_configuration(configuration() | {"tenants": [{"name": "t"} | keys]})
+    assert [(each.name, each.keys) for each in read.teams] == [("t", ())]
+    assert read.keyed
+
+
 def test_a_stream_that_may_not_be_resumed_runs_once():
     once = configuration() | {"routes": [route("s", "streaming", "engines")]}
     (only,) = read_configuration(once).routes
