--- a/src/coursekeel/gateway/site/_known_site.py
+++ b/src/coursekeel/gateway/site/_known_site.py
@@ -122,7 +122,9 @@
         if self.routes_age_ms > self.max_key_age_ms:
             return False
         assert self.routes is not None
-        return self.routes.team(call.caller.key) is not None
+        team = self.routes.team(call.caller.key)
+        # Endpoints are told the team's name, which must hold the key now.
+        return team is not None and team.name == call.team.name
 
     def take_configuration(self, reading: Reading) -> None:
         """Take a configuration and orders; what isn't newer is passed over."""
