Versions that fall within an era are not built on

A store that gives versions out again and names no era was followed from the lower position that it answered, and what lay below that was never read.

Change: an answer below the position that was asked from proves nothing, and the table is read whole.

Measured: the new test fails before and passes after; tests/cover, tests/quality and the restored store's tests, 1377 passed.

--- a/src/coursekeel/gateway/site/_follow_task.py
+++ b/src/coursekeel/gateway/site/_follow_task.py
@@ -160,7 +160,7 @@
     def _of_this_era(self, reading: Reading) -> Reading | None:
         """The reading, if it counts; one that doesn't changes nothing."""
         if self._last is None or reading.moment.era == self._last.era:
-            return reading
+            return reading if self._goes_on(reading) else None
         era, known = reading.moment.era, self._last.era
         if era < known:
             log_event(
@@ -188,6 +188,20 @@
         self.followed.restored()
         return evolve(reading, restored=True)
 
+    def _goes_on(self, reading: Reading) -> bool:
+        """Say whether a reading of this era goes on from the position asked for."""
+        if reading.whole or self._since is None or reading.moment >= self._since:
+            return True
+        log_event(
+            "store_version_fell",
+            logging.WARNING,
+            table=self._name,
+            since=self._since,
+            moment=reading.moment,
+        )
+        self._since = None
+        return False
+
     def _hold_ms(self) -> float:
         """How long the store may hold the next question.
 
--- a/tests/cover/test_follow_task.py
+++ b/tests/cover/test_follow_task.py
@@ -127,3 +127,21 @@
     answer(4)
     assert freshness.proven_ms("endpoints") > proven_ms
     task.stop()
+
+
+def test_versions_that_fall_within_an_era_are_not_built_on():
+    """A store that was restored and names no era gives versions out again; what lies
+    below the position that it answers is known by a whole reading only."""
+    reactor, source = FakeReactor(), ScriptedSource()
+    task, table, freshness = followed_table(reactor, source)
+    source.answers[0].callback(Reading((), at(100), 0.0, whole=True))
+    reactor.advance(1)
+    taken, proven_ms = table.take.call_count, freshness.proven_ms("endpoints")
+    source.answers[1].callback(Reading((), at(55), 1_000.0, whole=False))
+    assert table.take.call_count == taken
+    assert freshness.proven_ms("endpoints") == proven_ms
+    assert source.holds[2] == 0.0
+    source.answers[2].callback(Reading((), at(55), 1_000.0, whole=True))
+    assert table.take.call_count == taken + 1
+    assert freshness.proven_ms("endpoints") > proven_ms
+    task.stop()
