An answer proves no more of a hold than the store's clock bears out

Callers could have a key served for longer than revoke_ms where the store ended a hold early and all of its answers came late.

Cause: an empty answer that came no earlier than the end of its hold was taken to have been made then. The store's clock bounded that from above only, by the fastest answer of this instance's life.

Change: each answer bounds the difference of the clocks from both sides, since it was made after its question was sent; a hold counts as far as the lower bound bears it out. Why this holds: no answer is made before its question, and the store's clock is steady.

--- a/src/coursekeel/forwarding/_freshness.py
+++ b/src/coursekeel/forwarding/_freshness.py
@@ -34,24 +34,33 @@
 class StoreClock:
     """Relates the store's steady clock to this process's.
 
-    The smallest difference seen between receiving an answer and the store's time in
-    it is the one with the least delay, so a later answer whose store time lies
-    further back is an old one, held up on the way or read from a copy that lags.
+    An answer is made after its question was sent and before it was received, so each
+    one bounds the difference of the clocks from both sides, and the closest bounds hold
+    for all answers. One whose store time lies further back than its own sending and
+    receiving tell was held up on the way, or was read from a copy that lags.
     """
 
     _least_offset_ms: float = math.inf
+    _most_offset_ms: float = -math.inf
     _era: int = 0
 
-    def local_ms(self, era: int, store_ms: float, received_ms: float) -> float:
-        """The local time at which the store made an answer, at the latest.
+    def latest_ms(self, era: int, store_ms: float, received_ms: float) -> float:
+        """The local time at which the store made an answer, at the latest."""
+        self._enter(era)
+        self._least_offset_ms = min(self._least_offset_ms, received_ms - store_ms)
+        return store_ms + self._least_offset_ms
+
+    def earliest_ms(self, era: int, store_ms: float, sent_ms: float) -> float:
+        """The local time at which the store made an answer, at the earliest."""
+        self._enter(era)
+        self._most_offset_ms = max(self._most_offset_ms, sent_ms - store_ms)
+        return store_ms + self._most_offset_ms
 
-        A store that came back from a copy has another clock than before.
-        """
+    def _enter(self, era: int) -> None:
+        """A store that came back from a copy has another clock than before."""
         if era > self._era:
-            self._era, self._least_offset_ms = era, math.inf
-        offset_ms = received_ms - store_ms
-        self._least_offset_ms = min(self._least_offset_ms, offset_ms)
-        return store_ms + self._least_offset_ms
+            self._era = era
+            self._least_offset_ms, self._most_offset_ms = math.inf, -math.inf
 
 
 @define
--- a/src/coursekeel/gateway/site/_follow_task.py
+++ b/src/coursekeel/gateway/site/_follow_task.py
@@ -254,9 +254,11 @@
             return reading.proven_ms
         held_ms = 0.0 if reading.entries else question.held_ms
         moment_ms = proven_moment_ms(question.sent_ms, now_ms, held_ms)
-        era, store_ms = reading.moment.era, reading.store_ms
-        made_ms = self.store_clock.local_ms(era, store_ms, now_ms)
-        return min(moment_ms, made_ms)
+        clock, era = self.store_clock, reading.moment.era
+        earliest_ms = clock.earliest_ms(era, reading.store_ms, question.sent_ms)
+        latest_ms = clock.latest_ms(era, reading.store_ms, now_ms)
+        # A hold may have ended early, and its answer come late.
+        return min(moment_ms, earliest_ms, latest_ms)
 
     def _came_back(self, now_ms: float) -> None:
         log_event("store_back", table=self._name, failures=self._failures)
--- a/tests/cover/test_follow_task.py
+++ b/tests/cover/test_follow_task.py
@@ -145,3 +145,21 @@
     assert table.take.call_count == taken + 1
     assert freshness.proven_ms("endpoints") > proven_ms
     task.stop()
+
+
+def test_an_early_answer_that_came_late_proves_no_hold():
+    """The store ends a hold early, for a row that isn't followed here, and its answer
+    is late on its way, as all were before it. Its clock tells how much later than
+    another question this answer was made."""
+    reactor, source = FakeReactor(), ScriptedSource()
+    task, _, freshness = followed_table(reactor, source)
+    reactor.advance(2)
+    source.answers[0].callback(Reading((), at(5), 0.0, whole=True))
+    reactor.advance(0)
+    reactor.advance(4.3)
+    source.answers[1].callback(Reading((), at(6), 2_300.0, whole=False))
+    assert freshness.proven_ms("endpoints") <= 2_300.0
+    reactor.advance(4.1)
+    source.answers[2].callback(Reading((), at(6), 10_300.0, whole=False))
+    assert freshness.proven_ms("endpoints") >= 10_250.0
+    task.stop()
--- a/tests/cover/test_forwarding.py
+++ b/tests/cover/test_forwarding.py
@@ -91,8 +91,15 @@
 
 def test_an_answer_from_the_past_proves_only_the_past():
     clock = StoreClock()
-    assert clock.local_ms(0, 1_000.0, 5_004.0) == 5_004.0
-    assert clock.local_ms(0, 2_000.0, 9_004.0) == 6_004.0
+    assert clock.latest_ms(0, 1_000.0, 5_004.0) == 5_004.0
+    assert clock.latest_ms(0, 2_000.0, 9_004.0) == 6_004.0
+
+
+def test_an_answer_was_made_no_earlier_than_its_question_nor_than_the_clock_tells():
+    clock = StoreClock()
+    assert clock.earliest_ms(0, 1_000.0, 5_000.0) == 5_000.0
+    assert clock.earliest_ms(0, 1_500.0, 5_100.0) == 5_500.0
+    assert clock.earliest_ms(1, 9_000.0, 5_200.0) == 5_200.0
 
 
 class _BeliefUnderFaults(RuleBasedStateMachine):
@@ -133,8 +140,10 @@
         self.held_version = version
         held_ms = hold_ms if fresh else 0.0
         moment_ms = proven_moment_ms(sent_ms, self.now_ms, held_ms)
-        made_local_ms = self.clock.local_ms(0, made_ms - 7_777.0, self.now_ms)
-        self.freshness.proved("t", min(moment_ms, made_local_ms))
+        store_ms = made_ms - 7_777.0
+        latest_ms = self.clock.latest_ms(0, store_ms, self.now_ms)
+        earliest_ms = self.clock.earliest_ms(0, store_ms, sent_ms)
+        self.freshness.proved("t", min(moment_ms, earliest_ms, latest_ms))
 
     @invariant()
     def what_is_held_was_true_no_longer_ago_than_its_age(self):
@@ -343,8 +352,8 @@
 
 def test_a_restored_stores_clock_is_learned_anew():
     clock = StoreClock()
-    assert clock.local_ms(0, 9_000.0, 9_004.0) == 9_004.0
-    assert clock.local_ms(1, 1_000.0, 9_504.0) == 9_504.0
+    assert clock.latest_ms(0, 9_000.0, 9_004.0) == 9_004.0
+    assert clock.latest_ms(1, 1_000.0, 9_504.0) == 9_504.0
 
 
 def test_a_moment_is_written_and_read():
