Bounds of the store's clock widen with time

Callers would be refused (belief_old), or served with an ended key for longer, by instances that had run for hours before a store whose clock drifts from theirs.

Cause: the closest bounds of the clocks' difference were kept for a process's life.

Change: both bounds widen by a thousandth of the time that passes, the most that Linux lets two clocks be slewed apart.

--- a/src/coursekeel/forwarding/_freshness.py
+++ b/src/coursekeel/forwarding/_freshness.py
@@ -16,6 +16,9 @@
 # A timer of the store may ring so much early by this clock, since the two differ in
 # rounding. A proof that is 5 ms older than it might be.
 _TIMER_SLACK_MS = 5.0
+# How fast two steady clocks may drift apart: Linux lets each be slewed by 500 parts in
+# a million (adjtimex(2)).
+_DRIFT = 1e-3
 
 
 def proven_moment_ms(sent_ms: float, received_ms: float, held_ms: float) -> float:
@@ -35,32 +38,38 @@
     """Relates the store's steady clock to this process's.
 
     An answer is made after its question was sent and before it was received, so each
-    one bounds the difference of the clocks from both sides, and the closest bounds hold
-    for all answers. One whose store time lies further back than its own sending and
-    receiving tell was held up on the way, or was read from a copy that lags.
+    one bounds the difference of the clocks from both sides. The closest bounds hold for
+    all answers; they widen with time, since the clocks drift. One whose store time lies
+    further back than its own sending and receiving tell was held up on the way, or was
+    read from a copy that lags.
     """
 
     _least_offset_ms: float = math.inf
     _most_offset_ms: float = -math.inf
+    _looked_ms: float = 0.0
     _era: int = 0
 
     def latest_ms(self, era: int, store_ms: float, received_ms: float) -> float:
         """The local time at which the store made an answer, at the latest."""
-        self._enter(era)
+        self._look(era, received_ms)
         self._least_offset_ms = min(self._least_offset_ms, received_ms - store_ms)
         return store_ms + self._least_offset_ms
 
     def earliest_ms(self, era: int, store_ms: float, sent_ms: float) -> float:
         """The local time at which the store made an answer, at the earliest."""
-        self._enter(era)
+        self._look(era, sent_ms)
         self._most_offset_ms = max(self._most_offset_ms, sent_ms - store_ms)
         return store_ms + self._most_offset_ms
 
-    def _enter(self, era: int) -> None:
-        """A store that came back from a copy has another clock than before."""
+    def _look(self, era: int, now_ms: float) -> None:
+        """Widen the bounds; a store that came back from a copy has another clock."""
         if era > self._era:
             self._era = era
             self._least_offset_ms, self._most_offset_ms = math.inf, -math.inf
+        drift_ms = _DRIFT * max(0.0, now_ms - self._looked_ms)
+        self._looked_ms = max(self._looked_ms, now_ms)
+        self._least_offset_ms += drift_ms
+        self._most_offset_ms -= drift_ms
 
 
 @define
