Soak: faults on the links to the store, suspended machines, several keys

Cause: the soak had one key a run, never a team's last one, and no faults between processes. It couldn't have shown any of the incident's hypotheses.

Change: each gateway reaches the store over a link of its own, which can be cut either way, slowed, reset, refuse in the store's place, or go silent where it is open. Machines are suspended with their steady clock. Three keys go and come again by turns, one of them a team's only one; a key ends until the operator begins to give it again. The word that a server leaves binds only gateways whose way to the store is sound, as it bound only while the store was: by the users' rule.

--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -104,7 +104,7 @@
     ran = {each.request_id for each in seen.runs}
     for revoked in seen.revoked:
         for call in seen.calls:
-            late = call.sent_s > revoked.at_s + bounds.revoke_s
+            late = revoked.at_s + bounds.revoke_s < call.sent_s < revoked.until_s
             if call.key == revoked.key and late and call.request_id in ran:
                 after_s = call.sent_s - revoked.at_s
                 yield f"{call.request_id}: sent {after_s:.2f} s after"
@@ -115,10 +115,15 @@
 
     Traced for seed 207: the store had been silent until 0.4 s before the word, refused
     0.8 s after it, and an instance whose question hung since the silence sent a run.
+    The same holds for the way from the sending gateway to the store.
     """
+    gateways = {each.request_id: each.gateway for each in seen.calls}
     for left in seen.left:
         for run in seen.runs:
-            if _store_is_unsound(seen, left.at_s - bounds.contact_s, run.at_s):
+            since_s = left.at_s - bounds.contact_s
+            if _store_is_unsound(seen, since_s, run.at_s):
+                continue
+            if _is_cut_off(seen, gateways.get(run.request_id), since_s, run.at_s):
                 continue
             if run.server == left.server and run.at_s > left.at_s + bounds.drain_s:
                 after_s = run.at_s - left.at_s
@@ -131,6 +136,15 @@
     )
 
 
+def _is_cut_off(
+    seen: Evidence, gateway: int | None, since_s: float, until_s: float
+) -> bool:
+    return any(
+        each.gateway == gateway and each.begun_s < until_s and each.ended_s > since_s
+        for each in seen.link_faults
+    )
+
+
 def _repeats_within_the_bound(seen: Evidence, bounds: Bounds) -> Iterator[str]:
     for pool in (True, False):
         names = {
@@ -184,7 +198,7 @@
     since_s = at_s - bounds.contact_s
     return not any(
         each.gateway == gateway and each.begun_s < at_s and each.ended_s > since_s
-        for each in seen.gateway_faults
+        for each in seen.gateway_faults + seen.link_faults
     )
 
 
--- a/soak/_play.py
+++ b/soak/_play.py
@@ -10,8 +10,7 @@
 from soak._checks import Bounds, Violation, check
 from soak._records import Evidence
 from soak._schedule import Schedule
-from soak._world import RETRIES, SETTINGS, SPARE_KEY, World
-from tests.platform.site import KEY
+from soak._world import KEYS, RETRIES, SETTINGS, World
 
 __all__ = ["BOUNDS", "Played", "play"]
 
@@ -53,7 +52,7 @@
             world.start()
             began_s = time.monotonic()
             callers = [
-                Caller(number, world.ports, (KEY, SPARE_KEY), schedule.seed)
+                Caller(number, world.ports, KEYS, schedule.seed)
                 for number in range(_CALLERS)
             ]
             for each in callers:
--- a/soak/_records.py
+++ b/soak/_records.py
@@ -1,5 +1,6 @@
 """What was seen from outside: by callers at the gateways, and at the servers."""
 
+import math
 from enum import Enum
 
 from attrs import define, field, frozen
@@ -73,7 +74,7 @@
 
 @frozen
 class GatewayFault:
-    """A gateway was away, paused or stopping between two moments."""
+    """A gateway was away, paused, stopping or cut off between two moments."""
 
     gateway: int
     begun_s: float
@@ -82,10 +83,14 @@
 
 @frozen
 class KeyRevoked:
-    """The store took the configuration without the key at that moment."""
+    """The store took the configuration without the key at that moment.
+
+    ``until_s`` is when the operator began to give it again, infinite if it didn't.
+    """
 
     key: str
     at_s: float
+    until_s: float = math.inf
 
 
 @frozen
@@ -120,6 +125,7 @@
     store_faults: list[StoreFault] = field(factory=list)
     crashes: list[Crash] = field(factory=list)
     gateway_faults: list[GatewayFault] = field(factory=list)
+    link_faults: list[GatewayFault] = field(factory=list)
     whole_again_s: list[float | None] = field(factory=list)
     memory_mb: float = 0.0
     descriptors: int = 0
--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -29,6 +29,7 @@
 
     GATEWAY_KILLED = "gateway_killed"
     GATEWAY_PAUSED = "gateway_paused"
+    GATEWAY_SUSPENDED = "gateway_suspended"
     GATEWAY_STOPPED = "gateway_stopped"
     SETTINGS_CHANGED = "settings_changed"
     ENGINE_DARK = "engine_dark"
@@ -46,8 +47,15 @@
     STORE_FORGETS = "store_forgets"
     STORE_OPEN_SILENT = "store_open_silent"
     STORE_RESTORED = "store_restored"
+    LINK_HELD_OUT = "link_held_out"
+    LINK_HELD_BACK = "link_held_back"
+    LINK_SLOW = "link_slow"
+    LINK_REFUSES = "link_refuses"
+    LINK_RESET = "link_reset"
+    LINK_SILENT = "link_silent"
     CONFIGURATION_CHANGED = "configuration_changed"
     KEY_REVOKED = "key_revoked"
+    LAST_KEY_REVOKED = "last_key_revoked"
     ENGINES_CRASH = "engines_crash"
     STREAM_CRASHES_ENGINES = "stream_crashes_engines"
     CALL_CRASHES_SERVICES = "call_crashes_services"
@@ -57,15 +65,20 @@
     {
         FaultKind.GATEWAY_KILLED,
         FaultKind.GATEWAY_PAUSED,
+        FaultKind.GATEWAY_SUSPENDED,
         FaultKind.GATEWAY_STOPPED,
         FaultKind.SETTINGS_CHANGED,
+        FaultKind.LINK_HELD_OUT,
+        FaultKind.LINK_HELD_BACK,
+        FaultKind.LINK_SLOW,
+        FaultKind.LINK_REFUSES,
+        FaultKind.LINK_RESET,
+        FaultKind.LINK_SILENT,
     }
 )
 _OF_SERVICES = frozenset(
     {FaultKind.SERVICE_FAILS, FaultKind.SERVICE_TEARS, FaultKind.SERVICE_RESETS}
 )
-# What happens at most once: the key that is taken away doesn't come back.
-_ONCE = frozenset({FaultKind.KEY_REVOKED})
 
 
 @frozen
@@ -112,14 +125,12 @@
     random = Random(seed)
     faults: list[Fault] = []
     kinds: list[FaultKind] = []
-    used: set[FaultKind] = set()
     at_s = _FIRST_S
     while at_s < seconds - _LAST_S:
         if not kinds:
-            kinds = [each for each in FaultKind if each not in _ONCE & used]
+            kinds = list(FaultKind)
             random.shuffle(kinds)
         kind = kinds.pop()
-        used.add(kind)
         for_s = min(random.choice(_LENGTHS_S), seconds - _LAST_S - at_s)
         target = _target(kind, random, gateways, engines, services)
         faults.append(Fault(kind, round(at_s, 2), round(for_s, 2), target))
--- a/tests/cover/test_soak.py
+++ b/tests/cover/test_soak.py
@@ -151,6 +151,23 @@
     assert check(seen, BOUNDS) == []
 
 
+def test_word_that_a_server_leaves_binds_who_reaches_the_store():
+    seen = sound()
+    send_to_who_left(seen)
+    seen.link_faults.append(GatewayFault(1, -2.0, 2.0))
+    assert len(check(seen, BOUNDS)) == 1, "another gateway's link"
+    seen.link_faults.append(GatewayFault(0, -2.0, 2.0))
+    assert check(seen, BOUNDS) == []
+
+
+@pytest.mark.parametrize(("until_s", "found"), [(0.9, 0), (1.1, 1)])
+def test_a_key_ends_until_it_is_given_again(until_s, found):
+    seen = sound()
+    seen.calls[1].key = "other"
+    seen.revoked.append(KeyRevoked("k", -2.5, until_s))
+    assert len(check(seen, BOUNDS)) == found
+
+
 def test_sends_of_a_gateway_that_was_away_are_not_counted():
     """By the users' rule only machines in touch are bound."""
     seen = sound()
--- a/tests/nocover/test_soak.py
+++ b/tests/nocover/test_soak.py
@@ -34,6 +34,35 @@
     ),
 )
 
+# Keys that end, a team's last one among them, while instances are cut off one way,
+# turned away, suspended, or asleep as the store is restored.
+ENDING_KEYS = Schedule(
+    20.0,
+    3,
+    3,
+    (
+        Fault(FaultKind.LINK_HELD_BACK, 1.5, 5.0, 0),
+        Fault(FaultKind.LINK_HELD_OUT, 1.5, 5.0, 1),
+        Fault(FaultKind.GATEWAY_SUSPENDED, 1.6, 3.9, 1),
+        Fault(FaultKind.LINK_REFUSES, 1.7, 4.5, 2),
+        Fault(FaultKind.KEY_REVOKED, 2.0, 0.0, 0),
+        Fault(FaultKind.LAST_KEY_REVOKED, 2.2, 0.0),
+        Fault(FaultKind.STORE_RESTORED, 7.0, 1.5),
+        Fault(FaultKind.GATEWAY_PAUSED, 7.2, 3.0, 2),
+        Fault(FaultKind.KEY_REVOKED, 8.52, 0.0, 1),
+        Fault(FaultKind.LINK_SLOW, 10.5, 1.5, 0),
+        Fault(FaultKind.LAST_KEY_REVOKED, 13.0, 0.0),
+    ),
+)
+
+
+def test_keys_end_in_time_though_links_machines_and_the_store_fail():
+    played = play(ENDING_KEYS)
+    assert played.violations == []
+    assert len(played.evidence.revoked) == 3
+    served = [each for each in played.evidence.calls if each.status == 200]
+    assert len(served) > 100
+
 
 def test_a_short_soak_breaks_no_promise():
     played = play(SHORT)
