Soak: gateways that reach the store over links of their own are one group

Cause: the settings named each gateway's link as its store, and the store's address is also the name of the group, so that each gateway was a group of its own (datagram_refused).

Change: the settings name the store, and the gateway's program reaches it by the link.

--- a/soak/_world.py
+++ b/soak/_world.py
@@ -84,8 +84,8 @@
     "refuses": False,
     "delay_ms": 0.0,
 }
-# Its machine can be suspended.
-_GATEWAY = ("-m", "tests.common.suspended_gateway")
+# Its machine can be suspended, and its way to the store is a link.
+_GATEWAY = ("-m", "tests.common.faulted_gateway")
 
 # Under these a gateway isn't in touch.
 _AWAY = frozenset(
@@ -189,7 +189,7 @@
             seeds=[self._address(0), self._address(1)],
             retries=RETRIES,
             program=_GATEWAY,
-            store_port=self._link_ports[number],
+            store_link=f"127.0.0.1:{self._link_ports[number]}",
             **SETTINGS,
         )
         self._processes[number] = self.site.processes[-1]
--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -111,7 +111,7 @@
         seeds: list[str] | None = None,
         retries: dict[str, float] | None = None,
         program: tuple[str, ...] = ("platform/serve.py",),
-        store_port: int = 0,
+        store_link: str = "",
         **timers: float,
     ) -> list[int]:
         settings = {
@@ -124,7 +124,7 @@
             }
             | (listen or {}),
             "seeds": seeds or [],
-            "store": f"127.0.0.1:{store_port or self.store_port}",
+            "store": f"127.0.0.1:{self.store_port}",
             "timers": {
                 "revoke_ms": 1_300,
                 "grace_s": 6,
@@ -135,7 +135,12 @@
         }
         file = self.folder / f"{name}.json"
         file.write_bytes(orjson.dumps(settings))
-        ports = self.start_process(list(program), name, COURSEKEEL_SETTINGS=str(file))
+        ports = self.start_process(
+            list(program),
+            name,
+            COURSEKEEL_SETTINGS=str(file),
+            COURSEKEEL_STORE_LINK=store_link,
+        )
         if wait:
             wait_until(lambda: self.ready(ports), "the gateway is ready")
         return ports
--- a/tests/platform/test_revoked_keys.py
+++ b/tests/platform/test_revoked_keys.py
@@ -82,7 +82,7 @@
 
 @pytest.fixture
 def suspendable_zone(tmp_path) -> Iterator[Zone]:
-    yield from _zone(tmp_path, "-m", "tests.common.suspended_gateway")
+    yield from _zone(tmp_path, "-m", "tests.common.faulted_gateway")
 
 
 @pytest.mark.parametrize("away", [(0,), (1,), (2,), (0, 1, 2)])
