--- a/tests/cover/test_shared_source.py
+++ b/tests/cover/test_shared_source.py
@@ -16,6 +16,7 @@
     UnreadableEntry,
     Versioned,
 )
+from coursekeel.gateway.members._member_reader import MemberFailed
 from coursekeel.gateway.members._reading_codec import (
     RelayedReading,
     UnreadableReading,
@@ -394,3 +395,55 @@
     world.run(3_000)
     assert world.instances["i4"].acts_on("k2")
     assert not any(each.acts_on("k3") for each in world.instances.values())
+
+
+def _alone(world: World) -> None:
+    """An instance in a small zone asks the store for itself."""
+
+
+def _started(world: World) -> None:
+    """All have just read the table whole."""
+    for name in list(world.instances):
+        world.start_anew(name)
+    world.run(150)
+
+
+def _turned_away(world: World) -> None:
+    """All but one live on what members say."""
+    world.away = set(world.instances) - {"i3"}
+    world.run(3_000)
+
+
+def _restored(world: World) -> None:
+    world.era += 1
+    world.run(1_500)
+
+
+def _late(world: World) -> None:
+    """The store's answers come late, and have since the instances started."""
+    world.late_ms = dict.fromkeys(world.instances, 700.0)
+    for name in list(world.instances):
+        world.start_anew(name)
+    world.run(4_000)
+
+
+@pytest.mark.parametrize("way", [_alone, _started, _turned_away, _restored, _late])
+@pytest.mark.parametrize("ends_ms", range(0, 1_800, 150))
+def test_the_bound_on_keys_is_the_age_at_which_proofs_are_given_up(way, ends_ms):
+    """However a proof came: nobody hears of anything any more right after a key has
+    ended, and the key is acted on for no longer than `max_key_age_ms`."""
+    world = World(ZONES)
+    world.run(5_000)
+    way(world)
+    world.run(ends_ms)
+    world.away, world.cut = set(world.instances), set(world.instances)
+    for each in world.instances.values():
+        each.members.ask = AsyncMock(return_value=MemberFailed("cut"))
+    world.change("k1")
+    acted_ms = [0.0]
+    while world.now_ms - world.revoked_ms["k1"] < TIMERS.revoke_ms:
+        world.run(STEP_MS)
+        if any(each.acts_on("k1") for each in world.instances.values()):
+            acted_ms.append(world.now_ms - world.revoked_ms["k1"])
+    assert max(acted_ms) <= TIMERS.max_key_age_ms
+    assert max(acted_ms) >= TIMERS.max_key_age_ms - 2_700, "none is given up early"
