A proof of before the machine's start keeps its age

Cause: a table that nothing had proven had the moment 0 as its proof, and kept the later of the two. On a machine that runs for less time than a member's proof is old, such a proof came out as old as the machine, and was passed on so.

Change: nothing is proven at minus infinity.

--- a/src/coursekeel/gateway/members/_table_feed.py
+++ b/src/coursekeel/gateway/members/_table_feed.py
@@ -68,7 +68,7 @@
     failing: bool = False
     _moment: StoreMoment | None = None
     _complete_since: StoreMoment = field(factory=StoreMoment)
-    _proven_ms: float = 0.0
+    _proven_ms: float = -math.inf
     _rows: dict[str, Versioned] = field(factory=dict)
     _gone: int = 0
     _asked_ms: float = -math.inf
--- a/tests/cover/test_follow_task.py
+++ b/tests/cover/test_follow_task.py
@@ -163,3 +163,14 @@
     source.answers[2].callback(Reading((), at(6), 10_300.0, whole=False))
     assert freshness.proven_ms("endpoints") >= 10_250.0
     task.stop()
+
+
+def test_a_proof_of_before_the_machine_started_keeps_its_age():
+    """Where a member's proof is older than the machine has run, it is negative."""
+    reactor, told = FakeReactor(), []
+    clock = Mock(now_ms=lambda: reactor.seconds() * 1000)
+    feed = TableFeed(reactor, clock)
+    reactor.advance(1)
+    feed.took(Reading((), at(5), 0.0, whole=True), -3_000.0)
+    feed.ask(None, 0.0, told.append)
+    assert told[0].age_ms == 4_000.0
