--- a/tests/common/sites.py
+++ b/tests/common/sites.py
@@ -117,3 +117,11 @@
 def answers_of(site: Site, name: str) -> dict[str, int]:
     """How many answers an entry has in each state."""
     return dict(site.entries[name].get("/operator/status")["answers"])
+
+
+def twin_of(caller):
+    """Another caller of the same answer that holds what this one holds."""
+    twin = dossier(caller.request["max_tokens"])
+    twin.request, twin.request_id = caller.request, caller.request_id
+    twin.tokens, twin.event_id = list(caller.tokens), caller.event_id
+    return twin
--- a/tests/nocover/test_pauses_on_a_tokens_way.py
+++ b/tests/nocover/test_pauses_on_a_tokens_way.py
@@ -28,6 +28,7 @@
     comes_back,
     dossier,
     reading,
+    twin_of,
     until_holding,
 )
 
@@ -58,14 +59,6 @@
     wait_until(lambda: status.read_text().rpartition(") ")[2][0] == "T", "it stops")
 
 
-def twin_of(caller):
-    """Another caller of the same answer that holds what this one holds."""
-    twin = dossier(caller.request["max_tokens"])
-    twin.request, twin.request_id = caller.request, caller.request_id
-    twin.tokens, twin.event_id = list(caller.tokens), caller.event_id
-    return twin
-
-
 @pytest.mark.parametrize("point", OWN_CALLER_POINTS)
 def test_a_token_under_way_in_a_pause_stays_where_it_is(point):
     with site_that_pauses(point) as site:
