A store whose clock stood still or jumped is believed again

Callers with keys would be refused (belief_old) by all instances for hours after the store's machine had been suspended for some seconds.

Cause: the bounds of the clocks' difference hold only while both clocks run. When the store's stands still, each answer looks as much older as it stood, until the bounds have widened by that; before they widened at all it was for good. When it jumps ahead the lower bound bears out too much of a hold.

Change: bounds that contradict each other for half a minute are taken anew. Why this holds: an answer is made between its sending and its receiving, so that bounds of two clocks that run can't contradict each other; what a lagging copy answers meanwhile is still taken for old.

--- a/src/coursekeel/forwarding/_freshness.py
+++ b/src/coursekeel/forwarding/_freshness.py
@@ -19,6 +19,9 @@
 # How fast two steady clocks may drift apart: Linux lets each be slewed by 500 parts in
 # a million (adjtimex(2)).
 _DRIFT = 1e-3
+# Bounds that contradict each other for so long tell that a clock stood still or jumped.
+# For a shorter time answers may come from a copy that lags.
+_CONTRADICTED_MS = 30_000.0
 
 
 def proven_moment_ms(sent_ms: float, received_ms: float, held_ms: float) -> float:
@@ -41,12 +44,14 @@
     one bounds the difference of the clocks from both sides. The closest bounds hold for
     all answers; they widen with time, since the clocks drift. One whose store time lies
     further back than its own sending and receiving tell was held up on the way, or was
-    read from a copy that lags.
+    read from a copy that lags. When the bounds contradict each other for long, one of
+    the clocks has stood still or jumped, and both are taken anew.
     """
 
     _least_offset_ms: float = math.inf
     _most_offset_ms: float = -math.inf
     _looked_ms: float = 0.0
+    _agreed_ms: float = 0.0
     _era: int = 0
 
     def latest_ms(self, era: int, store_ms: float, received_ms: float) -> float:
@@ -63,13 +68,16 @@
 
     def _look(self, era: int, now_ms: float) -> None:
         """Widen the bounds; a store that came back from a copy has another clock."""
-        if era > self._era:
-            self._era = era
-            self._least_offset_ms, self._most_offset_ms = math.inf, -math.inf
         drift_ms = _DRIFT * max(0.0, now_ms - self._looked_ms)
         self._looked_ms = max(self._looked_ms, now_ms)
         self._least_offset_ms += drift_ms
         self._most_offset_ms -= drift_ms
+        if self._most_offset_ms <= self._least_offset_ms:
+            self._agreed_ms = self._looked_ms
+        contradicted_ms = self._looked_ms - self._agreed_ms
+        if era > self._era or contradicted_ms > _CONTRADICTED_MS:
+            self._era, self._agreed_ms = max(era, self._era), self._looked_ms
+            self._least_offset_ms, self._most_offset_ms = math.inf, -math.inf
 
 
 @define
--- a/tests/cover/test_forwarding.py
+++ b/tests/cover/test_forwarding.py
@@ -375,3 +375,33 @@
         earliest_ms = clock.earliest_ms(0, store_ms, made_ms - 5.0)
         latest_ms = clock.latest_ms(0, store_ms, made_ms + 5.0)
         assert made_ms - 30.0 <= earliest_ms <= made_ms <= latest_ms <= made_ms + 30.0
+
+
+@pytest.mark.parametrize("jump_ms", [-6_000.0, 6_000.0])
+def test_a_store_whose_clock_stood_still_or_jumped_is_believed_again_in_time(jump_ms):
+    """Its machine was suspended, say. A single answer may come from a copy that lags;
+    what all answers say for longer than that is the store's clock."""
+    clock = StoreClock()
+
+    def ask(made_ms: float, jumped_ms: float) -> tuple[float, float]:
+        store_ms = 77_000.0 + made_ms + jumped_ms
+        earliest_ms = clock.earliest_ms(0, store_ms, made_ms - 5.0)
+        return earliest_ms - made_ms, clock.latest_ms(
+            0, store_ms, made_ms + 5.0
+        ) - made_ms
+
+    for second in range(60):
+        ask(second * 1_000.0, 0.0)
+    for second in range(60, 120):
+        told = ask(second * 1_000.0, jump_ms)
+    assert told == (pytest.approx(0.0, abs=60.0), pytest.approx(0.0, abs=60.0))
+
+
+def test_a_copy_that_lags_for_some_seconds_is_not_taken_for_the_stores_clock():
+    clock = StoreClock()
+    for second in range(60):
+        made_ms, lags_ms = second * 1_000.0, 5_000.0 if 20 <= second < 32 else 0.0
+        store_ms = 77_000.0 + made_ms - lags_ms
+        clock.earliest_ms(0, store_ms, made_ms - 5.0)
+        latest_ms = clock.latest_ms(0, store_ms, made_ms + 5.0)
+        assert latest_ms <= made_ms - lags_ms + 60.0
