Known red: a stopping instance isn't believed on requests that end endpoints

Traced by its logs: g0 had been told to stop and served on. It saw three endpoints end under a request and barred it; the others took its word for a stranger's, and three more ended. What they learned didn't reach it, so that it barred the request that had died beside.

--- a/tests/cover/test_quarantine_gossip.py
+++ b/tests/cover/test_quarantine_gossip.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from coursekeel.group import encode_message
 from coursekeel.quarantine import (
     QuarantineKind,
     QuarantineMessage,
@@ -182,3 +183,23 @@
 )
 def test_what_cannot_be_read_is_a_value(data):
     assert isinstance(decode_quarantine(data), UnreadableQuarantine)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_one_that_stops_tells_and_hears_of_requests_while_it_still_serves(seed):
+    """Callers were refused what is sound, and engines ended again under what is not.
+
+    1. An instance is told to stop, says goodbye, and serves what it has for seconds.
+    2. Endpoints end under a request there: its word on them is believed by nobody, and
+       the request ends as many again at the others.
+    3. What the others learn doesn't reach it, so that it bars what died beside.
+    """
+    world = met(9, seed)
+    stopping = world.member(seed % 9)
+    for each in stopping.swim.leave():
+        world._send(stopping, each.address, encode_message(each.message))
+    world.run(1_500)
+    world.bar("f", by=seed % 9)
+    assert world.unaware("f") == set()
+    world.bar("g", by=(seed + 1) % 9)
+    assert world.unaware("g") == set()
