A stopping instance is heard and told of requests that end endpoints

Callers were refused what is sound by an instance that was stopping, and engines ended under what it had barred at the others.

Cause: who had said goodbye was no member any more, while it served what it had for up to its grace. Its word counted as a stranger's, and nobody told it anything.

Change: the gossip goes to and is believed from all that may serve: members that left, too, until they are forgotten. Why this holds: an address that left isn't given to a stranger within the minute after which it is forgotten.

--- a/src/coursekeel/gateway/members/_group.py
+++ b/src/coursekeel/gateway/members/_group.py
@@ -76,7 +76,7 @@
         self.server = PeerServer(now.store, self.feeds)
         self.source = self._make_source()
         gossip = QuarantineGossip(
-            own, now.store, self.quarantine, self.random, self.swim.others
+            own, now.store, self.quarantine, self.random, self.swim.serving
         )
         self._task = GroupTask(
             self.reactor,
--- a/src/coursekeel/group/_members.py
+++ b/src/coursekeel/group/_members.py
@@ -103,6 +103,12 @@
         """The addresses of those that are there, suspects included."""
         return [address for address, each in self._members.items() if each.counts]
 
+    def serving(self) -> list[str]:
+        """The addresses of those that may serve: who left may for some seconds more."""
+        left = MemberState.LEFT
+        members = self._members.items()
+        return [a for a, each in members if each.counts or each.state is left]
+
     def gone(self) -> list[str]:
         """The addresses of those that were lost without a word."""
         gone = MemberState.GONE
--- a/src/coursekeel/group/_swim.py
+++ b/src/coursekeel/group/_swim.py
@@ -124,6 +124,10 @@
         """The addresses of the others that are there, suspects included."""
         return self._members.counted()
 
+    def serving(self) -> list[str]:
+        """The addresses of the others that may serve, those that stop included."""
+        return self._members.serving()
+
     @property
     def known(self) -> int:
         """How many members there are or were lately; a split group counts both halves.
--- a/src/coursekeel/quarantine/_gossip.py
+++ b/src/coursekeel/quarantine/_gossip.py
@@ -50,7 +50,10 @@
 
 @define(eq=False)
 class QuarantineGossip:
-    """One member's words; ``others`` gives the addresses of those that are there."""
+    """One member's words; ``others`` gives the addresses of those that may serve.
+
+    One that stops serves on for some seconds, so it must be heard and told as before.
+    """
 
     own: str
     group: str
--- a/tests/common/quarantine_world.py
+++ b/tests/common/quarantine_world.py
@@ -71,7 +71,7 @@
             random,
             suspects_digest=lambda: quarantine.digest,
         )
-        gossip = QuarantineGossip(own, "g", quarantine, random, swim.others)
+        gossip = QuarantineGossip(own, "g", quarantine, random, swim.serving)
         first_ms = int(self.now_ms) + self.random.randrange(0, TICK_MS, STEP_MS)
         member = Member(own, swim, quarantine, gossip, first_ms)
         self.members[own] = member
--- a/tests/cover/test_quarantine_gossip.py
+++ b/tests/cover/test_quarantine_gossip.py
@@ -193,6 +193,10 @@
     2. Endpoints end under a request there: its word on them is believed by nobody, and
        the request ends as many again at the others.
     3. What the others learn doesn't reach it, so that it bars what died beside.
+
+    Cause: one that had said goodbye counted as a stranger, neither heard nor told.
+    Evidence: the logs of a soak, in which the stopping instance alone barred the
+    request after its third endpoint, and the others after three more.
     """
     world = met(9, seed)
     stopping = world.member(seed % 9)
