--- a/soak/_play.py
+++ b/soak/_play.py
@@ -44,15 +44,15 @@
     logs: dict[str, str]
 
 
-def play(schedule: Schedule, keys: tuple[str, ...] = KEYS) -> Played:
-    """Play once, with callers that use these keys, and check what was seen."""
+def play(schedule: Schedule) -> Played:
+    """Play once, and check what was seen."""
     with tempfile.TemporaryDirectory() as folder:
         world = World(Path(folder), schedule.gateways)
         try:
             world.start()
             began_s = time.monotonic()
             callers = [
-                Caller(number, world.ports, keys, schedule.seed)
+                Caller(number, world.ports, KEYS, schedule.seed)
                 for number in range(_CALLERS)
             ]
             for each in callers:
