Tests: three entries, of which the first can be stopped, are set up once

Cause: the test of a suspended entry repeated the site of the tests of pauses, and how they wait for a process that stops itself.

Change: both stand in tests/common/sites.py. No assertion changes.

--- a/tests/common/sites.py
+++ b/tests/common/sites.py
@@ -1,8 +1,10 @@
 """Sites of real processes for tests, and the callers that use them."""
 
 import contextlib
+import signal
 import threading
 from collections.abc import Iterator
+from pathlib import Path
 
 from standins.caller import Caller
 from standins.site import Site, sample_intent, wait_until
@@ -125,3 +127,29 @@
     twin.request, twin.request_id = caller.request, caller.request_id
     twin.tokens, twin.event_id = list(caller.tokens), caller.event_id
     return twin
+
+
+@contextlib.contextmanager
+def three_entries(*program):
+    """Three entries on a site of engines; the first is run by another program."""
+    with Site() as site:
+        site.start_platform()
+        site.start_engines(3, "--gap-ms", str(GAP_MS), "--prefill-ms", "5")
+        site.launch_program("entry-1", program, **FAST)
+        for name in ("entry-2", "entry-3"):
+            site.launch_entry(name, **FAST)
+        for name in ("entry-1", "entry-2", "entry-3"):
+            site.entry_listening(name)
+        site.until_ready()
+        site.put_in_force(sample_intent(list(site.engines), []), "entry-2")
+        site.until_serving()
+        yield site
+        check_logs(site)
+
+
+def pause_first_entry(site):
+    """Have the first entry stop itself, at the point that its program chooses."""
+    process = site.processes["entry-1"]
+    process.signal(signal.SIGUSR1)
+    status = Path(f"/proc/{process.pid}/stat")
+    wait_until(lambda: status.read_text().rpartition(") ")[2][0] == "T", "it stops")
--- a/tests/nocover/test_pauses_on_a_tokens_way.py
+++ b/tests/nocover/test_pauses_on_a_tokens_way.py
@@ -5,65 +5,41 @@
 to another entry. What is still on its way then must not leave.
 """
 
-import contextlib
 import signal
 import threading
 from http.client import HTTPException
-from pathlib import Path
 
 import pytest
 
-from standins.site import Http, Site, sample_intent, wait_until
+from standins.site import Http
 from tests.common.paused_entry import (
     OWN_CALLER_POINTS,
     RELAY_POINTS,
     WHOLE_ANSWER_POINT,
 )
 from tests.common.sites import (
-    FAST,
-    GAP_MS,
     begun,
     check,
-    check_logs,
     comes_back,
     dossier,
+    pause_first_entry,
     reading,
+    three_entries,
     twin_of,
     until_holding,
 )
 
 
-@contextlib.contextmanager
 def site_that_pauses(point):
     """Three entries; the first stops at the point once it is armed."""
-    with Site() as site:
-        site.start_platform()
-        site.start_engines(3, "--gap-ms", str(GAP_MS), "--prefill-ms", "5")
-        program = ("tests.common.paused_entry", point)
-        site.launch_program("entry-1", program, **FAST)
-        for name in ("entry-2", "entry-3"):
-            site.launch_entry(name, **FAST)
-        for name in ("entry-1", "entry-2", "entry-3"):
-            site.entry_listening(name)
-        site.until_ready()
-        site.put_in_force(sample_intent(list(site.engines), []), "entry-2")
-        site.until_serving()
-        yield site
-        check_logs(site)
-
-
-def pause_at_its_point(site):
-    process = site.processes["entry-1"]
-    process.signal(signal.SIGUSR1)
-    status = Path(f"/proc/{process.pid}/stat")
-    wait_until(lambda: status.read_text().rpartition(") ")[2][0] == "T", "it stops")
+    return three_entries("tests.common.paused_entry", point)
 
 
 @pytest.mark.parametrize("point", OWN_CALLER_POINTS)
 def test_a_token_under_way_in_a_pause_stays_where_it_is(point):
     with site_that_pauses(point) as site:
         caller, thread = begun(site, tokens=300)
-        pause_at_its_point(site)
+        pause_first_entry(site)
         other = twin_of(caller)
         check(comes_back(other, site.entries["entry-2"].port))
         held = len(caller.tokens)
@@ -82,7 +58,7 @@
         relayed = twin_of(caller)
         relayed_thread = reading(relayed, site.entries["entry-2"].port, follow=True)
         until_holding(relayed, len(relayed.tokens) + 5)
-        pause_at_its_point(site)
+        pause_first_entry(site)
         former = relayed.event_id.partition(".")[0]
         other = twin_of(caller)
         other_thread = reading(other, site.entries["entry-3"].port, follow=True)
@@ -117,7 +93,7 @@
 
         thread = threading.Thread(target=ask, daemon=True)
         thread.start()
-        pause_at_its_point(site)
+        pause_first_entry(site)
         other = twin_of(caller)
         check(comes_back(other, site.entries["entry-2"].port))
         site.processes["entry-1"].signal(signal.SIGCONT)
