A request that crashed twelve endpoints at once is barred later

What callers saw: nothing was reported.

Cause: a record keeps twelve strikes, those with the lowest endpoint ids. Crashes that coincide count as one, so twelve that coincide fill the record with one crash, and later strikes are dropped.

Evidence: Quarantine alone, with 12, 13 or 40 strikes within 10 ms and two later ones, bars nothing on (the new test fails in all three cases).

Change: a full record that gets a strike of a further endpoint begins a new epoch with six of its strikes that count as many crashes. Epochs already decide between two records, so the merge properties hold unchanged, and the wire and stored forms are the same.

Result: the three cases are barred at the third separate crash; the tests of the quarantine, of its gossip and of quality pass.

--- a/src/coursekeel/quarantine/_quarantine.py
+++ b/src/coursekeel/quarantine/_quarantine.py
@@ -15,22 +15,24 @@
 process's clock. Does no I/O.
 """
 
-import math
 from collections.abc import Iterable
 from functools import partial
 
 import xxhash
 from attrs import define, evolve, field, frozen
 
-from coursekeel.quarantine._record import Sign, Strike, SuspectRecord, merge_records
+from coursekeel.quarantine._record import (
+    Sign,
+    Strike,
+    SuspectRecord,
+    count_crashes,
+    merge_records,
+)
 
 __all__ = ["Barred", "Quarantine", "QuarantineEvent", "Trial"]
 
 # A request may crash two endpoints before it is barred.
 _STRIKES_TO_BAR = 3
-# Strikes that follow each other within this time have one cause: the resets of one
-# failure are seen within tens of ms, and a repeated request usually takes longer.
-_SAME_CAUSE_MS = 30.0
 # Each trial multiplies the bar: trials are after 2 and 22 minutes, 3.7 and 37 hours.
 _FIRST_BAR_MS = 120_000.0
 _BAR_GROWTH = 10
@@ -129,7 +131,10 @@
         Returns the new record, or None if nothing changed.
         """
         record = self._records.get(fingerprint) or SuspectRecord(fingerprint)
-        struck = record.with_strike(Strike.of(endpoint_id, sign, now_ms))
+        strike = Strike.of(endpoint_id, sign, now_ms)
+        if record.is_full and not record.has_strike_of(strike.endpoint_id):
+            record = record.condensed(now_ms)
+        struck = record.with_strike(strike)
         return struck if self._update(struck, now_ms) else None
 
     def clear(self, fingerprint: str, now_ms: float) -> SuspectRecord | None:
@@ -226,7 +231,7 @@
             return
         strongest_signs = self._strongest_signs()
         for record in suspects:
-            if _count_crashes(record, strongest_signs) >= _STRIKES_TO_BAR:
+            if _count_possible_crashes(record, strongest_signs) >= _STRIKES_TO_BAR:
                 yield record.fingerprint
 
     def _strongest_signs(self) -> dict[str, int]:
@@ -243,18 +248,15 @@
     return xxhash.xxh64_intdigest(repr(record.content).encode())
 
 
-def _count_crashes(record: SuspectRecord, strongest_signs: dict[str, int]) -> int:
+def _count_possible_crashes(
+    record: SuspectRecord, strongest_signs: dict[str, int]
+) -> int:
     """How many separate crashes the request may have caused."""
-    times_ms = sorted(
+    return count_crashes(
         strike.at_ms
         for strike in record.strikes
         if strike.sign.value == strongest_signs[strike.endpoint_id]
     )
-    count, last_ms = 0, -math.inf
-    for at_ms in times_ms:
-        count += at_ms - last_ms > _SAME_CAUSE_MS
-        last_ms = at_ms
-    return count
 
 
 def _bar_end_ms(record: SuspectRecord) -> float:
--- a/src/coursekeel/quarantine/_record.py
+++ b/src/coursekeel/quarantine/_record.py
@@ -2,20 +2,35 @@
 
 The merge is commutative, associative and idempotent, so members that received the same
 records agree in any order of delivery. The record with the higher epoch wins, since
-each epoch begins with a run that cleared the request; within one epoch strikes are
-united. Times are in ms of this process's clock. Does no I/O.
+each epoch begins with a run that cleared the request, or with a record that was full
+and kept only some of its strikes; within one epoch strikes are united. Times are in ms
+of this process's clock. Does no I/O.
 """
 
+import math
+from collections.abc import Iterable
 from enum import Enum
 
 import xxhash
 from attrs import evolve, field, frozen
 
-__all__ = ["MAX_NAME_CHARACTERS", "Sign", "Strike", "SuspectRecord", "merge_records"]
+__all__ = [
+    "MAX_NAME_CHARACTERS",
+    "Sign",
+    "Strike",
+    "SuspectRecord",
+    "count_crashes",
+    "merge_records",
+]
+
+# Strikes that follow each other within this time have one cause: the resets of one
+# failure are seen within tens of ms, and a repeated request usually takes longer.
+_SAME_CAUSE_MS = 30.0
 
 # Three strikes bar a request; a zone that fails adds many at one time. A record with
 # this many still fits one datagram.
 _MAX_STRIKES = 12
+_CONDENSED_STRIKES = 6
 # The length of a fingerprint; longer endpoint ids are hashed, so that a record with the
 # most strikes fits one datagram.
 MAX_NAME_CHARACTERS = 24
@@ -53,8 +68,8 @@
 class SuspectRecord:
     """What is recorded of one request, by its fingerprint.
 
-    ``epoch`` counts how often it was cleared, ``trials`` how often it was let run in
-    this epoch after it was barred; ``changed_ms`` is when either last changed.
+    ``epoch`` counts how often it was cleared or condensed, ``trials`` how often it was
+    let run since it was barred; ``changed_ms`` is when either last changed.
     """
 
     fingerprint: str
@@ -68,17 +83,64 @@
         """When the epoch, the trials or the strikes last changed."""
         return max([self.changed_ms, *(strike.at_ms for strike in self.strikes)])
 
+    @property
+    def last_strike_ms(self) -> float:
+        """When the last strike was; minus infinity without one."""
+        return max((strike.at_ms for strike in self.strikes), default=-math.inf)
+
+    @property
+    def separate_crashes(self) -> int:
+        """How many crashes the strikes count as."""
+        return count_crashes(strike.at_ms for strike in self.strikes)
+
+    @property
+    def has_coinciding_strikes(self) -> bool:
+        """Whether endpoints crashed together, so that they count as one crash."""
+        return self.separate_crashes < len(self.strikes)
+
     @property
     def content(self) -> tuple[object, ...]:
         """What members compare: all but the times, since their clocks differ."""
         strikes = tuple((x.endpoint_id, x.sign.value) for x in self.strikes)
         return (self.fingerprint, self.epoch, self.trials, strikes)
 
+    def condensed(self, now_ms: float) -> "SuspectRecord":
+        """A copy in a new epoch with fewer strikes that count as many crashes.
+
+        Of strikes that coincide, the weaker signs are dropped first.
+        """
+        kept = self.strikes
+        for strike in sorted(self.strikes, key=lambda x: (x.sign.value, x.at_ms)):
+            if len(kept) <= _CONDENSED_STRIKES:
+                break
+            fewer = tuple(each for each in kept if each is not strike)
+            if count_crashes(each.at_ms for each in fewer) == self.separate_crashes:
+                kept = fewer
+        return evolve(self, epoch=self.epoch + 1, changed_ms=now_ms, strikes=kept)
+
+    def has_strike_of(self, endpoint_id: str) -> bool:
+        """Whether this endpoint crashed while it had the request."""
+        return any(strike.endpoint_id == endpoint_id for strike in self.strikes)
+
+    @property
+    def is_full(self) -> bool:
+        """Whether the strike of a further endpoint may find no room."""
+        return len(self.strikes) >= _MAX_STRIKES
+
     def with_strike(self, strike: Strike) -> "SuspectRecord":
         """A copy with one strike more."""
         return evolve(self, strikes=_merge_strikes(self.strikes, (strike,)))
 
 
+def count_crashes(times_ms: Iterable[float]) -> int:
+    """How many separate crashes there were; those that coincide count as one."""
+    count, last_ms = 0, -math.inf
+    for at_ms in sorted(times_ms):
+        count += at_ms - last_ms > _SAME_CAUSE_MS
+        last_ms = at_ms
+    return count
+
+
 def merge_records(one: SuspectRecord, other: SuspectRecord) -> SuspectRecord:
     """Merge two records of one request.
 
--- a/tests/cover/test_quarantine.py
+++ b/tests/cover/test_quarantine.py
@@ -75,6 +75,19 @@
     assert quarantine.verdict("popular", 1_100) is None
 
 
+@pytest.mark.parametrize("first_crashed", [12, 13, 40])
+def test_a_request_that_crashed_many_endpoints_at_once_is_barred_later(first_crashed):
+    """A record has room for twelve strikes, which may all coincide."""
+    quarantine = Quarantine()
+    for number in range(first_crashed):
+        quarantine.add_strike("f", f"a{number:02}", Sign.BEGAN, number / 4)
+    assert quarantine.verdict("f", 50) is None
+    quarantine.add_strike("f", "b", Sign.BEGAN, 100)
+    assert quarantine.verdict("f", 100) is None
+    quarantine.add_strike("f", "c", Sign.BEGAN, 200)
+    assert quarantine.verdict("f", 200) is not None
+
+
 def test_a_cleared_request_ignores_records_of_earlier_epochs():
     quarantine = Quarantine()
     bar(quarantine)
