Copies of a suspect request take turns, so that their crashes are counted

What callers saw: a request that crashes its engines, sent under three ids to three entries at the same moment, crashed seven to nine engines where six may; every other run on these engines was lost too.

Cause: crashes within 30 ms of each other count as one, since a zone that fails looks the same, and nothing kept copies of one request from running in step. An entry also sent the request again before the probe of its lost engine had ended, so that even its own strike was missing.

Change: a request waits for the probe of its lost endpoint and for the other members' strikes; while its strikes coincide, its copies start one after another, in an order by hash. The count of crashes is as it was, so a failed zone bars nobody.

Why it works: copies that start one after another crash separately, and two more crashes bar the request. The wait begins anew with each strike.

--- a/src/coursekeel/entry/_calls_task.py
+++ b/src/coursekeel/entry/_calls_task.py
@@ -47,6 +47,7 @@
     TransactOutcome,
 )
 from coursekeel.suspects import (
+    HeldStart,
     QuarantineGate,
     QuarantinePass,
     request_fingerprint,
@@ -219,6 +220,7 @@
     # Sending.
 
     async def _send(self, run: _CallRun) -> ServiceReply | SendOutcome:
+        await self._wait_for_turn(run)
         if not run.quarantine_pass.may_send():
             return SendOutcome.NO_ENDPOINT
         deadline_ms = self.clock.now_ms() + run.request.policy.patience_ms
@@ -233,6 +235,13 @@
             run_ms = self.clock.now_ms() - started_ms
             self.routing.release(decision.endpoint_id, run_ms)
 
+    def _wait_for_turn(self, run: _CallRun) -> "Deferred[None]":
+        may_start: Deferred[None] = Deferred()
+        HeldStart(self.reactor, run.quarantine_pass).run(
+            lambda: may_start.callback(None)
+        )
+        return may_start
+
     def _find_endpoint(self, run: _CallRun, deadline_ms: float) -> "Deferred[Decision]":
         request = run.request
         decision: Deferred[Decision] = Deferred()
--- a/src/coursekeel/entry/_entry.py
+++ b/src/coursekeel/entry/_entry.py
@@ -146,6 +146,7 @@
             self.settings.platform.timeout_ms,
             lambda: self.peers.book.names,
             lambda name, news: self.peers.send_suspects(name, news),
+            self.settings.instance_id,
         )
         self.watch = EndpointWatch(
             self.reactor,
--- a/src/coursekeel/entry/answers/_answer_task.py
+++ b/src/coursekeel/entry/answers/_answer_task.py
@@ -59,7 +59,7 @@
     RoutingTask,
     spawn,
 )
-from coursekeel.suspects import QuarantineGate, QuarantinePass, sign_of
+from coursekeel.suspects import HeldStart, QuarantineGate, QuarantinePass, sign_of
 
 __all__ = ["AnswerPorts", "AnswerTask"]
 
@@ -124,6 +124,7 @@
     _open_streams: dict[int, OpenStream] = field(factory=dict)
     _placement: AnswerPlacement = field(init=False)
     _quarantine_pass: QuarantinePass = field(init=False)
+    _held_start: HeldStart = field(init=False)
     _metrics: AnswerMetrics = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -134,6 +135,7 @@
         )
         self._placement = AnswerPlacement(ports.routing, ports.clock, self.request)
         self._quarantine_pass = QuarantinePass(ports.gate, self.request)
+        self._held_start = HeldStart(ports.reactor, self._quarantine_pass)
         self._metrics = AnswerMetrics(
             self.request, self.core.label, self.ports.metrics, self.arrived_ms
         )
@@ -277,7 +279,7 @@
             case RequestEndpoint():
                 self._search_engine(action)
             case OpenAttempt():
-                self._open_attempt(action)
+                self._start_attempt(action)
             case CancelAttempt():
                 self._cancel_attempt(action)
             case Complete():
@@ -301,7 +303,7 @@
 
     def _search_engine(self, action: RequestEndpoint) -> None:
         self._metrics.note_resumption(action.held_tokens)
-        self._placement.search(action, self._on_decision)
+        self._held_start.run(lambda: self._placement.search(action, self._on_decision))
 
     def _on_decision(self, decision: Decision) -> None:
         if not isinstance(decision, Grant):
@@ -333,6 +335,17 @@
         self.core.withdraw()
         self._close()
 
+    def _start_attempt(self, action: OpenAttempt) -> None:
+        """Open an attempt; one that routing did not choose may have to wait first."""
+        if action.way is Way.COPY:
+            self._held_start.run(lambda: self._open_copy(action))
+        else:
+            self._open_attempt(action)
+
+    def _open_copy(self, action: OpenAttempt) -> None:
+        if self.core.attempts[action.attempt].live:
+            self._open_attempt(action)
+
     def _open_attempt(self, action: OpenAttempt) -> None:
         if not self._quarantine_pass.may_send():
             self._refuse_barred()
@@ -453,6 +466,7 @@
 
     def _close(self) -> None:
         self._driver.stop_alarm()
+        self._held_start.stop()
         self._placement.stop()
         for attempt in list(self._open_streams):
             self._open_streams[attempt].stream.close()
--- a/src/coursekeel/entry/suspects/_endpoint_watch.py
+++ b/src/coursekeel/entry/suspects/_endpoint_watch.py
@@ -59,6 +59,7 @@
         if adapter is None or self.evidence.is_leaving(endpoint_id):
             return
         suspect = Suspect(request.fingerprint, sign, self.clock.now_ms())
+        self.gate.probe_begun(suspect)
         if self._lost_runs.add(endpoint_id, suspect):
             probe = self._probe(endpoint_id, adapter, engine)
             spawn(probe, "ask_lost_endpoint", self.reactor)
@@ -70,6 +71,7 @@
         status = await adapter.status(new_connection=True)
         suspects = self._lost_runs.pop(endpoint_id)
         if not isinstance(status, Unreachable) or not (status.refused or engine):
+            self.gate.report_alive(suspects)
             return
         fingerprints = ",".join(suspect.fingerprint for suspect in suspects)
         log_event("endpoint_ended", endpoint=endpoint_id, fingerprints=fingerprints)
--- a/src/coursekeel/entry/suspects/_suspects_task.py
+++ b/src/coursekeel/entry/suspects/_suspects_task.py
@@ -16,6 +16,7 @@
 from typing import Any
 
 from attrs import define, field
+from twisted.internet.defer import DeferredList
 
 from coursekeel.entry.suspects._news import decode_news, encode_news
 from coursekeel.entry.suspects._store import EntrySuspects
@@ -25,7 +26,12 @@
 from coursekeel.reactor import Reactor
 from coursekeel.runtime import Clock, Periodic, spawn
 from coursekeel.storage import Platform
-from coursekeel.suspects import QuarantineGate, SuspectKeeper
+from coursekeel.suspects import (
+    PacingSettings,
+    QuarantineGate,
+    RunPacing,
+    SuspectKeeper,
+)
 
 __all__ = ["SuspectsTask"]
 
@@ -34,6 +40,9 @@
 # Minimum interval between requests for all of one peer's records: one request serves
 # the digests of several greetings that arrive together.
 _MIN_REQUEST_INTERVAL_MS = 300.0
+# A refused probe and a reply of a peer take some ms; an endpoint or a peer that doesn't
+# respond holds the request for this long.
+_PACING_SETTINGS = PacingSettings(probe_ms=250.0, news_ms=250.0)
 
 
 @define(eq=False)
@@ -50,7 +59,9 @@
     store_ms: float
     others: Callable[[], list[str]]
     tell: Callable[[str, peer_pb2.SuspectNews], Any]
+    instance_id: str = ""
     quarantine: Quarantine = field(factory=Quarantine)
+    _pacing: RunPacing = field(init=False)
     gate: QuarantineGate = field(init=False)
     _keeper: SuspectKeeper = field(init=False)
     _expiry_loop: Periodic = field(init=False)
@@ -64,8 +75,15 @@
             self.quarantine,
             self.store_ms,
         )
+        self._pacing = RunPacing(
+            self.quarantine, self.instance_id, self.others, _PACING_SETTINGS
+        )
         self.gate = QuarantineGate(
-            self.clock, self.quarantine, self._send_to_peers, self._keeper.touched
+            self.clock,
+            self.quarantine,
+            self._send_to_peers,
+            self._keeper.touched,
+            self._pacing,
         )
         self._expiry_loop = Periodic(
             self.reactor, "forget_suspects", _EXPIRY_INTERVAL_MS, self._remove_expired
@@ -87,8 +105,18 @@
         """Send records that changed here to all other entries at once."""
         self._publish_changes()
         news = encode_news(records, self.clock.now_ms())
-        for peer in self.others():
+        deliveries = [
             spawn(self._send_news(peer, news), "tell_suspects", self.reactor)
+            for peer in self.others()
+        ]
+        fingerprints = [record.fingerprint for record in records]
+        delivered = DeferredList(deliveries)
+        delivered.addCallback(lambda _: self._delivered(fingerprints))
+
+    def _delivered(self, fingerprints: list[str]) -> None:
+        """Let requests run again whose records have reached all other entries."""
+        for fingerprint in fingerprints:
+            self._pacing.settled(fingerprint)
 
     async def _send_news(self, instance_id: str, news: peer_pb2.SuspectNews) -> None:
         reply = await self.tell(instance_id, news)
--- a/src/coursekeel/gateway/_gateway.py
+++ b/src/coursekeel/gateway/_gateway.py
@@ -52,7 +52,13 @@
 from coursekeel.routing import Router, RouterSettings
 from coursekeel.runtime import Clock, Role, RoutingTask
 from coursekeel.settings import GatewaySettings
-from coursekeel.suspects import QuarantineGate, SuspectKeeper, SuspectTable
+from coursekeel.suspects import (
+    PacingSettings,
+    QuarantineGate,
+    RunPacing,
+    SuspectKeeper,
+    SuspectTable,
+)
 
 __all__ = ["Gateway"]
 
@@ -70,6 +76,9 @@
     retry_after_least_ms=50, retry_after_most_ms=1_000, avoid_ms=100
 )
 
+# A refused probe takes some ms, and so does one datagram to each member.
+_PACING_SETTINGS = PacingSettings(probe_ms=50.0, news_ms=30.0)
+
 
 @define(eq=False)
 class Gateway(Role):
@@ -172,6 +181,12 @@
             quarantine,
             self._group.send_suspects,
             self._suspect_keeper.touched,
+            RunPacing(
+                quarantine,
+                self._group.swim.own,
+                self._group.swim.serving,
+                _PACING_SETTINGS,
+            ),
         )
         context = GatewayContext(
             self.reactor,
--- a/src/coursekeel/gateway/endpoints/_crash_watch.py
+++ b/src/coursekeel/gateway/endpoints/_crash_watch.py
@@ -61,6 +61,7 @@
         if call.route.kind.streams:
             self._reporting_endpoints.add(lost.endpoint_id)
         suspect = Suspect(call.fingerprint, sign, self.clock.now_ms())
+        self.gate.probe_begun(suspect)
         if self._lost_runs.add(lost.endpoint_id, suspect):
             self._probe(record)
 
@@ -81,6 +82,7 @@
         if not isinstance(result, ProbeFailure) or not _confirms_crash(
             result, gives_reports
         ):
+            self.gate.report_alive(suspects)
             return
         self.health.unreachable(endpoint_id, result.reason)
         self.metrics.endpoint_ended(endpoint_id, [x.fingerprint for x in suspects])
--- a/src/coursekeel/gateway/streams/_stream_task.py
+++ b/src/coursekeel/gateway/streams/_stream_task.py
@@ -60,7 +60,7 @@
 from coursekeel.gateway.streams._successors import SuccessorLookup
 from coursekeel.routing import Decision, Grant
 from coursekeel.runtime import AnswerDriver, AnswerShell
-from coursekeel.suspects import QuarantinePass
+from coursekeel.suspects import HeldStart, QuarantinePass
 
 __all__ = ["StreamTask"]
 
@@ -84,6 +84,7 @@
     _stream_reply: StreamReply = field(init=False)
     _send_account: SendAccount = field(init=False)
     _quarantine_pass: QuarantinePass = field(init=False)
+    _held_start: HeldStart = field(init=False)
     _stall_check: StallCheck = field(init=False)
     _open_attempts: dict[int, StreamAttempt] = field(factory=dict)
     _refusal_code: str = ""
@@ -95,6 +96,7 @@
         self._stream_reply = StreamReply(context, call, self.reply)
         self._send_account = SendAccount(context.budgets.of(call.pool))
         self._quarantine_pass = QuarantinePass(context.quarantine, call)
+        self._held_start = HeldStart(context.reactor, self._quarantine_pass)
         self.core = AnswerCore(
             call.caller.request_id,
             ExpectedModel(call.pool, "", ""),
@@ -173,7 +175,7 @@
             case RequestEndpoint():
                 self._search(action)
             case OpenAttempt():
-                self._open_attempt(action)
+                self._start_attempt(action)
             case CancelAttempt():
                 self._cancel(action.attempt)
             case Deliver():
@@ -191,7 +193,9 @@
         if self._refusal_code:
             self._refuse()
         else:
-            self._placement.search(action, self._placement_decided)
+            self._held_start.run(
+                lambda: self._placement.search(action, self._placement_decided)
+            )
 
     def _placement_decided(self, decision: Decision) -> None:
         if isinstance(decision, Grant):
@@ -214,6 +218,17 @@
 
     # Attempts.
 
+    def _start_attempt(self, action: OpenAttempt) -> None:
+        """Open an attempt; one that routing did not choose may have to wait first."""
+        if action.way is Way.COPY:
+            self._held_start.run(lambda: self._open_copy(action))
+        else:
+            self._open_attempt(action)
+
+    def _open_copy(self, action: OpenAttempt) -> None:
+        if self.core.attempts[action.attempt].live:
+            self._open_attempt(action)
+
     def _open_attempt(self, action: OpenAttempt) -> None:
         record = self._placement.record_for(action)
         if record is not None and self._may_send():
@@ -380,6 +395,7 @@
             self.handle_event(Cancelled())
 
     def _stop_work(self) -> None:
+        self._held_start.stop()
         self._placement.stop()
         for number in list(self._open_attempts):
             self._cancel(number)
--- a/src/coursekeel/gateway/whole/_whole_task.py
+++ b/src/coursekeel/gateway/whole/_whole_task.py
@@ -41,7 +41,7 @@
 )
 from coursekeel.gateway.whole._whole_try import TryOwner, WholeTry
 from coursekeel.routing import Decision, Grant, PlacementRequest
-from coursekeel.suspects import QuarantinePass
+from coursekeel.suspects import HeldStart, QuarantinePass
 
 __all__ = ["WholeAnswerTask"]
 
@@ -69,6 +69,7 @@
     core: CallCore = field(init=False)
     _send_account: SendAccount = field(init=False)
     _quarantine_pass: QuarantinePass = field(init=False)
+    _held_start: HeldStart = field(init=False)
     _tried: set[str] = field(factory=set)
     _request_number: int | None = None
     _current_try: WholeTry | None = None
@@ -86,6 +87,7 @@
         self.core = CallCore(policy, None, keyed=False)
         self._send_account = SendAccount(self.context.budgets.of(self.call.pool))
         self._quarantine_pass = QuarantinePass(self.context.quarantine, self.call)
+        self._held_start = HeldStart(self.context.reactor, self._quarantine_pass)
 
     def start(self) -> None:
         """Start the deadline and the first search; the task sends the reply itself."""
@@ -105,7 +107,7 @@
     def _carry_out(self, action: CallAction) -> None:
         match action:
             case SendCall():
-                self._search()
+                self._held_start.run(self._search)
             case SendReply():
                 self._send_reply(action.reply)
             case _:
@@ -263,6 +265,7 @@
         self._stop_work()
 
     def _stop_work(self) -> None:
+        self._held_start.stop()
         if self._request_number is not None:
             self.context.routing.withdraw(self._request_number)
             self._request_number = None
--- a/src/coursekeel/suspects/__init__.py
+++ b/src/coursekeel/suspects/__init__.py
@@ -6,20 +6,26 @@
     QuarantineGate,
     QuarantinePass,
 )
+from coursekeel.suspects._held_start import HeldStart
 from coursekeel.suspects._keeper import SuspectKeeper
 from coursekeel.suspects._lost_runs import LostRuns, Suspect, sign_of
+from coursekeel.suspects._pacing import PacingSettings, RunPacing, WantedRun
 from coursekeel.suspects._table import StoredRows, SuspectTable, TableFailed
 
 __all__ = [
     "FingerprintedRequest",
+    "HeldStart",
     "LostRuns",
+    "PacingSettings",
     "QuarantineGate",
     "QuarantinePass",
+    "RunPacing",
     "StoredRows",
     "Suspect",
     "SuspectKeeper",
     "SuspectTable",
     "TableFailed",
+    "WantedRun",
     "request_fingerprint",
     "sign_of",
 ]
--- a/src/coursekeel/suspects/_gate.py
+++ b/src/coursekeel/suspects/_gate.py
@@ -2,7 +2,8 @@
 
 Rule: `coursekeel.quarantine` decides which requests are barred. It is consulted before
 every send, also of the same request, since another member may have sent an update
-meanwhile. A request that runs on trial may be sent until its record changes.
+meanwhile. A request that runs on trial may be sent until its record changes. One that
+isn't barred may have to wait before its next run (`RunPacing`).
 
 Owns only the trials of this instance's requests. Relies on `Quarantine` for the
 records, and on ``broadcast`` to send changed ones to the other members.
@@ -11,7 +12,7 @@
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
-from attrs import define
+from attrs import define, field
 
 from coursekeel.quarantine import (
     Barred,
@@ -21,6 +22,7 @@
 )
 from coursekeel.runtime import Clock
 from coursekeel.suspects._lost_runs import Suspect
+from coursekeel.suspects._pacing import PacingSettings, RunPacing, WantedRun
 
 __all__ = ["FingerprintedRequest", "QuarantineGate", "QuarantinePass"]
 
@@ -38,13 +40,19 @@
     """Checks requests against the quarantine and reports how their runs ended.
 
     ``broadcast`` sends records to all other members; before it, ``on_change`` is called
-    with the fingerprint of each request whose record changed here.
+    with the fingerprint of each request whose record changed here. Without ``pacing``
+    only copies of a request at this instance wait for each other.
     """
 
     clock: Clock
     quarantine: Quarantine
     broadcast: Callable[[list[SuspectRecord]], None]
     on_change: Callable[[str], None]
+    pacing: RunPacing = field()
+
+    @pacing.default
+    def _default_pacing(self) -> RunPacing:
+        return RunPacing(self.quarantine, "", tuple, PacingSettings(0.0, 0.0))
 
     def barred_ms(self, call: FingerprintedRequest) -> float:
         """For how long a request may not be sent; 0 if it may be."""
@@ -60,14 +68,25 @@
         self._publish([trial_record])
         return trial_record
 
+    def probe_begun(self, suspect: Suspect) -> None:
+        """Hold a request whose lost run may have crashed its endpoint."""
+        self.pacing.run_lost(suspect.fingerprint, self.clock.now_ms())
+
+    def report_alive(self, suspects: Iterable[Suspect]) -> None:
+        """Record that the endpoint of these requests did not crash."""
+        for suspect in suspects:
+            self.pacing.settled(suspect.fingerprint)
+
     def report_crash(self, endpoint_id: str, suspects: Iterable[Suspect]) -> None:
         """Record that an endpoint crashed while it had these requests."""
-        records = [
-            self.quarantine.add_strike(
+        now_ms = self.clock.now_ms()
+        records = []
+        for suspect in suspects:
+            self.pacing.endpoint_crashed(suspect.fingerprint, now_ms)
+            record = self.quarantine.add_strike(
                 suspect.fingerprint, endpoint_id, suspect.sign, suspect.lost_ms
             )
-            for suspect in suspects
-        ]
+            records.append(record)
         self._publish(records)
 
     def report_success(self, call: FingerprintedRequest) -> None:
@@ -106,8 +125,26 @@
         if self.gate.barred_ms(self.call):
             return False
         self._trial_record = self.gate.begin_trial(self.call)
+        if self._may_be_held:
+            now_ms = self.gate.clock.now_ms()
+            self.gate.pacing.run_started(self.call.fingerprint, id(self), now_ms)
         return True
 
+    def hold_ms(self, since_ms: float) -> float:
+        """How long a run that waits since ``since_ms`` must wait from now at least.
+
+        Less if the request is cleared or barred meanwhile; 0 if it needs no wait.
+        """
+        if not self._may_be_held:
+            return 0.0
+        run = WantedRun(self.call.fingerprint, id(self), since_ms)
+        return self.gate.pacing.hold_ms(run, self.gate.clock.now_ms())
+
+    @property
+    def _may_be_held(self) -> bool:
+        """Whether any request may be held: fingerprints are computed only then."""
+        return len(self.gate.quarantine) > 0 or self.gate.pacing.is_waiting
+
     @property
     def barred_ms(self) -> float:
         """For how long the request may not be sent; 0 if it may be."""
--- a/tests/nocover/test_crashing_requests.py
+++ b/tests/nocover/test_crashing_requests.py
@@ -7,6 +7,7 @@
 import contextlib
 import signal
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
@@ -113,6 +114,33 @@
     assert crashed_count(site) <= MAX_CRASHED
 
 
+def test_three_copies_at_one_entry_crash_few_engines(site):
+    """Copies that run in step at one entry, whose crashes coincide."""
+    port = site.entries["entry-1"].port
+    threads = [reading(crashing_caller(number), port) for number in range(3)]
+    for thread in threads:
+        thread.join(20)
+    for name in site.entries:
+        until_barred_at(site, name)
+    assert crashed_count(site) <= MAX_CRASHED
+
+
+def test_copies_at_nine_entries_crash_one_engine_each_and_three_more():
+    """No entry can know of the copies elsewhere before the first crash."""
+    with running_site(engines=30, entries=9) as site:
+        for engine in site.engines.values():
+            engine.fault(crashed_by=CRASHING_PROMPT)
+        threads = [
+            reading(crashing_caller(number), entry.port)
+            for number, entry in enumerate(site.entries.values())
+        ]
+        for thread in threads:
+            thread.join(20)
+        for name in site.entries:
+            until_barred_at(site, name)
+        assert crashed_count(site) <= len(site.entries) + 3
+
+
 def test_a_resumed_entry_bars_the_request_in_time(site):
     site.processes["entry-3"].signal(signal.SIGSTOP)
     crash_until_barred(site)
@@ -167,6 +195,23 @@
         assert other_reply[0] == 200, other_reply
 
 
+def test_calls_repeated_at_all_entries_at_once_crash_few_services():
+    """Calls that arrive in step, whose crashes coincide."""
+    with crashable_site(services=12) as site:
+        headers = {"authorization": "Bearer ikeja-key"}
+        path = "/services/booking/confirmations/1"
+
+        def call(entry):
+            body = CRASHING_PROMPT.encode()
+            return entry.ask("POST", path, body, headers=headers)[1]["error"]["code"]
+
+        with ThreadPoolExecutor(3) as pool:
+            for _ in range(4):
+                codes = list(pool.map(call, site.entries.values()))
+        assert codes == ["request_stops_engines"] * 3
+        assert crashed_count(site, site.services) <= MAX_CRASHED
+
+
 def test_a_request_whose_engines_are_killed_is_not_barred(site):
     """The request streams for longer than a second at each engine."""
     caller = dossier(400)
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -4,6 +4,7 @@
 id does not stop it.
 """
 
+from concurrent.futures import ThreadPoolExecutor
 from contextlib import suppress
 
 import pytest
@@ -17,6 +18,9 @@
 # `contact-ms` of the sites: the time for a strike to reach all connected instances.
 CONTACT_S = 3
 CRASHING_BODY = b"ends its server"
+# How many crashes a request may cause before all instances bar it: three, and three
+# more while they exchange their records.
+MAX_CRASHES = 6
 
 
 @pytest.fixture(scope="module")
@@ -25,12 +29,20 @@
         yield GroupSite(site)
 
 
+@pytest.fixture(scope="module")
+def large_group():
+    """Three gateways before three engines and nine plain servers."""
+    with running_gateway(servers=12) as site:
+        yield GroupSite(site)
+
+
 class CrashingRequest:
     """Sends a request under new ids; counts the servers that it reaches or crashes."""
 
     def __init__(self, group: GroupSite, path: str, body: bytes, **faults) -> None:
         self.group, self.path, self.body = group, path, body
-        self.numbers = range(3) if path.startswith("/stream") else range(3, 6)
+        servers = len(group.site.server_ports)
+        self.numbers = range(3) if path.startswith("/stream") else range(3, servers)
         self.initial_crashes = self.count("crashes")
         self.initial_barred = {member: self.barred(member) for member in (1, 2, 3)}
         for number in self.numbers:
@@ -64,6 +76,11 @@
             self.wait_until_servers_return()
         raise AssertionError(f"got {self.crashes} crashes, expected 3")
 
+    def send_at_once(self, members: list[int]) -> list:
+        """Send one request to each of these members at the same moment."""
+        with ThreadPoolExecutor(len(members)) as pool:
+            return list(pool.map(self.send, members))
+
     def wait_until_barred(self) -> None:
         """Wait until all instances bar the request."""
         for member in (1, 2, 3):
@@ -109,6 +126,20 @@
     assert crashing.count("ran") == sent_before
 
 
+@pytest.mark.parametrize("path", ["/stream/26", "/again/in-step"])
+@pytest.mark.parametrize("members", [[1, 2, 3], [1, 1, 1]])
+def test_copies_sent_at_once_crash_few_servers(large_group, path, members):
+    """Copies that run in step, whose crashes coincide and would count as one."""
+    body = CRASHING_BODY + f"{path} at {members}".encode()
+    crashing = CrashingRequest(large_group, path, body)
+    for _ in range(4):
+        crashing.send_at_once(members)
+    crashing.wait_until_barred()
+    answers = crashing.send_at_once(members)
+    assert [answer.status for answer in answers] == [503] * 3
+    assert crashing.crashes <= MAX_CRASHES
+
+
 def test_a_request_that_crashes_its_server_after_some_events_is_barred(group):
     crashing = CrashingRequest(
         group, "/stream/22", CRASHING_BODY + b" late", crash_events=3
