An entry learns its peers' addresses from their greetings too

What callers saw: an entry that is cut off from the store before the platform's list names its peers serves callers by the old configuration for as long as the cut lasts, and takes no new work; the operator's change stays committed.

Cause: addresses came from the platform's list alone. The cut-off entry hears of the new revision in each greeting and can't ask anybody for it.

Change: a greeting carries the sender's address, which is used for a peer that has none. The list stays first.

Why it works: an entry that is greeted can answer by a question of its own.

--- a/src/coursekeel/cli/_show.py
+++ b/src/coursekeel/cli/_show.py
@@ -67,8 +67,15 @@
 
 def _print_confirm(answer: Any) -> None:
     print(f"revision {answer['revision']}: {_coloured_state(answer['state'])}")
-    for name in answer["waiting_for"]:
-        print(f"  waits for {name}")
+    for instance in answer["waiting"]:
+        print(f"  waits for {_waiting_text(instance)}")
+
+
+def _waiting_text(instance: dict[str, Any]) -> str:
+    applied = instance["applied_revision"] or "no revision that is known here"
+    reached = instance["address"] or "no known address"
+    refused = ", which refuses connections" if instance["refused_connection"] else ""
+    return f"{instance['instance_id']}: applies {applied}, at {reached}{refused}"
 
 
 def _print_intent(answer: Any) -> None:
--- a/src/coursekeel/entry/_entry.py
+++ b/src/coursekeel/entry/_entry.py
@@ -168,7 +168,7 @@
             self._fenced,
             lambda keys: self.registry.on_journal_progress(keys),
             self.configuration.lease_stored,
-            lambda: f"{settings.peer.host}:{self.peers.port}",
+            self._peer_address,
         )
         ports = AnswerPorts(
             self.reactor,
@@ -193,6 +193,9 @@
             settings.limits.unstored_prompt_bytes,
         )
 
+    def _peer_address(self) -> str:
+        return f"{self.settings.peer.host}:{self.peers.port}"
+
     def _make_peers(self) -> None:
         settings = self.settings
         self.peers = PeersTask(
@@ -214,6 +217,7 @@
             self.peers,
             self.platform,
             self._listed_entry_ids,
+            self.clock,
         )
 
     def _make_adoption(self) -> None:
@@ -396,6 +400,7 @@
             self.gate.draining,
             tuple(marks),
             self.suspects.quarantine.digest,
+            self._peer_address(),
         )
 
     def _greeting_received(self, greeting: Greeting) -> None:
--- a/src/coursekeel/entry/control/_peers_task.py
+++ b/src/coursekeel/entry/control/_peers_task.py
@@ -210,7 +210,12 @@
                 newest = current
         if unread:
             # One line for all peers, since there may be hundreds.
-            log_event("peers_unread", unread=unread, peers=len(self.book.names))
+            log_event(
+                "peers_unread",
+                unread=unread,
+                peers=len(self.book.names),
+                without_address=len(self.book.without_address),
+            )
         return newest
 
     async def _read_configuration(self, instance_id: str) -> Configuration | None:
@@ -307,6 +312,7 @@
             for m in greeting.marks
         ],
         suspects_digest=greeting.suspects_digest,
+        address=greeting.address,
     )
 
 
@@ -319,4 +325,5 @@
         message.leaving,
         tuple(LeavingMark(m.endpoint_id, m.incarnation) for m in message.marks),
         message.suspects_digest,
+        message.address,
     )
--- a/src/coursekeel/entry/control/_rollout_task.py
+++ b/src/coursekeel/entry/control/_rollout_task.py
@@ -1,8 +1,9 @@
 """The task that tracks a committed revision until every entry has applied it."""
 
+import math
 from collections.abc import Callable
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from coursekeel.entry.answers._journal_task import LEASES_PREFIX
 from coursekeel.entry.control._configuration_task import ConfigurationTask
@@ -10,16 +11,36 @@
 from coursekeel.intents import InstanceEvidence, instances_to_wait_for
 from coursekeel.observe import log_event
 from coursekeel.reactor import Reactor
-from coursekeel.runtime import Periodic
+from coursekeel.runtime import Clock, Periodic
 from coursekeel.storage import Platform, Unavailable
 
-__all__ = ["RolloutTask"]
+__all__ = ["RolloutTask", "WaitingInstance"]
 
 # How often a pending rollout is reviewed; bounds the delay between the last
 # acknowledgement and the state "accepted".
 _INTERVAL_MS = 200
 # Limit of the rows of one scan: more than the 380 nodes of docs/CAPACITY.md.
 _MAX_LEASES = 1_000
+# How long a rollout may be pending before the log says what it waits for, each time.
+_PENDING_LOG_INTERVAL_MS = 5_000.0
+
+
+@frozen
+class WaitingInstance:
+    """An instance that a rollout waits for, and the last that is known of it here.
+
+    ``applied_revision`` is 0 without a greeting from it, ``address`` empty if unknown.
+    """
+
+    instance_id: str
+    applied_revision: int
+    address: str
+    refused_connection: bool
+
+    def __str__(self) -> str:
+        reached = self.address or "no_address"
+        refused = "/refused" if self.refused_connection else ""
+        return f"{self.instance_id}:{self.applied_revision}@{reached}{refused}"
 
 
 @define(eq=False)
@@ -35,6 +56,8 @@
     peers: PeersTask
     platform: Platform
     listed_entry_ids: Callable[[], list[str]]
+    clock: Clock
+    _pending_logged_ms: float = -math.inf
     _loop: Periodic = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -76,6 +99,36 @@
         rollout.review(names, self._evidence())
         if rollout.state == "accepted":
             log_event("plan_accepted", revision=rollout.revision)
+        else:
+            self._log_pending(rollout.revision)
+
+    def waiting(self) -> list[WaitingInstance]:
+        """What is known of the instances that the newest revision waits for."""
+        rollout = self.configuration.rollout_of_current()
+        if rollout.state == "accepted":
+            return []
+        evidence = self._evidence()
+        return [
+            self._waiting_instance(name, evidence.get(name)) for name in rollout.waiting
+        ]
+
+    def _waiting_instance(
+        self, name: str, evidence: InstanceEvidence | None
+    ) -> WaitingInstance:
+        return WaitingInstance(
+            name,
+            evidence.applied_revision if evidence else 0,
+            self.peers.book.address(name),
+            evidence is not None and evidence.refused_connection,
+        )
+
+    def _log_pending(self, revision: int) -> None:
+        now_ms = self.clock.now_ms()
+        if now_ms - self._pending_logged_ms < _PENDING_LOG_INTERVAL_MS:
+            return
+        self._pending_logged_ms = now_ms
+        waiting = ",".join(map(str, self.waiting()))
+        log_event("plan_pending", revision=revision, waiting_for=waiting)
 
     async def _serving_entries(self) -> set[str] | None:
         """Ids of all entries that may be serving; None if the store can't be read.
--- a/src/coursekeel/entry/http/_operator.py
+++ b/src/coursekeel/entry/http/_operator.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+import attrs
 import cattrs
 import json5
 from attrs import define
@@ -115,6 +116,7 @@
             "revision": revision,
             "state": "accepted" if accepted else "committed",
             "waiting_for": [] if accepted else rollout.waiting,
+            "waiting": [attrs.asdict(each) for each in self.rollouts.waiting()],
         }
 
     async def show(self, request: Any) -> bytes:
--- a/src/coursekeel/entry/http/_overview.py
+++ b/src/coursekeel/entry/http/_overview.py
@@ -101,6 +101,7 @@
                 if lease.state == "held"
             },
             "peers": self.peers.book.names,
+            "peers_without_address": self.peers.book.without_address,
             "peer_bytes": self.peers.sent_bytes + self.peers.received_bytes,
             "store": {
                 "reads": self.platform.counters.reads,
--- a/src/coursekeel/membership/_peers.py
+++ b/src/coursekeel/membership/_peers.py
@@ -17,7 +17,8 @@
 class Greeting:
     """One entry's state, as it sends it.
 
-    ``suspects_digest`` is equal at entries with the same suspect records.
+    ``suspects_digest`` is equal at entries with the same suspect records. ``address``
+    is where the sender serves its peers; empty if it doesn't say.
     """
 
     instance_id: str
@@ -27,6 +28,7 @@
     leaving: bool
     marks: tuple[LeavingMark, ...] = ()
     suspects_digest: str = ""
+    address: str = ""
 
 
 @define
@@ -63,11 +65,12 @@
             self._peers.setdefault(instance_id, _Peer()).address = address
 
     def record_greeting(self, greeting: Greeting) -> None:
-        """Store a received greeting.
+        """Store a received greeting, and the sender's address if none is known.
 
         One of the same incarnation with an older configuration is ignored.
         """
         peer = self._peers.setdefault(greeting.instance_id, _Peer())
+        peer.address = peer.address or greeting.address
         last = peer.greeting
         same_process = last is not None and last.incarnation == greeting.incarnation
         if same_process and last and greeting.applied_revision < last.applied_revision:
@@ -102,6 +105,11 @@
         peer = self._peers.get(instance_id)
         return peer.greeting if peer else None
 
+    @property
+    def without_address(self) -> list[str]:
+        """The ids of peers that can't be reached, since their address is unknown."""
+        return sorted(name for name, peer in self._peers.items() if not peer.address)
+
     @property
     def names(self) -> list[str]:
         """The ids of all peers."""
--- a/standins/site.py
+++ b/standins/site.py
@@ -21,6 +21,8 @@
 ZONES = ("ikeja", "lekki", "yaba")
 _START_S = 20.0
 _LOOK_S = 0.02
+# How many of an entry's last log lines a failed wait reports.
+_REPORTED_LOG_LINES = 30
 
 
 def sha256_of(key: str) -> str:
@@ -258,9 +260,22 @@
         status, confirmed = http.ask("POST", path)
         if status != 200:
             raise RuntimeError(f"confirm refused: {confirmed}")
-        wait_until(lambda: self.accepted(entry), "the intent is accepted")
+        try:
+            wait_until(lambda: self.accepted(entry), "the intent is accepted")
+        except TimeoutError as failure:
+            failure.add_note(self._pending_report(entry))
+            raise
         return int(confirmed["revision"])
 
+    def _pending_report(self, entry: str) -> str:
+        """What the entry's rollout waits for, and the state and log of each entry."""
+        waiting = self.entries[entry].get("/operator/intent").get("waiting")
+        lines = [f"{entry} waits for {waiting}"]
+        for name, http in self.entries.items():
+            lines.append(f"{name}: {http.get('/operator/status')}")
+            lines += self.log_of(name).splitlines()[-_REPORTED_LOG_LINES:]
+        return "\n".join(lines)
+
     def _sees_all(self, http: Http, intent: dict[str, Any]) -> bool:
         status, _ = http.ask("POST", "/operator/plans", intent)
         return bool(status == 200)
--- a/tests/nocover/test_configuration.py
+++ b/tests/nocover/test_configuration.py
@@ -62,6 +62,20 @@
     assert applied_revision(site, "entry-3") == 2
 
 
+def test_a_pending_rollout_says_what_is_known_of_the_entry_it_waits_for(site):
+    site.processes["entry-3"].signal(signal.SIGSTOP)
+    assert confirm(site, plan(site))[0] == 200
+    wait_until(lambda: rollout_status(site)["waiting_for"] == ["entry-3"], "named")
+    [waiting] = rollout_status(site)["waiting"]
+    assert (waiting["instance_id"], waiting["applied_revision"]) == ("entry-3", 1)
+    assert waiting["address"].startswith("127.0.0.1:")
+    assert not waiting["refused_connection"]
+    assert "event=plan_pending" in site.log_of("entry-1")
+    site.processes["entry-3"].signal(signal.SIGCONT)
+    wait_until(lambda: site.accepted("entry-1"), "accepted")
+    assert rollout_status(site)["waiting"] == []
+
+
 def test_a_superseded_revision_is_not_accepted_before_the_newer_one(site):
     """An entry without the newer revision may lack the older one too."""
     site.processes["entry-3"].signal(signal.SIGSTOP)
--- a/tests/nocover/test_partitions.py
+++ b/tests/nocover/test_partitions.py
@@ -61,6 +61,30 @@
     assert caller.tokens == second_caller.tokens or "moved" not in caller.events
 
 
+def test_an_entry_partitioned_before_it_lists_its_peers_gets_a_change():
+    """It can reach its peers only by what their greetings say."""
+    with Site() as site:
+        site.start_platform()
+        site.start_engines(3)
+        link = site.start_link("entry-1")
+        site.start_entries(1, **FAST)
+        site.until_ready()
+        site.put_in_force(sample_intent(list(site.engines), []))
+        link.fault(swallows=True)
+        for name in ("entry-2", "entry-3"):
+            site.launch_entry(name, **FAST)
+            site.entry_listening(name)
+            site.until_ready_at(name)
+        wait_until(lambda: lease_has_lapsed(site), "its lease lapsed")
+        intent = {**sample_intent(list(site.engines), []), "loads_per_minute": 9}
+        site.put_in_force(intent, "entry-2")
+        status = site.entries["entry-1"].get("/operator/status")
+        assert status["store_out"]
+        assert status["peers_without_address"] == []
+        assert not status["isolated"]
+        check_logs(site)
+
+
 def test_a_partitioned_entry_gets_a_change_from_its_peers(site):
     site.link.fault(swallows=True)
     wait_until(lambda: lease_has_lapsed(site), "its lease lapsed")
