--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -99,6 +99,7 @@
     ports: list[int] = field(factory=list)
     processes: list[subprocess.Popen[bytes]] = field(factory=list)
     version: int = 1
+    engines: int = 3
 
     def start(self, servers: int, listed: int | None = None) -> None:
         standin_ports = self.start_process(
@@ -222,7 +223,7 @@
         self, number: int, state: str = "ready", version: str = "v1"
     ) -> tuple[str, str, Any]:
         row = {
-            "service": "plain" if number >= 3 else "engines",
+            "service": "plain" if number >= self.engines else "engines",
             "address": f"127.0.0.1:{self.server_ports[number]}",
             "zone": ZONES[number % 3],
             "slots": 8,
@@ -341,9 +342,9 @@
 
 
 @contextmanager
-def running_gateway(servers: int = 6) -> Iterator[GatewaySite]:
+def running_gateway(servers: int = 6, engines: int = 3) -> Iterator[GatewaySite]:
     with tempfile.TemporaryDirectory() as folder:
-        site = GatewaySite(Path(folder))
+        site = GatewaySite(Path(folder), engines=engines)
         try:
             site.start(servers)
             yield site
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -269,6 +269,8 @@
         self.crashed: list[dict[str, Any]] = []
         self.copies: set[str] = set()
         self.open: dict[str, Any] = {}
+        self.worker_crashes = 0
+        self.worker_back_s = 0.0
         self.app = self._routes()
 
     def listen(self) -> int:
@@ -293,7 +295,27 @@
         self.copies.clear()
         reactor.callLater(down_s, self._restart)
 
+    def crash_worker(self, down_s: float) -> None:
+        """Cut all runs, and new ones for ``down_s`` seconds; go on answering reports.
+
+        What accepts connections survives the process that runs requests.
+        """
+        if not self.worker_is_down:
+            self.worker_crashes += 1
+            self.worker_back_s = time.monotonic() + down_s
+        for request in list(self.calls):
+            request.transport.abortConnection()
+        self.open.clear()
+        self.copies.clear()
+
+    @property
+    def worker_is_down(self) -> bool:
+        return time.monotonic() < self.worker_back_s
+
     def _crash_by(self, path: str, down_s: float) -> None:
+        if self.faults.get("front_lives"):
+            self.crash_worker(down_s)
+            return
         if self.listener is not None:
             self.crashed.append({"path": f"/{path}", "at_s": time.monotonic()})
         self.crash(down_s)
@@ -368,7 +390,7 @@
             return self._until_closed(request)
         if self._use_fault("hang"):
             return Deferred()
-        if self._use_fault("reset"):
+        if self._use_fault("reset") or self.worker_is_down:
             request.transport.abortConnection()
             return Deferred()
         if self._is_crashed_by(path, body):
@@ -551,6 +573,7 @@
                 "crashed": server.crashed,
                 "open": list(server.open),
                 "crashes": server.incarnation - (server.listener is not None),
+                "worker_crashes": server.worker_crashes,
             }
             for name, server in servers.items()
         }
