Cuts by endpoints that live can bar a request for a short time

What callers saw: a request that crashes the worker behind a front that goes on answering reports was never barred; each arrival ended all runs of up to five servers.

Cause: a crash counts only if the endpoint's probe fails (CrashWatch).

Change: a run whose connection was closed at an endpoint that answers its probe counts as a cut, unless that endpoint cut other requests before, or others were cut elsewhere in the last second. Three separate cuts, exchanged like strikes under a fingerprint of their own, bar the request for 2 s, and for ten times as long after each trial that is cut. Runs that are given up as silent no longer wait for their probe: only a closed connection can be in step.

Why it works: such a request is cut everywhere, other runs only together with it; an innocent one is answered at the next endpoint, which clears it.

--- a/src/coursekeel/entry/suspects/_endpoint_watch.py
+++ b/src/coursekeel/entry/suspects/_endpoint_watch.py
@@ -71,7 +71,7 @@
         status = await adapter.status(new_connection=True)
         suspects = self._lost_runs.pop(endpoint_id)
         if not isinstance(status, Unreachable) or not (status.refused or engine):
-            self.gate.report_alive(suspects)
+            self.gate.report_alive(endpoint_id, suspects)
             return
         fingerprints = ",".join(suspect.fingerprint for suspect in suspects)
         log_event("endpoint_ended", endpoint=endpoint_id, fingerprints=fingerprints)
--- a/src/coursekeel/gateway/_metrics.py
+++ b/src/coursekeel/gateway/_metrics.py
@@ -33,6 +33,7 @@
 
     ``ran_ms``: time since its response headers arrived, None if they didn't.
     ``streamed_ms``: time since its first event. ``events``: the number of its events.
+    ``closed``: its connection was closed, rather than given up.
     """
 
     endpoint_id: str
@@ -40,6 +41,7 @@
     ran_ms: float | None = None
     streamed_ms: float | None = None
     events: int = 0
+    closed: bool = False
 
 
 @define(eq=False)
--- a/src/coursekeel/gateway/endpoints/_crash_watch.py
+++ b/src/coursekeel/gateway/endpoints/_crash_watch.py
@@ -9,7 +9,7 @@
 a probe.
 """
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from coursekeel.forwarding import EndpointRecord
 from coursekeel.gateway._live_settings import LiveSettings
@@ -51,6 +51,8 @@
 
         A run that sent events for long enough proves its request sound instead.
         """
+        if lost.closed:
+            self.gate.run_cut(call, lost.endpoint_id)
         sign = sign_of(lost.ran_ms, lost.streamed_ms)
         if sign is None:
             self.gate.report_success(call)
@@ -60,8 +62,9 @@
             return
         if call.route.kind.streams:
             self._reporting_endpoints.add(lost.endpoint_id)
-        suspect = Suspect(call.fingerprint, sign, self.clock.now_ms())
-        self.gate.probe_begun(suspect)
+        suspect = Suspect(call.fingerprint, sign, self.clock.now_ms(), lost.closed)
+        if lost.closed:
+            self.gate.probe_begun(suspect)
         if self._lost_runs.add(lost.endpoint_id, suspect):
             self._probe(record)
 
@@ -82,12 +85,20 @@
         if not isinstance(result, ProbeFailure) or not _confirms_crash(
             result, gives_reports
         ):
-            self.gate.report_alive(suspects)
+            self._report_alive(endpoint_id, result, suspects)
             return
         self.health.unreachable(endpoint_id, result.reason)
         self.metrics.endpoint_ended(endpoint_id, [x.fingerprint for x in suspects])
         self.gate.report_crash(endpoint_id, suspects)
 
+    def _report_alive(
+        self, endpoint_id: str, result: ProbeResult, suspects: list[Suspect]
+    ) -> None:
+        """Report an endpoint that didn't crash; its cuts count if it answers probes."""
+        if isinstance(result, ProbeFailure):
+            suspects = [evolve(suspect, closed=False) for suspect in suspects]
+        self.gate.report_alive(endpoint_id, suspects)
+
 
 def _confirms_crash(result: ProbeFailure, gives_reports: bool) -> bool:
     """Return whether the probe proves a crash; a plain service may only be busy."""
--- a/src/coursekeel/gateway/streams/_stream_attempt.py
+++ b/src/coursekeel/gateway/streams/_stream_attempt.py
@@ -103,6 +103,7 @@
     _head: ExchangeHead | None = None
     _streaming: bool = False
     _events: int = 0
+    _closed: bool = False
     _head_received_ms: float | None = None
     _first_event_ms: float | None = None
     _buffer: bytearray = field(factory=bytearray)
@@ -159,7 +160,9 @@
         streamed_ms = (
             None if self._first_event_ms is None else now_ms - self._first_event_ms
         )
-        return LostRun(self.endpoint_id, why, ran_ms, streamed_ms, self._events)
+        return LostRun(
+            self.endpoint_id, why, ran_ms, streamed_ms, self._events, self._closed
+        )
 
     def may_send(self) -> bool:
         assert self._outbound is not None
@@ -221,11 +224,14 @@
         if ending is Ending.WITHHELD:
             task.not_sent()
             self._end(Loss.NOT_SENT)
-        elif ending is Ending.NOT_SENT:
+            return
+        if ending is Ending.NOT_SENT:
             task.context.health.unreachable(self.endpoint_id, reason)
             task.not_sent()
             self._end(Loss.NOT_SENT)
-        elif self._head is None:
+            return
+        self._closed = ending is not Ending.WHOLE
+        if self._head is None:
             self._run_lost(reason)
         elif not self._streaming:
             self._non_stream_response(self._head, ending)
--- a/src/coursekeel/gateway/whole/_whole_try.py
+++ b/src/coursekeel/gateway/whole/_whole_try.py
@@ -143,7 +143,7 @@
         ran_ms = None
         if self._head is not None:
             ran_ms = self.context.clock.now_ms() - self._started_ms
-        lost = LostRun(self.endpoint_id, reason, ran_ms)
+        lost = LostRun(self.endpoint_id, reason, ran_ms, closed=True)
         self.context.crashes.run_lost(self.call, lost)
 
     def _limit_reached(self) -> None:
--- a/src/coursekeel/quarantine/__init__.py
+++ b/src/coursekeel/quarantine/__init__.py
@@ -22,6 +22,7 @@
     Quarantine,
     QuarantineEvent,
     Trial,
+    cut_fingerprint,
 )
 from coursekeel.quarantine._record import Sign, Strike, SuspectRecord, merge_records
 
@@ -41,6 +42,7 @@
     "SuspectRecord",
     "Trial",
     "UnreadableQuarantine",
+    "cut_fingerprint",
     "decode_quarantine",
     "decode_sent_record",
     "decode_stored",
--- a/src/coursekeel/quarantine/_quarantine.py
+++ b/src/coursekeel/quarantine/_quarantine.py
@@ -22,6 +22,7 @@
 from attrs import define, evolve, field, frozen
 
 from coursekeel.quarantine._record import (
+    MAX_NAME_CHARACTERS,
     Sign,
     Strike,
     SuspectRecord,
@@ -29,7 +30,7 @@
     merge_records,
 )
 
-__all__ = ["Barred", "Quarantine", "QuarantineEvent", "Trial"]
+__all__ = ["Barred", "Quarantine", "QuarantineEvent", "Trial", "cut_fingerprint"]
 
 # A request may crash two endpoints before it is barred.
 _STRIKES_TO_BAR = 3
@@ -42,6 +43,16 @@
 _RETENTION_MS = 86_400_000.0
 _MAX_RECORDS = 512
 _HOUR_MS = 3_600_000.0
+# Cuts by endpoints that live are recorded under a fingerprint with this prefix. They
+# prove less than crashes, so the first bar is short and the record soon dropped.
+_CUT_PREFIX = "c-"
+_FIRST_CUT_BAR_MS = 2_000.0
+_CUT_RETENTION_MS = 60_000.0
+
+
+def cut_fingerprint(fingerprint: str) -> str:
+    """The fingerprint under which cuts by living endpoints are recorded."""
+    return (_CUT_PREFIX + fingerprint)[:MAX_NAME_CHARACTERS]
 
 
 @frozen
@@ -261,8 +272,14 @@
 
 def _bar_end_ms(record: SuspectRecord) -> float:
     growth = float(_BAR_GROWTH ** min(record.trials, _MAX_GROWTH_TRIALS))
-    return record.last_change_ms + _FIRST_BAR_MS * growth
+    first_ms = _FIRST_CUT_BAR_MS if _records_cuts(record) else _FIRST_BAR_MS
+    return record.last_change_ms + first_ms * growth
 
 
 def _expires_ms(record: SuspectRecord) -> float:
-    return _bar_end_ms(record) + _RETENTION_MS
+    kept_ms = _CUT_RETENTION_MS if _records_cuts(record) else _RETENTION_MS
+    return _bar_end_ms(record) + kept_ms
+
+
+def _records_cuts(record: SuspectRecord) -> bool:
+    return record.fingerprint.startswith(_CUT_PREFIX)
--- a/src/coursekeel/suspects/__init__.py
+++ b/src/coursekeel/suspects/__init__.py
@@ -7,6 +7,7 @@
     QuarantinePass,
 )
 from coursekeel.suspects._held_start import HeldStart
+from coursekeel.suspects._isolated_cuts import IsolatedCuts
 from coursekeel.suspects._keeper import SuspectKeeper
 from coursekeel.suspects._lost_runs import LostRuns, Suspect, sign_of
 from coursekeel.suspects._pacing import PacingSettings, RunPacing, WantedRun
@@ -15,6 +16,7 @@
 __all__ = [
     "FingerprintedRequest",
     "HeldStart",
+    "IsolatedCuts",
     "LostRuns",
     "PacingSettings",
     "QuarantineGate",
--- a/src/coursekeel/suspects/_gate.py
+++ b/src/coursekeel/suspects/_gate.py
@@ -19,8 +19,10 @@
     Quarantine,
     SuspectRecord,
     Trial,
+    cut_fingerprint,
 )
 from coursekeel.runtime import Clock
+from coursekeel.suspects._isolated_cuts import IsolatedCuts
 from coursekeel.suspects._lost_runs import Suspect
 from coursekeel.suspects._pacing import PacingSettings, RunPacing, WantedRun
 
@@ -49,6 +51,7 @@
     broadcast: Callable[[list[SuspectRecord]], None]
     on_change: Callable[[str], None]
     pacing: RunPacing = field()
+    cuts: IsolatedCuts = field(factory=IsolatedCuts)
 
     @pacing.default
     def _default_pacing(self) -> RunPacing:
@@ -56,26 +59,46 @@
 
     def barred_ms(self, call: FingerprintedRequest) -> float:
         """For how long a request may not be sent; 0 if it may be."""
-        verdict = self._verdict(call)
-        return verdict.remaining_ms if isinstance(verdict, Barred) else 0.0
+        verdicts = self._verdicts(call).values()
+        return max(
+            (x.remaining_ms for x in verdicts if isinstance(x, Barred)), default=0
+        )
 
     def begin_trial(self, call: FingerprintedRequest) -> SuspectRecord | None:
         """Begin a trial of a request whose bar is over; None if it needs none."""
-        if not isinstance(self._verdict(call), Trial):
-            return None
-        now_ms = self.clock.now_ms()
-        trial_record = self.quarantine.begin_trial(call.fingerprint, now_ms)
-        self._publish([trial_record])
-        return trial_record
+        for fingerprint, verdict in self._verdicts(call).items():
+            if isinstance(verdict, Trial):
+                now_ms = self.clock.now_ms()
+                trial_record = self.quarantine.begin_trial(fingerprint, now_ms)
+                self._publish([trial_record])
+                return trial_record
+        return None
 
     def probe_begun(self, suspect: Suspect) -> None:
         """Hold a request whose lost run may have crashed its endpoint."""
         self.pacing.run_lost(suspect.fingerprint, self.clock.now_ms())
 
-    def report_alive(self, suspects: Iterable[Suspect]) -> None:
-        """Record that the endpoint of these requests did not crash."""
+    def report_alive(self, endpoint_id: str, suspects: Iterable[Suspect]) -> None:
+        """Record that the endpoint of these requests answers; it may have cut them."""
         for suspect in suspects:
             self.pacing.settled(suspect.fingerprint)
+            if suspect.closed:
+                self._record_cut(endpoint_id, suspect)
+
+    def run_cut(self, call: FingerprintedRequest, endpoint_id: str) -> None:
+        """Note that an endpoint closed a run's connection, whatever its cause."""
+        self.cuts.add(endpoint_id, call.fingerprint, self.clock.now_ms())
+
+    def _record_cut(self, endpoint_id: str, suspect: Suspect) -> None:
+        fingerprint = cut_fingerprint(suspect.fingerprint)
+        record = self.quarantine.record(fingerprint)
+        known = {x.endpoint_id for x in record.strikes} if record else set()
+        strikes = self.cuts.strikes_of(endpoint_id, suspect, known)
+        records = [
+            self.quarantine.add_strike(fingerprint, x.endpoint_id, x.sign, x.at_ms)
+            for x in strikes
+        ]
+        self._publish(records[-1:])
 
     def report_crash(self, endpoint_id: str, suspects: Iterable[Suspect]) -> None:
         """Record that an endpoint crashed while it had these requests."""
@@ -91,9 +114,15 @@
 
     def report_success(self, call: FingerprintedRequest) -> None:
         """Clear a request that ran without crashing its endpoint."""
-        if len(self.quarantine):
-            now_ms = self.clock.now_ms()
-            self._publish([self.quarantine.clear(call.fingerprint, now_ms)])
+        if not (len(self.quarantine) or self.cuts.has_suspects):
+            return
+        now_ms, fingerprint = self.clock.now_ms(), call.fingerprint
+        self.cuts.clear(fingerprint)
+        cleared = [
+            self.quarantine.clear(each, now_ms)
+            for each in (fingerprint, cut_fingerprint(fingerprint))
+        ]
+        self._publish(cleared)
 
     def _publish(self, records: list[SuspectRecord | None]) -> None:
         """Report changed records; None stands for an update that changed nothing."""
@@ -103,11 +132,19 @@
         if changed:
             self.broadcast(changed)
 
-    def _verdict(self, call: FingerprintedRequest) -> Barred | Trial | None:
-        """The verdict; the fingerprint is computed only while a request is barred."""
+    def _verdicts(self, call: FingerprintedRequest) -> dict[str, Barred | Trial]:
+        """The verdicts by crashes and by cuts, by the fingerprint of the record.
+
+        The request's fingerprint is computed only while a request is barred.
+        """
         if not self.quarantine.barred:
-            return None
-        return self.quarantine.verdict(call.fingerprint, self.clock.now_ms())
+            return {}
+        now_ms = self.clock.now_ms()
+        verdicts = {
+            each: self.quarantine.verdict(each, now_ms)
+            for each in (call.fingerprint, cut_fingerprint(call.fingerprint))
+        }
+        return {each: found for each, found in verdicts.items() if found is not None}
 
 
 @define(eq=False)
--- a/src/coursekeel/suspects/_lost_runs.py
+++ b/src/coursekeel/suspects/_lost_runs.py
@@ -18,11 +18,15 @@
 
 @frozen
 class Suspect:
-    """A request whose run was lost at ``lost_ms`` and may have crashed the endpoint."""
+    """A request whose run was lost at ``lost_ms`` and may have crashed the endpoint.
+
+    ``closed`` says that the run's connection was closed, rather than given up.
+    """
 
     fingerprint: str
     sign: Sign
     lost_ms: float
+    closed: bool = False
 
 
 def sign_of(ran_ms: float | None, streamed_ms: float | None) -> Sign | None:
