The reason of a connection lost while connecting is one line

What operators saw: store_lost with a reason that holds the word Traceback and a line break, which looks like an unhandled failure.

Cause: the text of Twisted's ConnectError holds the representation of the failure that it wraps.

Change: the reason names the wrapped failure's message. First cuts of requests are dropped after a minute also if their request never comes again, so that successes don't compute fingerprints for them.

--- a/src/coursekeel/fetch/_fetch.py
+++ b/src/coursekeel/fetch/_fetch.py
@@ -7,6 +7,7 @@
 from attrs import define, field, frozen
 from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.internet.error import ConnectError
+from twisted.python.failure import Failure
 
 from coursekeel.fetch._agent import DirectAgents, MaySend
 from coursekeel.fetch._arrival import BodyCollector, ResponseWatchdog, Transfer
@@ -95,7 +96,7 @@
         try:
             return await response
         except ConnectError as failure:
-            return NotReached(str(failure))
+            return NotReached(_connect_reason(failure))
         except Exception as failure:  # the request may have taken effect
             reason = watchdog.cancel_reason or f"{type(failure).__name__}: {failure}"
             return AnswerLost(reason, watchdog.received_bytes)
@@ -126,3 +127,11 @@
         }
         content_type = headers.get("content-type", "")
         return HttpReply(response.code, content_type, await collector.body, headers)
+
+
+def _connect_reason(failure: ConnectError) -> str:
+    """Why a connection failed, without the traceback that a nested failure prints."""
+    cause = failure.osError
+    if isinstance(cause, Failure):
+        return f"{type(failure).__name__}: {cause.getErrorMessage()}"
+    return str(failure)
--- a/src/coursekeel/suspects/_isolated_cuts.py
+++ b/src/coursekeel/suspects/_isolated_cuts.py
@@ -54,6 +54,11 @@
 
     def add(self, endpoint_id: str, fingerprint: str, now_ms: float) -> None:
         """Record that a run was cut; also of requests that are no suspects."""
+        self._first = {
+            each: strike
+            for each, strike in self._first.items()
+            if now_ms - strike.at_ms <= _FIRST_CUT_KEPT_MS
+        }
         self._cuts = [
             cut for cut in self._cuts if now_ms - cut.at_ms <= _ENDPOINT_CLEAN_MS
         ][-_MAX_CUTS:]
@@ -70,8 +75,6 @@
             return []
         strike = Strike.of(endpoint_id, suspect.sign, suspect.lost_ms)
         first = self._first.pop(suspect.fingerprint, None)
-        if first is not None and suspect.lost_ms - first.at_ms > _FIRST_CUT_KEPT_MS:
-            first = None
         if first is not None and first.endpoint_id != strike.endpoint_id:
             return [first, strike]
         if known_endpoints:
