A held search survives the start of a copy

What callers would see: an answer that waits until its patience ends.

Cause: one HeldStart served both an answer's search and the start of a copy, and a second start replaces the one that waits. The core then still counts on a search that was dropped, and asks for no other.

--- a/src/coursekeel/entry/answers/_answer_task.py
+++ b/src/coursekeel/entry/answers/_answer_task.py
@@ -124,7 +124,8 @@
     _open_streams: dict[int, OpenStream] = field(factory=dict)
     _placement: AnswerPlacement = field(init=False)
     _quarantine_pass: QuarantinePass = field(init=False)
-    _held_start: HeldStart = field(init=False)
+    _held_search: HeldStart = field(init=False)
+    _held_copy: HeldStart = field(init=False)
     _metrics: AnswerMetrics = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -135,7 +136,8 @@
         )
         self._placement = AnswerPlacement(ports.routing, ports.clock, self.request)
         self._quarantine_pass = QuarantinePass(ports.gate, self.request)
-        self._held_start = HeldStart(ports.reactor, self._quarantine_pass)
+        self._held_search = HeldStart(ports.reactor, self._quarantine_pass)
+        self._held_copy = HeldStart(ports.reactor, self._quarantine_pass)
         self._metrics = AnswerMetrics(
             self.request, self.core.label, self.ports.metrics, self.arrived_ms
         )
@@ -303,7 +305,7 @@
 
     def _search_engine(self, action: RequestEndpoint) -> None:
         self._metrics.note_resumption(action.held_tokens)
-        self._held_start.run(lambda: self._placement.search(action, self._on_decision))
+        self._held_search.run(lambda: self._placement.search(action, self._on_decision))
 
     def _on_decision(self, decision: Decision) -> None:
         if not isinstance(decision, Grant):
@@ -338,7 +340,7 @@
     def _start_attempt(self, action: OpenAttempt) -> None:
         """Open an attempt; one that routing did not choose may have to wait first."""
         if action.way is Way.COPY:
-            self._held_start.run(lambda: self._open_copy(action))
+            self._held_copy.run(lambda: self._open_copy(action))
         else:
             self._open_attempt(action)
 
@@ -466,7 +468,8 @@
 
     def _close(self) -> None:
         self._driver.stop_alarm()
-        self._held_start.stop()
+        self._held_search.stop()
+        self._held_copy.stop()
         self._placement.stop()
         for attempt in list(self._open_streams):
             self._open_streams[attempt].stream.close()
--- a/src/coursekeel/gateway/streams/_stream_task.py
+++ b/src/coursekeel/gateway/streams/_stream_task.py
@@ -84,7 +84,8 @@
     _stream_reply: StreamReply = field(init=False)
     _send_account: SendAccount = field(init=False)
     _quarantine_pass: QuarantinePass = field(init=False)
-    _held_start: HeldStart = field(init=False)
+    _held_search: HeldStart = field(init=False)
+    _held_copy: HeldStart = field(init=False)
     _stall_check: StallCheck = field(init=False)
     _open_attempts: dict[int, StreamAttempt] = field(factory=dict)
     _refusal_code: str = ""
@@ -96,7 +97,8 @@
         self._stream_reply = StreamReply(context, call, self.reply)
         self._send_account = SendAccount(context.budgets.of(call.pool))
         self._quarantine_pass = QuarantinePass(context.quarantine, call)
-        self._held_start = HeldStart(context.reactor, self._quarantine_pass)
+        self._held_search = HeldStart(context.reactor, self._quarantine_pass)
+        self._held_copy = HeldStart(context.reactor, self._quarantine_pass)
         self.core = AnswerCore(
             call.caller.request_id,
             ExpectedModel(call.pool, "", ""),
@@ -193,7 +195,7 @@
         if self._refusal_code:
             self._refuse()
         else:
-            self._held_start.run(
+            self._held_search.run(
                 lambda: self._placement.search(action, self._placement_decided)
             )
 
@@ -221,7 +223,7 @@
     def _start_attempt(self, action: OpenAttempt) -> None:
         """Open an attempt; one that routing did not choose may have to wait first."""
         if action.way is Way.COPY:
-            self._held_start.run(lambda: self._open_copy(action))
+            self._held_copy.run(lambda: self._open_copy(action))
         else:
             self._open_attempt(action)
 
@@ -395,7 +397,8 @@
             self.handle_event(Cancelled())
 
     def _stop_work(self) -> None:
-        self._held_start.stop()
+        self._held_search.stop()
+        self._held_copy.stop()
         self._placement.stop()
         for number in list(self._open_attempts):
             self._cancel(number)
