A limit that an endpoint names is read, logged and counted

Cause: neither logs nor metrics told whether an instance heard a limit, so the hypotheses of the incident could not be told apart.

Change: the adapter decodes the header once; LimitBook keeps the limits in force, by answers in the order in which their requests were sent. limit_named, limit_changed, limit_ended and limit_unreadable in the log, named_per_s in endpoint_chosen, two gauges. No decision uses any of it yet. The quality test forbids the header's name outside platform/.

--- a/src/coursekeel/gateway/_adapters.py
+++ b/src/coursekeel/gateway/_adapters.py
@@ -17,6 +17,7 @@
     ForwardingConfiguration,
     StorePosition,
 )
+from coursekeel.limits import LimitWord
 
 __all__ = [
     "STORE_TRANSFER",
@@ -162,6 +163,10 @@
     def judge(self, head: ExchangeHead, request_id: str) -> HeadVerdict:
         """What the status and headers of an answer say about the request."""
 
+    @abstractmethod
+    def limit_named(self, head: ExchangeHead) -> LimitWord:
+        """The limit on the endpoint's requests that an answer names."""
+
     @abstractmethod
     def incarnation_named(self, head: ExchangeHead) -> str:
         """The id of the incarnation that answered, empty if the headers lack it."""
--- a/src/coursekeel/gateway/_gateway.py
+++ b/src/coursekeel/gateway/_gateway.py
@@ -40,6 +40,7 @@
 from coursekeel.gateway.endpoints._endpoint_client import EndpointClient
 from coursekeel.gateway.endpoints._endpoint_health import EndpointHealth
 from coursekeel.gateway.endpoints._load_reports import LoadReports
+from coursekeel.gateway.limits._limits_task import LimitsTask
 from coursekeel.gateway.members._group import Group
 from coursekeel.gateway.rollouts._rollout_task import CanaryTask, report_period_ms
 from coursekeel.gateway.rollouts._version_choice import VersionChoice
@@ -172,8 +173,14 @@
             self._group.send,
         )
         self._metrics = GatewayMetrics(self.clock, self._site.configuration_age)
+        limits = LimitsTask(self.clock, self.endpoints)
         client = EndpointClient(
-            self.reactor, self.clock, self._live_settings, self.endpoints, self.link
+            self.reactor,
+            self.clock,
+            self._live_settings,
+            self.endpoints,
+            self.link,
+            limits,
         )
         health = EndpointHealth(self.clock, self._site, self._router, self._metrics)
         gate = QuarantineGate(
@@ -233,6 +240,7 @@
             self._start_hold,
             self._dispatcher,
             self._follow_tasks[0],
+            limits.book,
         )
 
     def _followed_tables(self) -> tuple[FollowedTable, ...]:
--- a/src/coursekeel/gateway/_gauges.py
+++ b/src/coursekeel/gateway/_gauges.py
@@ -6,6 +6,7 @@
 from coursekeel.gateway.members._group import Group
 from coursekeel.gateway.site._follow_task import TableWatchTask
 from coursekeel.gateway.site._site_state import SiteState
+from coursekeel.limits import LimitBook
 from coursekeel.routing import Router
 from coursekeel.units import MS_PER_SECOND
 
@@ -20,6 +21,7 @@
     start_hold: StartHold,
     dispatcher: Dispatcher,
     configuration_task: TableWatchTask,
+    limits: LimitBook,
 ) -> None:
     """Add the gauges; ``configuration_task`` follows the configuration."""
     gauge = metrics.gauge
@@ -83,3 +85,13 @@
         "Requests at work",
         lambda: dispatcher.open_requests,
     )
+    gauge(
+        "coursekeel_limited_endpoints",
+        "Endpoints that name a limit on their requests",
+        lambda: len(limits),
+    )
+    gauge(
+        "coursekeel_limits_unreadable",
+        "Answers so far whose limit could not be read",
+        lambda: limits.unreadable,
+    )
--- a/src/coursekeel/gateway/_metrics.py
+++ b/src/coursekeel/gateway/_metrics.py
@@ -151,11 +151,13 @@
         candidates: int = 0,
         copy_id: str = "",
         version: str = "",
+        named_per_s: float | None = None,
     ) -> None:
         """Log the choice of an endpoint for a request, with what it was based on.
 
         ``candidates`` is the number of endpoints to choose from. ``version`` is the
-        endpoint's, if its pool has a rollout order.
+        endpoint's, if its pool has a rollout order; ``named_per_s`` the limit that the
+        endpoint names.
         """
         now_ms, configuration_age = self.clock.now_ms(), self.configuration_age()
         fields: dict[str, Any] = {
@@ -170,6 +172,8 @@
             fields["copy"] = copy_id
         if version:
             fields["version"] = version
+        if named_per_s is not None:
+            fields["named_per_s"] = named_per_s
         if load is not None:
             fields["own_running"] = load.limit.running
             fields["limit"] = int(load.limit.limit)
--- a/src/coursekeel/gateway/endpoints/_endpoint_client.py
+++ b/src/coursekeel/gateway/endpoints/_endpoint_client.py
@@ -11,7 +11,13 @@
 
 from attrs import define, evolve
 
-from coursekeel.fetch import Exchange, ExchangeRequest, ExchangeSink, OwnLink
+from coursekeel.fetch import (
+    Exchange,
+    ExchangeHead,
+    ExchangeRequest,
+    ExchangeSink,
+    OwnLink,
+)
 from coursekeel.forwarding import EndpointRecord
 from coursekeel.gateway._adapters import (
     EndpointCall,
@@ -20,6 +26,8 @@
 )
 from coursekeel.gateway._live_settings import LiveSettings
 from coursekeel.gateway._request import AdmittedRequest
+from coursekeel.gateway.limits._limit_listener import LimitListener
+from coursekeel.gateway.limits._limits_task import LimitsTask
 from coursekeel.reactor import Reactor
 from coursekeel.runtime import Clock
 
@@ -35,7 +43,8 @@
 class EndpointClient:
     """Opens exchanges with endpoints, with the headers and paths of ``dialect``.
 
-    While ``link`` is full, the connect timeout is longer.
+    While ``link`` is full, the connect timeout is longer. ``limits`` gets the head of
+    each answer.
     """
 
     reactor: Reactor
@@ -43,6 +52,7 @@
     settings: LiveSettings
     dialect: EndpointDialect
     link: OwnLink
+    limits: LimitsTask
 
     def send(
         self, call: AdmittedRequest, outbound: OutboundRequest, sink: ExchangeSink
@@ -62,7 +72,13 @@
             headers,
             call.body,
         )
-        return self._open(request, sink, self.settings.timers.connect_ms)
+        endpoint_id = outbound.endpoint.endpoint_id
+
+        def head_arrived(head: ExchangeHead, sent_ms: float) -> None:
+            self.limits.answered(endpoint_id, outbound.request_id, head, sent_ms)
+
+        listener = LimitListener(sink, self.clock, head_arrived)
+        return self._open(request, listener, self.settings.timers.connect_ms)
 
     def send_probe(
         self,
@@ -76,7 +92,12 @@
         request = ExchangeRequest(
             endpoint.host, endpoint.port, call.method, call.target, lambda: headers
         )
-        return self._open(request, sink, connect_ms)
+
+        def head_arrived(head: ExchangeHead, sent_ms: float) -> None:
+            self.limits.probe_answered(endpoint.endpoint_id, head, sent_ms)
+
+        listener = LimitListener(sink, self.clock, head_arrived)
+        return self._open(request, listener, connect_ms)
 
     def _open(
         self, request: ExchangeRequest, sink: ExchangeSink, connect_ms: float
--- a/src/coursekeel/gateway/streams/_stream_task.py
+++ b/src/coursekeel/gateway/streams/_stream_task.py
@@ -295,6 +295,7 @@
             self._placement.reports_requested,
             copy_to,
             context.versions.named(action.endpoint_id),
+            context.endpoints.limits.book.per_s(action.endpoint_id),
         )
         attempt = StreamAttempt(
             self, action.attempt, action.endpoint_id, action.way is Way.COPY, now_ms
--- a/src/coursekeel/gateway/whole/_whole_task.py
+++ b/src/coursekeel/gateway/whole/_whole_task.py
@@ -202,7 +202,14 @@
         call, endpoint_id = self.call, record.endpoint_id
         load = self.context.routing.router.load(endpoint_id)
         version = self.context.versions.named(endpoint_id)
-        self.context.metrics.chosen(call, endpoint_id, "whole", load, version=version)
+        self.context.metrics.chosen(
+            call,
+            endpoint_id,
+            "whole",
+            load,
+            version=version,
+            named_per_s=self.context.endpoints.limits.book.per_s(endpoint_id),
+        )
         outbound = OutboundRequest(
             record, call.caller.request_id, call.team_name, remaining_ms
         )
--- a/tests/cover/test_stream_placement.py
+++ b/tests/cover/test_stream_placement.py
@@ -27,6 +27,7 @@
 from coursekeel.gateway._retry_budgets import RetryBudgets
 from coursekeel.gateway.endpoints._endpoint_client import EndpointClient
 from coursekeel.gateway.endpoints._endpoint_health import EndpointHealth
+from coursekeel.gateway.limits._limits_task import LimitsTask
 from coursekeel.gateway.site._site_state import SiteState
 from coursekeel.gateway.streams._stream_task import StreamTask
 from coursekeel.gateway.streams._successors import SuccessorLookup
@@ -104,7 +105,10 @@
             self.reactor, self.clock, settings, self.directory, routing
         )
         link = OwnLink(self.reactor)
-        self.client = ScriptedClient(self.reactor, self.clock, settings, Mock(), link)
+        limits = LimitsTask(self.clock, Mock())
+        self.client = ScriptedClient(
+            self.reactor, self.clock, settings, Mock(), link, limits
+        )
         self.quarantine = Quarantine()
         self.suspects: list[SuspectRecord] = []
         self.crashes = Mock()
--- a/tests/quality/test_core_imports.py
+++ b/tests/quality/test_core_imports.py
@@ -15,6 +15,7 @@
     "explain",
     "forwarding",
     "intents",
+    "limits",
     "membership",
     "quarantine",
     "routing",
--- a/tests/quality/test_deployment.py
+++ b/tests/quality/test_deployment.py
@@ -23,6 +23,7 @@
     "rows-feed",
     "rows-get",
     "rows-tx",
+    "server-limit",
     "token-usage",
 )
 OUTSIDE = ("src", "standins", "demo", "bench", "tests/cover", "tests/nocover")
