--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -267,6 +267,7 @@
         self.faults: dict[str, Any] = {}
         self.ran: list[dict[str, Any]] = []
         self.crashed: list[dict[str, Any]] = []
+        self.arrived_s: list[float] = []
         self.copies: set[str] = set()
         self.open: dict[str, Any] = {}
         self.worker_crashes = 0
@@ -312,6 +313,12 @@
     def worker_is_down(self) -> bool:
         return time.monotonic() < self.worker_back_s
 
+    def limits_to_name(self) -> list[bytes]:
+        """The values of ``names_limit``: one, or several for a malformed answer."""
+        named = self.faults.get("names_limit", [])
+        values = named if isinstance(named, list) else [named]
+        return [str(value).encode() for value in values]
+
     def _crash_by(self, path: str, down_s: float) -> None:
         if self.faults.get("front_lives"):
             self.crash_worker(down_s)
@@ -361,6 +368,9 @@
         if request.getHeader("expect-instance") != self.name:
             request.setResponseCode(421)
             return b""
+        self.arrived_s.append(time.monotonic())
+        for limit in self.limits_to_name():
+            request.responseHeaders.addRawHeader(b"server-limit", limit)
         if self._use_fault("shed"):
             request.setResponseCode(503)
             request.setHeader("not-executed", "1")
@@ -570,6 +580,7 @@
             name: {
                 "identity": server.name,
                 "ran": server.ran,
+                "arrived_s": server.arrived_s,
                 "crashed": server.crashed,
                 "open": list(server.open),
                 "crashes": server.incarnation - (server.listener is not None),
@@ -583,6 +594,7 @@
     def forget(request: Any) -> bytes:
         for server in servers.values():
             server.ran.clear()
+            server.arrived_s.clear()
             server.faults.clear()
         return b"{}"
 
--- /dev/null
+++ b/tests/platform/test_server_limits.py
@@ -0,0 +1,127 @@
+"""Servers that name a limit on the requests that they take from all instances."""
+
+import threading
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from itertools import count
+
+import pytest
+
+from tests.platform.site import read, running_gateway
+from tests.platform.test_group import GroupSite
+
+# `contact-ms` of the sites: from then on the limit counts.
+CONTACT_S = 3.0
+WINDOW_S = 4.0
+LIMIT_PER_S = 2.1
+WHOLE, STREAM = "/again/limited", "/stream/2"
+SERVERS = {WHOLE: ("s3", "s4", "s5"), STREAM: ("s0", "s1", "s2")}
+
+
+def allowed_arrivals(per_s: float) -> float:
+    """How many requests a server may get in a window, by the users' rule."""
+    return 1.5 * per_s * WINDOW_S + 5
+
+
+def most_arrivals(times_s: list[float], from_s: float) -> int:
+    """The most arrivals in any window that ends after ``from_s``."""
+    times = sorted(times_s)
+    ends = [end for end in times if end >= from_s]
+    return max(
+        (sum(end - WINDOW_S < each <= end for each in times) for end in ends), default=0
+    )
+
+
+@pytest.fixture(scope="module")
+def group():
+    with running_gateway() as site:
+        yield GroupSite(site)
+
+
+class Callers:
+    """Callers that send requests at a fixed rate to members in turn.
+
+    ``statuses`` are those of the answers, 0 where there was none; ``refusals`` have the
+    seconds that a refusal took and its `Retry-After`.
+    """
+
+    def __init__(self, group: GroupSite, path: str, members: tuple[int, ...]) -> None:
+        self.group, self.path, self.members = group, path, members
+        self.statuses: list[int] = []
+        self.refusals: list[tuple[float, float]] = []
+
+    @contextmanager
+    def sending(self, per_s: float) -> Iterator[None]:
+        stop = threading.Event()
+        numbers = count()
+        threads = int(per_s)
+
+        def send_all() -> None:
+            while not stop.wait(threads / per_s):
+                self._send(self.members[next(numbers) % len(self.members)])
+
+        running = [threading.Thread(target=send_all) for _ in range(threads)]
+        for number, thread in enumerate(running):
+            thread.start()
+            time.sleep(1 / per_s if number < threads - 1 else 0)
+        try:
+            yield
+        finally:
+            stop.set()
+            for thread in running:
+                thread.join()
+
+    def _send(self, member: int) -> None:
+        started_s = time.monotonic()
+        port = self.group.ports[f"m{member}"][0]
+        try:
+            connection, _ = self.group.site.open(self.path, b"x", port=port)
+            answer = read(connection)
+        except OSError:
+            self.statuses.append(0)
+            return
+        self.statuses.append(answer.status)
+        if answer.status == 503:
+            retry_after_s = float(answer.headers.get("retry-after", 0))
+            self.refusals.append((time.monotonic() - started_s, retry_after_s))
+
+
+def play(
+    group: GroupSite, path: str, naming: tuple[str, ...], then: Callable[[float], None]
+) -> Callers:
+    """Send 30 requests a second while the servers ``naming`` name a limit.
+
+    ``then`` gets the time from which the limit counts.
+    """
+    group.site.forget()
+    callers = Callers(group, path, (1, 2, 3))
+    with callers.sending(per_s=30.0):
+        time.sleep(1.0)
+        for name in naming:
+            group.site.faults(name, names_limit=LIMIT_PER_S)
+        named_s = time.monotonic()
+        time.sleep(CONTACT_S + 2 * WINDOW_S)
+        then(named_s + CONTACT_S)
+    group.site.forget()
+    return callers
+
+
+def arrivals(group: GroupSite, name: str) -> list[float]:
+    return list(group.site.control.get("/servers")[name]["arrived_s"])
+
+
+@pytest.mark.parametrize("path", [WHOLE, STREAM])
+@pytest.mark.parametrize("limited", [1, 3])
+def test_servers_get_no_more_requests_than_they_name(group, path, limited):
+    """The limit is one number for all three instances."""
+    naming = SERVERS[path][:limited]
+    most: dict[str, int] = {}
+
+    def measure(from_s: float) -> None:
+        most.update(
+            {name: most_arrivals(arrivals(group, name), from_s) for name in naming}
+        )
+
+    play(group, path, naming, measure)
+    assert max(most.values()) <= allowed_arrivals(LIMIT_PER_S), most
