Requests to endpoints that name a limit need a permit of the endpoint's holder

Cause: no instance heeded the limit, and it can't be heeded by one instance alone: it is one number for all, with nobody who divides it. Class of fault: a bound on a sum that nobody owns.

Change: one member, by hashing, gives out permits for an endpoint that names a limit, evenly spaced; routing counts room there only while a permit is at hand, and the right to send is checked again as the request is written. The rate is such that two members that both take themselves for the holder keep the rule; parts of a split group divide it.

The window of the platform test now leaves out arrivals before half a second after the naming: the rule counts the requests of instances that had passed on the answer half a second before, and none can have by then. They were counted because the test's windows reach back to a second before the naming.

--- a/src/coursekeel/gateway/_context.py
+++ b/src/coursekeel/gateway/_context.py
@@ -9,6 +9,7 @@
 
 from coursekeel.gateway._live_settings import LiveSettings
 from coursekeel.gateway._metrics import GatewayMetrics
+from coursekeel.gateway._request import AdmittedRequest
 from coursekeel.gateway._retry_budgets import RetryBudgets
 from coursekeel.gateway.admission._stream_lengths import StreamDurations
 from coursekeel.gateway.endpoints._crash_watch import CrashWatch
@@ -18,6 +19,7 @@
 from coursekeel.gateway.rollouts._version_choice import VersionChoice
 from coursekeel.gateway.site._site_state import SiteState
 from coursekeel.reactor import Reactor
+from coursekeel.routing import ENDPOINT_LIMIT_CODE, Refuse
 from coursekeel.runtime import Clock, RoutingTask
 from coursekeel.suspects import QuarantineGate
 
@@ -43,3 +45,12 @@
     versions: VersionChoice = field(factory=VersionChoice)
     stall_history: StallHistory = field(factory=StallHistory)
     lengths: StreamDurations = field(factory=StreamDurations)
+
+    def log_if_limited(self, call: AdmittedRequest, refused: Refuse) -> None:
+        """Log a refusal whose cause is that the pool's endpoints limit requests."""
+        if refused.code != ENDPOINT_LIMIT_CODE:
+            return
+        request_id, pool = call.caller.request_id, call.pool
+        limited = self.routing.router.endpoints.limited(pool)
+        wait_ms = refused.retry_after_ms
+        self.endpoints.limits.log_held(request_id, limited, "refused", wait_ms)
--- a/src/coursekeel/gateway/_gateway.py
+++ b/src/coursekeel/gateway/_gateway.py
@@ -107,6 +107,7 @@
     _site: SiteState = field(init=False)
     _start_hold: StartHold = field(factory=StartHold)
     _rollouts: CanaryTask = field(init=False)
+    _limits: LimitsTask = field(init=False)
     _metrics: GatewayMetrics = field(init=False)
     _dispatcher: Dispatcher = field(init=False)
     _follow_tasks: list[TableWatchTask] = field(init=False)
@@ -141,6 +142,7 @@
             quarantine,
             self._suspect_keeper.changed,
             lambda message: self._rollouts.received(message),
+            lambda sender, message: self._limits.received(sender, message),
         )
         canary = self.settings.canary
         rollouts = Rollouts(
@@ -173,14 +175,23 @@
             self._group.send,
         )
         self._metrics = GatewayMetrics(self.clock, self._site.configuration_age)
-        limits = LimitsTask(self.clock, self.endpoints)
+        self._limits = LimitsTask(
+            self.reactor,
+            self.clock,
+            self.endpoints,
+            self._group.swim,
+            directory,
+            routing,
+            self._group.send,
+        )
+        self._router.endpoints.gate = self._limits.limits
         client = EndpointClient(
             self.reactor,
             self.clock,
             self._live_settings,
             self.endpoints,
             self.link,
-            limits,
+            self._limits,
         )
         health = EndpointHealth(self.clock, self._site, self._router, self._metrics)
         gate = QuarantineGate(
@@ -240,7 +251,7 @@
             self._start_hold,
             self._dispatcher,
             self._follow_tasks[0],
-            limits.book,
+            self._limits,
         )
 
     def _followed_tables(self) -> tuple[FollowedTable, ...]:
@@ -311,6 +322,7 @@
             self._listen(listen.peers, self._group.server.site())
         self._group.start()
         self._suspect_keeper.start()
+        self._limits.start()
         for task in self._follow_tasks:
             task.start()
         log_event("gateway_started", callers=listen.callers, zone=self.settings.zone)
@@ -362,6 +374,7 @@
         await self._close_connections(window.last_ms)
         self._suspect_keeper.stop()
         self._rollouts.stop()
+        self._limits.stop()
         for task in self._follow_tasks:
             task.stop()
         log_event("gateway_stopped", open_requests=dispatcher.open_requests)
--- a/src/coursekeel/gateway/_gauges.py
+++ b/src/coursekeel/gateway/_gauges.py
@@ -3,10 +3,10 @@
 from coursekeel.gateway._dispatcher import Dispatcher
 from coursekeel.gateway._metrics import GatewayMetrics
 from coursekeel.gateway.admission._start_hold import StartHold
+from coursekeel.gateway.limits._limits_task import LimitsTask
 from coursekeel.gateway.members._group import Group
 from coursekeel.gateway.site._follow_task import TableWatchTask
 from coursekeel.gateway.site._site_state import SiteState
-from coursekeel.limits import LimitBook
 from coursekeel.routing import Router
 from coursekeel.units import MS_PER_SECOND
 
@@ -21,7 +21,7 @@
     start_hold: StartHold,
     dispatcher: Dispatcher,
     configuration_task: TableWatchTask,
-    limits: LimitBook,
+    limits: LimitsTask,
 ) -> None:
     """Add the gauges; ``configuration_task`` follows the configuration."""
     gauge = metrics.gauge
@@ -85,13 +85,29 @@
         "Requests at work",
         lambda: dispatcher.open_requests,
     )
+    core = limits.limits
     gauge(
         "coursekeel_limited_endpoints",
         "Endpoints that name a limit on their requests",
-        lambda: len(limits),
+        lambda: len(core.book),
     )
     gauge(
         "coursekeel_limits_unreadable",
         "Answers so far whose limit could not be read",
-        lambda: limits.unreadable,
+        lambda: core.book.unreadable,
+    )
+    gauge(
+        "coursekeel_limit_permits_given",
+        "Permits that this instance gave out so far, to itself and to members",
+        lambda: core.issuer.given,
+    )
+    gauge(
+        "coursekeel_limit_permits_used",
+        "Permits that this instance took for requests so far",
+        lambda: core.stock.used,
+    )
+    gauge(
+        "coursekeel_limit_requests_held",
+        "Requests so far that were refused or withheld because of limits",
+        lambda: limits.requests_held,
     )
--- a/src/coursekeel/gateway/endpoints/_endpoint_client.py
+++ b/src/coursekeel/gateway/endpoints/_endpoint_client.py
@@ -55,9 +55,17 @@
     limits: LimitsTask
 
     def send(
-        self, call: AdmittedRequest, outbound: OutboundRequest, sink: ExchangeSink
+        self,
+        call: AdmittedRequest,
+        outbound: OutboundRequest,
+        sink: ExchangeSink,
+        permit_lapses_ms: float | None = None,
     ) -> Exchange:
-        """Send a caller's request; its headers carry the time left when it is sent."""
+        """Send a caller's request; its headers carry the time left when it is sent.
+
+        It is withheld if the endpoint limits its requests, the permit has lapsed and no
+        other is at hand.
+        """
 
         def headers() -> Sequence[tuple[bytes, bytes]]:
             remaining_ms = call.deadline_ms - self.clock.now_ms()
@@ -77,7 +85,14 @@
         def head_arrived(head: ExchangeHead, sent_ms: float) -> None:
             self.limits.answered(endpoint_id, outbound.request_id, head, sent_ms)
 
-        listener = LimitListener(sink, self.clock, head_arrived)
+        def permitted() -> bool:
+            if self.limits.may_send(endpoint_id, permit_lapses_ms):
+                return True
+            request_id = outbound.request_id
+            self.limits.log_held(request_id, [endpoint_id], "withheld", 0.0)
+            return False
+
+        listener = LimitListener(sink, self.clock, head_arrived, permitted)
         return self._open(request, listener, self.settings.timers.connect_ms)
 
     def send_probe(
--- a/src/coursekeel/gateway/limits/_limit_listener.py
+++ b/src/coursekeel/gateway/limits/_limit_listener.py
@@ -1,7 +1,7 @@
-"""Reports what an endpoint's answer says about a limit, and passes its events on.
+"""Stands between an exchange with an endpoint and its sink, for limits.
 
-Owns the time at which the request was sent: only an answer to a later request can end
-a limit.
+Withholds a request that may not leave now, and reports each head with the time at which
+its request was sent: only an answer to a later request can end a limit.
 """
 
 from collections.abc import Callable
@@ -14,18 +14,26 @@
 __all__ = ["LimitListener"]
 
 
+def _always() -> bool:
+    return True
+
+
 @define(eq=False)
 class LimitListener(ExchangeSink):
-    """Stands before ``sink``; ``on_head`` gets each head and when its request left."""
+    """Stands before ``sink``; ``on_head`` gets each head and when its request left.
+
+    ``permitted`` is asked last, as it may use up a permit.
+    """
 
     sink: ExchangeSink
     clock: Clock
     on_head: Callable[[ExchangeHead, float], None]
+    permitted: Callable[[], bool] = _always
     _sent_ms: float = float("-inf")
 
     def may_send(self) -> bool:
         self._sent_ms = self.clock.now_ms()
-        return self.sink.may_send()
+        return self.sink.may_send() and self.permitted()
 
     def head_arrived(self, head: ExchangeHead) -> None:
         self.on_head(head, self._sent_ms)
--- a/src/coursekeel/gateway/members/_group.py
+++ b/src/coursekeel/gateway/members/_group.py
@@ -21,6 +21,7 @@
 from coursekeel.gateway.members._shared_source import SharedSource, SharingTerms
 from coursekeel.gateway.members._table_feed import TableFeed
 from coursekeel.group import Swim
+from coursekeel.limits import LimitMessage
 from coursekeel.quarantine import (
     Quarantine,
     QuarantineEvent,
@@ -52,6 +53,7 @@
     quarantine: Quarantine
     bar_changed: Callable[[QuarantineEvent], None]
     rollout_received: Callable[[RolloutMessage], None]
+    limit_received: Callable[[str, LimitMessage], None]
     swim: Swim = field(init=False)
     source: SharedSource = field(init=False)
     feeds: dict[Table, TableFeed] = field(init=False)
@@ -85,6 +87,7 @@
             self._confirmed_times_ms,
             self.bar_changed,
             self.rollout_received,
+            self.limit_received,
         )
 
     def _make_source(self) -> SharedSource:
--- a/src/coursekeel/gateway/members/_group_task.py
+++ b/src/coursekeel/gateway/members/_group_task.py
@@ -27,6 +27,12 @@
     decode_message,
     encode_message,
 )
+from coursekeel.limits import (
+    LIMIT_PREFIX,
+    LimitMessage,
+    UnreadableLimitMessage,
+    decode_limit_message,
+)
 from coursekeel.observe import log_event
 from coursekeel.quarantine import (
     QUARANTINE_PREFIX,
@@ -59,7 +65,8 @@
 
     ``confirmed_times_ms`` returns the local time of this instance's last confirmation
     of each table. ``bar_changed`` is called when a request is barred or cleared, and
-    ``rollout_received`` with each roll-out message of a member.
+    ``rollout_received`` with each roll-out message of a member. ``limit_received`` gets
+    each message on limits, with its sender.
     """
 
     reactor: Reactor
@@ -69,6 +76,7 @@
     confirmed_times_ms: Callable[[], dict[str, float]]
     bar_changed: Callable[[QuarantineEvent], None]
     rollout_received: Callable[[RolloutMessage], None]
+    limit_received: Callable[[str, LimitMessage], None]
     _ticks: Periodic = field(init=False)
     _refused_count: int = 0
     _refusal_logged_ms: float = float("-inf")
@@ -110,6 +118,9 @@
         if data.startswith(ROLLOUT_PREFIX):
             self._receive_rollout(data, addr)
             return
+        if data.startswith(LIMIT_PREFIX):
+            self._receive_limit(data, addr)
+            return
         marked = data.startswith(QUARANTINE_PREFIX)
         message = decode_quarantine(data) if marked else decode_message(data)
         fault = self._fault_of(message, addr)
@@ -138,6 +149,18 @@
         else:
             self.rollout_received(message)
 
+    def _receive_limit(self, data: bytes, addr: Any) -> None:
+        decoded = decode_limit_message(data)
+        if isinstance(decoded, UnreadableLimitMessage):
+            self._refuse(decoded.fault, addr)
+            return
+        group, sender, message = decoded
+        fault = self._sender_fault(group, sender, addr)
+        if fault:
+            self._refuse(fault, addr)
+        else:
+            self.limit_received(sender, message)
+
     def _fault_of(self, message: _Message, addr: Any) -> str:
         if isinstance(message, UnreadableMessage | UnreadableQuarantine):
             return message.fault
--- a/src/coursekeel/gateway/streams/_stream_attempt.py
+++ b/src/coursekeel/gateway/streams/_stream_attempt.py
@@ -109,9 +109,12 @@
     _buffer: bytearray = field(factory=bytearray)
     _watch: FirstEventWatch | None = None
 
-    def open(self, outbound: OutboundRequest) -> None:
-        """Send the request, and watch for the first event of a resumable route."""
-        self._send(outbound)
+    def open(self, outbound: OutboundRequest, permit_lapses_ms: float | None) -> None:
+        """Send the request, and watch for the first event of a resumable route.
+
+        ``permit_lapses_ms`` is the time until which the permit for it may be used.
+        """
+        self._send(outbound, permit_lapses_ms)
         if self.task.call.route.kind is RouteKind.RESUMABLE:
             self._start_first_event_watch()
 
@@ -120,10 +123,14 @@
         """Whether the run has sent an event."""
         return self._events > 0
 
-    def _send(self, outbound: OutboundRequest) -> None:
+    def _send(
+        self, outbound: OutboundRequest, permit_lapses_ms: float | None = None
+    ) -> None:
         self._outbound = outbound
         endpoints = self.task.context.endpoints
-        self._exchange = endpoints.send(self.task.call, outbound, self)
+        self._exchange = endpoints.send(
+            self.task.call, outbound, self, permit_lapses_ms
+        )
 
     def close(self) -> None:
         """Abort the run; the endpoint stops it when the connection closes."""
@@ -307,9 +314,13 @@
         self._send(evolve(self._outbound, endpoint=successor))
 
     def _request_rejected(self) -> None:
-        """End the attempt; a missing copy doesn't mean that the endpoint is full."""
-        if not self.from_copy:
-            context = self.task.context
+        """End the attempt; a missing copy doesn't mean that the endpoint is full.
+
+        Neither does it if the endpoint sheds load as it announced by its limit.
+        """
+        context = self.task.context
+        limited = context.endpoints.limits.per_s(self.endpoint_id) is not None
+        if not self.from_copy and not limited:
             now_ms = context.clock.now_ms()
             context.routing.router.record_refusal(self.endpoint_id, now_ms)
         self._end(Loss.REFUSED)
--- a/src/coursekeel/gateway/streams/_stream_task.py
+++ b/src/coursekeel/gateway/streams/_stream_task.py
@@ -68,6 +68,10 @@
 # a pause isn't taken for a stall of every endpoint at once.
 _OWN_PAUSE_MS = 100.0
 
+# How long a run that continues from a copy waits for a permit, if the copy's endpoint
+# limits its requests. After that the run continues elsewhere with a new prefill.
+_COPY_PERMIT_WAIT_MS = 200.0
+
 
 @define(eq=False)
 class StreamTask(AttemptOwner, AnswerShell):
@@ -88,6 +92,7 @@
     _held_copy: HeldStart = field(init=False)
     _stall_check: StallCheck = field(init=False)
     _open_attempts: dict[int, StreamAttempt] = field(factory=dict)
+    _permit_lapses_ms: float | None = None
     _refusal_code: str = ""
     _retry_after_ms: float = STREAM_RETRY_MS
 
@@ -201,8 +206,10 @@
 
     def _placement_decided(self, decision: Decision) -> None:
         if isinstance(decision, Grant):
+            self._permit_lapses_ms = decision.permit_lapses_ms
             self.handle_event(EndpointGranted(decision.endpoint_id))
             return
+        self.context.log_if_limited(self.call, decision)
         self._refusal_code = decision.code
         left_ms = self.call.deadline_ms - self.context.clock.now_ms()
         self._retry_after_ms = refusal_retry_ms(
@@ -223,10 +230,15 @@
     def _start_attempt(self, action: OpenAttempt) -> None:
         """Open an attempt; one that routing did not choose may have to wait first."""
         if action.way is Way.COPY:
-            self._held_copy.run(lambda: self._open_copy(action))
+            self._held_copy.run(lambda: self._await_copy_permit(action))
         else:
             self._open_attempt(action)
 
+    def _await_copy_permit(self, action: OpenAttempt) -> None:
+        self.context.endpoints.limits.when_permitted(
+            action.endpoint_id, _COPY_PERMIT_WAIT_MS, lambda: self._open_copy(action)
+        )
+
     def _open_copy(self, action: OpenAttempt) -> None:
         if self.core.attempts[action.attempt].live:
             self._open_attempt(action)
@@ -295,13 +307,16 @@
             self._placement.reports_requested,
             copy_to,
             context.versions.named(action.endpoint_id),
-            context.endpoints.limits.book.per_s(action.endpoint_id),
+            context.endpoints.limits.per_s(action.endpoint_id),
         )
         attempt = StreamAttempt(
             self, action.attempt, action.endpoint_id, action.way is Way.COPY, now_ms
         )
         self._open_attempts[action.attempt] = attempt
-        attempt.open(self._outbound_request(action, record, copy_to, now_ms))
+        outbound = self._outbound_request(action, record, copy_to, now_ms)
+        # Routing's permit is for the endpoint that it chose, not for that of a copy.
+        from_copy = action.way is Way.COPY
+        attempt.open(outbound, None if from_copy else self._permit_lapses_ms)
 
     def _outbound_request(
         self, action: OpenAttempt, record: EndpointRecord, copy_to: str, now_ms: float
--- a/src/coursekeel/gateway/whole/_whole_task.py
+++ b/src/coursekeel/gateway/whole/_whole_task.py
@@ -74,6 +74,7 @@
     _request_number: int | None = None
     _current_try: WholeTry | None = None
     _deadline_timer: Any = None
+    _permit_lapses_ms: float | None = None
     _refusal_code: str = ""
     _retry_after_ms: float = WHOLE_RETRY_MS
 
@@ -144,9 +145,11 @@
                 decision.code, decision.retry_after_ms, left_ms, self.context.random
             )
             self._send_account.not_sent()
+            self.context.log_if_limited(self.call, decision)
             self._placement_refused(decision.code)
             return
         self._tried.add(decision.endpoint_id)
+        self._permit_lapses_ms = decision.permit_lapses_ms
         self._send(decision.endpoint_id)
 
     def _placement_refused(self, code: str) -> None:
@@ -208,13 +211,14 @@
             "whole",
             load,
             version=version,
-            named_per_s=self.context.endpoints.limits.book.per_s(endpoint_id),
+            named_per_s=self.context.endpoints.limits.per_s(endpoint_id),
         )
         outbound = OutboundRequest(
             record, call.caller.request_id, call.team_name, remaining_ms
         )
         self._current_try = WholeTry(self, self.context, call, endpoint_id)
-        self._current_try.open(outbound, self._try_limit_ms(remaining_ms))
+        limit_ms = self._try_limit_ms(remaining_ms)
+        self._current_try.open(outbound, limit_ms, self._permit_lapses_ms)
 
     def _try_limit_ms(self, remaining_ms: float) -> float | None:
         """Return the time limit in ms of a try that another can follow.
--- a/src/coursekeel/gateway/whole/_whole_try.py
+++ b/src/coursekeel/gateway/whole/_whole_try.py
@@ -51,14 +51,24 @@
     def __attrs_post_init__(self) -> None:
         self._started_ms = self.context.clock.now_ms()
 
-    def open(self, outbound: OutboundRequest, limit_ms: float | None) -> None:
-        """Send the request; abort after ``limit_ms`` without a complete answer."""
+    def open(
+        self,
+        outbound: OutboundRequest,
+        limit_ms: float | None,
+        permit_lapses_ms: float | None,
+    ) -> None:
+        """Send the request; abort after ``limit_ms`` without a complete answer.
+
+        ``permit_lapses_ms`` is the time until which the permit for it may be used.
+        """
         context = self.context
         if limit_ms is not None:
             self._limit_timer = context.reactor.callLater(
                 limit_ms / 1000, self._limit_reached
             )
-        self._exchange = context.endpoints.send(self.call, outbound, self)
+        self._exchange = context.endpoints.send(
+            self.call, outbound, self, permit_lapses_ms
+        )
 
     def may_send(self) -> bool:
         return self.owner.may_still_send(self.endpoint_id)
@@ -72,7 +82,12 @@
     def ended(self, ending: Ending, reason: str) -> None:
         self._cancel_limit_timer()
         outcome = self._outcome(ending, reason)
+        limited = self.context.endpoints.limits.per_s(self.endpoint_id) is not None
+        shed = outcome is SendOutcome.TURNED_AWAY
         failed = not isinstance(outcome, ServiceReply) or outcome.failed
+        if shed and limited:
+            # An endpoint that sheds load as it announced isn't failing.
+            failed = False
         self._log(outcome)
         self._record_version_outcome(outcome)
         if ending in (Ending.CUT, Ending.NO_ANSWER):
@@ -81,7 +96,7 @@
             router = self.context.routing.router
             router.record_success(self.endpoint_id, self.call.route.name)
         self._release(failed)
-        if outcome is SendOutcome.TURNED_AWAY:
+        if shed and not limited:
             now_ms = self.context.clock.now_ms()
             self.context.routing.router.record_refusal(self.endpoint_id, now_ms)
         self.owner.try_ended(outcome)
--- a/src/coursekeel/limits/_book.py
+++ b/src/coursekeel/limits/_book.py
@@ -10,6 +10,7 @@
 time, in ms.
 """
 
+from collections.abc import Collection
 from enum import Enum
 
 from attrs import define, field, frozen
@@ -85,9 +86,10 @@
     def __len__(self) -> int:
         return len(self._limits)
 
-    def endpoints(self) -> list[str]:
+    @property
+    def endpoints(self) -> Collection[str]:
         """The ids of the endpoints that name a limit."""
-        return list(self._limits)
+        return self._limits.keys()
 
     def per_s(self, endpoint_id: str) -> float | None:
         """The limit in force, in requests a second; None if there is none."""
--- /dev/null
+++ b/src/coursekeel/limits/_issuer.py
@@ -0,0 +1,78 @@
+"""Permits that this instance gives out as the holder of endpoints.
+
+Rule: permits for an endpoint are spaced evenly; unused ones aren't saved. An instance
+that gets none is told when to ask again, the later the more of them ask, and when a
+request may expect its turn.
+
+Owns the time of each endpoint's last permit and the recent askers. A core: the caller
+passes the time, in ms.
+"""
+
+from attrs import define, field, frozen
+
+from coursekeel.units import MS_PER_SECOND
+
+__all__ = ["Issue", "PermitIssuer"]
+
+# Askers that got no permit count as a crowd for this time.
+_CROWD_MS = 1_000.0
+# So many askers may ask for each permit; with more, each waits longer.
+_ASKERS_PER_PERMIT = 8
+_MAX_WAIT_MS = 5_000.0
+_MAX_TURN_MS = 10_000.0
+
+
+@frozen
+class Issue:
+    """The holder's answer: ``given`` permits, or none and when to ask again.
+
+    ``wait_ms`` is how long not to ask, ``turn_ms`` when a request sent now may expect
+    its turn.
+    """
+
+    given: int
+    wait_ms: float = 0.0
+    turn_ms: float = 0.0
+
+
+@define(eq=False)
+class PermitIssuer:
+    """Gives out permits; ``given`` counts them."""
+
+    given: int = 0
+    _last_ms: dict[str, float] = field(factory=dict)
+    _refused: dict[str, dict[str, float]] = field(factory=dict)
+
+    def issue(
+        self, endpoint_id: str, asker: str, rate_per_s: float, now_ms: float
+    ) -> Issue:
+        """Give ``asker`` one permit if one is due at this rate."""
+        interval_ms = MS_PER_SECOND / rate_per_s
+        due_ms = self._last_ms.get(endpoint_id, float("-inf")) + interval_ms
+        if now_ms >= due_ms:
+            self.given += 1
+            self._last_ms[endpoint_id] = now_ms
+            self._refused.get(endpoint_id, {}).pop(asker, None)
+            return Issue(1)
+        crowd = self._crowd(endpoint_id, asker, now_ms)
+        wait_ms = due_ms - now_ms
+        surplus = max(crowd - _ASKERS_PER_PERMIT, 0) / _ASKERS_PER_PERMIT
+        return Issue(
+            0,
+            min(wait_ms + surplus * interval_ms, _MAX_WAIT_MS),
+            min(wait_ms + (crowd - 1) * interval_ms, _MAX_TURN_MS),
+        )
+
+    def _crowd(self, endpoint_id: str, asker: str, now_ms: float) -> int:
+        """The number of instances that got no permit lately, this one included."""
+        refused = self._refused.setdefault(endpoint_id, {})
+        refused[asker] = now_ms
+        for name, at_ms in list(refused.items()):
+            if now_ms - at_ms > _CROWD_MS:
+                del refused[name]
+        return len(refused)
+
+    def forget(self, endpoint_id: str) -> None:
+        """Forget an endpoint that names no limit any more, or is gone."""
+        self._last_ms.pop(endpoint_id, None)
+        self._refused.pop(endpoint_id, None)
--- /dev/null
+++ b/src/coursekeel/limits/_send_limits.py
@@ -0,0 +1,149 @@
+"""One instance's part in keeping the limits that endpoints name.
+
+Rule: a request to an endpoint that names a limit needs a permit of the endpoint's
+holder, a member of the group. The holder gives them out so that the requests of all
+instances keep the limit. An instance that first hears of a limit tells all members, so
+that those hold it too that haven't heard it.
+
+Reason: a limit of a few requests a second can't be divided among many instances; a part
+each would let through too much at once or, spaced out, nothing where callers are.
+
+Relies on `LimitBook`, `Holders`, `PermitIssuer` and `PermitStock`. A core: the caller
+passes the time, in ms, and ``send`` sends a message to a member.
+"""
+
+from collections.abc import Callable, Collection
+
+from attrs import define, field
+
+from coursekeel.limits._book import LimitBook, LimitEventKind, LimitNews
+from coursekeel.limits._holders import Holders
+from coursekeel.limits._issuer import Issue, PermitIssuer
+from coursekeel.limits._messages import LimitMessage, PermitAnswer, PermitQuestion
+from coursekeel.limits._rate import holder_rate_per_s
+from coursekeel.limits._stock import PermitStock
+from coursekeel.limits._words import LimitWord
+from coursekeel.routing import SendGate
+
+__all__ = ["SendLimits"]
+
+# An instance that isn't the holder, or isn't yet, gives no permit for so long.
+_NOT_HOLDER_WAIT_MS = 500.0
+# An endpoint whose last word is older than this is tried with the next permit.
+_DUE_MS = 1_000.0
+
+
+@define(eq=False)
+class SendLimits(SendGate):
+    """The limits in force, and the permits that this instance gives and gets."""
+
+    holders: Holders
+    send: Callable[[str, LimitMessage], None]
+    book: LimitBook = field(factory=LimitBook)
+    issuer: PermitIssuer = field(factory=PermitIssuer)
+    stock: PermitStock = field(factory=PermitStock)
+
+    # What routing asks.
+
+    @property
+    def limited(self) -> Collection[str]:
+        return self.book.endpoints
+
+    def has_permit(self, endpoint_id: str, now_ms: float) -> bool:
+        if self.stock.at_hand(endpoint_id, now_ms):
+            return True
+        self._ask(endpoint_id, now_ms)
+        return self.stock.at_hand(endpoint_id, now_ms)
+
+    def take(self, endpoint_id: str, now_ms: float) -> float | None:
+        return self.stock.take(endpoint_id, now_ms)
+
+    def is_due(self, endpoint_id: str, now_ms: float) -> bool:
+        return self.book.news(endpoint_id, now_ms).age_ms >= _DUE_MS
+
+    def turn_ms(self, endpoint_id: str, now_ms: float) -> float:
+        return self.stock.turn_ms(endpoint_id, now_ms)
+
+    def may_send(
+        self, endpoint_id: str, permit_lapses_ms: float | None, now_ms: float
+    ) -> bool:
+        """Whether a request may leave now; called right before it is written.
+
+        Its permit may have lapsed, or the limit may be newer than the choice of the
+        endpoint; then a permit at hand is taken.
+        """
+        if self.book.per_s(endpoint_id) is None:
+            return True
+        if permit_lapses_ms is not None and now_ms < permit_lapses_ms:
+            return True
+        return self.stock.take(endpoint_id, now_ms) is not None
+
+    # Permits.
+
+    def _ask(self, endpoint_id: str, now_ms: float) -> None:
+        if not self.stock.may_ask(endpoint_id, now_ms):
+            return
+        holder = self.holders.holder(endpoint_id)
+        number = self.stock.asked(endpoint_id, now_ms)
+        if holder in ("", self.holders.own):
+            issue = self._issue(endpoint_id, self.holders.own, now_ms)
+            self.stock.answered(endpoint_id, number, issue, now_ms)
+            return
+        news = self.book.news(endpoint_id, now_ms)
+        self.send(holder, PermitQuestion(number, news, self.holders.known))
+
+    def _issue(self, endpoint_id: str, asker: str, now_ms: float) -> Issue:
+        per_s = self.book.per_s(endpoint_id)
+        if per_s is None:
+            return Issue(0)
+        if not self.holders.may_give(endpoint_id, now_ms):
+            return Issue(0, _NOT_HOLDER_WAIT_MS, _NOT_HOLDER_WAIT_MS)
+        rate_per_s = holder_rate_per_s(per_s, self.holders.share(now_ms))
+        return self.issuer.issue(endpoint_id, asker, rate_per_s, now_ms)
+
+    # What endpoints and members say.
+
+    def answered(
+        self,
+        endpoint_id: str,
+        word: LimitWord,
+        sent_ms: float,
+        now_ms: float,
+        others: Collection[str],
+    ) -> None:
+        """Apply an answer's word; tell ``others`` what changed by it."""
+        before = len(self.book.events)
+        self.book.answered(endpoint_id, word, sent_ms, now_ms)
+        for event in self.book.events[before:]:
+            self._apply_end(event.kind, endpoint_id)
+            news = self.book.news(endpoint_id, now_ms)
+            for member in others:
+                self.send(member, news)
+
+    def received(self, sender: str, message: LimitMessage, now_ms: float) -> None:
+        """Handle a member's message; answers a question."""
+        before = len(self.book.events)
+        news = message if isinstance(message, LimitNews) else message.news
+        self.book.told(news, sender, now_ms)
+        for event in self.book.events[before:]:
+            self._apply_end(event.kind, news.endpoint_id)
+        match message:
+            case PermitQuestion():
+                self.holders.told_known(message.known, now_ms)
+                issue = self._issue(news.endpoint_id, sender, now_ms)
+                own_news = self.book.news(news.endpoint_id, now_ms)
+                self.send(sender, PermitAnswer(message.number, own_news, issue))
+            case PermitAnswer() if self.book.per_s(news.endpoint_id) is not None:
+                self.stock.answered(
+                    news.endpoint_id, message.number, message.issue, now_ms
+                )
+
+    def _apply_end(self, kind: LimitEventKind, endpoint_id: str) -> None:
+        if kind is LimitEventKind.ENDED:
+            self.stock.forget(endpoint_id)
+
+    def forget(self, endpoint_id: str) -> None:
+        """Forget an endpoint that is gone."""
+        self.book.forget_endpoint(endpoint_id)
+        self.stock.forget(endpoint_id)
+        self.issuer.forget(endpoint_id)
--- /dev/null
+++ b/src/coursekeel/limits/_stock.py
@@ -0,0 +1,101 @@
+"""Permits that this instance got and hasn't used, and what it has asked for.
+
+Rule: one question for an endpoint is open at a time. After a refusal the holder's wait
+passes before the next; a question without an answer counts as refused once a permit for
+it would have lapsed. A permit lapses a fixed time after the question was sent, which is
+before it was given, so that no clock but this instance's own counts.
+
+Owns the permits and the open questions. A core: the caller passes the time, in ms.
+"""
+
+from attrs import define, field
+
+from coursekeel.limits._issuer import Issue
+from coursekeel.limits._rate import PERMIT_VALID_S
+from coursekeel.units import MS_PER_SECOND
+
+__all__ = ["PermitStock"]
+
+_PERMIT_VALID_MS = PERMIT_VALID_S * MS_PER_SECOND
+
+
+@define
+class _Account:
+    """One endpoint's permits (when each lapses), open question and refusal."""
+
+    lapse_ms: list[float] = field(factory=list)
+    question: int | None = None
+    asked_ms: float = float("-inf")
+    not_before_ms: float = float("-inf")
+    turn_ms: float = float("-inf")
+
+
+@define(eq=False)
+class PermitStock:
+    """The permits at hand; ``used`` counts those that were taken."""
+
+    used: int = 0
+    _accounts: dict[str, _Account] = field(factory=dict)
+    _last_question: int = 0
+
+    def at_hand(self, endpoint_id: str, now_ms: float) -> bool:
+        """Whether there is a permit that hasn't lapsed."""
+        account = self._accounts.get(endpoint_id)
+        if account is None:
+            return False
+        account.lapse_ms = [each for each in account.lapse_ms if each > now_ms]
+        return bool(account.lapse_ms)
+
+    def take(self, endpoint_id: str, now_ms: float) -> float | None:
+        """Take a permit; returns when it lapses, None if there is none."""
+        if not self.at_hand(endpoint_id, now_ms):
+            return None
+        self.used += 1
+        return self._accounts[endpoint_id].lapse_ms.pop(0)
+
+    def may_ask(self, endpoint_id: str, now_ms: float) -> bool:
+        """Whether a question is due: none is open, and no refusal stands."""
+        account = self._account(endpoint_id)
+        if account.question is not None and now_ms - account.asked_ms >= (
+            _PERMIT_VALID_MS
+        ):
+            account.question = None
+            account.not_before_ms = account.turn_ms = now_ms + _PERMIT_VALID_MS
+        return account.question is None and not _is_refused(account, now_ms)
+
+    def asked(self, endpoint_id: str, now_ms: float) -> int:
+        """Open a question; returns its number."""
+        self._last_question += 1
+        account = self._account(endpoint_id)
+        account.question, account.asked_ms = self._last_question, now_ms
+        return self._last_question
+
+    def answered(
+        self, endpoint_id: str, number: int, issue: Issue, now_ms: float
+    ) -> None:
+        """Apply the holder's answer; one to another question is ignored."""
+        account = self._accounts.get(endpoint_id)
+        if account is None or account.question != number:
+            return
+        account.question = None
+        account.lapse_ms += [account.asked_ms + _PERMIT_VALID_MS] * min(issue.given, 1)
+        account.not_before_ms = now_ms + issue.wait_ms
+        account.turn_ms = now_ms + max(issue.wait_ms, issue.turn_ms)
+
+    def turn_ms(self, endpoint_id: str, now_ms: float) -> float:
+        """When a request may expect its turn; 0 while a question is open or due."""
+        account = self._accounts.get(endpoint_id)
+        if account is None or account.question is not None:
+            return 0.0
+        return account.turn_ms - now_ms if _is_refused(account, now_ms) else 0.0
+
+    def forget(self, endpoint_id: str) -> None:
+        """Forget an endpoint that names no limit any more, or is gone."""
+        self._accounts.pop(endpoint_id, None)
+
+    def _account(self, endpoint_id: str) -> _Account:
+        return self._accounts.setdefault(endpoint_id, _Account())
+
+
+def _is_refused(account: _Account, now_ms: float) -> bool:
+    return now_ms < account.not_before_ms
--- a/src/coursekeel/routing/_endpoint_selector.py
+++ b/src/coursekeel/routing/_endpoint_selector.py
@@ -13,6 +13,7 @@
 from coursekeel.routing._messages import PlacementRequest
 from coursekeel.routing._reading import PrefillSpeed
 from coursekeel.routing._score import affinity, choose, preferred
+from coursekeel.routing._send_gate import OpenGate, SendGate
 from coursekeel.routing._zones import FailingZones
 
 __all__ = ["EndpointSelector"]
@@ -23,12 +24,14 @@
     """A core: the caller passes the time, in ms.
 
     ``zone`` is this instance's own. ``may_take(endpoint_id, now_ms)`` returns whether
-    the endpoint may take new work.
+    the endpoint may take new work; ``gate`` whether one that limits its requests may
+    be sent another now.
     """
 
     zone: str
     random: Random
     may_take: Callable[[str, float], bool]
+    gate: SendGate = field(factory=OpenGate)
     _loads: dict[str, EndpointLoad] = field(factory=dict)
     _by_pool: dict[str, list[str]] = field(factory=dict)
     _failing_zones: dict[str, FailingZones] = field(factory=dict)
@@ -81,17 +84,60 @@
     def choose(
         self, request: PlacementRequest, now_ms: float, in_need: bool
     ) -> EndpointLoad | None:
-        """The best endpoint with room; None if there is none.
+        """The best endpoint with room and a permit, if it needs one; None without.
 
         ``in_need`` allows one that the request excludes if no other has room.
         """
         available = self._available(request.pool, now_ms)
-        free = [load for load in available if load.limit.free]
+        free = self._permitted([load for load in available if load.limit.free], now_ms)
         eligible = self._eligible(request, free, now_ms)
         if not eligible and in_need:
             eligible = free
+        eligible = self._due(eligible, now_ms) or eligible
         return choose(eligible, request, self.zone, self.random) if eligible else None
 
+    def _permitted(
+        self, loads: Iterable[EndpointLoad], now_ms: float
+    ) -> list[EndpointLoad]:
+        """Those that need no permit or have one; permits are asked for the others."""
+        limited = self.gate.limited
+        return [
+            load
+            for load in loads
+            if load.endpoint_id not in limited
+            or self.gate.has_permit(load.endpoint_id, now_ms)
+        ]
+
+    def _due(self, loads: list[EndpointLoad], now_ms: float) -> list[EndpointLoad]:
+        """Those with a permit whose limit may have ended unnoticed."""
+        limited = self.gate.limited
+        if not limited:
+            return []
+        return [
+            load
+            for load in loads
+            if load.endpoint_id in limited
+            and self.gate.is_due(load.endpoint_id, now_ms)
+        ]
+
+    def limited(self, pool: str) -> list[str]:
+        """The pool's endpoints that need a permit for each request."""
+        limited = self.gate.limited
+        return [name for name in self._by_pool.get(pool, []) if name in limited]
+
+    def permit_turn_ms(self, pool: str, now_ms: float) -> float:
+        """How long until a request may expect a permit; 0 if it may not need to wait.
+
+        That is so unless all available endpoints of the pool need one.
+        """
+        limited = self.gate.limited
+        if not limited:
+            return 0.0
+        names = [load.endpoint_id for load in self._available(pool, now_ms)]
+        if any(name not in limited for name in names):
+            return 0.0
+        return min((self.gate.turn_ms(name, now_ms) for name in names), default=0.0)
+
     def choose_to_query(
         self, request: PlacementRequest, now_ms: float, count: int
     ) -> list[str]:
@@ -100,7 +146,8 @@
         The prompt's preferred endpoint and some at random, the first of them in another
         zone if possible, since a copy of the run will be kept there.
         """
-        usable = self._eligible(request, self._available(request.pool, now_ms), now_ms)
+        permitted = self._permitted(self._available(request.pool, now_ms), now_ms)
+        usable = self._eligible(request, permitted, now_ms)
         if len(usable) <= count:
             return [load.endpoint_id for load in usable]
         kept = [
@@ -120,7 +167,8 @@
         self, request: PlacementRequest, now_ms: float, count: int
     ) -> list[str]:
         """Up to ``count`` endpoints to query whether they have the prompt cached."""
-        usable = self._eligible(request, self._available(request.pool, now_ms), now_ms)
+        unlimited = self._unlimited(self._available(request.pool, now_ms))
+        usable = self._eligible(request, unlimited, now_ms)
         ranked = sorted(
             usable, key=lambda load: -affinity(request.prompt_key, load.endpoint_id)
         )
@@ -133,11 +181,13 @@
 
         Rule: the best in another zone than the run's, since the endpoints of one zone
         fail together; one of the same zone if no other is eligible. Prompt affinity
-        doesn't count, since a copy needs no prefill.
+        doesn't count, since a copy needs no prefill. One that limits its requests may
+        not take the run over when it must, so it keeps a copy only if all do.
         """
         run_at = self._loads.get(endpoint_id)
-        available = self._available(request.pool, now_ms)
+        available = list(self._available(request.pool, now_ms))
         others = [load for load in available if load.endpoint_id != endpoint_id]
+        others = self._unlimited(others) or others
         usable = self._eligible(request, others, now_ms)
         far = [load for load in usable if run_at is None or load.zone != run_at.zone]
         candidates = far or usable
@@ -153,6 +203,10 @@
         names = self._by_pool.get(pool, [])
         return (self._loads[name] for name in names if self.may_take(name, now_ms))
 
+    def _unlimited(self, loads: Iterable[EndpointLoad]) -> list[EndpointLoad]:
+        limited = self.gate.limited
+        return [load for load in loads if load.endpoint_id not in limited]
+
     def _eligible(
         self, request: PlacementRequest, loads: Iterable[EndpointLoad], now_ms: float
     ) -> list[EndpointLoad]:
--- a/src/coursekeel/routing/_forecast.py
+++ b/src/coursekeel/routing/_forecast.py
@@ -17,7 +17,10 @@
 from coursekeel.routing._queue import FairQueue
 from coursekeel.routing._rate import QueueRate
 
-__all__ = ["AdmissionControl", "RefusalLimits"]
+__all__ = ["ENDPOINT_LIMIT_CODE", "AdmissionControl", "RefusalLimits"]
+
+# The code of a refusal because every endpoint of the pool limits its requests.
+ENDPOINT_LIMIT_CODE = "endpoint_limit"
 
 # Share of a request's remaining time that its wait may take. The rest is for sending
 # and answering it, and for the error of the prediction.
@@ -70,6 +73,21 @@
             refusals.append(self._refuse(request, "too_late", wait_ms))
         return refusals
 
+    def refuse_limited(
+        self, queue: FairQueue, turn_ms: float, now_ms: float
+    ) -> list[Refuse]:
+        """Refuse the requests whose deadline is before they may expect a permit."""
+        refusals = []
+        for request in queue.requests() if turn_ms > 0 else ():
+            if now_ms + turn_ms > request.deadline_ms:
+                queue.remove(request.number)
+                retry_after_ms = math.ceil(turn_ms * self._jitter_factor())
+                self.refused += 1
+                refusals.append(
+                    Refuse(request.number, ENDPOINT_LIMIT_CODE, retry_after_ms)
+                )
+        return refusals
+
     def record_grant(
         self, request: PlacementRequest, queue: FairQueue, now_ms: float
     ) -> None:
@@ -96,6 +114,9 @@
         return Refuse(request.number, code, self._retry_after_ms(wait_ms))
 
     def _retry_after_ms(self, wait_ms: float) -> int:
-        factor = 1 + _JITTER_SHARE * self.random.random()
         least_ms = max(wait_ms, self.limits.retry_after_least_ms)
-        return math.ceil(min(least_ms * factor, self.limits.retry_after_most_ms))
+        most_ms = self.limits.retry_after_most_ms
+        return math.ceil(min(least_ms * self._jitter_factor(), most_ms))
+
+    def _jitter_factor(self) -> float:
+        return 1 + _JITTER_SHARE * self.random.random()
--- a/src/coursekeel/routing/_messages.py
+++ b/src/coursekeel/routing/_messages.py
@@ -63,10 +63,15 @@
 
 @frozen
 class Grant:
-    """The request may be sent to this endpoint, where a place is reserved for it."""
+    """The request may be sent to this endpoint, where a place is reserved for it.
+
+    ``permit_lapses_ms`` is the time until which it may leave, if the endpoint limits
+    its requests.
+    """
 
     number: int
     endpoint_id: str
+    permit_lapses_ms: float | None = None
 
 
 @frozen
--- a/src/coursekeel/routing/_router.py
+++ b/src/coursekeel/routing/_router.py
@@ -143,7 +143,11 @@
             decisions += self._admission.refuse_expired(queue, now_ms)
         decisions += self._grant_continuing(now_ms)
         for key in sorted(self._queues):
-            decisions += self._grant_queue(self._queues[key], now_ms)
+            queue = self._queues[key]
+            decisions += self._grant_queue(queue, now_ms)
+            if queue.waiting:
+                turn_ms = self.endpoints.permit_turn_ms(key[2], now_ms)
+                decisions += self._admission.refuse_limited(queue, turn_ms, now_ms)
         self._queues = {key: q for key, q in self._queues.items() if q.waiting}
         return decisions
 
@@ -219,7 +223,7 @@
         if not self._budget(request.request_class).take(now_ms):
             return []
         del self._continuing[request.number]
-        return [self._grant(request, load)]
+        return [self._grant(request, load, now_ms)]
 
     # New requests: classes in order of rank, fair among the teams of a class.
 
@@ -231,12 +235,18 @@
                 break
             queue.pop(request)
             self._admission.record_grant(request, queue, now_ms)
-            decisions.append(self._grant(request, load))
+            decisions.append(self._grant(request, load, now_ms))
         return decisions
 
-    def _grant(self, request: PlacementRequest, load: EndpointLoad) -> Grant:
+    def _grant(
+        self, request: PlacementRequest, load: EndpointLoad, now_ms: float
+    ) -> Grant:
         load.sent(request.prompt_key, request.prompt_tokens)
-        return Grant(request.number, load.endpoint_id)
+        gate, endpoint_id = self.endpoints.gate, load.endpoint_id
+        permit_lapses_ms = (
+            gate.take(endpoint_id, now_ms) if endpoint_id in gate.limited else None
+        )
+        return Grant(request.number, endpoint_id, permit_lapses_ms)
 
     def _queue_of(self, request: PlacementRequest) -> FairQueue:
         key = (request.rank, request.request_class, request.pool)
--- a/tests/cover/test_golden_forms.py
+++ b/tests/cover/test_golden_forms.py
@@ -31,6 +31,14 @@
     intent_to_json,
     plan_key,
 )
+from coursekeel.limits import (
+    Issue,
+    LimitNews,
+    PermitAnswer,
+    PermitQuestion,
+    decode_limit_message,
+    encode_limit_message,
+)
 from coursekeel.membership import GroupLease, LeaseTerms
 from coursekeel.peers import peer_pb2 as pb
 from coursekeel.quarantine import (
@@ -162,6 +170,21 @@
     }
 
 
+def _limit_messages() -> dict[str, str]:
+    """What members send each other about limits that endpoints name."""
+    news = LimitNews("e1", 2.1, 12.5)
+    messages = {
+        "news": news,
+        "ended": LimitNews("e1", None, 0.0),
+        "question": PermitQuestion(7, news, 9),
+        "answer": PermitAnswer(7, news, Issue(0, 476.2, 952.4)),
+    }
+    return {
+        name: encode_limit_message("g", "h:1", message).decode()
+        for name, message in messages.items()
+    }
+
+
 def _settings() -> dict[str, Any]:
     forms_by_file = {
         file.name: attrs.asdict(parse_settings(read_json_with_comments(file), "f"))
@@ -189,6 +212,7 @@
             for name, value in _intents().items()
         },
         "leases": _leases(),
+        "limit messages": _limit_messages(),
         "messages": _messages(),
         "settings": _settings(),
         "suspects": _suspects(),
@@ -226,6 +250,12 @@
     assert encode_stored(kept).decode() == golden["suspects"]["row"]
 
 
+def test_limit_messages_are_read_back(golden):
+    for data in golden["limit messages"].values():
+        group, sender, message = decode_limit_message(data.encode())
+        assert encode_limit_message(group, sender, message).decode() == data
+
+
 if __name__ == "__main__":
     GOLDEN.parent.mkdir(exist_ok=True)
     GOLDEN.write_bytes(orjson.dumps(forms(), option=orjson.OPT_INDENT_2) + b"\n")
--- a/tests/cover/test_group_view.py
+++ b/tests/cover/test_group_view.py
@@ -37,6 +37,7 @@
         Quarantine(),
         Mock(),
         Mock(),
+        Mock(),
     )
     freshness.record_confirmation(TABLE.value, NOW_MS - 8_000)
     group.feeds[TABLE].failing = True
--- a/tests/cover/test_stream_placement.py
+++ b/tests/cover/test_stream_placement.py
@@ -32,6 +32,7 @@
 from coursekeel.gateway.streams._stream_task import StreamTask
 from coursekeel.gateway.streams._successors import SuccessorLookup
 from coursekeel.gateway.whole._whole_task import WholeAnswerTask
+from coursekeel.group import Swim
 from coursekeel.quarantine import Quarantine, SuspectRecord
 from coursekeel.routing import Router
 from coursekeel.runtime import RoutingTask
@@ -59,7 +60,7 @@
     sent: list[OutboundRequest] = field(factory=list)
     sinks: list[ExchangeSink] = field(factory=list)
 
-    def send(self, call, outbound, sink):
+    def send(self, call, outbound, sink, permit_lapses_ms=None):
         self.sent.append(outbound)
         self.sinks.append(sink)
         return Mock()
@@ -105,7 +106,15 @@
             self.reactor, self.clock, settings, self.directory, routing
         )
         link = OwnLink(self.reactor)
-        limits = LimitsTask(self.clock, Mock())
+        limits = LimitsTask(
+            self.reactor,
+            self.clock,
+            Mock(),
+            Swim("", "zone-0", "g", (), Random(1)),
+            self.directory,
+            routing,
+            Mock(),
+        )
         self.client = ScriptedClient(
             self.reactor, self.clock, settings, Mock(), link, limits
         )
--- a/tests/platform/test_server_limits.py
+++ b/tests/platform/test_server_limits.py
@@ -13,6 +13,8 @@
 
 # `contact-ms` of the sites: from then on the limit counts.
 CONTACT_S = 3.0
+# Requests of an instance count from this time after it passed on the limit.
+TOLD_S = 0.5
 WINDOW_S = 4.0
 LIMIT_PER_S = 2.1
 WHOLE, STREAM = "/again/limited", "/stream/2"
@@ -24,10 +26,14 @@
     return 1.5 * per_s * WINDOW_S + 5
 
 
-def most_arrivals(times_s: list[float], from_s: float) -> int:
-    """The most arrivals in any window that ends after ``from_s``."""
-    times = sorted(times_s)
-    ends = [end for end in times if end >= from_s]
+def most_arrivals(times_s: list[float], named_s: float) -> int:
+    """The most requests in any window that ends once the limit counts.
+
+    No instance can have passed on the limit `TOLD_S` before a request that arrived
+    earlier than that after the naming, so none of those counts.
+    """
+    times = sorted(each for each in times_s if each >= named_s + TOLD_S)
+    ends = [end for end in times if end >= named_s + CONTACT_S]
     return max(
         (sum(end - WINDOW_S < each <= end for each in times) for end in ends), default=0
     )
@@ -92,7 +98,7 @@
 ) -> Callers:
     """Send 30 requests a second while the servers ``naming`` name a limit.
 
-    ``then`` gets the time from which the limit counts.
+    ``then`` gets the time at which they began.
     """
     group.site.forget()
     callers = Callers(group, path, (1, 2, 3))
@@ -102,7 +108,7 @@
             group.site.faults(name, names_limit=LIMIT_PER_S)
         named_s = time.monotonic()
         time.sleep(CONTACT_S + 2 * WINDOW_S)
-        then(named_s + CONTACT_S)
+        then(named_s)
     group.site.forget()
     return callers
 
@@ -118,9 +124,9 @@
     naming = SERVERS[path][:limited]
     most: dict[str, int] = {}
 
-    def measure(from_s: float) -> None:
+    def measure(named_s: float) -> None:
         most.update(
-            {name: most_arrivals(arrivals(group, name), from_s) for name in naming}
+            {name: most_arrivals(arrivals(group, name), named_s) for name in naming}
         )
 
     play(group, path, naming, measure)
