Limits: the soak names them; tests of use, end and values that can't be read

Change: two kinds of faults of the soak, and a check by the users' rule over all arrivals of instances in touch; the stand-in records each arrival with its request. Platform tests: a pool whose servers all name a limit is used and refuses the rest with Retry-After; its servers are used again once they name none; values that can't be read change nothing.

--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -10,7 +10,7 @@
 from attrs import frozen
 
 from soak._callers import path_of
-from soak._records import CallKind, CallRecord, Evidence
+from soak._records import CallKind, CallRecord, Evidence, LimitNamed
 
 __all__ = ["CHECKS", "Bounds", "Violation", "check"]
 
@@ -21,6 +21,12 @@
 # After so many servers that it ended a request may reach servers a few times more.
 _CRASHES = 3
 _MORE_SENDS = 3
+# The users' rule on limits that servers name. An instance's requests count from a while
+# after it passed on the limit.
+_LIMIT_WINDOW_S = 4.0
+_LIMIT_FACTOR = 1.5
+_LIMIT_EXTRA = 5.0
+_TOLD_S = 0.5
 
 
 @frozen
@@ -202,6 +208,43 @@
     )
 
 
+def _limits_that_servers_name_are_kept(seen: Evidence, bounds: Bounds) -> Iterator[str]:
+    """By the users' rule: requests of gateways in touch, in any window that counts."""
+    gateways = {each.request_id: each.gateway for each in seen.calls}
+    for limit in seen.limits:
+        for server in limit.servers:
+            told_s = _told_s(seen, limit, server)
+            counted = [
+                each.at_s
+                for each in seen.arrivals
+                if each.server == server
+                and told_s <= each.at_s <= limit.ended_s
+                and _in_touch(
+                    seen, gateways.get(each.request_id, -1), each.at_s, bounds
+                )
+            ]
+            from_s = told_s - _TOLD_S + bounds.contact_s
+            allowed = _LIMIT_FACTOR * limit.per_s * _LIMIT_WINDOW_S + _LIMIT_EXTRA
+            for end_s in (each for each in counted if each >= from_s):
+                got = sum(end_s - _LIMIT_WINDOW_S < each <= end_s for each in counted)
+                if got > allowed:
+                    yield (
+                        f"{server}: got {got} requests in {_LIMIT_WINDOW_S} s, "
+                        f"expected at most {allowed:.0f} at {limit.per_s} a second"
+                    )
+                    break
+
+
+def _told_s(seen: Evidence, limit: LimitNamed, server: str) -> float:
+    """The earliest moment at which a request to a server may count."""
+    answered = [
+        each.at_s
+        for each in seen.arrivals
+        if each.server == server and each.at_s >= limit.begun_s
+    ]
+    return min(answered, default=limit.begun_s) + _TOLD_S
+
+
 def _nobody_innocent_is_barred(seen: Evidence, _: Bounds) -> Iterator[str]:
     for call in seen.calls:
         barred = call.status == _UNAVAILABLE and call.body == _BARRED
@@ -254,6 +297,7 @@
         _guilty_reach_few_more,
         _nobody_innocent_is_barred,
     ),
+    "a server that names a limit gets no more": (_limits_that_servers_name_are_kept,),
     "a server gets the request as it came": (_no_key_is_shown,),
     "back after all instances died": (_whole_again_in_time,),
     "memory, descriptors and logs are bounded": (_sizes_are_bounded,),
--- a/soak/_records.py
+++ b/soak/_records.py
@@ -12,6 +12,8 @@
     "Evidence",
     "GatewayFault",
     "KeyRevoked",
+    "LimitNamed",
+    "ServerArrival",
     "ServerLeft",
     "ServerRun",
     "StoreFault",
@@ -63,6 +65,28 @@
     key_shown: bool
 
 
+@frozen
+class ServerArrival:
+    """A request that reached a server, whether or not it ran there."""
+
+    server: str
+    request_id: str
+    at_s: float
+
+
+@frozen
+class LimitNamed:
+    """All answers of ``servers`` between two moments named this limit.
+
+    ``servers`` are the incarnations that one address had by then.
+    """
+
+    servers: frozenset[str]
+    per_s: float
+    begun_s: float
+    ended_s: float
+
+
 @frozen
 class Crash:
     """A server ended because it ran a request that does that."""
@@ -124,6 +148,8 @@
     left: list[ServerLeft] = field(factory=list)
     store_faults: list[StoreFault] = field(factory=list)
     crashes: list[Crash] = field(factory=list)
+    arrivals: list[ServerArrival] = field(factory=list)
+    limits: list[LimitNamed] = field(factory=list)
     gateway_faults: list[GatewayFault] = field(factory=list)
     link_faults: list[GatewayFault] = field(factory=list)
     whole_again_s: list[float | None] = field(factory=list)
--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -59,6 +59,8 @@
     ENGINES_CRASH = "engines_crash"
     STREAM_CRASHES_ENGINES = "stream_crashes_engines"
     CALL_CRASHES_SERVICES = "call_crashes_services"
+    ENGINE_LIMITS = "engine_limits"
+    SERVICE_LIMITS = "service_limits"
 
 
 _OF_GATEWAYS = frozenset(
@@ -77,8 +79,16 @@
     }
 )
 _OF_SERVICES = frozenset(
-    {FaultKind.SERVICE_FAILS, FaultKind.SERVICE_TEARS, FaultKind.SERVICE_RESETS}
+    {
+        FaultKind.SERVICE_FAILS,
+        FaultKind.SERVICE_TEARS,
+        FaultKind.SERVICE_RESETS,
+        FaultKind.SERVICE_LIMITS,
+    }
 )
+# A limit counts from some seconds after it was named.
+_LONG = frozenset({FaultKind.ENGINE_LIMITS, FaultKind.SERVICE_LIMITS})
+_LONG_FACTOR = 4
 
 
 @frozen
@@ -131,7 +141,8 @@
             kinds = list(FaultKind)
             random.shuffle(kinds)
         kind = kinds.pop()
-        for_s = min(random.choice(_LENGTHS_S), seconds - _LAST_S - at_s)
+        length_s = random.choice(_LENGTHS_S) * (_LONG_FACTOR if kind in _LONG else 1)
+        for_s = min(length_s, seconds - _LAST_S - at_s)
         target = _target(kind, random, gateways, engines, services)
         faults.append(Fault(kind, round(at_s, 2), round(for_s, 2), target))
         at_s += _EVERY_S * (0.5 + random.random())
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -19,6 +19,8 @@
     Evidence,
     GatewayFault,
     KeyRevoked,
+    LimitNamed,
+    ServerArrival,
     ServerLeft,
     ServerRun,
     StoreFault,
@@ -96,6 +98,9 @@
         FaultKind.GATEWAY_STOPPED,
     }
 )
+# Less than callers ask of a server.
+_LIMIT_PER_S = 0.5
+_LIMITS = frozenset({FaultKind.ENGINE_LIMITS, FaultKind.SERVICE_LIMITS})
 _SERVER_FAULTS = {
     FaultKind.ENGINE_DARK: {"dark": True},
     FaultKind.ENGINE_RESETS: {"reset": _MANY},
@@ -128,6 +133,7 @@
     _store_fault_s: float = 0.0
     _ending: set[int] = field(factory=set)
     _away_s: dict[int, float] = field(factory=dict)
+    _limited_s: dict[int, float] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         self.site = GatewaySite(self.folder)
@@ -213,7 +219,10 @@
             self._store_fault_s = time.monotonic()
             self.site.store(fault=_STORE_FAULTS[kind])
         elif kind in _SERVER_FAULTS:
-            self.site.faults(f"s{target}", **_ALWAYS, **_SERVER_FAULTS[kind])
+            self._set_faults(target, _SERVER_FAULTS[kind])
+        elif kind in _LIMITS:
+            self._limited_s.setdefault(target, time.monotonic())
+            self._set_faults(target, {})
         elif kind in _LINK_FAULTS:
             self._link_fault_s.setdefault(target, time.monotonic())
             self._links.ask("POST", f"/links/{target}", _LINK_FAULTS[kind])
@@ -267,7 +276,9 @@
             fault_s = StoreFault(self._store_fault_s, time.monotonic())
             self.evidence.store_faults.append(fault_s)
         elif kind in _SERVER_FAULTS:
-            self.site.faults(f"s{target}", **_ALWAYS)
+            self._set_faults(target, {})
+        elif kind in _LIMITS:
+            self._limit_ends(target)
         elif kind in _LINK_FAULTS:
             self._link_heals(target)
         elif kind in (FaultKind.GATEWAY_KILLED, FaultKind.GATEWAY_STOPPED):
@@ -282,6 +293,22 @@
             # What said that it leaves doesn't come back; another takes its place.
             self._engine_replaced(target)
 
+    def _set_faults(self, number: int, faults: dict) -> None:
+        """Replace a server's faults; it goes on naming its limit."""
+        named = {"names_limit": _LIMIT_PER_S} if number in self._limited_s else {}
+        self.site.faults(f"s{number}", **_ALWAYS, **named, **faults)
+
+    def _limit_ends(self, number: int) -> None:
+        begun_s = self._limited_s.pop(number, None)
+        if begun_s is None:
+            return
+        arrived = self.site.control.get("/servers")[f"s{number}"]["arrived"]
+        names = frozenset(each["by"] for each in arrived if each["at_s"] >= begun_s)
+        ended_s = time.monotonic()
+        limit = LimitNamed(names, _LIMIT_PER_S, begun_s, ended_s)
+        self.evidence.limits.append(limit)
+        self._set_faults(number, {})
+
     def _link_heals(self, number: int) -> None:
         """All that was done to a link ends with the first that does."""
         self._links.ask("POST", f"/links/{number}", _SOUND_LINK)
@@ -398,6 +425,10 @@
         for state in self.site.control.get("/servers").values():
             for run in state["ran"]:
                 self._ran(run)
+            self.evidence.arrivals += [
+                ServerArrival(each["by"], each["request_id"], each["at_s"])
+                for each in state["arrived"]
+            ]
             for each in state["crashed"]:
                 crash = Crash(state["identity"], each["path"], each["at_s"])
                 self.evidence.crashes.append(crash)
--- a/tests/cover/test_soak.py
+++ b/tests/cover/test_soak.py
@@ -12,6 +12,8 @@
     Evidence,
     GatewayFault,
     KeyRevoked,
+    LimitNamed,
+    ServerArrival,
     ServerLeft,
     ServerRun,
     StoreFault,
@@ -87,6 +89,15 @@
         seen.runs.append(ServerRun("s4", f"g{number}", 7.1 + number / 10, False))
 
 
+def pass_a_limit(seen: Evidence) -> None:
+    """Nine requests in 4 s, where a limit of 0.5 a second allows eight."""
+    seen.limits.append(LimitNamed(frozenset({"s1"}), 0.5, 10.0, 20.0))
+    seen.arrivals += [
+        ServerArrival("s1", "r2", at_s)
+        for at_s in (10.0, *(12 + n / 5 for n in range(9)))
+    ]
+
+
 def bar_an_innocent(seen: Evidence) -> None:
     call = seen.calls[0]
     seen.runs.clear()
@@ -121,6 +132,7 @@
     send_on_what_ends_servers: (
         "a request that ends its servers reaches few more, and no other is barred"
     ),
+    pass_a_limit: "a server that names a limit gets no more",
     bar_an_innocent: (
         "a request that ends its servers reaches few more, and no other is barred"
     ),
@@ -177,6 +189,17 @@
     assert check(seen, BOUNDS) == []
 
 
+@pytest.mark.parametrize(("begun_s", "found"), [(0.0, 1), (9.9, 1), (10.1, 0)])
+def test_requests_count_against_a_limit_once_it_has_been_named_for_a_while(
+    begun_s, found
+):
+    """The first answer that names it is that at 10 s, or the next at 12 s."""
+    seen = sound()
+    pass_a_limit(seen)
+    seen.limits = [LimitNamed(frozenset({"s1"}), 0.5, begun_s, 20.0)]
+    assert len(check(seen, BOUNDS)) == found
+
+
 @pytest.mark.parametrize("spoil", BREAKS, ids=lambda each: each.__name__)
 def test_each_break_is_found_and_named(spoil):
     seen = sound()
--- a/tests/nocover/test_soak.py
+++ b/tests/nocover/test_soak.py
@@ -56,6 +56,33 @@
 )
 
 
+# A service and an engine that name limits while instances are killed, paused and
+# suspended, and another service ends its limit and names it again.
+LIMITS = Schedule(
+    24.0,
+    3,
+    4,
+    (
+        Fault(FaultKind.SERVICE_LIMITS, 2.0, 14.0, 3),
+        Fault(FaultKind.ENGINE_LIMITS, 2.1, 14.0, 0),
+        Fault(FaultKind.SERVICE_LIMITS, 2.2, 5.0, 4),
+        Fault(FaultKind.GATEWAY_KILLED, 4.0, 1.0, 0),
+        Fault(FaultKind.GATEWAY_PAUSED, 7.0, 2.5, 1),
+        Fault(FaultKind.SERVICE_LIMITS, 8.0, 7.0, 4),
+        Fault(FaultKind.GATEWAY_SUSPENDED, 10.0, 2.0, 2),
+        Fault(FaultKind.GATEWAY_KILLED, 11.0, 0.3, 1),
+    ),
+)
+
+
+def test_a_limit_is_kept_while_instances_come_and_go():
+    played = play(LIMITS)
+    assert played.violations == []
+    assert len(played.evidence.limits) == 4
+    served = [each for each in played.evidence.calls if each.status == 200]
+    assert len(served) > 100
+
+
 def test_keys_end_in_time_though_links_machines_and_the_store_fail():
     played = play(ENDING_KEYS)
     assert played.violations == []
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -267,7 +267,7 @@
         self.faults: dict[str, Any] = {}
         self.ran: list[dict[str, Any]] = []
         self.crashed: list[dict[str, Any]] = []
-        self.arrived_s: list[float] = []
+        self.arrived: list[dict[str, Any]] = []
         self.copies: set[str] = set()
         self.open: dict[str, Any] = {}
         self.worker_crashes = 0
@@ -368,7 +368,13 @@
         if request.getHeader("expect-instance") != self.name:
             request.setResponseCode(421)
             return b""
-        self.arrived_s.append(time.monotonic())
+        self.arrived.append(
+            {
+                "request_id": request.getHeader("request-id"),
+                "by": self.name,
+                "at_s": time.monotonic(),
+            }
+        )
         for limit in self.limits_to_name():
             request.responseHeaders.addRawHeader(b"server-limit", limit)
         if self._use_fault("shed"):
@@ -580,7 +586,7 @@
             name: {
                 "identity": server.name,
                 "ran": server.ran,
-                "arrived_s": server.arrived_s,
+                "arrived": server.arrived,
                 "crashed": server.crashed,
                 "open": list(server.open),
                 "crashes": server.incarnation - (server.listener is not None),
@@ -594,7 +600,7 @@
     def forget(request: Any) -> bytes:
         for server in servers.values():
             server.ran.clear()
-            server.arrived_s.clear()
+            server.arrived.clear()
             server.faults.clear()
         return b"{}"
 
--- a/tests/platform/test_server_limits.py
+++ b/tests/platform/test_server_limits.py
@@ -94,14 +94,18 @@
 
 
 def play(
-    group: GroupSite, path: str, naming: tuple[str, ...], then: Callable[[float], None]
+    group: GroupSite,
+    path: str,
+    naming: tuple[str, ...],
+    then: Callable[[float], None],
+    callers: Callers | None = None,
 ) -> Callers:
     """Send 30 requests a second while the servers ``naming`` name a limit.
 
     ``then`` gets the time at which they began.
     """
     group.site.forget()
-    callers = Callers(group, path, (1, 2, 3))
+    callers = callers or Callers(group, path, (1, 2, 3))
     with callers.sending(per_s=30.0):
         time.sleep(1.0)
         for name in naming:
@@ -114,7 +118,8 @@
 
 
 def arrivals(group: GroupSite, name: str) -> list[float]:
-    return list(group.site.control.get("/servers")[name]["arrived_s"])
+    state = group.site.control.get("/servers")[name]
+    return [each["at_s"] for each in state["arrived"]]
 
 
 @pytest.mark.parametrize("path", [WHOLE, STREAM])
@@ -131,3 +136,56 @@
 
     play(group, path, naming, measure)
     assert max(most.values()) <= allowed_arrivals(LIMIT_PER_S), most
+
+
+@pytest.mark.parametrize("path", [WHOLE, STREAM])
+def test_a_limited_pool_is_used_and_what_it_cannot_take_is_told_when_to_return(
+    group, path
+):
+    """All servers of the pool name it, and callers ask for five times as much."""
+    used: dict[str, float] = {}
+
+    def measure(named_s: float) -> None:
+        from_s = named_s + CONTACT_S
+        for name in SERVERS[path]:
+            count_s = sum(each >= from_s for each in arrivals(group, name))
+            used[name] = count_s / (2 * WINDOW_S)
+
+    callers = play(group, path, SERVERS[path], measure)
+    assert min(used.values()) > LIMIT_PER_S / 2, used
+    assert set(callers.statuses) == {200, 503}
+    assert all(retry_after_s > 0 for _, retry_after_s in callers.refusals)
+
+
+def test_servers_are_used_again_once_they_name_no_limit(group):
+    served_later: list[int] = []
+
+    def end_limits(_: float) -> None:
+        for name in SERVERS[WHOLE]:
+            group.site.faults(name)
+        time.sleep(3.0)
+        served_before = len(callers.statuses)
+        time.sleep(2.0)
+        served_later.extend(callers.statuses[served_before:])
+
+    callers = Callers(group, WHOLE, (1, 2, 3))
+    play(group, WHOLE, SERVERS[WHOLE], end_limits, callers)
+    assert len(served_later) > 30
+    assert set(served_later) == {200}
+
+
+@pytest.mark.parametrize(
+    "values", [["abc"], ["-1"], ["0"], ["1e999"], ["2.1", "2.1"], ["9" * 4_000]]
+)
+def test_a_limit_that_cannot_be_read_changes_nothing_and_is_logged(group, values):
+    group.site.forget()
+    for name in SERVERS[WHOLE]:
+        group.site.faults(name, names_limit=values)
+    before = group.metric(1, "coursekeel_limits_unreadable")
+    limited = group.metric(1, "coursekeel_limited_endpoints")
+    assert [group.ask(1, WHOLE) for _ in range(20)] == [200] * 20
+    group.site.forget()
+    assert group.metric(1, "coursekeel_limits_unreadable") == before + 20
+    assert group.metric(1, "coursekeel_limited_endpoints") == limited
+    lines = [x for x in group.site.log("m1").splitlines() if "limit_unreadable" in x]
+    assert lines and max(map(len, lines)) < 500
