A holder keeps the distance of permits for an endpoint that it doesn't list

What an endpoint would have seen: more requests than it named, if the list of its holder lacked it. Found by reading the change, not seen in a run of processes.

Cause: an instance forgets the limits of endpoints that its list lacks, several times a second, and forgot the time of its last permit with them. Each question of a member taught it the limit anew, and the next permit was due at once.

Change: the time of the last permit is kept until the next would be due at any rate.

Measured: test_a_holder_whose_list_lacks_the_endpoint_keeps_the_limit: 27 requests of 17.6 allowed before, passes now, with the other tests of restarts and pauses.

--- a/src/coursekeel/gateway/limits/_limits_task.py
+++ b/src/coursekeel/gateway/limits/_limits_task.py
@@ -81,7 +81,7 @@
             self.limits.holders.observe(swim.alive(), present, left, now_ms)
         else:
             self.limits.holders.observe([_NO_PEER_ADDRESS], [], [], now_ms)
-        self.limits.book.forget_ends(now_ms)
+        self.limits.forget_old(now_ms)
         for endpoint_id in list(self.limits.limited):
             if self.directory.record(endpoint_id) is None:
                 self.limits.forget(endpoint_id)
--- a/src/coursekeel/limits/_issuer.py
+++ b/src/coursekeel/limits/_issuer.py
@@ -10,6 +10,7 @@
 
 from attrs import define, field, frozen
 
+from coursekeel.limits._rate import TRIAL_PER_S
 from coursekeel.units import MS_PER_SECOND
 
 __all__ = ["Issue", "PermitIssuer"]
@@ -20,6 +21,7 @@
 _ASKERS_PER_PERMIT = 8
 _MAX_WAIT_MS = 5_000.0
 _MAX_TURN_MS = 10_000.0
+_MAX_INTERVAL_MS = MS_PER_SECOND / TRIAL_PER_S
 
 
 @frozen
@@ -72,7 +74,13 @@
                 del refused[name]
         return len(refused)
 
-    def forget(self, endpoint_id: str) -> None:
-        """Forget an endpoint that names no limit any more, or is gone."""
-        self._last_ms.pop(endpoint_id, None)
-        self._refused.pop(endpoint_id, None)
+    def forget_old(self, now_ms: float) -> None:
+        """Forget endpoints whose next permit would be due at any rate.
+
+        Not when a limit ends or an endpoint is gone: this instance may be the last to
+        know it, or the first, and the next permit must keep its distance.
+        """
+        for endpoint_id, last_ms in list(self._last_ms.items()):
+            if now_ms - last_ms >= _MAX_INTERVAL_MS:
+                del self._last_ms[endpoint_id]
+                self._refused.pop(endpoint_id, None)
--- a/src/coursekeel/limits/_send_limits.py
+++ b/src/coursekeel/limits/_send_limits.py
@@ -146,4 +146,8 @@
         """Forget an endpoint that is gone."""
         self.book.forget_endpoint(endpoint_id)
         self.stock.forget(endpoint_id)
-        self.issuer.forget(endpoint_id)
+
+    def forget_old(self, now_ms: float) -> None:
+        """Forget what no longer bears on any decision."""
+        self.book.forget_ends(now_ms)
+        self.issuer.forget_old(now_ms)
--- a/tests/cover/test_limit_sum.py
+++ b/tests/cover/test_limit_sum.py
@@ -164,6 +164,19 @@
     assert not holders.may_give(ENDPOINT, woken_ms)
 
 
+def test_a_holder_whose_list_lacks_the_endpoint_keeps_the_limit():
+    """It learns of the limit with each question, and forgets it again and again."""
+    members = by_rank(group_of(9))
+    world = LimitWorld(2.1, members, lambda member, now_ms: members, seed=1)
+    world.run(SETTLED_MS)
+    for _ in range(60):
+        holder = world.nodes[members[0]]
+        holder.forget(ENDPOINT)
+        holder.forget_old(world.now_ms)
+        world.run(160)
+    assert_kept(world)
+
+
 @pytest.mark.parametrize("size", SIZES)
 def test_equal_parts_for_each_instance_would_break_the_limit(size):
     """What permits are for: one free request an instance at once is already too much.
