--- a/src/coursekeel/limits/_stock.py
+++ b/src/coursekeel/limits/_stock.py
@@ -56,9 +56,8 @@
     def may_ask(self, endpoint_id: str, now_ms: float) -> bool:
         """Whether a question is due: none is open, and no refusal stands."""
         account = self._account(endpoint_id)
-        if account.question is not None and now_ms - account.asked_ms >= (
-            _PERMIT_VALID_MS
-        ):
+        is_overdue = now_ms - account.asked_ms >= _PERMIT_VALID_MS
+        if account.question is not None and is_overdue:
             account.question = None
             account.not_before_ms = account.turn_ms = now_ms + _PERMIT_VALID_MS
         return account.question is None and not _is_refused(account, now_ms)
@@ -78,7 +77,8 @@
         if account is None or account.question != number:
             return
         account.question = None
-        account.lapse_ms += [account.asked_ms + _PERMIT_VALID_MS] * min(issue.given, 1)
+        if issue.given:
+            account.lapse_ms.append(account.asked_ms + _PERMIT_VALID_MS)
         account.not_before_ms = now_ms + issue.wait_ms
         account.turn_ms = now_ms + max(issue.wait_ms, issue.turn_ms)
 
