Soak: a gateway that is suspended late is not woken too early

It was told to suspend itself (SIGUSR1) and woken 0.3 s later; on a machine without time to spare it stopped only after that, and for good. Shown by a run: a gateway that gets SIGUSR1 and SIGCONT at once is in state T two seconds later.

Change: the end of a suspension, or of a pause, waits for the process to have stopped, 2 s at most. The checks and bounds are as they were.

--- a/soak/_world.py
+++ b/soak/_world.py
@@ -65,6 +65,8 @@
 _BEATS_PER_S = 20.0
 # Between two signals to a process that should end.
 _WAKE_EVERY_S = 0.2
+# How long a process that was told to stop itself may take to do so.
+_STOP_S = 2.0
 # How long a server is away after its process ended.
 _DOWN_S = 1.0
 _ALWAYS = {"crashed_by": GUILTY, "down_s": _DOWN_S}
@@ -285,6 +287,7 @@
             self._start_again(target)
             self._back(target)
         elif kind in (FaultKind.GATEWAY_PAUSED, FaultKind.GATEWAY_SUSPENDED):
+            self._await_stopped(target)
             self._send(target, signal.SIGCONT)
             self._back(target)
         elif kind is FaultKind.STORE_RESTORED:
@@ -329,6 +332,19 @@
         if process.poll() is None:
             process.send_signal(what)
 
+    def _await_stopped(self, number: int) -> None:
+        """Wait until it has stopped: a suspended one does so itself, maybe late.
+
+        Woken before that, it would stop for good.
+        """
+        process = self._processes[number]
+        give_up_s = time.monotonic() + _STOP_S
+        while time.monotonic() < give_up_s and process.poll() is None:
+            stat = Path(f"/proc/{process.pid}/stat").read_text()
+            if stat.rpartition(")")[2].split()[0] == "T":
+                return
+            time.sleep(0.01)
+
     def _end_process(self, number: int, how: signal.Signals) -> None:
         self._ending.add(self._processes[number].pid)
         self._send(number, how)
