The members to tell of a limit are listed only when there is news

Cause: every answer of an endpoint listed the members of the group, 380 at size, though only a limit that is named, changed or ended is told to them.

Change: the list is made where it is used.

--- a/src/coursekeel/gateway/limits/_limits_task.py
+++ b/src/coursekeel/gateway/limits/_limits_task.py
@@ -145,9 +145,8 @@
             self._apply(endpoint_id, word, sent_ms)
 
     def _apply(self, endpoint_id: str, word: LimitWord, sent_ms: float) -> None:
-        others = self.swim.serving() if self.swim.own else []
         now_ms = self.clock.now_ms()
-        self.limits.answered(endpoint_id, word, sent_ms, now_ms, others)
+        self.limits.answered(endpoint_id, word, sent_ms, now_ms, self.swim.serving)
         if isinstance(word, UnreadableLimit):
             self._log_unreadable(endpoint_id, word)
         self._log_events()
--- a/src/coursekeel/limits/_send_limits.py
+++ b/src/coursekeel/limits/_send_limits.py
@@ -109,15 +109,15 @@
         word: LimitWord,
         sent_ms: float,
         now_ms: float,
-        others: Collection[str],
+        others: Callable[[], Collection[str]],
     ) -> None:
-        """Apply an answer's word; tell ``others`` what changed by it."""
+        """Apply an answer's word; tell the members ``others()`` what changed by it."""
         before = len(self.book.events)
         self.book.answered(endpoint_id, word, sent_ms, now_ms)
         for event in self.book.events[before:]:
             self._apply_end(event.kind, endpoint_id)
             news = self.book.news(endpoint_id, now_ms)
-            for member in others:
+            for member in others():
                 self.send(member, news)
 
     def received(self, sender: str, message: LimitMessage, now_ms: float) -> None:
--- a/tests/common/limit_world.py
+++ b/tests/common/limit_world.py
@@ -89,7 +89,7 @@
     def _hear(self, node: SendLimits) -> None:
         """The endpoint names its limit in every answer; its news aren't tested here."""
         word = NamedLimit(self.per_s)
-        node.answered(ENDPOINT, word, self.now_ms, self.now_ms, ())
+        node.answered(ENDPOINT, word, self.now_ms, self.now_ms, tuple)
 
     def _use(self, member: str, node: SendLimits) -> None:
         lapses_ms = node.take(ENDPOINT, self.now_ms)
