--- a/review/3/case.py
+++ b/review/3/case.py
@@ -18,7 +18,7 @@
 TIMEOUT_S = 6.0
 # The rule: no final answer this long after the timeout.
 LATE_S = 0.5
-STREAMS = 36
+STREAMS = 96
 # Of the zone's servers, all fall silent, as in the sites' own days.
 DARK_ZONE = "zone-b"
 DARK_AFTER_S = 1.0
