--- a/review/common/gateways.py
+++ b/review/common/gateways.py
@@ -69,19 +69,27 @@
     def start(self) -> None:
         """Start all processes."""
         for number in range(len(self.zones)):
-            file = self.folder / f"{number}.json"
-            file.write_text(json.dumps(self.settings(number)))
-            log = (self.folder / f"{number}.log").open("wb")
-            self.processes.append(
-                subprocess.Popen(
-                    [sys.executable, "platform/serve.py"],
-                    cwd=ROOT,
-                    stdout=log,
-                    stderr=subprocess.STDOUT,
-                    env=self._environment(file),
-                )
+            self.processes.append(self._process(number))
+
+    def _process(self, number: int) -> "subprocess.Popen[bytes]":
+        file = self.folder / f"{number}.json"
+        file.write_text(json.dumps(self.settings(number)))
+        with (self.folder / f"{number}.log").open("ab") as log:
+            return subprocess.Popen(
+                [sys.executable, "platform/serve.py"],
+                cwd=ROOT,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+                env=self._environment(file),
             )
-            log.close()
+
+    async def roll(self, number: int) -> None:
+        """Stop a gateway with SIGTERM, start it again, and wait until it is ready."""
+        self.terminate(number)
+        while self.processes[number].poll() is None:
+            await asyncio.sleep(0.05)
+        self.processes[number] = self._process(number)
+        await self.wait_until_ready()
 
     def _environment(self, settings: Path) -> dict[str, str]:
         kept = {name: os.environ[name] for name in ("PATH", "HOME", "LANG")}
--- a/review/common/servers.py
+++ b/review/common/servers.py
@@ -65,6 +65,7 @@
         self.dark = False
         self.full = False
         self.late_s = 0.0
+        self.held_up_until_s = 0.0
         self.breaks: Callable[[Run, int], bool] = lambda run, number: False
         self.copies: set[str] = set()
         self._listener: asyncio.Server | None = None
@@ -251,6 +252,7 @@
                 connection.reset()
                 return
             number += 1
+            await self._while_held_up()
             await self._while_dark()
             self._send_event(connection, request, run, number)
             await asyncio.sleep(self.site.gap_s)
@@ -258,6 +260,16 @@
         connection.write(b"0\r\n\r\n")
         run.ended = "whole"
 
+    async def _while_held_up(self) -> None:
+        """Wait while the prompt of another request is read here."""
+        while (left_s := self.held_up_until_s - time.monotonic()) > 0:
+            await asyncio.sleep(left_s)
+
+    def read_long_prompt(self, for_s: float) -> None:
+        """Hold up all runs here for the time that another's prompt takes."""
+        self.site.record.add("long_prompt", server=self.name, for_s=for_s)
+        self.held_up_until_s = time.monotonic() + for_s
+
     async def _while_dark(self) -> None:
         """Say nothing more while the server is dark: it is not back in any case."""
         if self.dark:
