--- a/review/2/case.py
+++ b/review/2/case.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from review.common.servers import Server
-from review.common.world import (
+from review.servers import Server
+from review.world import (
     BROKEN,
     HELD,
     NOT_RUN,
--- a/review/common/clients.py
+++ b/review/clients.py
@@ -7,7 +7,7 @@
 import itertools
 from dataclasses import dataclass, field
 
-from review.common.record import Record
+from review.record import Record
 
 HOST = "review.example"
 _NUMBERS = itertools.count(1)
--- a/review/common/gateways.py
+++ b/review/gateways.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 from typing import Any
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 _DEPS = ROOT / "target" / "deps"
 _READY_S = 20.0
 
--- a/review/common/servers.py
+++ b/review/servers.py
@@ -7,8 +7,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from review.common.http import Connection, Request, answer, listen
-from review.common.record import Record
+from review.http import Connection, Request, answer, listen
+from review.record import Record
 
 
 @dataclass
--- a/review/common/store.py
+++ b/review/store.py
@@ -7,7 +7,7 @@
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
-from review.common.http import Connection, Request, answer, listen
+from review.http import Connection, Request, answer, listen
 
 _JSON = {"Content-Type": "application/json"}
 
--- a/review/common/world.py
+++ b/review/world.py
@@ -10,12 +10,12 @@
 from pathlib import Path
 from typing import Any
 
-from review.common.clients import HOST, Client
-from review.common.gateways import Gateways, free_port
-from review.common.http import faults
-from review.common.record import Record
-from review.common.servers import Server, Site
-from review.common.store import Store
+from review.clients import HOST, Client
+from review.gateways import Gateways, free_port
+from review.http import faults
+from review.record import Record
+from review.servers import Server, Site
+from review.store import Store
 
 ZONES = ["zone-a", "zone-b", "zone-c"]
 KEY = "xd9dnn2ctnfzs989anu6"
