--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -121,6 +121,7 @@
         retries: dict[str, float] | None = None,
         program: tuple[str, ...] = ("platform/serve.py",),
         store_link: str = "",
+        cut_file: str = "",
         **timers: float,
     ) -> list[int]:
         settings = {
@@ -149,6 +150,7 @@
             name,
             COURSEKEEL_SETTINGS=str(settings_file),
             COURSEKEEL_STORE_LINK=store_link,
+            COURSEKEEL_CUT_FILE=cut_file,
         )
         if wait:
             wait_until(lambda: self.ready(ports), "the gateway is ready")
