An instance knows and logs which pools it doesn't reach

Change: PoolReach, a core: connections to three endpoints of a pool failed and none was made in between. Log events pool_unreached and pool_reached, two gauges. Meanwhile two endpoints are probed every 0.3 s, and the ejections end with the first connection.

No way round such a partition yet: the tests of cut instances still fail.

--- a/src/coursekeel/forwarding/_directory.py
+++ b/src/coursekeel/forwarding/_directory.py
@@ -174,6 +174,14 @@
             pools.setdefault(record.pool, []).append(record.endpoint_id)
         return pools
 
+    def in_pool(self, pool: str) -> list[EndpointRecord]:
+        """The records of a pool's endpoints that aren't leaving."""
+        return [
+            record
+            for record in self._records.values()
+            if record.pool == pool and not record.leaving
+        ]
+
     def zones(self) -> dict[str, str]:
         """The availability zone of each endpoint."""
         return {name: record.zone for name, record in self._records.items()}
@@ -194,6 +202,13 @@
         health.ejected_until_ms = now_ms + ejection_ms
         return ejection_ms
 
+    def end_ejections(self, pool: str) -> None:
+        """Use a pool's ejected endpoints again: not they had failed, but the links."""
+        for record in self.in_pool(pool):
+            health = self._health.get(record.endpoint_id)
+            if health is not None and not health.replaced:
+                del self._health[record.endpoint_id]
+
     def mark_replaced(self, endpoint_id: str) -> None:
         """Mark an incarnation as replaced: another one responded at its address."""
         self._health.setdefault(endpoint_id, _Health()).replaced = True
--- a/src/coursekeel/gateway/_gateway.py
+++ b/src/coursekeel/gateway/_gateway.py
@@ -42,6 +42,7 @@
 from coursekeel.gateway.endpoints._load_reports import LoadReports
 from coursekeel.gateway.limits._limits_task import LimitsTask
 from coursekeel.gateway.members._group import Group
+from coursekeel.gateway.relay._reach_task import ReachTask
 from coursekeel.gateway.rollouts._rollout_task import CanaryTask, report_period_ms
 from coursekeel.gateway.rollouts._version_choice import VersionChoice
 from coursekeel.gateway.site._follow_task import FollowedTable, TableWatchTask
@@ -108,6 +109,7 @@
     _start_hold: StartHold = field(factory=StartHold)
     _rollouts: CanaryTask = field(init=False)
     _limits: LimitsTask = field(init=False)
+    _reach: ReachTask = field(init=False)
     _metrics: GatewayMetrics = field(init=False)
     _dispatcher: Dispatcher = field(init=False)
     _follow_tasks: list[TableWatchTask] = field(init=False)
@@ -185,6 +187,15 @@
             self._group.send,
         )
         self._router.endpoints.gate = self._limits.limits
+        self._reach = ReachTask(
+            self.reactor,
+            self.clock,
+            random,
+            self._live_settings,
+            directory,
+            routing,
+            self.link,
+        )
         client = EndpointClient(
             self.reactor,
             self.clock,
@@ -192,6 +203,7 @@
             self.endpoints,
             self.link,
             self._limits,
+            self._reach,
         )
         health = EndpointHealth(self.clock, self._site, self._router, self._metrics)
         gate = QuarantineGate(
@@ -252,6 +264,7 @@
             self._dispatcher,
             self._follow_tasks[0],
             self._limits,
+            self._reach,
         )
 
     def _followed_tables(self) -> tuple[FollowedTable, ...]:
@@ -323,6 +336,7 @@
         self._group.start()
         self._suspect_keeper.start()
         self._limits.start()
+        self._reach.start()
         for task in self._follow_tasks:
             task.start()
         log_event("gateway_started", callers=listen.callers, zone=self.settings.zone)
@@ -375,6 +389,7 @@
         self._suspect_keeper.stop()
         self._rollouts.stop()
         self._limits.stop()
+        self._reach.stop()
         for task in self._follow_tasks:
             task.stop()
         log_event("gateway_stopped", open_requests=dispatcher.open_requests)
--- a/src/coursekeel/gateway/_gauges.py
+++ b/src/coursekeel/gateway/_gauges.py
@@ -5,6 +5,7 @@
 from coursekeel.gateway.admission._start_hold import StartHold
 from coursekeel.gateway.limits._limits_task import LimitsTask
 from coursekeel.gateway.members._group import Group
+from coursekeel.gateway.relay._reach_task import ReachTask
 from coursekeel.gateway.site._follow_task import TableWatchTask
 from coursekeel.gateway.site._site_state import SiteState
 from coursekeel.routing import Router
@@ -22,6 +23,7 @@
     dispatcher: Dispatcher,
     configuration_task: TableWatchTask,
     limits: LimitsTask,
+    reach: ReachTask,
 ) -> None:
     """Add the gauges; ``configuration_task`` follows the configuration."""
     gauge = metrics.gauge
@@ -85,6 +87,16 @@
         "Requests at work",
         lambda: dispatcher.open_requests,
     )
+    gauge(
+        "coursekeel_unreached_pools",
+        "Pools whose endpoints this instance can't connect to",
+        lambda: len(reach.reach.unreached),
+    )
+    gauge(
+        "coursekeel_times_unreached",
+        "Times so far that a pool became unreached",
+        lambda: reach.times_unreached,
+    )
     core = limits.limits
     gauge(
         "coursekeel_limited_endpoints",
--- a/src/coursekeel/gateway/endpoints/_endpoint_client.py
+++ b/src/coursekeel/gateway/endpoints/_endpoint_client.py
@@ -28,6 +28,7 @@
 from coursekeel.gateway._request import AdmittedRequest
 from coursekeel.gateway.limits._limit_listener import LimitListener
 from coursekeel.gateway.limits._limits_task import LimitsTask
+from coursekeel.gateway.relay._reach_task import ReachListener, ReachTask
 from coursekeel.reactor import Reactor
 from coursekeel.runtime import Clock
 
@@ -44,7 +45,7 @@
     """Opens exchanges with endpoints, with the headers and paths of ``dialect``.
 
     While ``link`` is full, the connect timeout is longer. ``limits`` gets the head of
-    each answer.
+    each answer, ``reach`` whether each connection was made.
     """
 
     reactor: Reactor
@@ -53,6 +54,7 @@
     dialect: EndpointDialect
     link: OwnLink
     limits: LimitsTask
+    reach: ReachTask
 
     def send(
         self,
@@ -93,7 +95,8 @@
             return False
 
         listener = LimitListener(sink, self.clock, head_arrived, permitted)
-        return self._open(request, listener, self.settings.timers.connect_ms)
+        connect_ms = self.settings.timers.connect_ms
+        return self._open(request, listener, connect_ms, outbound.endpoint)
 
     def send_probe(
         self,
@@ -112,13 +115,18 @@
             self.limits.probe_answered(endpoint.endpoint_id, head, sent_ms)
 
         listener = LimitListener(sink, self.clock, head_arrived)
-        return self._open(request, listener, connect_ms)
+        return self._open(request, listener, connect_ms, endpoint)
 
     def _open(
-        self, request: ExchangeRequest, sink: ExchangeSink, connect_ms: float
+        self,
+        request: ExchangeRequest,
+        sink: ExchangeSink,
+        connect_ms: float,
+        endpoint: EndpointRecord,
     ) -> Exchange:
         if self.link.full:
             connect_ms = max(connect_ms, _FULL_LINK_CONNECT_MS)
-        exchange = Exchange(self.reactor, request, sink, connect_ms)
+        listener = ReachListener(sink, self.reach, endpoint)
+        exchange = Exchange(self.reactor, request, listener, connect_ms)
         exchange.start()
         return exchange
--- a/tests/quality/test_core_imports.py
+++ b/tests/quality/test_core_imports.py
@@ -18,6 +18,7 @@
     "limits",
     "membership",
     "quarantine",
+    "reach",
     "routing",
 )
 PURE_FILES = [
