--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -27,6 +27,11 @@
 _LIMIT_FACTOR = 1.5
 _LIMIT_EXTRA = 5.0
 _TOLD_S = 0.5
+# The users' rule on gateways without links to servers: served two thirds as often as at
+# the others, or few failures.
+_CUT_SHARE = 2 / 3
+_CUT_FAILURES = 10
+_CUT_FAILED_SHARE = 1 / 50
 
 
 @frozen
@@ -245,6 +250,46 @@
     return min(answered, default=limit.begun_s) + _TOLD_S
 
 
+def _gateways_without_servers_serve(seen: Evidence, bounds: Bounds) -> Iterator[str]:
+    """By the users' rule: calls at gateways in touch, from a while after the cut."""
+    for cut in seen.server_cuts:
+        from_s, to_s = cut.begun_s + bounds.contact_s, cut.ended_s
+        calls = [
+            each
+            for each in seen.calls
+            if from_s <= each.sent_s < to_s
+            and not each.guilty
+            and _in_touch(seen, each.gateway, each.sent_s, bounds)
+        ]
+        there = [_served(each) for each in calls if each.gateway == cut.gateway]
+        others = [
+            _served(each)
+            for each in calls
+            if not _is_without_servers(seen, each.gateway, each.sent_s)
+        ]
+        failed = there.count(False)
+        allowed = _CUT_FAILURES + _CUT_FAILED_SHARE * (len(there) + len(others))
+        if not there or not others or failed <= allowed:
+            continue
+        share, usual = sum(there) / len(there), sum(others) / len(others)
+        if share < _CUT_SHARE * usual:
+            yield (
+                f"gateway {cut.gateway}: served {sum(there)} of {len(there)} without "
+                f"links to servers, the others {sum(others)} of {len(others)}"
+            )
+
+
+def _served(call: CallRecord) -> bool:
+    return call.status == _OK and call.whole
+
+
+def _is_without_servers(seen: Evidence, gateway: int, at_s: float) -> bool:
+    return any(
+        each.gateway == gateway and each.begun_s <= at_s < each.ended_s
+        for each in seen.server_cuts
+    )
+
+
 def _nobody_innocent_is_barred(seen: Evidence, _: Bounds) -> Iterator[str]:
     for call in seen.calls:
         barred = call.status == _UNAVAILABLE and call.body == _BARRED
@@ -298,6 +343,9 @@
         _nobody_innocent_is_barred,
     ),
     "a server that names a limit gets no more": (_limits_that_servers_name_are_kept,),
+    "an instance without links to servers serves its callers": (
+        _gateways_without_servers_serve,
+    ),
     "a server gets the request as it came": (_no_key_is_shown,),
     "back after all instances died": (_whole_again_in_time,),
     "memory, descriptors and logs are bounded": (_sizes_are_bounded,),
--- a/soak/_records.py
+++ b/soak/_records.py
@@ -152,6 +152,7 @@
     limits: list[LimitNamed] = field(factory=list)
     gateway_faults: list[GatewayFault] = field(factory=list)
     link_faults: list[GatewayFault] = field(factory=list)
+    server_cuts: list[GatewayFault] = field(factory=list)
     whole_again_s: list[float | None] = field(factory=list)
     memory_mb: float = 0.0
     descriptors: int = 0
--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -61,6 +61,9 @@
     CALL_CRASHES_SERVICES = "call_crashes_services"
     ENGINE_LIMITS = "engine_limits"
     SERVICE_LIMITS = "service_limits"
+    SERVERS_HANG = "servers_hang"
+    SERVERS_RESET = "servers_reset"
+    SERVERS_REFUSE_NEW = "servers_refuse_new"
 
 
 _OF_GATEWAYS = frozenset(
@@ -76,6 +79,9 @@
         FaultKind.LINK_REFUSES,
         FaultKind.LINK_RESET,
         FaultKind.LINK_SILENT,
+        FaultKind.SERVERS_HANG,
+        FaultKind.SERVERS_RESET,
+        FaultKind.SERVERS_REFUSE_NEW,
     }
 )
 _OF_SERVICES = frozenset(
@@ -86,8 +92,16 @@
         FaultKind.SERVICE_LIMITS,
     }
 )
-# A limit counts from some seconds after it was named.
-_LONG = frozenset({FaultKind.ENGINE_LIMITS, FaultKind.SERVICE_LIMITS})
+# Their rules count from some seconds after their beginning.
+_LONG = frozenset(
+    {
+        FaultKind.ENGINE_LIMITS,
+        FaultKind.SERVICE_LIMITS,
+        FaultKind.SERVERS_HANG,
+        FaultKind.SERVERS_RESET,
+        FaultKind.SERVERS_REFUSE_NEW,
+    }
+)
 _LONG_FACTOR = 4
 
 
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -4,6 +4,7 @@
 platform that the gateway's tests use (`tests/platform`).
 """
 
+import json
 import signal
 import socket
 import time
@@ -88,7 +89,13 @@
     "refuses": False,
     "delay_ms": 0.0,
 }
-# Its machine can be suspended, and its way to the store is a link.
+# What becomes of the links from a gateway to all servers (`tests.common.cut_links`).
+_CUTS = {
+    FaultKind.SERVERS_HANG: "hang",
+    FaultKind.SERVERS_RESET: "reset",
+    FaultKind.SERVERS_REFUSE_NEW: "live",
+}
+# Its machine can be suspended, its servers cut off, and its way to the store is a link.
 _GATEWAY = ("-m", "tests.common.faulted_gateway")
 
 # Under these a gateway isn't in touch.
@@ -136,6 +143,7 @@
     _ending: set[int] = field(factory=set)
     _away_s: dict[int, float] = field(factory=dict)
     _limited_s: dict[int, float] = field(factory=dict)
+    _cut_s: dict[int, float] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         self.site = GatewaySite(self.folder)
@@ -198,12 +206,30 @@
             retries=RETRIES,
             program=_GATEWAY,
             store_link=f"127.0.0.1:{self._link_ports[number]}",
+            cut_file=str(self._cut_file(number)),
             **SETTINGS,
         )
         self._processes[number] = self.site.processes[-1]
         self._ready_ports[number] = ports
         self.ports[number] = ports[0]
 
+    def _cut_file(self, number: int) -> Path:
+        return self.folder / f"cut-{number}.json"
+
+    def _cut(self, number: int, how: str) -> None:
+        """Cut a gateway's links to all servers, or heal them if ``how`` is empty."""
+        new = self._cut_file(number).with_suffix(".new")
+        new.write_text(json.dumps({"how": how, "ports": self.site.server_ports}))
+        new.rename(self._cut_file(number))
+
+    def _cut_heals(self, number: int) -> None:
+        """All cuts of a gateway end with the first that does."""
+        self._cut(number, "")
+        begun_s = self._cut_s.pop(number, None)
+        if begun_s is not None:
+            fault = GatewayFault(number, begun_s, time.monotonic())
+            self.evidence.server_cuts.append(fault)
+
     def _is_ready(self, number: int) -> bool:
         try:
             return self.site.ready(self._ready_ports[number])
@@ -225,6 +251,9 @@
         elif kind in _LIMITS:
             self._limited_s.setdefault(target, time.monotonic())
             self._set_faults(target, {})
+        elif kind in _CUTS:
+            self._cut_s.setdefault(target, time.monotonic())
+            self._cut(target, _CUTS[kind])
         elif kind in _LINK_FAULTS:
             self._link_fault_s.setdefault(target, time.monotonic())
             self._links.ask("POST", f"/links/{target}", _LINK_FAULTS[kind])
@@ -281,6 +310,8 @@
             self._set_faults(target, {})
         elif kind in _LIMITS:
             self._limit_ends(target)
+        elif kind in _CUTS:
+            self._cut_heals(target)
         elif kind in _LINK_FAULTS:
             self._link_heals(target)
         elif kind in (FaultKind.GATEWAY_KILLED, FaultKind.GATEWAY_STOPPED):
--- a/tests/cover/test_soak.py
+++ b/tests/cover/test_soak.py
@@ -55,6 +55,17 @@
     seen.calls[0].body = b"s4 r9"
 
 
+def serve_nothing_without_servers(seen: Evidence) -> None:
+    seen.server_cuts.append(GatewayFault(1, 100.0, 110.0))
+    for number in range(20):
+        served = whole_answer(f"o{number}", 104.0 + number / 10)
+        seen.calls.append(served)
+        seen.runs.append(ServerRun("s4", served.request_id, served.sent_s, False))
+        refused = CallRecord(CallKind.ONCE, f"c{number}", 1, "k", served.sent_s)
+        refused.status = 503
+        seen.calls.append(refused)
+
+
 def run_twice(seen: Evidence) -> None:
     seen.runs.append(ServerRun("s5", "r1", 1.2, False))
 
@@ -127,6 +138,9 @@
     run_twice: 'at most once, and "not run" only if true',
     refuse_what_ran: 'at most once, and "not run" only if true',
     take_an_old_key: "keys end in time on every instance",
+    serve_nothing_without_servers: (
+        "an instance without links to servers serves its callers"
+    ),
     send_to_who_left: "a leaving server gets nothing new",
     repeat_too_often: "repeats within a shared budget",
     send_on_what_ends_servers: (
--- a/tests/nocover/test_soak.py
+++ b/tests/nocover/test_soak.py
@@ -75,6 +75,34 @@
 )
 
 
+# Instances that lose their links to all servers in each way, also two at once and all
+# three, beside ends of members that serve the others' requests.
+CUTS = Schedule(
+    30.0,
+    3,
+    5,
+    (
+        Fault(FaultKind.SERVERS_HANG, 2.0, 7.0, 0),
+        Fault(FaultKind.SERVERS_RESET, 2.2, 6.8, 1),
+        Fault(FaultKind.ENGINE_REPLACED, 5.0, 0.0, 0),
+        Fault(FaultKind.SERVERS_REFUSE_NEW, 10.0, 8.0, 2),
+        Fault(FaultKind.GATEWAY_KILLED, 13.5, 1.0, 0),
+        Fault(FaultKind.GATEWAY_STOPPED, 16.0, 1.0, 1),
+        Fault(FaultKind.SERVERS_HANG, 19.0, 2.5, 0),
+        Fault(FaultKind.SERVERS_HANG, 19.0, 2.5, 1),
+        Fault(FaultKind.SERVERS_HANG, 19.0, 2.5, 2),
+    ),
+)
+
+
+def test_instances_without_servers_serve_while_members_come_and_go():
+    played = play(CUTS)
+    assert played.violations == []
+    assert len(played.evidence.server_cuts) == 6
+    served = [each for each in played.evidence.calls if each.status == 200]
+    assert len(served) > 100
+
+
 def test_a_limit_is_kept_while_instances_come_and_go():
     played = play(LIMITS)
     assert played.violations == []
