--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -271,6 +271,8 @@
         self.copies: set[str] = set()
         self.open: dict[str, Any] = {}
         self.worker_crashes = 0
+        self.shed_s: list[float] = []
+        self.falls_s: list[float] = []
         self.worker_back_s = 0.0
         self.app = self._routes()
 
@@ -319,6 +321,23 @@
         values = named if isinstance(named, list) else [named]
         return [str(value).encode() for value in values]
 
+    def _is_full(self) -> bool:
+        """Whether a brittle server has no room; one that sheds too much falls over.
+
+        ``brittle`` is how many requests it may turn away in a second, ``room`` how many
+        run at a time.
+        """
+        room = self.faults.get("room")
+        if room is None or len(self.calls) < room:
+            return False
+        now_s = time.monotonic()
+        self.shed_s = [each for each in self.shed_s if now_s - each < 1] + [now_s]
+        if len(self.shed_s) > self.faults["brittle"]:
+            self.falls_s.append(now_s)
+            self.shed_s.clear()
+            self.crash(self.faults.get("down_s", _DOWN_S))
+        return True
+
     def _crash_by(self, path: str, down_s: float) -> None:
         if self.faults.get("front_lives"):
             self.crash_worker(down_s)
@@ -377,7 +396,9 @@
         )
         for limit in self.limits_to_name():
             request.responseHeaders.addRawHeader(b"server-limit", limit)
-        if self._use_fault("shed"):
+        if "brittle" in self.faults:
+            request.setHeader("server-brittle", str(self.faults["brittle"]))
+        if self._use_fault("shed") or self._is_full():
             request.setResponseCode(503)
             request.setHeader("not-executed", "1")
             return b""
@@ -588,6 +609,7 @@
                 "ran": server.ran,
                 "arrived": server.arrived,
                 "crashed": server.crashed,
+                "falls": server.falls_s,
                 "open": list(server.open),
                 "crashes": server.incarnation - (server.listener is not None),
                 "worker_crashes": server.worker_crashes,
@@ -601,6 +623,7 @@
         for server in servers.values():
             server.ran.clear()
             server.arrived.clear()
+            server.falls_s.clear()
             server.faults.clear()
         return b"{}"
 
