--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -430,7 +430,7 @@
         if self._use_fault("reset") or self.worker_is_down:
             request.transport.abortConnection()
             return Deferred()
-        if self._is_crashed_by(path, body):
+        if self._is_crashed_by(path, body) or self._is_crashed_by_part(headers):
             return self._crash_soon(request, run_id, path)
         response_id = "f" * 16 if self._use_fault("foreign") else run_id
         request.setHeader("request-id", response_id)
@@ -503,6 +503,12 @@
         text = self.faults.get("crashed_by", "")
         return bool(text) and (text in body or text in path)
 
+    def _is_crashed_by_part(self, headers: dict[str, str]) -> bool:
+        """Whether the prompt holds the part under which the server crashes."""
+        parts = headers.get("prefix-hash", "").split(",")
+        names = [part.partition(":")[0] for part in parts]
+        return self.faults.get("crashed_by_part") in names[:-1]
+
     def _crash_soon(self, request: Any, run_id: str, path: str) -> Any:
         """Start the request and crash the server shortly after.
 
