A part of prompts under which servers crash is barred everywhere

Cause: crashes were counted by whole requests, and no two of these were alike; each began at nothing.

Change: a crash counts against each part of the prompt but the last as well, for its pool and model.

--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -251,7 +251,11 @@
 
 
 def _gateways_without_servers_serve(seen: Evidence, bounds: Bounds) -> Iterator[str]:
-    """By the users' rule: calls at gateways in touch, from a while after the cut."""
+    """By the users' rule: calls at gateways in touch, from a while after the cut.
+
+    A gateway is in touch while the store is sound; a key that was taken away isn't owed
+    an answer.
+    """
     for cut in seen.server_cuts:
         from_s, to_s = cut.begun_s + bounds.contact_s, cut.ended_s
         calls = [
@@ -259,6 +263,10 @@
             for each in seen.calls
             if from_s <= each.sent_s < to_s
             and not each.guilty
+            and not _store_is_unsound(
+                seen, each.sent_s - bounds.contact_s, each.ended_s
+            )
+            and not _is_revoked(seen, each)
             and _in_touch(seen, each.gateway, each.sent_s, bounds)
         ]
         there = [_served(each) for each in calls if each.gateway == cut.gateway]
@@ -283,6 +291,15 @@
     return call.status == _OK and call.whole
 
 
+def _is_revoked(seen: Evidence, call: CallRecord) -> bool:
+    return any(
+        each.key == call.key
+        and each.at_s <= call.ended_s
+        and call.sent_s < each.until_s
+        for each in seen.revoked
+    )
+
+
 def _is_without_servers(seen: Evidence, gateway: int, at_s: float) -> bool:
     return any(
         each.gateway == gateway and each.begun_s <= at_s < each.ended_s
--- a/src/coursekeel/entry/_calls_task.py
+++ b/src/coursekeel/entry/_calls_task.py
@@ -91,6 +91,11 @@
         route = self.route
         return route is not None and route.repeatable
 
+    @property
+    def part_fingerprints(self) -> tuple[str, ...]:
+        """None: prompts of the product's own engines don't name their parts."""
+        return ()
+
     @cached_property
     def fingerprint(self) -> str:
         """Fingerprint of the call, equal for repeated calls with any key or entry."""
--- a/src/coursekeel/entry/answers/_requests.py
+++ b/src/coursekeel/entry/answers/_requests.py
@@ -45,6 +45,11 @@
     stream: bool = False
     chat: bool = False
 
+    @property
+    def part_fingerprints(self) -> tuple[str, ...]:
+        """None: prompts of the product's own engines don't name their parts."""
+        return ()
+
     @cached_property
     def fingerprint(self) -> str:
         """Fingerprint of team and body, equal for repeated requests at any entry."""
--- a/src/coursekeel/gateway/_adapters.py
+++ b/src/coursekeel/gateway/_adapters.py
@@ -50,7 +50,8 @@
 
     ``key`` is the API key. ``resume_after`` is the number of the last event that the
     caller has received, None to start at the first. ``prompt_key`` identifies the
-    prompt in caches, empty if the caller named none.
+    prompt in caches, empty if the caller named none. ``prompt_parts`` identify its
+    parts but the last, which other prompts share; ``model`` is the one to read them.
     """
 
     request_id: str
@@ -60,6 +61,8 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     prompt_key: str = ""
+    prompt_parts: tuple[str, ...] = ()
+    model: str = ""
 
 
 class CallerDialect(ABC):
--- a/src/coursekeel/gateway/_gateway.py
+++ b/src/coursekeel/gateway/_gateway.py
@@ -113,6 +113,7 @@
     _rollouts: CanaryTask = field(init=False)
     _limits: LimitsTask = field(init=False)
     _reach: ReachTask = field(init=False)
+    _gate: QuarantineGate = field(init=False)
     _relay_server: RelayServer = field(init=False)
     _metrics: GatewayMetrics = field(init=False)
     _dispatcher: Dispatcher = field(init=False)
@@ -149,6 +150,7 @@
             self._suspect_keeper.changed,
             lambda message: self._rollouts.received(message),
             lambda sender, message: self._limits.received(sender, message),
+            lambda fingerprints: self._gate.news_received(fingerprints),
             lambda request: self._relay_server.take(request),
             lambda: self._site.limits,
         )
@@ -215,7 +217,7 @@
             self._reach,
         )
         health = EndpointHealth(self.clock, self._site, self._router, self._metrics)
-        gate = QuarantineGate(
+        gate = self._gate = QuarantineGate(
             self.clock,
             quarantine,
             self._group.send_suspects,
--- a/src/coursekeel/gateway/_request.py
+++ b/src/coursekeel/gateway/_request.py
@@ -9,7 +9,7 @@
 
 from coursekeel.forwarding import Route, Team
 from coursekeel.gateway._adapters import CallerHeaders, HeaderPairs
-from coursekeel.suspects import request_fingerprint
+from coursekeel.suspects import part_fingerprints, request_fingerprint
 
 __all__ = ["AdmittedRequest"]
 
@@ -58,3 +58,9 @@
         """Hash of team and content; equal for a repeat with another id."""
         content = (self.method, self.host.encode(), self.target, self.body)
         return request_fingerprint(self.team_name, *content)
+
+    @cached_property
+    def part_fingerprints(self) -> tuple[str, ...]:
+        """Hashes of the prompt's shared parts, for this pool and model."""
+        caller = self.caller
+        return part_fingerprints(self.pool, caller.model, caller.prompt_parts)
--- a/src/coursekeel/gateway/endpoints/_crash_watch.py
+++ b/src/coursekeel/gateway/endpoints/_crash_watch.py
@@ -62,10 +62,15 @@
             return
         if call.route.kind.streams:
             self._reporting_endpoints.add(lost.endpoint_id)
-        suspect = Suspect(call.fingerprint, sign, self.clock.now_ms(), lost.closed)
+        now_ms = self.clock.now_ms()
+        suspect = Suspect(call.fingerprint, sign, now_ms, lost.closed)
         if lost.closed:
             self.gate.probe_begun(suspect)
-        if self._lost_runs.add(lost.endpoint_id, suspect):
+        must_probe = self._lost_runs.add(lost.endpoint_id, suspect)
+        for part in call.part_fingerprints:
+            suspected_part = Suspect(part, sign, now_ms, lost.closed)
+            self._lost_runs.add(lost.endpoint_id, suspected_part)
+        if must_probe:
             self._probe(record)
 
     def _probe(self, endpoint: EndpointRecord) -> None:
--- a/src/coursekeel/gateway/members/_group.py
+++ b/src/coursekeel/gateway/members/_group.py
@@ -55,6 +55,7 @@
     bar_changed: Callable[[QuarantineEvent], None]
     rollout_received: Callable[[RolloutMessage], None]
     limit_received: Callable[[str, LimitMessage], None]
+    suspects_received: Callable[[list[str]], None]
     relay_received: Callable[[CallerRequest], None]
     caller_limits: Callable[[], RequestLimits]
     swim: Swim = field(init=False)
@@ -93,6 +94,7 @@
             self.bar_changed,
             self.rollout_received,
             self.limit_received,
+            self.suspects_received,
         )
 
     def _make_source(self) -> SharedSource:
--- a/src/coursekeel/gateway/members/_group_task.py
+++ b/src/coursekeel/gateway/members/_group_task.py
@@ -66,7 +66,8 @@
     ``confirmed_times_ms`` returns the local time of this instance's last confirmation
     of each table. ``bar_changed`` is called when a request is barred or cleared, and
     ``rollout_received`` with each roll-out message of a member. ``limit_received`` gets
-    each message on limits, with its sender.
+    each message on limits, with its sender, and ``suspects_received`` the fingerprints
+    of the records of each message on suspects.
     """
 
     reactor: Reactor
@@ -77,6 +78,7 @@
     bar_changed: Callable[[QuarantineEvent], None]
     rollout_received: Callable[[RolloutMessage], None]
     limit_received: Callable[[str, LimitMessage], None]
+    suspects_received: Callable[[list[str]], None]
     _ticks: Periodic = field(init=False)
     _refused_count: int = 0
     _refusal_logged_ms: float = float("-inf")
@@ -135,6 +137,7 @@
             )
         elif isinstance(message, QuarantineMessage):
             self._send_quarantine(self.gossip.received(message, now_ms))
+            self.suspects_received([each.fingerprint for each in message.records])
         self._log_events()
 
     def _receive_rollout(self, data: bytes, addr: Any) -> None:
--- a/src/coursekeel/gateway/streams/_stream_attempt.py
+++ b/src/coursekeel/gateway/streams/_stream_attempt.py
@@ -44,6 +44,10 @@
 
 __all__ = ["AttemptOwner", "StreamAttempt"]
 
+# A run that has produced output for so long doesn't crash its endpoint by a part of its
+# prompt: an endpoint that does so ends about when it begins to write.
+_SOUND_OUTPUT_MS = 200.0
+
 
 class AttemptOwner(ABC):
     """The stream's task that an attempt belongs to."""
@@ -123,6 +127,7 @@
     _closed: bool = False
     _head_received_ms: float | None = None
     _first_event_ms: float | None = None
+    _parts_reported: bool = False
     _buffer: bytearray = field(factory=bytearray)
     _watch: FirstEventWatch | None = None
 
@@ -229,6 +234,7 @@
             if not self._events:
                 self._first_event_received()
             self._events += len(numbers)
+            self._report_sound_parts()
             self._events_received(numbers, events)
 
     def _first_event_received(self) -> None:
@@ -245,6 +251,15 @@
             task.context.versions.first_event(task.call, self.endpoint_id, took_ms)
         router.record_success(self.endpoint_id, task.call.route.name)
 
+    def _report_sound_parts(self) -> None:
+        """Clear the prompt's parts once the run has produced output for a while."""
+        task, first_ms = self.task, self._first_event_ms
+        if self._parts_reported or first_ms is None:
+            return
+        if task.context.clock.now_ms() - first_ms >= _SOUND_OUTPUT_MS:
+            self._parts_reported = True
+            task.context.quarantine.report_parts_sound(task.call)
+
     def _events_received(self, numbers: list[int], events: list[bytes]) -> None:
         label = self.task.core.attempts[self.number].label
         position = numbers[0] - 1
--- a/src/coursekeel/suspects/_gate.py
+++ b/src/coursekeel/suspects/_gate.py
@@ -5,6 +5,11 @@
 meanwhile. A request that runs on trial may be sent until its record changes. One that
 isn't barred may have to wait before its next run (`RunPacing`).
 
+A request is barred too while a part of its prompt is. Each part that isn't known to be
+sound (`SoundParts`) gets the strikes of the requests that hold it, so that requests of
+which no two are alike are recognized by what they share. An answer clears the parts of
+its request, at all members.
+
 Owns only the trials of this instance's requests. Relies on `Quarantine` for the
 records, and on ``broadcast`` to send changed ones to the other members.
 """
@@ -22,9 +27,11 @@
     cut_fingerprint,
 )
 from coursekeel.runtime import Clock
+from coursekeel.suspects._fingerprint import is_part
 from coursekeel.suspects._isolated_cuts import IsolatedCuts
 from coursekeel.suspects._lost_runs import Suspect
 from coursekeel.suspects._pacing import PacingSettings, RunPacing, WantedRun
+from coursekeel.suspects._sound_parts import SoundParts
 
 __all__ = ["FingerprintedRequest", "QuarantineGate", "QuarantinePass"]
 
@@ -36,6 +43,10 @@
     def fingerprint(self) -> str:
         """The same for equal requests of one team, whatever their ids and instances."""
 
+    @property
+    def part_fingerprints(self) -> tuple[str, ...]:
+        """Those of the parts of its prompt that other requests may share."""
+
 
 @define(eq=False)
 class QuarantineGate:
@@ -52,6 +63,7 @@
     on_change: Callable[[str], None]
     pacing: RunPacing = field()
     cuts: IsolatedCuts = field(factory=IsolatedCuts)
+    sound_parts: SoundParts = field(factory=SoundParts)
 
     @pacing.default
     def _default_pacing(self) -> RunPacing:
@@ -82,7 +94,7 @@
         """Record that the endpoint of these requests answers; it may have cut them."""
         for suspect in suspects:
             self.pacing.settled(suspect.fingerprint)
-            if suspect.closed:
+            if suspect.closed and not is_part(suspect.fingerprint):
                 self._record_cut(endpoint_id, suspect)
 
     def run_cut(self, call: FingerprintedRequest, endpoint_id: str) -> None:
@@ -105,6 +117,8 @@
         now_ms = self.clock.now_ms()
         records = []
         for suspect in suspects:
+            if self.sound_parts.is_sound(suspect.fingerprint, now_ms):
+                continue
             self.pacing.endpoint_crashed(suspect.fingerprint, now_ms)
             record = self.quarantine.add_strike(
                 suspect.fingerprint, endpoint_id, suspect.sign, suspect.lost_ms
@@ -113,7 +127,8 @@
         self._publish(records)
 
     def report_success(self, call: FingerprintedRequest) -> None:
-        """Clear a request that ran without crashing its endpoint."""
+        """Clear a request that ran without crashing its endpoint, and its parts."""
+        self.report_parts_sound(call)
         if not (len(self.quarantine) or self.cuts.has_suspects):
             return
         now_ms, fingerprint = self.clock.now_ms(), call.fingerprint
@@ -124,6 +139,22 @@
         ]
         self._publish(cleared)
 
+    def report_parts_sound(self, call: FingerprintedRequest) -> None:
+        """Clear the parts of a request that an endpoint has begun to answer."""
+        parts, now_ms = call.part_fingerprints, self.clock.now_ms()
+        self.sound_parts.answered(parts, now_ms)
+        if len(self.quarantine):
+            self._publish([self.quarantine.clear(each, now_ms) for each in parts])
+
+    def news_received(self, fingerprints: Iterable[str]) -> None:
+        """Clear what a member suspects, of the parts that are known to be sound here.
+
+        Called with the fingerprints of the records that it sent.
+        """
+        now_ms = self.clock.now_ms()
+        known = [x for x in fingerprints if self.sound_parts.is_sound(x, now_ms)]
+        self._publish([self.quarantine.clear(each, now_ms) for each in known])
+
     def _publish(self, records: list[SuspectRecord | None]) -> None:
         """Report changed records; None stands for an update that changed nothing."""
         changed = [record for record in records if record is not None]
@@ -142,7 +173,11 @@
         now_ms = self.clock.now_ms()
         verdicts = {
             each: self.quarantine.verdict(each, now_ms)
-            for each in (call.fingerprint, cut_fingerprint(call.fingerprint))
+            for each in (
+                call.fingerprint,
+                cut_fingerprint(call.fingerprint),
+                *call.part_fingerprints,
+            )
         }
         return {each: found for each, found in verdicts.items() if found is not None}
 
--- a/tests/cover/test_entry_suspects.py
+++ b/tests/cover/test_entry_suspects.py
@@ -23,6 +23,7 @@
 @define
 class FakeRequest:
     fingerprint: str = "f"
+    part_fingerprints: tuple[str, ...] = ()
 
 
 class Entries:
--- a/tests/cover/test_group_view.py
+++ b/tests/cover/test_group_view.py
@@ -38,6 +38,9 @@
         Mock(),
         Mock(),
         Mock(),
+        Mock(),
+        Mock(),
+        Mock(),
     )
     freshness.record_confirmation(TABLE.value, NOW_MS - 8_000)
     group.feeds[TABLE].failing = True
--- a/tests/cover/test_held_start.py
+++ b/tests/cover/test_held_start.py
@@ -22,6 +22,7 @@
     """A request, by its fingerprint."""
 
     fingerprint: str = "f"
+    part_fingerprints: tuple[str, ...] = ()
 
 
 class Harness:
--- a/tests/cover/test_isolated_cuts.py
+++ b/tests/cover/test_isolated_cuts.py
@@ -20,6 +20,7 @@
     """A request, by its fingerprint."""
 
     fingerprint: str
+    part_fingerprints: tuple[str, ...] = ()
 
 
 class Member:
