Requests to brittle servers need permits at a rate that the holder finds

What callers saw: servers that say how many requests they may turn away in a second fell over 7 times where 2 may, and ran 9 of the 180 requests that they had room for.

Cause: nobody read the word, and each instance held as many requests for a server as it had found room for by itself; the sum had no owner. The same class as named limits.

Change: the word is kept as a limit whose rate the holder finds: it doubles until a request is turned away, and stops for a moment at each. Endpoints that are new in such a pool count as brittle at once (docs/design/endpoint-limits.md).

--- a/src/coursekeel/gateway/limits/_limits_task.py
+++ b/src/coursekeel/gateway/limits/_limits_task.py
@@ -8,7 +8,7 @@
 import logging
 from collections.abc import Callable
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from coursekeel.fetch import ExchangeHead
 from coursekeel.forwarding import EndpointDirectory
@@ -85,6 +85,23 @@
         for endpoint_id in list(self.limits.limited):
             if self.directory.record(endpoint_id) is None:
                 self.limits.forget(endpoint_id)
+        self._expect_brittle(now_ms)
+
+    def _expect_brittle(self, now_ms: float) -> None:
+        """Take a new endpoint for as brittle as the others of its pool.
+
+        An endpoint that is just back would else get what all instances hold for it.
+        """
+        book = self.limits.book
+        for endpoint_id in [each for each in book.endpoints if book.is_brittle(each)]:
+            record = self.directory.record(endpoint_id)
+            for other in self.directory.in_pool(record.pool) if record else ():
+                if book.is_new(other.endpoint_id):
+                    news = book.news(endpoint_id, now_ms)
+                    book.told(
+                        evolve(news, endpoint_id=other.endpoint_id), "pool", now_ms
+                    )
+        self._log_events()
 
     def _send(self, member: str, message: LimitMessage) -> None:
         self.send(member, encode_limit_message(self.swim.group, self.swim.own, message))
@@ -135,6 +152,8 @@
         word = self.dialect.limit_named(head)
         if verdict is not HeadVerdict.FOREIGN or isinstance(word, NamedLimit):
             self._apply(endpoint_id, word, sent_ms)
+        if verdict is HeadVerdict.NOT_RUN:
+            self.limits.turned_away(endpoint_id, self.clock.now_ms())
 
     def probe_answered(
         self, endpoint_id: str, head: ExchangeHead, sent_ms: float
@@ -184,6 +203,7 @@
                 f"limit_{event.kind.value}",
                 endpoint=event.endpoint_id,
                 per_s=event.per_s,
+                brittle=self.limits.book.is_brittle(event.endpoint_id),
                 source=event.source,
                 holder=self.limits.holders.holder(event.endpoint_id),
             )
--- a/src/coursekeel/limits/__init__.py
+++ b/src/coursekeel/limits/__init__.py
@@ -1,6 +1,7 @@
 """Limits that endpoints name on the requests that they take from all instances."""
 
 from coursekeel.limits._book import LimitBook, LimitEvent, LimitEventKind, LimitNews
+from coursekeel.limits._brittle import BrittleRates
 from coursekeel.limits._holders import SETTLING_MS, Holders
 from coursekeel.limits._issuer import Issue, PermitIssuer
 from coursekeel.limits._messages import (
@@ -8,6 +9,7 @@
     LimitMessage,
     PermitAnswer,
     PermitQuestion,
+    TurnedAway,
     UnreadableLimitMessage,
     decode_limit_message,
     encode_limit_message,
@@ -27,6 +29,7 @@
     NamedLimit,
     NoLimitNamed,
     UnreadableLimit,
+    decode_brittle,
     decode_limit,
 )
 
@@ -38,6 +41,7 @@
     "SETTLING_MS",
     "TRIAL_PER_S",
     "WINDOW_S",
+    "BrittleRates",
     "Holders",
     "Issue",
     "LimitBook",
@@ -53,8 +57,10 @@
     "PermitQuestion",
     "PermitStock",
     "SendLimits",
+    "TurnedAway",
     "UnreadableLimit",
     "UnreadableLimitMessage",
+    "decode_brittle",
     "decode_limit",
     "decode_limit_message",
     "encode_limit_message",
--- a/src/coursekeel/limits/_book.py
+++ b/src/coursekeel/limits/_book.py
@@ -56,12 +56,13 @@
     """An endpoint's limit as a member knows it, for the other members.
 
     ``per_s`` is None if it names none any more. ``age_ms`` is how long ago the endpoint
-    said so.
+    said so. ``brittle`` as in `NamedLimit`.
     """
 
     endpoint_id: str
     per_s: float | None
     age_ms: float
+    brittle: bool = False
 
 
 @define
@@ -69,6 +70,7 @@
     per_s: float
     named_ms: float
     unnamed: int = 0
+    brittle: bool = False
 
 
 @define(eq=False)
@@ -96,11 +98,21 @@
         limit = self._limits.get(endpoint_id)
         return None if limit is None else limit.per_s
 
+    def is_new(self, endpoint_id: str) -> bool:
+        """Whether the endpoint has named no limit yet, nor answered without one."""
+        return endpoint_id not in self._limits and endpoint_id not in self._ended_ms
+
+    def is_brittle(self, endpoint_id: str) -> bool:
+        """Whether the limit in force is on the requests that it turns away."""
+        limit = self._limits.get(endpoint_id)
+        return limit is not None and limit.brittle
+
     def news(self, endpoint_id: str, now_ms: float) -> LimitNews:
         """What this instance knows of an endpoint's limit, to tell the members."""
         limit = self._limits.get(endpoint_id)
         if limit is not None:
-            return LimitNews(endpoint_id, limit.per_s, now_ms - limit.named_ms)
+            age_ms = now_ms - limit.named_ms
+            return LimitNews(endpoint_id, limit.per_s, age_ms, limit.brittle)
         ended_ms = self._ended_ms.get(endpoint_id, now_ms)
         return LimitNews(endpoint_id, None, now_ms - ended_ms)
 
@@ -111,18 +123,19 @@
         if isinstance(word, UnreadableLimit):
             self.unreadable += 1
         elif isinstance(word, NamedLimit):
-            self._named_by_answer(endpoint_id, word.per_s, sent_ms, now_ms)
+            self._named_by_answer(endpoint_id, word, sent_ms, now_ms)
         else:
             self._not_named(endpoint_id, sent_ms, now_ms)
 
     def _named_by_answer(
-        self, endpoint_id: str, per_s: float, sent_ms: float, now_ms: float
+        self, endpoint_id: str, word: NamedLimit, sent_ms: float, now_ms: float
     ) -> None:
+        per_s = word.per_s
         current = self._limits.get(endpoint_id)
         if current is not None and sent_ms <= current.named_ms:
             # Either answer may be the later one, so the lower limit counts.
             per_s = min(per_s, current.per_s)
-        self._set(endpoint_id, per_s, now_ms, "answer")
+        self._set(endpoint_id, NamedLimit(per_s, word.brittle), now_ms, "answer")
 
     def _not_named(self, endpoint_id: str, sent_ms: float, now_ms: float) -> None:
         limit = self._limits.get(endpoint_id)
@@ -143,7 +156,8 @@
             if limit is not None:
                 self._end(news.endpoint_id, said_ms, source)
         elif said_ms > self._ended_ms.get(news.endpoint_id, float("-inf")):
-            self._set(news.endpoint_id, news.per_s, said_ms, source)
+            word = NamedLimit(news.per_s, news.brittle)
+            self._set(news.endpoint_id, word, said_ms, source)
 
     def forget_endpoint(self, endpoint_id: str) -> None:
         """Remove an endpoint that is gone."""
@@ -156,18 +170,20 @@
                 del self._ended_ms[endpoint_id]
 
     def _set(
-        self, endpoint_id: str, per_s: float, named_ms: float, source: str
+        self, endpoint_id: str, word: NamedLimit, named_ms: float, source: str
     ) -> None:
+        per_s = word.per_s
         limit = self._limits.get(endpoint_id)
         if limit is None:
             if len(self._limits) >= _MAX_LIMITS:
                 return
-            self._limits[endpoint_id] = _Limit(per_s, named_ms)
+            self._limits[endpoint_id] = _Limit(per_s, named_ms, brittle=word.brittle)
             self._note(LimitEventKind.NAMED, endpoint_id, per_s, source)
             return
         if limit.per_s != per_s:
             self._note(LimitEventKind.CHANGED, endpoint_id, per_s, source)
         limit.per_s, limit.named_ms, limit.unnamed = per_s, named_ms, 0
+        limit.brittle = word.brittle
 
     def _end(self, endpoint_id: str, ended_ms: float, source: str) -> None:
         limit = self._limits.pop(endpoint_id)
--- /dev/null
+++ b/src/coursekeel/limits/_brittle.py
@@ -0,0 +1,83 @@
+"""How many permits a second the holder gives out for a brittle endpoint.
+
+A brittle endpoint says how many requests it may turn away in a second before it falls
+over, and not how many it takes. Rule: the rate begins at that number and doubles
+each second until a request is turned away, then slowly. A request that is turned
+away lowers it by a seventh and stops the permits for a moment; half as many as the
+endpoint may turn away in a second stop them until that second is over. Permits are
+spaced evenly, so that few are on their way when the news of a request that was turned
+away comes.
+
+Owns each endpoint's rate. A core: the caller passes the time, in ms.
+"""
+
+from attrs import define, field
+
+__all__ = ["BrittleRates"]
+
+_FAST_GROWTH_PER_S = 1.0
+_SLOW_GROWTH_PER_S = 0.03
+_SHRINK = 0.85
+_LEAST_PER_S = 0.5
+# No endpoint takes more; bounds the growth where none is ever turned away.
+_MOST_PER_S = 10_000.0
+# News of requests that left together come within this time and count as one.
+_PAUSE_MS = 100.0
+_SECOND_MS = 1_000.0
+
+
+@define
+class _Rate:
+    per_s: float
+    at_ms: float
+    turned_away_ms: list[float] = field(factory=list)
+    has_met_the_end: bool = False
+
+
+@define(eq=False)
+class BrittleRates:
+    """The rates of the endpoints that this instance holds."""
+
+    _rates: dict[str, _Rate] = field(factory=dict)
+
+    def per_s(self, endpoint_id: str, allowed_per_s: float, now_ms: float) -> float:
+        """Permits a second to give now, 0 while none may be given.
+
+        ``allowed_per_s`` is how many requests the endpoint may turn away in a second.
+        """
+        rate = self._rates.get(endpoint_id)
+        if rate is None:
+            least = max(allowed_per_s, _LEAST_PER_S)
+            rate = self._rates[endpoint_id] = _Rate(least, now_ms)
+        self._grow(rate, now_ms)
+        return 0.0 if _is_paused(rate, allowed_per_s, now_ms) else rate.per_s
+
+    def turned_away(self, endpoint_id: str, now_ms: float) -> None:
+        """Record that the endpoint turned a request away for want of room."""
+        rate = self._rates.get(endpoint_id)
+        if rate is None:
+            return
+        last_ms = rate.turned_away_ms[-1] if rate.turned_away_ms else -_PAUSE_MS
+        if now_ms - last_ms >= _PAUSE_MS:
+            rate.per_s = max(rate.per_s * _SHRINK, _LEAST_PER_S)
+        rate.has_met_the_end, rate.at_ms = True, now_ms
+        recent = [x for x in rate.turned_away_ms if now_ms - x < _SECOND_MS]
+        rate.turned_away_ms = [*recent, now_ms]
+
+    def forget(self, endpoint_id: str) -> None:
+        """Forget an endpoint that isn't brittle any more, or is gone."""
+        self._rates.pop(endpoint_id, None)
+
+    def _grow(self, rate: _Rate, now_ms: float) -> None:
+        growth = _SLOW_GROWTH_PER_S if rate.has_met_the_end else _FAST_GROWTH_PER_S
+        seconds = min(max(now_ms - rate.at_ms, 0.0) / _SECOND_MS, 1.0)
+        rate.per_s = min(rate.per_s * (1 + growth * seconds), _MOST_PER_S)
+        rate.at_ms = now_ms
+
+
+def _is_paused(rate: _Rate, allowed_per_s: float, now_ms: float) -> bool:
+    ages_ms = [now_ms - each for each in rate.turned_away_ms]
+    if any(age_ms < _PAUSE_MS for age_ms in ages_ms):
+        return True
+    lately = sum(age_ms < _SECOND_MS for age_ms in ages_ms)
+    return lately > 0 and lately >= max(allowed_per_s / 2, 1)
--- a/src/coursekeel/limits/_messages.py
+++ b/src/coursekeel/limits/_messages.py
@@ -22,6 +22,7 @@
     "LimitMessage",
     "PermitAnswer",
     "PermitQuestion",
+    "TurnedAway",
     "UnreadableLimitMessage",
     "decode_limit_message",
     "encode_limit_message",
@@ -53,7 +54,14 @@
     issue: Issue
 
 
-LimitMessage = LimitNews | PermitQuestion | PermitAnswer
+@frozen
+class TurnedAway:
+    """An instance tells the holder that a brittle endpoint turned a request away."""
+
+    news: LimitNews
+
+
+LimitMessage = LimitNews | PermitQuestion | PermitAnswer | TurnedAway
 
 
 @frozen
@@ -81,8 +89,11 @@
     given: int = _NOT_SENT
     wait_ms: float = field(default=0.0, metadata={"key": "wait_ms"})
     turn_ms: float = field(default=0.0, metadata={"key": "turn_ms"})
+    brittle: bool = False
+    turned_away: bool = field(default=False, metadata={"key": "turned_away"})
 
 
+_ADDED_FIELDS = ("brittle", "turned_away")
 _CONVERTER = message_converter(_Form)
 
 
@@ -90,7 +101,8 @@
     """Encode a message as a datagram."""
     news = message if isinstance(message, LimitNews) else message.news
     age_ms = round(news.age_ms, 1)
-    form = _Form(group, sender, news.endpoint_id, news.per_s or 0.0, age_ms)
+    per_s = news.per_s or 0.0
+    form = _Form(group, sender, news.endpoint_id, per_s, age_ms, brittle=news.brittle)
     match message:
         case PermitQuestion():
             form = attrs.evolve(form, number=message.number, known=message.known)
@@ -102,7 +114,14 @@
                 wait_ms=round(message.issue.wait_ms, 1),
                 turn_ms=round(message.issue.turn_ms, 1),
             )
-    return LIMIT_PREFIX + orjson.dumps(attrs.asdict(form))
+        case TurnedAway():
+            form = attrs.evolve(form, turned_away=True)
+    # Members of an earlier version know the other fields only.
+    fields = attrs.asdict(form)
+    unused = [name for name in _ADDED_FIELDS if not fields[name]]
+    for name in unused:
+        del fields[name]
+    return LIMIT_PREFIX + orjson.dumps(fields)
 
 
 def decode_limit_message(
@@ -125,7 +144,10 @@
 def _message_from_form(form: _Form) -> LimitMessage:
     if form.per_s < 0 or not math.isfinite(form.per_s):
         raise ValueError(f"per_s: got {form.per_s!r}, expected a limit, or 0 for none")
-    news = LimitNews(form.endpoint, form.per_s or None, max(form.age_ms, 0.0))
+    age_ms = max(form.age_ms, 0.0)
+    news = LimitNews(form.endpoint, form.per_s or None, age_ms, form.brittle)
+    if form.turned_away:
+        return TurnedAway(news)
     if form.known != _NOT_SENT:
         return PermitQuestion(form.number, news, max(form.known, 1))
     if form.given != _NOT_SENT:
--- a/src/coursekeel/limits/_send_limits.py
+++ b/src/coursekeel/limits/_send_limits.py
@@ -17,9 +17,15 @@
 from attrs import define, field
 
 from coursekeel.limits._book import LimitBook, LimitEventKind, LimitNews
+from coursekeel.limits._brittle import BrittleRates
 from coursekeel.limits._holders import Holders
 from coursekeel.limits._issuer import Issue, PermitIssuer
-from coursekeel.limits._messages import LimitMessage, PermitAnswer, PermitQuestion
+from coursekeel.limits._messages import (
+    LimitMessage,
+    PermitAnswer,
+    PermitQuestion,
+    TurnedAway,
+)
 from coursekeel.limits._rate import holder_rate_per_s
 from coursekeel.limits._stock import PermitStock
 from coursekeel.limits._words import LimitWord
@@ -29,6 +35,8 @@
 
 # An instance that isn't the holder, or isn't yet, gives no permit for so long.
 _NOT_HOLDER_WAIT_MS = 500.0
+# Askers of a brittle endpoint whose permits have stopped come again so soon.
+_PAUSED_WAIT_MS = 100.0
 # An endpoint whose last word is older than this is tried with the next permit.
 _DUE_MS = 1_000.0
 
@@ -42,6 +50,7 @@
     book: LimitBook = field(factory=LimitBook)
     issuer: PermitIssuer = field(factory=PermitIssuer)
     stock: PermitStock = field(factory=PermitStock)
+    brittle_rates: BrittleRates = field(factory=BrittleRates)
 
     # What routing asks.
 
@@ -98,7 +107,13 @@
             return Issue(0)
         if not self.holders.may_give(endpoint_id, now_ms):
             return Issue(0, _NOT_HOLDER_WAIT_MS, _NOT_HOLDER_WAIT_MS)
-        rate_per_s = holder_rate_per_s(per_s, self.holders.share(now_ms))
+        share = self.holders.share(now_ms)
+        if self.book.is_brittle(endpoint_id):
+            rate_per_s = self.brittle_rates.per_s(endpoint_id, per_s, now_ms) * share
+            if not rate_per_s:
+                return Issue(0, _PAUSED_WAIT_MS, _PAUSED_WAIT_MS)
+        else:
+            rate_per_s = holder_rate_per_s(per_s, share)
         return self.issuer.issue(endpoint_id, asker, rate_per_s, now_ms)
 
     # What endpoints and members say.
@@ -120,6 +135,16 @@
             for member in others():
                 self.send(member, news)
 
+    def turned_away(self, endpoint_id: str, now_ms: float) -> None:
+        """Tell the holder that a brittle endpoint turned a request away."""
+        if not self.book.is_brittle(endpoint_id):
+            return
+        holder = self.holders.holder(endpoint_id)
+        if holder in ("", self.holders.own):
+            self.brittle_rates.turned_away(endpoint_id, now_ms)
+        else:
+            self.send(holder, TurnedAway(self.book.news(endpoint_id, now_ms)))
+
     def received(self, sender: str, message: LimitMessage, now_ms: float) -> None:
         """Handle a member's message; answers a question."""
         before = len(self.book.events)
@@ -128,6 +153,8 @@
         for event in self.book.events[before:]:
             self._apply_end(event.kind, news.endpoint_id)
         match message:
+            case TurnedAway():
+                self.brittle_rates.turned_away(news.endpoint_id, now_ms)
             case PermitQuestion():
                 self.holders.told_known(message.known, now_ms)
                 issue = self._issue(news.endpoint_id, sender, now_ms)
@@ -141,10 +168,12 @@
     def _apply_end(self, kind: LimitEventKind, endpoint_id: str) -> None:
         if kind is LimitEventKind.ENDED:
             self.stock.forget(endpoint_id)
+            self.brittle_rates.forget(endpoint_id)
 
     def forget(self, endpoint_id: str) -> None:
         """Forget an endpoint that is gone."""
         self.book.forget_endpoint(endpoint_id)
+        self.brittle_rates.forget(endpoint_id)
         self.stock.forget(endpoint_id)
 
     def forget_old(self, now_ms: float) -> None:
--- a/src/coursekeel/limits/_words.py
+++ b/src/coursekeel/limits/_words.py
@@ -10,17 +10,24 @@
     "NamedLimit",
     "NoLimitNamed",
     "UnreadableLimit",
+    "decode_brittle",
     "decode_limit",
 ]
 
+# An endpoint that may turn none away is sent requests so slowly that few are.
+_LEAST_BRITTLE_PER_S = 0.5
 _DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 
 
 @frozen
 class NamedLimit:
-    """The endpoint takes ``per_s`` requests a second from all instances together."""
+    """The endpoint takes ``per_s`` requests a second from all instances together.
+
+    One that is ``brittle`` names how many it may turn away in a second instead.
+    """
 
     per_s: float
+    brittle: bool = False
 
 
 @frozen
@@ -49,3 +56,15 @@
             "0, of at most nine digits on either side of the point"
         )
     return NamedLimit(per_s)
+
+
+def decode_brittle(values: Sequence[bytes]) -> LimitWord:
+    """Decode how many requests an endpoint says that it may turn away in a second."""
+    if not values:
+        return NoLimitNamed()
+    if len(values) > 1 or not _DECIMAL.fullmatch(values[0]):
+        return UnreadableLimit(
+            f"brittle: got {b', '.join(values)!r:.60}, expected one decimal number of "
+            "at most nine digits on either side of the point"
+        )
+    return NamedLimit(max(float(values[0]), _LEAST_BRITTLE_PER_S), brittle=True)
