A relayed run goes on at a member that stops, and one may be asked as the last

Cause: the watch over the member took one that leaves for one that is gone.

Change: a member that said that it leaves counts as serving until its connections end, and is asked for new requests only where no other member may serve them.

--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -253,8 +253,8 @@
 def _gateways_without_servers_serve(seen: Evidence, bounds: Bounds) -> Iterator[str]:
     """By the users' rule: calls at gateways in touch, from a while after the cut.
 
-    A gateway is in touch while the store is sound; a key that was taken away isn't owed
-    an answer.
+    A gateway is in touch while the store is sound, and another one must reach servers
+    to serve for it. A key that was taken away isn't owed an answer.
     """
     for cut in seen.server_cuts:
         from_s, to_s = cut.begun_s + bounds.contact_s, cut.ended_s
@@ -263,6 +263,7 @@
             for each in seen.calls
             if from_s <= each.sent_s < to_s
             and not each.guilty
+            and _another_reaches_servers(seen, cut.gateway, each, bounds)
             and not _store_is_unsound(
                 seen, each.sent_s - bounds.contact_s, each.ended_s
             )
@@ -291,6 +292,20 @@
     return call.status == _OK and call.whole
 
 
+def _another_reaches_servers(
+    seen: Evidence, gateway: int, call: CallRecord, bounds: Bounds
+) -> bool:
+    """Whether another gateway was in touch, with its servers, during a call."""
+    others = {each.gateway for each in seen.calls} - {gateway}
+    faults = seen.gateway_faults + seen.server_cuts
+    away = {
+        each.gateway
+        for each in faults
+        if each.begun_s < call.ended_s and each.ended_s > call.sent_s - bounds.contact_s
+    }
+    return bool(others - away)
+
+
 def _is_revoked(seen: Evidence, call: CallRecord) -> bool:
     return any(
         each.key == call.key
--- a/src/coursekeel/gateway/relay/_relay_client.py
+++ b/src/coursekeel/gateway/relay/_relay_client.py
@@ -71,14 +71,19 @@
     members: RelayMembers
     sent: int = 0
 
-    def is_alive(self, member: str) -> bool:
-        """Whether nothing speaks against a member, as far as this instance knows."""
-        return member in self.swim.alive()
+    def is_serving(self, member: str) -> bool:
+        """Whether a member may still serve: it is alive, or finishes its requests."""
+        return member in self.swim.alive() or member in self.stopping()
 
     def others_alive(self) -> list[str]:
         """The live members that a request may be relayed to."""
         return [each for each in self.swim.alive() if each != self.swim.own]
 
+    def stopping(self) -> list[str]:
+        """The members that said that they leave, and serve for a while."""
+        present = set(self.swim.others())
+        return [each for each in self.swim.serving() if each not in present]
+
     def send(
         self,
         call: AdmittedRequest,
@@ -142,9 +147,10 @@
         too_late = now_ms - self._since_ms > _MAX_SEARCH_MS
         if too_late or len(self._asked) >= _MAX_MEMBERS:
             return ""
-        member = self.client.members.choose(
-            self.pool, self.client.others_alive(), self._asked, now_ms
-        )
+        client, choose = self.client, self.client.members.choose
+        member = choose(self.pool, client.others_alive(), self._asked, now_ms)
+        if not member:
+            member = choose(self.pool, client.stopping(), self._asked, now_ms)
         if member:
             self._asked.append(member)
         return member
--- a/src/coursekeel/gateway/streams/_relayed_attempt.py
+++ b/src/coursekeel/gateway/streams/_relayed_attempt.py
@@ -1,7 +1,7 @@
 """One run of a stream that a member serves in this instance's place.
 
 Rule: the member finds an endpoint, watches the run and resumes it, so a silent member
-is taken for a waiting one for as long as the group finds it alive. Its events are
+is taken for a waiting one for as long as the group finds it serving. Its events are
 counted here like an endpoint's; a run that ends with the member goes on elsewhere after
 the last event that has come.
 
@@ -66,7 +66,7 @@
         )
 
     def _check_member(self) -> None:
-        if self.task.context.relays.is_alive(self.endpoint_id):
+        if self.task.context.relays.is_serving(self.endpoint_id):
             self._watch_member()
             return
         self._watch_timer = None
--- a/tests/platform/test_relay.py
+++ b/tests/platform/test_relay.py
@@ -169,6 +169,7 @@
 
 def test_a_member_that_stops_finishes_relayed_streams_and_takes_no_new_ones(cut_group):
     """Its end cuts nothing, and the next requests go to the other member."""
+    lost_before = cut_group.log(CUT).count("event=run_lost")
     open_streams = [
         cut_group.site.open("/stream/60", b"x", port=cut_group.ports[CUT][0])
         for _ in range(6)
@@ -179,4 +180,5 @@
     answers = [read(connection) for connection, _ in open_streams]
     assert [each.whole and each.body == events(60) for each in answers] == [True] * 6
     assert statuses == [200] * 20
+    assert cut_group.log(CUT).count("event=run_lost") == lost_before
     assert cut_group.processes[2].wait(15) == 0
