--- a/tests/platform/test_golden_headers.py
+++ b/tests/platform/test_golden_headers.py
@@ -48,7 +48,7 @@
     return {
         "headers": [[name.decode(), value.decode()] for name, value in headers],
         "verdicts": [endpoints.judge(head, "r1").value for head in heads],
-        "caller": list(attrs.astuple(caller)),
+        "caller": orjson.loads(orjson.dumps(attrs.astuple(caller))),
         "paths": [endpoints.report.target.decode(), PlatformCallers().readiness_path],
     }
 
