A begun stream waits while no instance reaches its pool

What callers saw: where all servers of a pool crashed for 0.3 s, streams that had begun were cut instead of resumed, and equal requests were barred, as no success cleared them.

Cause: a pool that isn't reached refused every request at once, begun ones too; probes came each 0.3 s, members were passed over for 2 s, and ejections ended while the list still named the incarnations of before the crash.

Change: a begun stream looks again every 0.1 s until its deadline; probes come each 0.1 s, a member is passed over for 0.5 s, ejections end only after a second.

--- a/src/coursekeel/gateway/relay/_reach_task.py
+++ b/src/coursekeel/gateway/relay/_reach_task.py
@@ -2,8 +2,8 @@
 
 Rule: while a pool is unreached, callers' requests aren't used to find out whether it is
 back. Two of its endpoints are probed several times a second instead, by a connection
-without a request. Once one is made, the endpoints that were ejected meanwhile are used
-again, as their failures were those of the links.
+without a request. Once one is made after a while, the endpoints that were ejected
+meanwhile are used again, as their failures were those of the links.
 
 Owns the probes and the log lines. Relies on `PoolReach`, a core, for the decision.
 """
@@ -32,7 +32,10 @@
 
 # Between two rounds of probes. Well within the users' time to notice a change, and more
 # than a connection takes.
-_PROBE_INTERVAL_MS = 300.0
+_PROBE_INTERVAL_MS = 100.0
+# Endpoints that crash together may be back within this time under other ids, which the
+# list names only later; the old ones stay ejected until then.
+_LONGER_THAN_A_RESTART_MS = 1_000.0
 # So that one endpoint that has ended doesn't hide that the others are back.
 _PROBES_AT_ONCE = 2
 
@@ -72,7 +75,8 @@
     def connected(self, endpoint: EndpointRecord) -> None:
         """Record that a connection to an endpoint was made."""
         if self.reach.connected(endpoint.pool, self.clock.now_ms()):
-            self.directory.end_ejections(endpoint.pool)
+            if self.reach.events[-1].lasted_ms >= _LONGER_THAN_A_RESTART_MS:
+                self.directory.end_ejections(endpoint.pool)
             self._log_events()
             self.routing.review()
 
--- a/src/coursekeel/gateway/streams/_stream_task.py
+++ b/src/coursekeel/gateway/streams/_stream_task.py
@@ -12,6 +12,7 @@
 """
 
 import math
+from typing import Any
 
 from attrs import define, field
 
@@ -34,6 +35,7 @@
     Loss,
     OpenAttempt,
     RequestEndpoint,
+    RunState,
     Started,
     StopSending,
     StreamHead,
@@ -67,6 +69,7 @@
 from coursekeel.routing import POOL_UNREACHED_CODE, Decision, Grant
 from coursekeel.runtime import AnswerDriver, AnswerShell
 from coursekeel.suspects import HeldStart, QuarantinePass
+from coursekeel.units import MS_PER_SECOND
 
 __all__ = ["StreamTask"]
 
@@ -78,6 +81,10 @@
 # limits its requests. After that the run continues elsewhere with a new prefill.
 _COPY_PERMIT_WAIT_MS = 200.0
 
+# How often a stream that has begun looks for an endpoint, or a member that reaches one,
+# while there is none.
+_UNREACHED_SEARCH_INTERVAL_MS = 100.0
+
 
 @define(eq=False)
 class StreamTask(AttemptOwner, AnswerShell):
@@ -100,6 +107,7 @@
     _member_search: MemberSearch = field(init=False)
     _chosen_member: str = ""
     _relayed_tries: int = 0
+    _search_timer: Any = None
     _open_attempts: dict[int, StreamAttempt] = field(factory=dict)
     _permit_lapses_ms: float | None = None
     _refusal_code: str = ""
@@ -225,6 +233,9 @@
             if self._chosen_member:
                 self.handle_event(EndpointGranted(self._chosen_member))
                 return
+            if self.core.run_state is not RunState.NOT_RUN:
+                self._search_later()
+                return
         self.context.log_if_limited(self.call, decision)
         self._refusal_code = decision.code
         left_ms = self.call.deadline_ms - self.context.clock.now_ms()
@@ -356,6 +367,18 @@
 
     # Relaying.
 
+    def _search_later(self) -> None:
+        """Search again soon: a stream that has begun waits until its deadline."""
+        self._member_search = MemberSearch(self.context.relays, self.call.pool)
+        self._search_timer = self.context.reactor.callLater(
+            _UNREACHED_SEARCH_INTERVAL_MS / MS_PER_SECOND, self._search_again
+        )
+
+    def _search_again(self) -> None:
+        self._search_timer = None
+        excluded, held = self.core.excluded_endpoints, self.core.ledger.next_position
+        self._search(RequestEndpoint(excluded, True, held))
+
     def _choose_member(self) -> str:
         return self._member_search.next_member() if self._tries_to_give else ""
 
@@ -487,6 +510,9 @@
         self._held_search.stop()
         self._held_copy.stop()
         self._placement.stop()
+        if self._search_timer is not None:
+            self._search_timer.cancel()
+            self._search_timer = None
         for number in list(self._open_attempts):
             self._cancel(number)
         self._driver.stop_alarm()
--- a/src/coursekeel/reach/_relay_members.py
+++ b/src/coursekeel/reach/_relay_members.py
@@ -17,7 +17,7 @@
 
 # How long a member that couldn't serve is passed over: about the time in which a
 # partition heals unnoticed.
-_PASSED_OVER_MS = 2_000.0
+_PASSED_OVER_MS = 500.0
 # How long a member that served is preferred.
 _SERVED_LATELY_MS = 5_000.0
 # Fewer members that serve would carry all the load of those that don't reach the pool.
