Swim says which members leave; limits and relays ask it

Both worked it out from the members that serve and those that are present. Behaviour is unchanged: tests of the group, relay client, relays over processes, stream placement and quality pass.

--- a/src/coursekeel/gateway/limits/_limits_task.py
+++ b/src/coursekeel/gateway/limits/_limits_task.py
@@ -76,9 +76,9 @@
     async def _tick(self) -> None:
         now_ms, swim = self.clock.now_ms(), self.swim
         if swim.own:
-            present = swim.others()
-            left = set(swim.serving()) - set(present)
-            self.limits.holders.observe(swim.alive(), present, left, now_ms)
+            self.limits.holders.observe(
+                swim.alive(), swim.others(), swim.leaving(), now_ms
+            )
         else:
             self.limits.holders.observe([_NO_PEER_ADDRESS], [], [], now_ms)
         self.limits.forget_old(now_ms)
--- a/src/coursekeel/gateway/relay/_relay_client.py
+++ b/src/coursekeel/gateway/relay/_relay_client.py
@@ -73,17 +73,12 @@
 
     def is_serving(self, member: str) -> bool:
         """Whether a member may still serve: it is alive, or finishes its requests."""
-        return member in self.swim.alive() or member in self.stopping()
+        return member in self.swim.alive() or member in self.swim.leaving()
 
     def others_alive(self) -> list[str]:
         """The live members that a request may be relayed to."""
         return [each for each in self.swim.alive() if each != self.swim.own]
 
-    def stopping(self) -> list[str]:
-        """The members that said that they leave, and serve for a while."""
-        present = set(self.swim.others())
-        return [each for each in self.swim.serving() if each not in present]
-
     def send(
         self,
         call: AdmittedRequest,
@@ -150,7 +145,7 @@
         client, choose = self.client, self.client.members.choose
         member = choose(self.pool, client.others_alive(), self._asked, now_ms)
         if not member:
-            member = choose(self.pool, client.stopping(), self._asked, now_ms)
+            member = choose(self.pool, client.swim.leaving(), self._asked, now_ms)
         if member:
             self._asked.append(member)
         return member
--- a/src/coursekeel/group/_swim.py
+++ b/src/coursekeel/group/_swim.py
@@ -127,6 +127,11 @@
         """The addresses of other members that may serve, those that leave included."""
         return self._members.serving()
 
+    def leaving(self) -> list[str]:
+        """The addresses of members that said that they leave, and serve for a while."""
+        present = set(self._members.present())
+        return [each for each in self._members.serving() if each not in present]
+
     @property
     def known(self) -> int:
         """The number of members that are present or were lost, this member included.
