One sink that passes events on, for limits and for reach

LimitListener and ReachListener each forwarded what they don't look at. Behaviour is unchanged: tests of fetch, the right to send, stream placement, limits, quality, relays and gateways pass.

--- a/src/coursekeel/fetch/__init__.py
+++ b/src/coursekeel/fetch/__init__.py
@@ -8,6 +8,7 @@
     ExchangeHead,
     ExchangeRequest,
     ExchangeSink,
+    ForwardingSink,
 )
 from coursekeel.fetch._fetch import (
     AnswerLost,
@@ -28,6 +29,7 @@
     "ExchangeSink",
     "FetchOutcome",
     "Fetcher",
+    "ForwardingSink",
     "HttpReply",
     "MaySend",
     "NotReached",
--- a/src/coursekeel/fetch/_exchange.py
+++ b/src/coursekeel/fetch/_exchange.py
@@ -22,7 +22,14 @@
 
 from coursekeel.reactor import Reactor
 
-__all__ = ["Ending", "Exchange", "ExchangeHead", "ExchangeRequest", "ExchangeSink"]
+__all__ = [
+    "Ending",
+    "Exchange",
+    "ExchangeHead",
+    "ExchangeRequest",
+    "ExchangeSink",
+    "ForwardingSink",
+]
 
 
 class Ending(Enum):
@@ -87,6 +94,25 @@
         """The exchange ended; this is the last event."""
 
 
+@define(eq=False)
+class ForwardingSink(ExchangeSink):
+    """Passes all events on to ``sink``; subclasses look at some of them."""
+
+    sink: ExchangeSink
+
+    def may_send(self) -> bool:
+        return self.sink.may_send()
+
+    def head_arrived(self, head: ExchangeHead) -> None:
+        self.sink.head_arrived(head)
+
+    def data_arrived(self, data: bytes) -> None:
+        self.sink.data_arrived(data)
+
+    def ended(self, ending: Ending, reason: str) -> None:
+        self.sink.ended(ending, reason)
+
+
 @implementer(IBodyProducer)
 class _WholeBody:
     """Writes a body that is already in memory, in one piece."""
--- a/src/coursekeel/gateway/limits/_limit_listener.py
+++ b/src/coursekeel/gateway/limits/_limit_listener.py
@@ -8,7 +8,7 @@
 
 from attrs import define
 
-from coursekeel.fetch import Ending, ExchangeHead, ExchangeSink
+from coursekeel.fetch import ExchangeHead, ForwardingSink
 from coursekeel.runtime import Clock
 
 __all__ = ["LimitListener"]
@@ -19,13 +19,12 @@
 
 
 @define(eq=False)
-class LimitListener(ExchangeSink):
+class LimitListener(ForwardingSink):
     """Stands before ``sink``; ``on_head`` gets each head and when its request left.
 
     ``permitted`` is asked last, as it may use up a permit.
     """
 
-    sink: ExchangeSink
     clock: Clock
     on_head: Callable[[ExchangeHead, float], None]
     permitted: Callable[[], bool] = _always
@@ -38,9 +37,3 @@
     def head_arrived(self, head: ExchangeHead) -> None:
         self.on_head(head, self._sent_ms)
         self.sink.head_arrived(head)
-
-    def data_arrived(self, data: bytes) -> None:
-        self.sink.data_arrived(data)
-
-    def ended(self, ending: Ending, reason: str) -> None:
-        self.sink.ended(ending, reason)
--- a/src/coursekeel/gateway/relay/_reach_task.py
+++ b/src/coursekeel/gateway/relay/_reach_task.py
@@ -16,9 +16,9 @@
 from coursekeel.fetch import (
     Ending,
     Exchange,
-    ExchangeHead,
     ExchangeRequest,
     ExchangeSink,
+    ForwardingSink,
     OwnLink,
 )
 from coursekeel.forwarding import EndpointDirectory, EndpointRecord
@@ -132,10 +132,9 @@
 
 
 @define(eq=False)
-class ReachListener(ExchangeSink):
+class ReachListener(ForwardingSink):
     """Stands before ``sink``, and reports whether the endpoint was connected to."""
 
-    sink: ExchangeSink
     task: ReachTask
     endpoint: EndpointRecord
 
@@ -143,12 +142,6 @@
         self.task.connected(self.endpoint)
         return self.sink.may_send()
 
-    def head_arrived(self, head: ExchangeHead) -> None:
-        self.sink.head_arrived(head)
-
-    def data_arrived(self, data: bytes) -> None:
-        self.sink.data_arrived(data)
-
     def ended(self, ending: Ending, reason: str) -> None:
         if ending is Ending.NOT_SENT:
             self.task.failed(self.endpoint)
