A run is replaced for its endpoint's word, not for its silence

Cause: a run without an event for `silence_ms` was given up before its endpoint was asked, unless an endpoint of the pool had lived through such a pause within 30 s; and it was cancelled before it was known whether a retry or an endpoint could replace it.

Change: a stall leads to a request for the endpoint's report, shared by all runs that stall there. A run is overdue only if the report is missing, doesn't list it, or counts events that haven't arrived; it is replaced only with a retry in hand, and stays open until routing has granted its successor an endpoint. The same before the first event, where an endpoint that turns the request away (full) counts as alive, and for relayed runs. The core's part holds for the entries' classes that don't race too. The history of pauses of a pool goes. `run_lost` tells the reasons apart, `run_kept` is new.

A check that changed: without racing, a stalled stream was cancelled at once; now it must be closed before its successor opens, never beside it, and kept if none is there. The tests of StallCheck assumed the loss without a question; they are replaced by ones that ask for the question first and for waiting without limit on a run that is listed.

--- a/src/coursekeel/answers/_answer.py
+++ b/src/coursekeel/answers/_answer.py
@@ -98,6 +98,15 @@
         """Whether the answer is in a final state."""
         return self._machine.state in _FINAL_STATES
 
+    def stalled_attempts(self, now_ms: float) -> list[int]:
+        """The numbers of the attempts that a `Tick` would suspect now."""
+        return [attempt.number for attempt in self.recovery.stalled(now_ms)]
+
+    @property
+    def waits_on_suspected_run(self) -> bool:
+        """Whether a suspected run is open that may still send the rest."""
+        return any(attempt.suspected for attempt in self._attempts.live)
+
     @property
     def run_state(self) -> RunState:
         """Whether the request ran, as far as can be guaranteed."""
@@ -135,7 +144,7 @@
             case NoEndpointFree():
                 self._machine.feed("nothing_free")
                 self.recovery.retry_after_ms = event.retry_after_ms
-                return []
+                return self.recovery.keep_suspected(now_ms)
             case Started():
                 return self._handle_started(event, now_ms)
             case AnswerFenced():
--- a/src/coursekeel/answers/_events.py
+++ b/src/coursekeel/answers/_events.py
@@ -115,7 +115,7 @@
 
 @frozen
 class NoEndpointFree:
-    """Routing has no free endpoint now; it may grant one until patience ends."""
+    """Routing refused an endpoint; suspected runs that are open are waited on."""
 
     retry_after_ms: int
 
--- a/src/coursekeel/answers/_policy.py
+++ b/src/coursekeel/answers/_policy.py
@@ -13,7 +13,7 @@
     A stream is suspected after ``first_token_ms`` without a first piece
     (``copy_first_ms`` when it continues from a copy), later after ``silence_ms``
     without data. ``races`` keeps a suspected stream open beside its successor, which
-    saves latency; cancelling it first saves engine work.
+    saves latency; cancelling it when its successor starts saves engine work.
 
     An answer is interrupted after ``deaths_before_stop`` lost runs in a row, not
     counting those before a run that streamed for ``reset_losses_after_ms``. An engine's
--- a/src/coursekeel/answers/_recovery.py
+++ b/src/coursekeel/answers/_recovery.py
@@ -5,8 +5,8 @@
 prefills the prompt and the tokens held so far. Several runs lost in a row, without
 one that streamed for a while, mean that the request itself crashes engines; the
 answer is then interrupted. A stalled run is suspected: with `races` it stays open
-beside its successor, otherwise it is cancelled first. An answer that waits for longer
-than its class's ``patience_ms`` is interrupted.
+beside its successor, otherwise until its successor may start. An answer that waits for
+longer than its class's ``patience_ms`` is interrupted.
 
 Owns the endpoints to avoid, the count of runs lost in a row, and the time since which
 the answer waits. All timeouts and limits are in `AnswerPolicy`. Has no clock: callers
@@ -105,7 +105,9 @@
         self._seeking = False
         if self.attempts.has_healthy:
             return []
-        cancelled = self.attempts.make_room()
+        attempts = self.attempts
+        races = self.policy.races
+        cancelled = attempts.make_room() if races else attempts.cancel_all()
         self.machine.feed("granted")
         attempt = self._new_attempt(endpoint_id, Way.PREFILL, now_ms)
         return [*cancelled, *self.open_attempt(attempt)]
@@ -224,12 +226,23 @@
             self.waiting_since_ms = now_ms
         if self.policy.races:
             return self._open_competing_run(attempt, now_ms)
+        if not self._has_copy(attempt):
+            return [*self.request_endpoint(), self.next_alarm()]
         attempt.machine.feed("lost")
         return [
             CancelAttempt(attempt.number),
             *self._resume_from_copy_or_seek(attempt, now_ms),
         ]
 
+    def keep_suspected(self, now_ms: float) -> list[Action]:
+        """Wait on suspected attempts, as no endpoint is free to replace them."""
+        self._seeking = False
+        for attempt in self.attempts.live:
+            if attempt.suspected:
+                attempt.suspected = False
+                attempt.last_received_ms = now_ms
+        return [self.next_alarm()]
+
     def _open_competing_run(self, suspected: Attempt, now_ms: float) -> list[Action]:
         """Open a second run beside a suspected one, from its copy if it has one."""
         if not self._has_copy(suspected):
@@ -245,11 +258,18 @@
         if since_ms is not None and now_ms >= since_ms + self.policy.patience_ms:
             return self._give_up("interrupted", "patience_over")
         actions: list[Action] = []
-        for attempt in self.attempts.live:
-            if not attempt.suspected and now_ms >= self._suspect_at_ms(attempt):
-                actions += self.suspect(attempt, now_ms)
+        for attempt in self.stalled(now_ms):
+            actions += self.suspect(attempt, now_ms)
         return [*actions, self.next_alarm()]
 
+    def stalled(self, now_ms: float) -> list[Attempt]:
+        """The attempts that become suspect now."""
+        return [
+            attempt
+            for attempt in self.attempts.live
+            if not attempt.suspected and now_ms >= self._suspect_at_ms(attempt)
+        ]
+
     def next_alarm(self) -> SetAlarm:
         """Set the alarm for when an attempt becomes suspect or patience ends."""
         live = self.attempts.live
@@ -265,7 +285,7 @@
         if attempt.has_progressed:
             return attempt.last_received_ms + self.policy.silence_ms
         if attempt.way is Way.COPY:
-            return attempt.opened_ms + self.policy.copy_first_ms
+            return attempt.last_received_ms + self.policy.copy_first_ms
         return attempt.opened_ms + self.policy.first_token_ms
 
     # Interrupting the answer.
--- a/src/coursekeel/gateway/_adapters.py
+++ b/src/coursekeel/gateway/_adapters.py
@@ -5,10 +5,10 @@
 """
 
 from abc import ABC, abstractmethod
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from enum import Enum
 
-from attrs import frozen
+from attrs import field, frozen
 
 from coursekeel.canary import RolloutOrder
 from coursekeel.fetch import ExchangeHead, Transfer
@@ -120,7 +120,8 @@
     """An endpoint's own report of its load.
 
     ``prefill_pending_runs`` is the number of requests that are queued or in prefill;
-    ``runs`` are the ids of the running requests, ``models`` the names of the models
+    ``runs`` maps the ids of the running requests to the number of events that each has
+    made, None if the report doesn't tell; ``models`` are the names of the models
     served.
     """
 
@@ -128,7 +129,7 @@
     queued: int
     free_tokens: int | None = None
     prefill_pending_runs: int | None = None
-    runs: frozenset[str] = frozenset()
+    runs: Mapping[str, int | None] = field(factory=dict)
     models: frozenset[str] = frozenset()
 
 
--- a/src/coursekeel/gateway/_context.py
+++ b/src/coursekeel/gateway/_context.py
@@ -15,7 +15,6 @@
 from coursekeel.gateway.endpoints._crash_watch import CrashWatch
 from coursekeel.gateway.endpoints._endpoint_client import EndpointClient
 from coursekeel.gateway.endpoints._endpoint_health import EndpointHealth
-from coursekeel.gateway.endpoints._lived_silences import StallHistory
 from coursekeel.gateway.relay._reach_task import ReachTask
 from coursekeel.gateway.relay._relay_client import RelayClient
 from coursekeel.gateway.rollouts._version_choice import VersionChoice
@@ -47,7 +46,6 @@
     reach: ReachTask
     relays: RelayClient
     versions: VersionChoice = field(factory=VersionChoice)
-    stall_history: StallHistory = field(factory=StallHistory)
     lengths: StreamDurations = field(factory=StreamDurations)
 
     def log_if_limited(self, call: AdmittedRequest, refused: Refuse) -> None:
--- a/src/coursekeel/gateway/_metrics.py
+++ b/src/coursekeel/gateway/_metrics.py
@@ -218,6 +218,21 @@
             **fields,
         )
 
+    def run_kept(
+        self, call: AdmittedRequest, endpoint_id: str, reason: str, position: int
+    ) -> None:
+        """Log that an overdue run is waited on, as nothing can replace it now.
+
+        ``reason`` is why it is overdue, or the code of the refusal of a replacement.
+        """
+        log_event(
+            "run_kept",
+            request=call.caller.request_id,
+            endpoint=endpoint_id,
+            reason=reason,
+            position=position,
+        )
+
     def endpoint_ended(self, endpoint_id: str, fingerprints: Sequence[str]) -> None:
         """Record the crash of an endpoint that had these requests."""
         self.metrics.attempts.inc({"way": "ended_under"})
--- a/src/coursekeel/gateway/_retry_budgets.py
+++ b/src/coursekeel/gateway/_retry_budgets.py
@@ -118,11 +118,25 @@
 
     budget: WindowBudget
     _sends: int = 0
+    _has_reserved: bool = False
+
+    def reserve(self, now_ms: float) -> bool:
+        """Take the retry for the next send now; return whether there is one."""
+        if not self._has_reserved:
+            self._has_reserved = self.budget.take(now_ms)
+        return self._has_reserved
+
+    def release(self) -> None:
+        """Return a retry that was reserved and isn't needed."""
+        if self._has_reserved:
+            self._has_reserved = False
+            self.budget.give_back()
 
     def may_send(self, now_ms: float) -> bool:
         """Whether the request may be sent (again); if so, the send is counted."""
-        if self._sends and not self.budget.take(now_ms):
+        if self._sends and not self.reserve(now_ms):
             return False
+        self._has_reserved = False
         self._sends += 1
         return True
 
--- a/src/coursekeel/gateway/endpoints/_load_reports.py
+++ b/src/coursekeel/gateway/endpoints/_load_reports.py
@@ -1,16 +1,18 @@
-"""Request endpoints' load reports before a request is placed.
+"""Request endpoints' load reports: before a request is placed, and while runs stall.
 
-Owns no state. Relies on `EndpointProbe` for the requests. Passes reports to routing,
-and ejects an endpoint that doesn't answer, before a long prompt is sent to it. For a
-resumed stream, endpoints are also asked which prompts they have in their cache.
+Runs that stall at one endpoint at the same time share one request. Owns the callbacks
+of those requests. Relies on `EndpointProbe` for the requests. Passes reports to
+routing, and ejects an endpoint that doesn't answer, before a long prompt is sent to it.
+For a resumed stream, endpoints are also asked which prompts they have in their cache.
 """
 
 import logging
 from collections.abc import Callable
+from enum import Enum
 from functools import partial
 from http import HTTPStatus
 
-from attrs import define
+from attrs import define, field
 
 from coursekeel.forwarding import EndpointRecord
 from coursekeel.gateway._adapters import (
@@ -29,9 +31,24 @@
 from coursekeel.observe import log_event
 from coursekeel.routing import LoadReport
 
-__all__ = ["LoadReports"]
+__all__ = ["LoadReports", "NoReport", "ReportResult"]
 
-_OnReport = Callable[[EndpointReport | None], None]
+
+class NoReport(Enum):
+    """Why there is no usable report.
+
+    ``SILENT``: nothing came in time, or the endpoint isn't listed. ``TURNED_AWAY``: the
+    connection was refused or reset, as by an endpoint that has too many, or the
+    response was no report.
+    """
+
+    SILENT = "silent"
+    TURNED_AWAY = "turned_away"
+
+
+ReportResult = EndpointReport | NoReport
+
+_OnReport = Callable[[ReportResult], None]
 _OnFound = Callable[[frozenset[str]], None]
 
 
@@ -40,6 +57,7 @@
     """Requests load reports; routing gets each one before the caller does."""
 
     context: GatewayContext
+    _shared: dict[str, list[_OnReport]] = field(factory=dict)
 
     def request_reports(
         self, endpoint_ids: list[str], on_done: Callable[[], None]
@@ -47,7 +65,7 @@
         """Request several reports at once; call ``on_done`` when all have ended."""
         pending = set(endpoint_ids)
 
-        def probe_ended(endpoint_id: str, _: EndpointReport | None) -> None:
+        def probe_ended(endpoint_id: str, _: ReportResult) -> None:
             pending.discard(endpoint_id)
             if not pending:
                 on_done()
@@ -98,13 +116,26 @@
         )
 
     def request_report(self, endpoint_id: str, on_report: _OnReport) -> None:
-        """Request one report; ``on_report`` gets None if there is none in time."""
+        """Request one report; ``on_report`` is called once."""
         record = self.context.site.directory.record(endpoint_id)
         if record is None:
-            on_report(None)
+            on_report(NoReport.SILENT)
             return
         self.request_report_from(record, on_report)
 
+    def request_shared_report(self, endpoint_id: str, on_report: _OnReport) -> None:
+        """Request one report, or wait for the one that another run has requested."""
+        callbacks = self._shared.setdefault(endpoint_id, [])
+        callbacks.append(on_report)
+        if len(callbacks) == 1:
+            self.request_report(
+                endpoint_id, partial(self._shared_report_ended, endpoint_id)
+            )
+
+    def _shared_report_ended(self, endpoint_id: str, result: ReportResult) -> None:
+        for callback in self._shared.pop(endpoint_id):
+            callback(result)
+
     def request_report_from(self, record: EndpointRecord, on_report: _OnReport) -> None:
         """Request a report of an endpoint that need not be listed."""
         requested_ms = self.context.clock.now_ms()
@@ -117,17 +148,18 @@
 
     def _read_report(
         self, record: EndpointRecord, requested_ms: float, result: ProbeResult
-    ) -> EndpointReport | None:
-        """Pass the report to routing and return it; None if there is no usable one."""
+    ) -> ReportResult:
+        """Pass the report to routing and return it, or why there is no usable one."""
         if isinstance(result, ProbeFailure):
             self._update_health(record.endpoint_id, result)
-            return None
+            timed_out = result.kind is ProbeFailureKind.TIMED_OUT
+            return NoReport.SILENT if timed_out else NoReport.TURNED_AWAY
         if result.status != HTTPStatus.OK:
-            return None
+            return NoReport.TURNED_AWAY
         report = self.context.endpoints.dialect.read_report(result.body)
         if isinstance(report, UnreadableReport):
             _log_unreadable(record.endpoint_id, report)
-            return None
+            return NoReport.TURNED_AWAY
         self._update_routing(record, report, requested_ms)
         return report
 
--- a/src/coursekeel/gateway/streams/_begin_watch.py
+++ b/src/coursekeel/gateway/streams/_begin_watch.py
@@ -1,9 +1,10 @@
-"""Detect a run that is lost before its first event.
+"""Detect a run that is overdue before its first event.
 
 Rule: prefill of a long prompt takes a second or more, in which a run sends nothing, so
-the endpoint's load report is requested instead. The run is lost if two reports in a row
-are missing or don't list a run that they should list by then. After the first event
-the core applies `silence_ms`.
+the endpoint's load report is requested instead. The run is overdue if two reports in a
+row are missing, or lost if they don't list a run that they should list by then. An
+endpoint that turns the request for its report away may be full, and gets more time.
+After the first event `StallCheck` decides.
 
 Owns the timer for the next report request. Relies on `LoadReports` for the reports.
 """
@@ -14,7 +15,12 @@
 from attrs import define
 
 from coursekeel.gateway._adapters import EndpointReport
-from coursekeel.gateway.endpoints._load_reports import LoadReports
+from coursekeel.gateway.endpoints._load_reports import (
+    LoadReports,
+    NoReport,
+    ReportResult,
+)
+from coursekeel.gateway.streams._silence_doubt import MAX_REPORT_LAG_MS
 from coursekeel.reactor import Reactor
 from coursekeel.runtime import Clock
 from coursekeel.units import MS_PER_SECOND
@@ -27,17 +33,16 @@
 _REQUEST_INTERVAL_MS = 400.0
 # One missing report may be a failure of the request for it.
 _MISSED_REPORTS_LIMIT = 2
-# Reports lag by about 200 ms; after this time an accepted run must be listed. Without
-# this rule streams waited 18 s at endpoints that never began them.
-_MAX_REPORT_LAG_MS = 700.0
+# How often in a row an endpoint may turn the request away.
+_TURNED_AWAY_LIMIT = 4
 
 
 @define(eq=False)
 class FirstEventWatch:
-    """Watches one run until its first event; calls ``on_lost`` once if it is lost.
+    """Watches one run until its first event; reports list it under ``run_id``.
 
-    ``on_lost`` gets the last report, None if the endpoint gave none. Reports list the
-    run under ``run_id``.
+    ``on_overdue`` is called each time that the endpoint gives no report, ``on_lost``
+    once if its reports show that it doesn't run the request.
     """
 
     reactor: Reactor
@@ -45,10 +50,13 @@
     reports: LoadReports
     endpoint_id: str
     run_id: str
-    on_lost: Callable[[EndpointReport | None], None]
+    on_overdue: Callable[[], None]
+    on_lost: Callable[[], None]
     _sent_ms: float = 0.0
     _watching: bool = False
     _missed_reports: int = 0
+    _unlisted_reports: int = 0
+    _times_turned_away: int = 0
     _next_request: Any = None
 
     def start(self) -> None:
@@ -69,18 +77,38 @@
         self._next_request = self.reactor.callLater(delay_s, self._request_report)
 
     def _request_report(self) -> None:
-        self.reports.request_report(self.endpoint_id, self._report_received)
+        self.reports.request_shared_report(self.endpoint_id, self._report_received)
 
-    def _report_received(self, report: EndpointReport | None) -> None:
+    def _report_received(self, result: ReportResult) -> None:
         if not self._watching:
             return
-        missing = report is None or self._run_missing_from(report)
-        self._missed_reports = self._missed_reports + 1 if missing else 0
-        if self._missed_reports >= _MISSED_REPORTS_LIMIT:
+        self._count(result)
+        if self._unlisted_reports >= _MISSED_REPORTS_LIMIT:
             self._watching = False
-            self.on_lost(report)
+            self.on_lost()
             return
-        self._schedule_request(_REQUEST_INTERVAL_MS if report is not None else 0.0)
+        is_first_miss = result is NoReport.SILENT and self._missed_reports == 1
+        self._schedule_request(0.0 if is_first_miss else _REQUEST_INTERVAL_MS)
+        if self._is_overdue:
+            self.on_overdue()
+
+    def _count(self, result: ReportResult) -> None:
+        """Count the results in a row that speak against the run."""
+        if result is NoReport.SILENT:
+            self._missed_reports += 1
+        elif isinstance(result, NoReport):
+            self._times_turned_away += 1
+        elif self._run_missing_from(result):
+            self._unlisted_reports += 1
+        else:
+            self._missed_reports = self._unlisted_reports = self._times_turned_away = 0
+
+    @property
+    def _is_overdue(self) -> bool:
+        return (
+            self._missed_reports + self._unlisted_reports >= _MISSED_REPORTS_LIMIT
+            or self._times_turned_away >= _TURNED_AWAY_LIMIT
+        )
 
     def _run_missing_from(self, report: EndpointReport) -> bool:
         """Return True if ``report`` should list the run by now and doesn't.
@@ -89,6 +117,6 @@
         the report has no ``prefill_pending_runs``, or counts runs that haven't started.
         """
         waited_ms = self.clock.now_ms() - self._sent_ms
-        if waited_ms < _MAX_REPORT_LAG_MS or report.prefill_pending_runs is None:
+        if waited_ms < MAX_REPORT_LAG_MS or report.prefill_pending_runs is None:
             return False
         return self.run_id not in report.runs and report.prefill_pending_runs == 0
--- a/src/coursekeel/gateway/streams/_placement.py
+++ b/src/coursekeel/gateway/streams/_placement.py
@@ -187,6 +187,10 @@
     def run_lost(self, endpoint_id: str) -> None:
         """Report a lost run; this stream avoids the endpoint's zone from now on."""
         self.context.health.run_lost(self.call.pool, endpoint_id)
+        self.avoid_zone_of(endpoint_id)
+
+    def avoid_zone_of(self, endpoint_id: str) -> None:
+        """Avoid an endpoint's zone in this stream's searches from now on."""
         record = self.context.site.directory.record(endpoint_id)
         if record is not None:
             self._lost_zones.add(record.zone)
--- a/src/coursekeel/gateway/streams/_relayed_attempt.py
+++ b/src/coursekeel/gateway/streams/_relayed_attempt.py
@@ -13,7 +13,7 @@
 
 from attrs import define
 
-from coursekeel.answers import EndpointStalled, Loss
+from coursekeel.answers import Loss
 from coursekeel.fetch import ExchangeHead
 from coursekeel.gateway._adapters import HeadVerdict
 from coursekeel.gateway.admission._refusals import GatewayRefusal
@@ -66,12 +66,10 @@
         )
 
     def _check_member(self) -> None:
-        if self.task.context.relays.is_serving(self.endpoint_id):
-            self._watch_member()
-            return
-        self._watch_timer = None
-        self.search.lost(self.endpoint_id)
-        self.task.handle_event(EndpointStalled(self.endpoint_id))
+        self._watch_member()
+        if not self.task.context.relays.is_serving(self.endpoint_id):
+            self.search.lost(self.endpoint_id)
+            self.task.run_overdue(self.number, "member_lost")
 
     def may_send(self) -> bool:
         return self.task.may_still_relay()
--- a/src/coursekeel/gateway/streams/_silence_doubt.py
+++ b/src/coursekeel/gateway/streams/_silence_doubt.py
@@ -1,26 +1,32 @@
-"""Decide whether a run that stalled after its first event is lost.
+"""Decide whether a run that stalled after its first event should be replaced.
 
-Rule: a run without an event for `silence_ms` is lost, unless endpoints of its pool were
-recently found alive during such a stall. Then the endpoint's report is requested: the
-run is lost if there is no report or the report doesn't list it. A listed run may stall
-for a few times `silence_ms`, or without limit while the retry budget is spent. Reason:
-on some engines the prefill of a long prompt stalls all runs beside it.
+Rule: a stall alone proves nothing, since the prefill of a long prompt stalls all runs
+beside it. The endpoint's report is requested, one for all runs that stall there. The
+run is to be replaced if the report doesn't come, doesn't list it, or counts events that
+haven't arrived here; otherwise it is waited on, and the report is requested again after
+each further `silence_ms`. Without a count of events the wait is limited.
 
-Owns the count of one stream's stalls since its last event. Relies on `LoadReports`.
+The stream's task replaces the run only if it has a retry and an endpoint for it. Owns
+what is known of one stream's stall. Relies on `LoadReports`.
 """
 
 from collections.abc import Callable
 
 from attrs import define
 
-from coursekeel.gateway._adapters import EndpointReport
-from coursekeel.gateway.endpoints._lived_silences import StallHistory
-from coursekeel.gateway.endpoints._load_reports import LoadReports
+from coursekeel.gateway.endpoints._load_reports import (
+    LoadReports,
+    NoReport,
+    ReportResult,
+)
 from coursekeel.runtime import Clock
 
-__all__ = ["StallCheck"]
+__all__ = ["MAX_REPORT_LAG_MS", "StallCheck"]
 
-# Four times `silence_ms` is longer than the gap that callers accept.
+# Reports lag by about 200 ms; after this time a run must be listed.
+MAX_REPORT_LAG_MS = 700.0
+
+# How many stalls in a row without proof that the run goes on.
 _MAX_STALLS = 4
 
 
@@ -28,59 +34,57 @@
 class StallCheck:
     """Checks one stream's stalled runs.
 
-    ``on_lost`` is called with the id of an endpoint whose run is lost; ``may_repeat``
-    returns whether the retry budget allows the stream to be sent again.
+    ``position`` returns the stream's position in events. ``on_overdue`` is called with
+    the id of the endpoint and the reason, a log value, for each report that speaks
+    against a run there.
     """
 
     clock: Clock
     reports: LoadReports
-    silences: StallHistory
-    pool: str
     run_id: str
-    on_lost: Callable[[str], None]
-    may_repeat: Callable[[], bool]
-    _position: int = -1
+    position: Callable[[], int]
+    on_overdue: Callable[[str, str], None]
+    _endpoint_id: str = ""
+    _stalled_at: int = -1
     _stalls: int = 0
+    _events_made: int | None = None
 
-    def runs_lost(self, endpoint_ids: list[str], position: int) -> bool:
-        """Return True if the stalled runs at these endpoints are lost right now.
+    def run_stalled(self, endpoint_id: str, first_event_ms: float) -> None:
+        """Request the report of the endpoint of a run that stalled.
 
-        Otherwise requests the endpoints' reports; ``on_lost`` may follow. ``position``
-        is the stream's position in events: a change starts the count again.
+        ``first_event_ms`` is when the run's first event arrived.
         """
-        if not endpoint_ids or not self.silences.recently_alive(
-            self.pool, self.clock.now_ms()
-        ):
-            return True
-        if position != self._position:
-            self._position, self._stalls = position, 0
+        position = self.position()
+        if (endpoint_id, position) != (self._endpoint_id, self._stalled_at):
+            self._endpoint_id, self._stalled_at = endpoint_id, position
+            self._stalls, self._events_made = 0, None
         self._stalls += 1
-        if self._stalls >= _MAX_STALLS and self.may_repeat():
-            return True
-        for endpoint_id in endpoint_ids:
-            self._request_report(endpoint_id)
-        return False
-
-    def run_abandoned(self, endpoint_id: str) -> None:
-        """Find out whether the endpoint of a run abandoned as stalled is alive."""
-        if self.silences.recently_alive(self.pool, self.clock.now_ms()):
-            return
-
-        def report_received(report: EndpointReport | None) -> None:
-            if report is not None:
-                self.silences.record_alive(self.pool, self.clock.now_ms())
 
-        self.reports.request_report(endpoint_id, report_received)
-
-    def _request_report(self, endpoint_id: str) -> None:
-        requested_position = self._position
-
-        def report_received(report: EndpointReport | None) -> None:
-            if self._position != requested_position:
+        def report_received(result: ReportResult) -> None:
+            if endpoint_id != self._endpoint_id or position != self.position():
                 return
-            if report is None or self.run_id not in report.runs:
-                self.on_lost(endpoint_id)
-            else:
-                self.silences.record_alive(self.pool, self.clock.now_ms())
-
-        self.reports.request_report(endpoint_id, report_received)
+            reason = self._overdue_reason(result, first_event_ms)
+            if reason:
+                self.on_overdue(endpoint_id, reason)
+
+        self.reports.request_shared_report(endpoint_id, report_received)
+
+    def _overdue_reason(self, result: ReportResult, first_event_ms: float) -> str:
+        """Return why the run should be replaced, empty if it should be waited on."""
+        if result is NoReport.SILENT:
+            return "no_report"
+        if isinstance(result, NoReport):
+            return self._reason_without_proof()
+        if self.run_id not in result.runs:
+            listed_by_ms = first_event_ms + MAX_REPORT_LAG_MS
+            return "not_listed" if self.clock.now_ms() >= listed_by_ms else ""
+        events_made = result.runs[self.run_id]
+        if events_made is None:
+            return self._reason_without_proof()
+        before, self._events_made = self._events_made, events_made
+        # A resumed run may count its events from its own start or from the stream's.
+        has_grown = before is not None and events_made > before
+        return "events_missing" if has_grown or events_made > self._stalled_at else ""
+
+    def _reason_without_proof(self) -> str:
+        return "silent" if self._stalls >= _MAX_STALLS else ""
--- a/src/coursekeel/gateway/streams/_stream_attempt.py
+++ b/src/coursekeel/gateway/streams/_stream_attempt.py
@@ -1,8 +1,8 @@
 """One run of a stream at one endpoint: reads its events and detects its loss.
 
-Rule: before the first event `FirstEventWatch` decides whether the run is lost; after it
-the core applies `silence_ms`. A reset connection, an event without a number and a
-response that doesn't belong to the request lose the run at once.
+Rule: before the first event `FirstEventWatch` decides whether the run is overdue, after
+it `StallCheck`. A reset connection, an event without a number and a response that
+doesn't belong to the request lose the run at once.
 
 Owns the exchange and the bytes of the incomplete last event.
 """
@@ -15,7 +15,6 @@
 from coursekeel.answers import (
     AnswerCore,
     AttemptEnded,
-    EndpointStalled,
     Event,
     FinishArrived,
     Loss,
@@ -30,7 +29,6 @@
     split_events,
 )
 from coursekeel.gateway._adapters import (
-    EndpointReport,
     HeadVerdict,
     OutboundRequest,
 )
@@ -90,6 +88,13 @@
     def attempt_ended(self, number: int) -> None:
         """Remove an attempt whose connection has ended."""
 
+    @abstractmethod
+    def run_overdue(self, number: int, reason: str) -> None:
+        """Replace a run that may be lost, if a retry and an endpoint allow it.
+
+        ``reason`` is the log value of its loss.
+        """
+
     @abstractmethod
     def run_lost(self, lost: LostRun) -> None:
         """Record that a run was lost before its answer was complete."""
@@ -112,6 +117,7 @@
     """One run at one endpoint; ``from_copy`` if it continues from a copy kept there.
 
     ``number`` is the attempt's number in the core; ``started_ms`` is when it was sent.
+    ``overdue_reason`` is why it is to be replaced, a log value, empty if it isn't.
     """
 
     task: AttemptOwner
@@ -119,6 +125,7 @@
     endpoint_id: str
     from_copy: bool
     started_ms: float
+    overdue_reason: str = ""
     _outbound: OutboundRequest | None = None
     _exchange: Exchange | None = None
     _head: ExchangeHead | None = None
@@ -146,9 +153,9 @@
         return False
 
     @property
-    def has_started(self) -> bool:
-        """Whether the run has sent an event."""
-        return self._events > 0
+    def first_event_ms(self) -> float | None:
+        """When the run's first event arrived, None before it."""
+        return self._first_event_ms
 
     def _send(
         self, outbound: OutboundRequest, permit_lapses_ms: float | None = None
@@ -173,18 +180,11 @@
             task.reports,
             self.endpoint_id,
             task.call.caller.request_id,
-            self._first_event_overdue,
+            lambda: task.run_overdue(self.number, "no_report"),
+            lambda: self._run_lost("not_running"),
         )
         self._watch.start()
 
-    def _first_event_overdue(self, report: EndpointReport | None) -> None:
-        """Handle an endpoint that has crashed, or doesn't run the request."""
-        if report is None:
-            self.report_lost("no_report")
-            self.task.handle_event(EndpointStalled(self.endpoint_id))
-        else:
-            self._run_lost("not_running")
-
     def report_lost(self, why: str) -> None:
         """Report the run as lost now, for the reason ``why`` (a log value)."""
         self.task.run_lost(self.loss_record(why))
--- a/src/coursekeel/gateway/streams/_stream_task.py
+++ b/src/coursekeel/gateway/streams/_stream_task.py
@@ -33,6 +33,7 @@
     HeadArrived,
     Interrupt,
     Loss,
+    NoEndpointFree,
     OpenAttempt,
     RequestEndpoint,
     RunState,
@@ -108,6 +109,7 @@
     _chosen_member: str = ""
     _relayed_tries: int = 0
     _search_timer: Any = None
+    _kept_at_position: int = -1
     _open_attempts: dict[int, StreamAttempt] = field(factory=dict)
     _permit_lapses_ms: float | None = None
     _refusal_code: str = ""
@@ -133,29 +135,74 @@
             context.reactor,
             context.clock,
             _OWN_PAUSE_MS,
-            stall_is_loss=self._stalled_runs_lost,
+            stall_is_loss=self._stalled_run_suspected,
         )
         self._member_search = MemberSearch(context.relays, call.pool)
         self._stall_check = StallCheck(
             context.clock,
             self.reports,
-            context.stall_history,
-            call.pool,
             call.caller.request_id,
-            lambda endpoint_id: self.handle_event(EndpointStalled(endpoint_id)),
-            lambda: not self._send_account.budget.is_spent(context.clock.now_ms()),
+            lambda: self.core.ledger.next_position,
+            self._endpoint_overdue,
         )
 
-    def _stalled_runs_lost(self) -> bool:
-        """Return whether the stalled runs are lost now; called by the driver."""
-        if self.context.endpoints.link.full:
-            return False
-        attempts = self._open_attempts.values()
-        if any(attempt.is_relayed for attempt in attempts):
-            # The member watches the run, and `RelayedAttempt` the member.
+    def _stalled_run_suspected(self) -> bool:
+        """Return whether a run that stalled is suspected now; called by the driver.
+
+        A member watches the run that it serves, and `RelayedAttempt` the member.
+        """
+        numbers = self.core.stalled_attempts(self.context.clock.now_ms())
+        if not numbers:
+            return True
+        attempts = [self._open_attempts[each] for each in numbers if self.is_open(each)]
+        relayed = any(attempt.is_relayed for attempt in attempts)
+        if relayed or self.context.endpoints.link.full:
             return False
-        endpoint_ids = [each.endpoint_id for each in attempts if each.has_started]
-        return self._stall_check.runs_lost(endpoint_ids, self.core.ledger.next_position)
+        has_started = False
+        for attempt in attempts:
+            if attempt.first_event_ms is not None:
+                has_started = True
+                self._stall_check.run_stalled(
+                    attempt.endpoint_id, attempt.first_event_ms
+                )
+        return not has_started and self._may_replace_run()
+
+    def _endpoint_overdue(self, endpoint_id: str, reason: str) -> None:
+        for attempt in list(self._open_attempts.values()):
+            if attempt.endpoint_id == endpoint_id:
+                self.run_overdue(attempt.number, reason)
+
+    def run_overdue(self, number: int, reason: str) -> None:
+        """Let the core replace a run, which stays open until its successor starts.
+
+        Without a retry the run is waited on: it may go on, and a cut would end it.
+        """
+        attempt = self._open_attempts.get(number)
+        if attempt is None or self.core.ended:
+            return
+        if not self._may_replace_run():
+            self._log_run_kept(attempt.endpoint_id, reason)
+            return
+        attempt.overdue_reason = reason
+        if not attempt.is_relayed:
+            self._placement.avoid_zone_of(attempt.endpoint_id)
+        self.handle_event(EndpointStalled(attempt.endpoint_id))
+
+    def _log_run_kept(self, endpoint_id: str, reason: str) -> None:
+        """Log once a stall that an overdue run is waited on."""
+        position = self.core.ledger.next_position
+        if position != self._kept_at_position:
+            self._kept_at_position = position
+            self.context.metrics.run_kept(self.call, endpoint_id, reason, position)
+
+    def _may_replace_run(self) -> bool:
+        """Return whether the request may be sent again; if so, a retry is reserved."""
+        now_ms = self.context.clock.now_ms()
+        return (
+            self.context.site.may_still_send(self.call, self._has_new_events)
+            and self._quarantine_pass.may_send()
+            and self._send_account.reserve(now_ms)
+        )
 
     def _policy(self) -> AnswerPolicy:
         """Return the core's limits for this request.
@@ -205,6 +252,7 @@
             case CancelAttempt():
                 self._cancel(action.attempt)
             case Deliver():
+                self._send_account.release()
                 self._stream_reply.deliver(self.core.ledger.take())
             case Complete():
                 self._complete()
@@ -245,7 +293,17 @@
         self._refuse()
 
     def _refuse(self) -> None:
-        """Refuse the request: no endpoint, or no send allowed."""
+        """Refuse the request: no endpoint, or no send allowed.
+
+        A suspected run that is still open is waited on instead.
+        """
+        if self.core.waits_on_suspected_run:
+            for attempt in self._open_attempts.values():
+                self._log_run_kept(attempt.endpoint_id, self._refusal_code)
+            self._refusal_code = ""
+            self._send_account.release()
+            self.handle_event(NoEndpointFree(int(self._retry_after_ms)))
+            return
         run = self.core.run_state
         self._stream_reply.refuse_or_cut(
             refusal_without_endpoint(run, self._refusal_code, self._retry_after_ms)
@@ -432,10 +490,10 @@
         attempt = self._open_attempts.pop(number, None)
         if attempt is None:
             return
-        if not self.core.ended and not self._stream_reply.is_recovering:
-            attempt.report_lost("silent")
-            if not attempt.is_relayed:
-                self._stall_check.run_abandoned(attempt.endpoint_id)
+        if not self.core.ended and (
+            attempt.overdue_reason or not self._stream_reply.is_recovering
+        ):
+            attempt.report_lost(attempt.overdue_reason or "silent")
         attempt.close()
 
     def is_open(self, number: int) -> bool:
@@ -507,6 +565,7 @@
             self.handle_event(Cancelled())
 
     def _stop_work(self) -> None:
+        self._send_account.release()
         self._held_search.stop()
         self._held_copy.stop()
         self._placement.stop()
--- a/src/coursekeel/gateway/streams/_successors.py
+++ b/src/coursekeel/gateway/streams/_successors.py
@@ -16,9 +16,12 @@
 from attrs import define, evolve, field
 
 from coursekeel.forwarding import EndpointRecord
-from coursekeel.gateway._adapters import EndpointReport
 from coursekeel.gateway._context import GatewayContext
-from coursekeel.gateway.endpoints._load_reports import LoadReports
+from coursekeel.gateway.endpoints._load_reports import (
+    LoadReports,
+    NoReport,
+    ReportResult,
+)
 
 __all__ = ["SuccessorLookup"]
 
@@ -50,7 +53,7 @@
             self._request_report(predecessor, successor_id)
 
     def _request_report(self, predecessor: EndpointRecord, successor_id: str) -> None:
-        def report_received(report: EndpointReport | None) -> None:
+        def report_received(report: ReportResult) -> None:
             successor = self._adopt_if_confirmed(predecessor, successor_id, report)
             for callback in self._pending.pop(successor_id):
                 callback(successor)
@@ -63,10 +66,10 @@
         self,
         predecessor: EndpointRecord,
         successor_id: str,
-        report: EndpointReport | None,
+        report: ReportResult,
     ) -> EndpointRecord | None:
         site = self.context.site
-        if report is None or site.routes is None:
+        if isinstance(report, NoReport) or site.routes is None:
             return None
         if site.routes.pools_serving(report.models) != [predecessor.pool]:
             return None
--- a/src/coursekeel/routing/_window_budget.py
+++ b/src/coursekeel/routing/_window_budget.py
@@ -62,12 +62,6 @@
         self.saved = 0.0
         return self.random.random() < left
 
-    def is_spent(self, now_ms: float) -> bool:
-        """Whether less than one retry is left."""
-        self._expire(now_ms)
-        self._refill(now_ms)
-        return self.saved + sum(earning.part for earning in self._earned) < 1
-
     def give_back(self) -> None:
         """Return a retry that was taken and not sent to any endpoint."""
         self.saved = min(self.saved + 1, max(self.most, 1.0))
--- a/src/coursekeel/runtime/_answer_driver.py
+++ b/src/coursekeel/runtime/_answer_driver.py
@@ -47,7 +47,8 @@
     A stall of the stream isn't judged in three cases: the timer fired more than
     ``own_pause_ms`` late, since this process was paused and has unread data;
     ``reading_held``, since reading is paused; ``stall_is_loss`` returns false. In the
-    first and the last case the request's patience is still checked.
+    first and the last case the request's patience is still checked. The timer may fire
+    while no run stalls.
     """
 
     core: AnswerCore[Any]
--- a/tests/cover/test_answers_under_faults.py
+++ b/tests/cover/test_answers_under_faults.py
@@ -10,7 +10,7 @@
     run_state_machine_as_test,
 )
 
-from coursekeel.answers import AnswerCore, Loss
+from coursekeel.answers import AnswerCore, Loss, NoEndpointFree
 from tests.common.answer_world import AnswerWorld
 from tests.common.examples import schedules, until_failure
 from tests.common.naive import NaiveAnswer
@@ -163,10 +163,41 @@
     assert world.completed
 
 
-def test_without_racing_a_stalled_stream_is_cancelled():
+def test_without_racing_a_stalled_stream_is_cancelled_before_its_successor_opens():
     world = world_with_tokens(8, races=False)
     world.stall("a")
+    assert not world.streams[1].closed
+    world.grant("b")
     assert world.streams[1].closed
+    assert world.open_attempts() == [2]
+
+
+def test_an_attempt_is_stalled_only_after_the_silence_limit():
+    world = world_with_tokens(8, races=False)
+    silence_ms = world.core.recovery.policy.silence_ms
+    last_ms = world.core.attempts[1].last_received_ms
+    assert world.core.stalled_attempts(last_ms + silence_ms - 1) == []
+    assert world.core.stalled_attempts(last_ms + silence_ms) == [1]
+
+
+def test_without_racing_a_stalled_stream_that_goes_on_is_kept():
+    world = world_with_tokens(8, races=False)
+    world.stall("a")
+    world.generate(1, 2)
+    world.deliver_line(1)
+    world.grant("b")
+    assert world.open_attempts() == [1]
+
+
+def test_a_stalled_stream_without_an_endpoint_to_replace_it_is_kept():
+    world = world_with_tokens(8, races=False)
+    world.stall("a")
+    world.handle(NoEndpointFree(1_000))
+    assert world.open_attempts() == [1]
+    assert not world.core.waits_on_suspected_run
+    world.stall("a")
+    world.grant("b")
+    assert world.open_attempts() == [2]
 
 
 def test_a_pause_of_this_process_suspects_no_stream():
--- a/tests/cover/test_recovery_machine.py
+++ b/tests/cover/test_recovery_machine.py
@@ -19,6 +19,7 @@
     FinishArrived,
     HeadArrived,
     Loss,
+    NoEndpointFree,
     OpenAttempt,
     ReadingResumed,
     RequestEndpoint,
@@ -120,6 +121,14 @@
         self.seeking = None
         self.handle(EndpointGranted(endpoint))
 
+    @rule()
+    def refuse_replacement(self) -> None:
+        if self.seeking is not None and self.core.waits_on_suspected_run:
+            self.seeking = None
+            open_attempts = self.open_attempts()
+            self.handle(NoEndpointFree(1_000))
+            assert self.open_attempts() == open_attempts
+
     @rule(choice=st.integers(0, 3), copy_to=st.sampled_from(ENDPOINTS))
     def place_copy(self, choice: int, copy_to: str) -> None:
         number = self.pick_attempt(choice)
--- a/tests/cover/test_shared_budget.py
+++ b/tests/cover/test_shared_budget.py
@@ -282,3 +282,17 @@
     account.not_sent()
     assert account.may_send(0.0)
     assert not account.may_send(0.0)
+
+
+def test_a_reserved_retry_is_taken_once_and_returned_if_not_used():
+    account = SendAccount(WindowBudget(0.0, 10_000.0, Random(3), most=1, saved=1))
+    assert account.may_send(0.0)
+    for _ in range(3):
+        assert account.reserve(0.0)
+    account.release()
+    account.release()
+    assert account.reserve(0.0)
+    assert account.may_send(0.0)
+    account.release()
+    assert not account.reserve(0.0)
+    assert not account.may_send(0.0)
--- a/tests/cover/test_silence_doubt.py
+++ b/tests/cover/test_silence_doubt.py
@@ -1,109 +1,134 @@
-"""A stalled run is lost soon, unless its pool's endpoints were found to be busy."""
+"""A stalled run is replaced for what its endpoint reports, not for its silence."""
 
 from unittest.mock import Mock
 
+import pytest
+
 from coursekeel.gateway._adapters import EndpointReport
-from coursekeel.gateway.endpoints._lived_silences import StallHistory
+from coursekeel.gateway.endpoints._load_reports import NoReport, ReportResult
 from coursekeel.gateway.streams._silence_doubt import StallCheck
 
-LISTED = EndpointReport(3, 0, runs=frozenset({"r1"}))
-NOT_LISTED = EndpointReport(3, 0, runs=frozenset({"r2"}))
+POSITION = 7
+
+
+def listed(events_made: int | None = POSITION) -> EndpointReport:
+    return EndpointReport(3, 0, runs={"r1": events_made})
+
+
+NOT_LISTED = EndpointReport(3, 0, runs={"r2": POSITION})
 
 
 class StalledStream:
-    """One stream whose runs stall; the test answers the report requests."""
+    """One stream whose run stalls; the test answers the report requests."""
 
-    def __init__(self, silences: StallHistory | None = None) -> None:
-        self.now_ms = 0.0
+    def __init__(self) -> None:
+        self.now_ms = 5_000.0
+        self.first_event_ms = 0.0
+        self.position = POSITION
         self.report_requests: list = []
-        self.lost_at: list[str] = []
-        self.may_repeat = True
-        self.silences = silences or StallHistory()
+        self.overdue: list[tuple[str, str]] = []
         reports = Mock(
-            request_report=lambda endpoint_id, on_report: self.report_requests.append(
-                (endpoint_id, on_report)
+            request_shared_report=lambda endpoint_id, on_report: (
+                self.report_requests.append((endpoint_id, on_report))
             )
         )
         self.check = StallCheck(
             Mock(now_ms=lambda: self.now_ms),
             reports,
-            self.silences,
-            "p",
             "r1",
-            self.lost_at.append,
-            lambda: self.may_repeat,
+            lambda: self.position,
+            lambda endpoint_id, reason: self.overdue.append((endpoint_id, reason)),
         )
 
-    def stall(self, position: int = 7) -> bool:
+    def stall(self, position: int = POSITION) -> None:
         self.now_ms += 280
-        return self.check.runs_lost(["e1"], position)
+        self.position = position
+        self.check.run_stalled("e1", self.first_event_ms)
 
-    def answer_request(self, report: EndpointReport | None) -> None:
+    def answer_request(self, result: ReportResult) -> None:
         _, on_report = self.report_requests.pop()
-        on_report(report)
+        on_report(result)
+
+
+def test_a_first_stall_is_no_loss_before_the_endpoint_was_asked():
+    stream = StalledStream()
+    stream.stall()
+    assert stream.overdue == []
+    assert [endpoint for endpoint, _ in stream.report_requests] == ["e1"]
+
+
+def test_a_run_that_its_endpoint_lists_is_waited_on_without_limit():
+    stream = StalledStream()
+    for _ in range(50):
+        stream.stall()
+        stream.answer_request(listed())
+    assert stream.overdue == []
 
 
-def busy_stream() -> StalledStream:
-    silences = StallHistory()
-    silences.record_alive("p", 0.0)
-    return StalledStream(silences)
+def test_a_run_of_a_silent_endpoint_is_overdue():
+    stream = StalledStream()
+    stream.stall()
+    stream.answer_request(NoReport.SILENT)
+    assert stream.overdue == [("e1", "no_report")]
 
 
-def test_a_stall_is_a_loss_without_a_recent_live_endpoint():
+def test_a_run_that_the_report_does_not_list_is_overdue():
     stream = StalledStream()
-    assert stream.stall()
-    assert stream.report_requests == []
+    stream.stall()
+    stream.answer_request(NOT_LISTED)
+    assert stream.overdue == [("e1", "not_listed")]
 
 
-def test_a_live_endpoint_after_a_loss_is_remembered():
+def test_a_run_too_young_for_an_old_report_is_waited_on():
     stream = StalledStream()
-    stream.check.run_abandoned("e1")
-    stream.answer_request(None)
-    assert stream.stall(), "no live endpoint was found, so that the stall is a loss"
-    stream.check.run_abandoned("e1")
+    stream.first_event_ms = stream.now_ms - 100
+    stream.stall()
     stream.answer_request(NOT_LISTED)
-    assert not stream.stall()
-    stream.now_ms += 30_000
-    assert stream.stall(), "the report has expired"
+    assert stream.overdue == []
+
+
+def test_a_run_whose_events_do_not_arrive_is_overdue():
+    """Its connection may have fallen silent for good while new ones work."""
+    stream = StalledStream()
+    stream.stall()
+    stream.answer_request(listed(events_made=POSITION + 1))
+    assert stream.overdue == [("e1", "events_missing")]
+
+
+def test_a_resumed_run_that_counts_from_its_own_start_is_overdue_once_it_grows():
+    stream = StalledStream()
+    stream.stall()
+    stream.answer_request(listed(events_made=2))
+    assert stream.overdue == []
+    stream.stall()
+    stream.answer_request(listed(events_made=3))
+    assert stream.overdue == [("e1", "events_missing")]
 
 
-def test_a_run_listed_by_a_busy_endpoint_gets_more_time():
-    stream = busy_stream()
+@pytest.mark.parametrize("result", [NoReport.TURNED_AWAY, listed(events_made=None)])
+def test_without_proof_a_run_is_overdue_at_the_fourth_stall(result):
+    stream = StalledStream()
     for _ in range(3):
-        assert not stream.stall()
-        stream.answer_request(LISTED)
-    assert stream.lost_at == []
-    assert stream.stall(), "the limit of stalls is reached"
+        stream.stall()
+        stream.answer_request(result)
+    assert stream.overdue == []
+    stream.stall()
+    stream.answer_request(result)
+    assert stream.overdue == [("e1", "silent")]
 
 
 def test_an_event_resets_the_stall_count():
-    stream = busy_stream()
+    stream = StalledStream()
     for position in range(20):
-        assert not stream.stall(position)
-        stream.answer_request(LISTED)
-
-
-def test_a_run_that_no_report_lists_is_lost():
-    for report in (None, NOT_LISTED):
-        stream = busy_stream()
-        assert not stream.stall()
-        stream.answer_request(report)
-        assert stream.lost_at == ["e1"]
+        stream.stall(position)
+        stream.answer_request(NoReport.TURNED_AWAY)
+    assert stream.overdue == []
 
 
 def test_a_report_after_the_next_event_is_ignored():
-    stream = busy_stream()
-    assert not stream.stall(position=7)
-    assert not stream.stall(position=8)
-    _, on_report = stream.report_requests[0]
-    on_report(None)
-    assert stream.lost_at == []
-
-
-def test_a_listed_run_is_kept_while_no_retry_is_left():
-    stream = busy_stream()
-    stream.may_repeat = False
-    for _ in range(20):
-        assert not stream.stall()
-        stream.answer_request(LISTED)
-    assert stream.lost_at == []
+    stream = StalledStream()
+    for result in (NoReport.SILENT, listed(POSITION + 1)):
+        stream.stall()
+        stream.position += 1
+        stream.answer_request(result)
+    assert stream.overdue == []
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -428,16 +428,11 @@
 
 
 def test_engines_that_pause_longer_than_the_silence_limit_lose_no_streams(site):
-    """Engines pause their runs during the prefill of other requests.
-
-    The first abandoned run shows that its engine is alive; from then on, the engine is
-    probed before a stalled run is abandoned.
-    """
+    """Engines pause their runs during the prefill of other requests."""
     for name in ("s0", "s1", "s2"):
         site.faults(name, gap_ms=340)
-    first = site.ask("/stream/4", deadline_ms="15000")
-    assert (first.status, first.body) == (200, events(4))
-    connection, request_id = site.open("/stream/6", deadline_ms="15000")
-    answer = read(connection)
-    assert (answer.status, answer.body) == (200, events(6))
-    assert len(site.ran(request_id)) == 1
+    for length in (4, 6):
+        connection, request_id = site.open(f"/stream/{length}", deadline_ms="15000")
+        answer = read(connection)
+        assert (answer.status, answer.body) == (200, events(length))
+        assert len(site.ran(request_id)) == 1
