Each request has one deadline, which ends it in any state

Cause: the time limit was made of timers of states. Patience counts while an answer waits for a piece, from the beginning of each wait; `silence_ms` while it runs, and is infinite on a route that isn't resumable. After the first event no timer was left.

Change: `DeadlineTimers` holds one deadline for each open request, whole answers included. At it the core interrupts the answer (`DeadlineReached`) in whatever state it is, and cancels its run; the caller gets a status if nothing was sent, else a cut. Gateways use no patience any more.

A relayed stream ends at its deadline too (test_relay).

--- a/src/coursekeel/answers/_answer.py
+++ b/src/coursekeel/answers/_answer.py
@@ -20,6 +20,7 @@
     Cancelled,
     Complete,
     CopyPlaced,
+    DeadlineReached,
     Deliver,
     EndpointGranted,
     EndpointStalled,
@@ -145,6 +146,8 @@
                 self._machine.feed("nothing_free")
                 self.recovery.retry_after_ms = event.retry_after_ms
                 return self.recovery.keep_suspected(now_ms)
+            case DeadlineReached():
+                return self.recovery.interrupt_at_deadline()
             case Started():
                 return self._handle_started(event, now_ms)
             case AnswerFenced():
--- a/src/coursekeel/answers/_events.py
+++ b/src/coursekeel/answers/_events.py
@@ -16,6 +16,7 @@
     "Cancelled",
     "Complete",
     "CopyPlaced",
+    "DeadlineReached",
     "Deliver",
     "EndpointGranted",
     "EndpointStalled",
@@ -120,6 +121,11 @@
     retry_after_ms: int
 
 
+@frozen
+class DeadlineReached:
+    """The request's time is over, whatever state its answer is in."""
+
+
 @frozen
 class HeadArrived:
     """The head of an attempt's stream arrived."""
@@ -192,6 +198,7 @@
     | EndpointGranted
     | CopyPlaced
     | NoEndpointFree
+    | DeadlineReached
     | HeadArrived
     | TokensArrived
     | FinishArrived
--- a/src/coursekeel/answers/_policy.py
+++ b/src/coursekeel/answers/_policy.py
@@ -20,7 +20,7 @@
     run is read again up to ``reread_tries`` times before it counts as lost.
     """
 
-    patience_ms: int = 30_000
+    patience_ms: float = 30_000
     first_token_ms: float = 10_000
     copy_first_ms: float = 1_500
     silence_ms: float = 1_000
--- a/src/coursekeel/answers/_recovery.py
+++ b/src/coursekeel/answers/_recovery.py
@@ -290,11 +290,15 @@
 
     # Interrupting the answer.
 
+    def interrupt_at_deadline(self) -> list[Action]:
+        """Interrupt the answer because the request's time is over."""
+        return self._give_up("interrupted", "patience_over")
+
     def _give_up(self, code: str, chart_input: str) -> list[Action]:
         """Cancel all attempts and interrupt the answer with the error ``code``."""
         stopped = self.attempts.cancel_all()
         if self.machine.state == "running":
-            # The last attempt may be suspected and still open when patience ends.
+            # An attempt may be open, suspected or not, when patience or time ends.
             self.machine.feed("lost")
         self.machine.feed(chart_input)
         interrupt = Interrupt(
--- a/src/coursekeel/gateway/_context.py
+++ b/src/coursekeel/gateway/_context.py
@@ -7,6 +7,7 @@
 
 from attrs import define, field
 
+from coursekeel.gateway._deadlines import DeadlineTimers
 from coursekeel.gateway._live_settings import LiveSettings
 from coursekeel.gateway._metrics import GatewayMetrics
 from coursekeel.gateway._request import AdmittedRequest
@@ -47,6 +48,10 @@
     relays: RelayClient
     versions: VersionChoice = field(factory=VersionChoice)
     lengths: StreamDurations = field(factory=StreamDurations)
+    deadlines: DeadlineTimers = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.deadlines = DeadlineTimers(self.reactor, self.clock)
 
     def log_if_limited(self, call: AdmittedRequest, refused: Refuse) -> None:
         """Log a refusal whose cause is that the pool's endpoints limit requests."""
--- a/src/coursekeel/gateway/streams/_stream_task.py
+++ b/src/coursekeel/gateway/streams/_stream_task.py
@@ -25,6 +25,7 @@
     Cancelled,
     Complete,
     CopyPlaced,
+    DeadlineReached,
     Deliver,
     EndpointGranted,
     EndpointStalled,
@@ -47,6 +48,7 @@
 from coursekeel.gateway._adapters import OutboundRequest
 from coursekeel.gateway._caller_reply import CallerReply
 from coursekeel.gateway._context import GatewayContext
+from coursekeel.gateway._deadlines import Deadline
 from coursekeel.gateway._metrics import LostRun
 from coursekeel.gateway._request import AdmittedRequest
 from coursekeel.gateway._retry_budgets import SendAccount
@@ -109,6 +111,7 @@
     _chosen_member: str = ""
     _relayed_tries: int = 0
     _search_timer: Any = None
+    _deadline: Deadline | None = None
     _kept_at_position: int = -1
     _open_attempts: dict[int, StreamAttempt] = field(factory=dict)
     _permit_lapses_ms: float | None = None
@@ -208,14 +211,13 @@
         """Return the core's limits for this request.
 
         A stream that is not resumable runs once, without a stall limit. Instead of a
-        time limit for the first token there is `FirstEventWatch`. Runs never race,
-        which would double the work.
+        time limit for the first token there is `FirstEventWatch`, instead of patience
+        the request's deadline. Runs never race, which would double the work.
         """
         call, timers = self.call, self.context.settings.timers
         resumable = call.route.kind is RouteKind.RESUMABLE
-        left_ms = call.deadline_ms - self.context.clock.now_ms()
         return AnswerPolicy(
-            patience_ms=max(int(left_ms), 1),
+            patience_ms=math.inf,
             first_token_ms=math.inf,
             silence_ms=timers.silence_ms if resumable else math.inf,
             races=False,
@@ -227,8 +229,11 @@
         )
 
     def start(self) -> None:
-        """Start the first search; the task sends the reply itself."""
+        """Start the deadline and the first search; the task sends the reply itself."""
         self.reply.on_gone(self._caller_left)
+        self._deadline = self.context.deadlines.add(
+            self.call.deadline_ms, lambda: self.handle_event(DeadlineReached())
+        )
         if not self.call.relayed:
             self._send_account.budget.requested(self.context.clock.now_ms())
         self.handle_event(Started())
@@ -565,6 +570,8 @@
             self.handle_event(Cancelled())
 
     def _stop_work(self) -> None:
+        if self._deadline is not None:
+            self._deadline.cancel()
         self._send_account.release()
         self._held_search.stop()
         self._held_copy.stop()
--- a/src/coursekeel/gateway/whole/_whole_task.py
+++ b/src/coursekeel/gateway/whole/_whole_task.py
@@ -10,8 +10,6 @@
 answer.
 """
 
-from typing import Any
-
 from attrs import define, field
 
 from coursekeel.answers import RunState
@@ -32,6 +30,7 @@
 from coursekeel.gateway._adapters import OutboundRequest
 from coursekeel.gateway._caller_reply import CallerReply
 from coursekeel.gateway._context import GatewayContext
+from coursekeel.gateway._deadlines import Deadline
 from coursekeel.gateway._request import AdmittedRequest
 from coursekeel.gateway._retry_budgets import SendAccount
 from coursekeel.gateway.admission._queue_deadline import queue_deadline_ms
@@ -89,7 +88,7 @@
     _tried: set[str] = field(factory=set)
     _request_number: int | None = None
     _current_try: Try | None = None
-    _deadline_timer: Any = None
+    _deadline: Deadline | None = None
     _permit_lapses_ms: float | None = None
     _refusal_code: str = ""
     _retry_after_ms: float = WHOLE_RETRY_MS
@@ -112,9 +111,8 @@
         """Start the deadline and the first search; the task sends the reply itself."""
         context = self.context
         self.reply.on_gone(self._caller_left)
-        left_ms = self.call.deadline_ms - context.clock.now_ms()
-        self._deadline_timer = context.reactor.callLater(
-            max(left_ms, 0) / 1000, self._deadline_reached
+        self._deadline = context.deadlines.add(
+            self.call.deadline_ms, self._deadline_reached
         )
         if not self.call.relayed:
             self._send_account.budget.requested(context.clock.now_ms())
@@ -309,7 +307,7 @@
     # Ends.
 
     def _send_reply(self, call_reply: CallReply) -> None:
-        self._cancel_deadline_timer()
+        self._cancel_deadline()
         reply = call_reply.reply
         if reply is not None:
             self._log_end("answered", reply.status)
@@ -322,7 +320,6 @@
 
     def _deadline_reached(self) -> None:
         """Refuse the request at its deadline, the route's or the caller's."""
-        self._deadline_timer = None
         may_have_run = self._current_try is not None or self.core.may_have_run
         self._stop_work()
         if may_have_run:
@@ -337,7 +334,7 @@
 
     def _caller_left(self) -> None:
         self._log_end("caller_left", _NO_STATUS)
-        self._cancel_deadline_timer()
+        self._cancel_deadline()
         self._stop_work()
 
     def _stop_work(self) -> None:
@@ -349,10 +346,9 @@
             self._current_try.abandon()
             self._current_try = None
 
-    def _cancel_deadline_timer(self) -> None:
-        if self._deadline_timer is not None:
-            self._deadline_timer.cancel()
-            self._deadline_timer = None
+    def _cancel_deadline(self) -> None:
+        if self._deadline is not None:
+            self._deadline.cancel()
 
     def _log_end(self, code: str, status: int) -> None:
         self.context.metrics.ended(self.call, code, status, len(self._tried))
--- a/tests/cover/test_recovery_machine.py
+++ b/tests/cover/test_recovery_machine.py
@@ -13,6 +13,7 @@
     Cancelled,
     Complete,
     CopyPlaced,
+    DeadlineReached,
     EndpointGranted,
     EndpointStalled,
     ExpectedModel,
@@ -184,6 +185,13 @@
     def resume_reading(self) -> None:
         self.handle(ReadingResumed())
 
+    @rule(chance=st.integers(0, 9))
+    def reach_deadline(self, chance: int) -> None:
+        if chance == 0 and not self.core.ended:
+            self.handle(DeadlineReached())
+            assert self.open_attempts() == []
+            assert self.core.state == "interrupted"
+
     @rule(chance=st.integers(0, 9))
     def cancel(self, chance: int) -> None:
         if chance == 0:
--- a/tests/platform/test_relay.py
+++ b/tests/platform/test_relay.py
@@ -182,3 +182,14 @@
     assert statuses == [200] * 20
     assert cut_group.log(CUT).count("event=run_lost") == lost_before
     assert cut_group.processes[2].wait(15) == 0
+
+
+def test_a_relayed_stream_of_a_dark_server_ends_at_its_deadline(cut_group):
+    for name in ("s0", "s1", "s2"):
+        cut_group.site.faults(name, dark_at=3)
+    began_s = time.monotonic()
+    answer = ask(cut_group, "/stream/8", deadline_ms="1500")
+    took_s = time.monotonic() - began_s
+    cut_group.site.forget()
+    assert (answer.body, answer.whole) == (events(2), False)
+    assert took_s < 2.0
