A try of a whole answer goes on until a retry is reserved

Callers of repeatable requests got 502 with time left: a try was aborted at its part of the remaining time, and only then was a retry asked for; without one the request failed although its server was still at work.

Change: `TryLimit` asks its owner to reserve a retry first, again every 250 ms, and lets the try go on until then; for relayed tries too.

Open: the try is given up before a second endpoint is found.

--- a/src/coursekeel/gateway/whole/_relayed_try.py
+++ b/src/coursekeel/gateway/whole/_relayed_try.py
@@ -7,8 +7,6 @@
 Owns the exchange and its time limit. Reports the outcome to its owner once.
 """
 
-from typing import Any
-
 from attrs import define, field
 
 from coursekeel.calls import SendOutcome, ServiceReply
@@ -23,7 +21,7 @@
     says_not_run,
 )
 from coursekeel.gateway.relay._relay_wire import read_refusal
-from coursekeel.gateway.whole._whole_try import Try, TryOwner
+from coursekeel.gateway.whole._whole_try import Try, TryLimit, TryOwner
 
 __all__ = ["RelayedTry"]
 
@@ -41,19 +39,22 @@
     search: MemberSearch
     member: str
     may_have_arrived: bool = True
+    _limit: TryLimit = field(init=False)
     _exchange: Exchange | None = None
-    _limit_timer: Any = None
     _head: ExchangeHead | None = None
     _body: list[bytes] = field(factory=list)
 
+    def __attrs_post_init__(self) -> None:
+        self._limit = TryLimit(
+            self.context.reactor, self.owner.may_replace_try, self._limit_reached
+        )
+
     def open(self, limit_ms: float | None) -> None:
-        """Send the request; abort after ``limit_ms`` without a complete answer."""
-        context = self.context
+        """Send the request; after ``limit_ms`` without an answer it may be replaced."""
         if limit_ms is not None:
-            self._limit_timer = context.reactor.callLater(
-                limit_ms / 1000, self._limit_reached
-            )
-        self._exchange = context.relays.send(self.call, self.member, _TRIES, self)
+            self._limit.start(limit_ms)
+        relays = self.context.relays
+        self._exchange = relays.send(self.call, self.member, _TRIES, self)
 
     def may_send(self) -> bool:
         return self.owner.may_still_relay()
@@ -65,7 +66,7 @@
         self._body.append(data)
 
     def ended(self, ending: Ending, reason: str) -> None:
-        self._cancel_limit_timer()
+        self._limit.stop()
         if ending in (Ending.NOT_SENT, Ending.WITHHELD):
             self._not_served(reason)
             return
@@ -109,12 +110,11 @@
 
     def abandon(self) -> None:
         """Abort without an outcome; the member stops when the connection closes."""
-        self._cancel_limit_timer()
+        self._limit.stop()
         if self._exchange is not None:
             self._exchange.abort()
 
     def _limit_reached(self) -> None:
-        self._limit_timer = None
         self.abandon()
         self._log(SendOutcome.MAYBE_SENT.value)
         self.search.lost(self.member)
@@ -122,8 +122,3 @@
 
     def _log(self, outcome: str) -> None:
         self.context.metrics.try_ended(self.call, self.member, outcome)
-
-    def _cancel_limit_timer(self) -> None:
-        if self._limit_timer is not None:
-            self._limit_timer.cancel()
-            self._limit_timer = None
--- a/src/coursekeel/gateway/whole/_whole_task.py
+++ b/src/coursekeel/gateway/whole/_whole_task.py
@@ -280,9 +280,7 @@
 
     def may_still_relay(self) -> bool:
         """Return whether the request may be sent to a member now."""
-        return self._remaining_ms >= _MIN_REMAINING_MS and not (
-            self._current_refusal_code()
-        )
+        return self._may_send_now
 
     def member_passed_over(self, member: str) -> None:
         """Ask another member; the request has not run."""
@@ -297,6 +295,16 @@
         self._retry_after_ms = refusal.retry_after_ms
         self._placement_refused(refusal.code)
 
+    def may_replace_try(self) -> bool:
+        """Return whether the request may be sent again; if so, a retry is reserved."""
+        now_ms = self.context.clock.now_ms()
+        return self._may_send_now and self._send_account.reserve(now_ms)
+
+    @property
+    def _may_send_now(self) -> bool:
+        in_time = self._remaining_ms >= _MIN_REMAINING_MS
+        return in_time and not self._current_refusal_code()
+
     def try_ended(self, outcome: ServiceReply | SendOutcome) -> None:
         """Pass the outcome of the open try to the core."""
         if self._current_try is not None and not self._current_try.may_have_arrived:
@@ -339,6 +347,7 @@
 
     def _stop_work(self) -> None:
         self._held_start.stop()
+        self._send_account.release()
         if self._request_number is not None:
             self.context.routing.withdraw(self._request_number)
             self._request_number = None
--- a/src/coursekeel/gateway/whole/_whole_try.py
+++ b/src/coursekeel/gateway/whole/_whole_try.py
@@ -4,6 +4,7 @@
 """
 
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 from typing import Any
 
 from attrs import define, field
@@ -15,8 +16,13 @@
 from coursekeel.gateway._metrics import LostRun
 from coursekeel.gateway._request import AdmittedRequest
 from coursekeel.gateway.admission._refusals import GatewayRefusal
+from coursekeel.reactor import Reactor
+from coursekeel.units import MS_PER_SECOND
 
-__all__ = ["Try", "TryOwner", "WholeTry"]
+__all__ = ["Try", "TryLimit", "TryOwner", "WholeTry"]
+
+# How often a try that is past its limit looks for a retry.
+_RETRY_CHECK_MS = 250.0
 
 
 class TryOwner(ABC):
@@ -30,6 +36,10 @@
     def may_still_relay(self) -> bool:
         """Return whether the request may be sent to a member now."""
 
+    @abstractmethod
+    def may_replace_try(self) -> bool:
+        """Return whether the request may be sent again; if so, a retry is reserved."""
+
     @abstractmethod
     def try_ended(self, outcome: ServiceReply | SendOutcome) -> None:
         """Handle the outcome of the try: a reply, or why there is none."""
@@ -56,6 +66,38 @@
         """Abort without an outcome: the caller left, or the deadline has passed."""
 
 
+@define(eq=False)
+class TryLimit:
+    """The time limit of a try that another can follow.
+
+    At the limit ``on_reached`` is called once a retry is reserved; until then the try
+    goes on, since its answer may still come.
+    """
+
+    reactor: Reactor
+    may_replace: Callable[[], bool]
+    on_reached: Callable[[], None]
+    _timer: Any = None
+
+    def start(self, limit_ms: float) -> None:
+        """Start, or go on, with ``limit_ms`` from now."""
+        delay_s = limit_ms / MS_PER_SECOND
+        self._timer = self.reactor.callLater(delay_s, self._reached)
+
+    def stop(self) -> None:
+        """Stop: the try has ended."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _reached(self) -> None:
+        self._timer = None
+        if self.may_replace():
+            self.on_reached()
+        else:
+            self.start(_RETRY_CHECK_MS)
+
+
 @define(eq=False)
 class WholeTry(Try, ExchangeSink):
     """One send to one endpoint; it releases its slot in routing when it ends."""
@@ -66,13 +108,16 @@
     endpoint_id: str
     may_have_arrived: bool = True
     _started_ms: float = field(init=False)
+    _limit: TryLimit = field(init=False)
     _exchange: Exchange | None = None
-    _limit_timer: Any = None
     _head: ExchangeHead | None = None
     _body: list[bytes] = field(factory=list)
 
     def __attrs_post_init__(self) -> None:
         self._started_ms = self.context.clock.now_ms()
+        self._limit = TryLimit(
+            self.context.reactor, self.owner.may_replace_try, self._limit_reached
+        )
 
     def open(
         self,
@@ -80,15 +125,13 @@
         limit_ms: float | None,
         permit_lapses_ms: float | None,
     ) -> None:
-        """Send the request; abort after ``limit_ms`` without a complete answer.
+        """Send the request; after ``limit_ms`` without an answer it may be replaced.
 
         ``permit_lapses_ms`` is the time until which the permit for it may be used.
         """
         context = self.context
         if limit_ms is not None:
-            self._limit_timer = context.reactor.callLater(
-                limit_ms / 1000, self._limit_reached
-            )
+            self._limit.start(limit_ms)
         self._exchange = context.endpoints.send(
             self.call, outbound, self, permit_lapses_ms
         )
@@ -103,7 +146,7 @@
         self._body.append(data)
 
     def ended(self, ending: Ending, reason: str) -> None:
-        self._cancel_limit_timer()
+        self._limit.stop()
         outcome = self._outcome(ending, reason)
         limited = self.context.endpoints.limits.per_s(self.endpoint_id) is not None
         shed = outcome is SendOutcome.TURNED_AWAY
@@ -126,7 +169,7 @@
 
     def abandon(self) -> None:
         """Abort without an outcome: the caller left, or the deadline has passed."""
-        self._cancel_limit_timer()
+        self._limit.stop()
         if self._exchange is not None:
             self._exchange.abort()
         self._release(failed=False)
@@ -185,7 +228,6 @@
         self.context.crashes.run_lost(self.call, lost)
 
     def _limit_reached(self) -> None:
-        self._limit_timer = None
         assert self._exchange is not None
         self._exchange.abort()
         self._release(failed=True)
@@ -196,8 +238,3 @@
     def _release(self, failed: bool) -> None:
         run_ms = self.context.clock.now_ms() - self._started_ms
         self.context.routing.release(self.endpoint_id, run_ms, failed)
-
-    def _cancel_limit_timer(self) -> None:
-        if self._limit_timer is not None:
-            self._limit_timer.cancel()
-            self._limit_timer = None
