A successor of another pool gets no run of a lost copy

Cause: `SuccessorLookup.find` compared the pool only for a successor that isn't listed yet; a listed one was used whatever its pool. Change: it is told the request's pool; `EndpointDirectory.adopt` and `StreamTask.may_still_send` check it too.

--- a/src/coursekeel/forwarding/_directory.py
+++ b/src/coursekeel/forwarding/_directory.py
@@ -216,17 +216,17 @@
     def adopt(self, endpoint_id: str, successor_id: str) -> EndpointRecord | None:
         """Add a successor that the list doesn't name yet; returns its record.
 
-        None if ``endpoint_id`` isn't listed, or if the list has dropped the successor,
-        which is stopping then. The caller has checked that the successor has the
-        endpoint's address and serves its pool. Until the list names it, a return of the
-        store counts it as missing.
+        None if ``endpoint_id`` isn't listed, if the list has the successor in another
+        pool, or has dropped it, as it is stopping then. The caller has checked that the
+        successor has the endpoint's address and serves its pool. Until the list names
+        it, a return of the store counts it as missing.
         """
         old = self._records.get(endpoint_id)
         if old is None or successor_id in self._delisted_ids:
             return None
         known = self._records.get(successor_id)
         if known is not None:
-            return known
+            return known if known.pool == old.pool else None
         record = evolve(old, endpoint_id=successor_id, leaving=False)
         # Newer than its predecessor, and older than its own entry in the list.
         before = self._position_of(endpoint_id)
--- a/src/coursekeel/gateway/streams/_stream_attempt.py
+++ b/src/coursekeel/gateway/streams/_stream_attempt.py
@@ -331,14 +331,14 @@
         the successor, so the run continues there instead of reading its prompt again.
         """
         task = self.task
-        task.context.health.replaced(self.endpoint_id)
+        pool, endpoint_id = task.call.pool, self.endpoint_id
+        task.context.health.replaced(endpoint_id)
         successor_id = task.context.endpoints.dialect.incarnation_named(head)
         if self.from_copy:
-            task.successors.find(
-                self.endpoint_id, successor_id, self._retry_copy_at_successor
-            )
+            on_found = self._retry_copy_at_successor
+            task.successors.find(pool, endpoint_id, successor_id, on_found)
             return
-        task.successors.find(self.endpoint_id, successor_id, _ignore_successor)
+        task.successors.find(pool, endpoint_id, successor_id, _ignore_successor)
         self._end(Loss.REFUSED)
 
     def _retry_copy_at_successor(self, successor: EndpointRecord | None) -> None:
--- a/src/coursekeel/gateway/streams/_stream_task.py
+++ b/src/coursekeel/gateway/streams/_stream_task.py
@@ -373,7 +373,7 @@
         """Return whether a run may still be sent, once its connection is open."""
         context = self.context
         record = context.site.directory.record(endpoint.endpoint_id)
-        if record is None or record.leaving:
+        if record is None or record.leaving or record.pool != self.call.pool:
             return False
         if context.clock.now_ms() >= self.call.deadline_ms:
             return False
--- a/src/coursekeel/gateway/streams/_successors.py
+++ b/src/coursekeel/gateway/streams/_successors.py
@@ -36,16 +36,20 @@
     reports: LoadReports
     _pending: dict[str, list[_OnFound]] = field(factory=dict)
 
-    def find(self, endpoint_id: str, successor_id: str, on_found: _OnFound) -> None:
+    def find(
+        self, pool: str, endpoint_id: str, successor_id: str, on_found: _OnFound
+    ) -> None:
         """Look up ``successor_id``, which responded in the place of ``endpoint_id``.
 
-        ``on_found`` gets its record, None if it can't be used.
+        ``on_found`` gets its record, None if it can't be used for ``pool``: addresses
+        are reused, also for endpoints of other pools.
         """
         directory = self.context.site.directory
         record = directory.record(successor_id)
         predecessor = directory.record(endpoint_id)
         if record is not None or predecessor is None or not successor_id:
-            on_found(None if record is None or record.leaving else record)
+            usable = record is not None and not record.leaving and record.pool == pool
+            on_found(record if usable else None)
             return
         callbacks = self._pending.setdefault(successor_id, [])
         callbacks.append(on_found)
--- a/tests/cover/test_successors.py
+++ b/tests/cover/test_successors.py
@@ -133,6 +133,25 @@
     )
 
 
+def test_a_listed_successor_of_another_pool_gets_no_copys_run():
+    """A stream was resumed at an address that a server of another service has now."""
+    harness = RestartedEndpointHarness()
+    harness.lose_run()
+    address = harness.client.sent[1].endpoint
+    other = evolve(address, endpoint_id="x9", pool="other")
+    harness.directory.put(other, position_at(6))
+    harness.answer_as_successor(1)
+    sent_to = [outbound.endpoint.endpoint_id for outbound in harness.client.sent]
+    assert "x9" not in sent_to
+    assert len(sent_to) == 3
+
+
+def test_an_endpoint_listed_in_another_pool_is_not_adopted():
+    directory = make_directory()
+    directory.put(evolve(OLD, endpoint_id="new", pool="other"), position_at(6))
+    assert directory.adopt("old", "new") is None
+
+
 def test_new_work_goes_elsewhere_and_the_successor_is_adopted():
     harness = RestartedEndpointHarness()
     task = harness.start()
