An endpoint that is silent for a second hasn't crashed

Cause: `CrashWatch` took one missing report, 150 ms, for a crash of an endpoint whose run had been given up as silent, though no connection was closed. Change: without a closed connection the endpoint is probed again, and counts only once it has been silent for two seconds; a closed connection or a refused probe counts at once, as before.

--- a/src/coursekeel/gateway/endpoints/_crash_watch.py
+++ b/src/coursekeel/gateway/endpoints/_crash_watch.py
@@ -1,9 +1,11 @@
 """Find out whether an endpoint crashed while it ran a request.
 
 Rule: a run whose connection closed, or that stalled, doesn't prove a crash, since
-network links fail too. So the endpoint is probed once: it has crashed if it can't be
-reached, or if it gives reports and doesn't answer in time. Losses at an endpoint that
-is leaving, or no longer listed, don't count.
+network links fail too. So the endpoint is probed: it has crashed if it can't be
+reached, or if it gives reports and doesn't answer in time. If none of the runs'
+connections was closed, the latter must hold for longer than a sound endpoint may be
+silent, and the probe is repeated until then. Losses at an endpoint that is leaving, or
+no longer listed, don't count.
 
 Owns the open probes, one per endpoint. Relies on `LostRuns` for the runs that wait for
 a probe.
@@ -27,9 +29,14 @@
 from coursekeel.reactor import Reactor
 from coursekeel.runtime import Clock
 from coursekeel.suspects import LostRuns, QuarantineGate, Suspect, sign_of
+from coursekeel.units import MS_PER_SECOND
 
 __all__ = ["CrashWatch"]
 
+# Sound endpoints may fall silent for a second or so.
+_SILENT_CRASH_MS = 2_000.0
+_PROBE_INTERVAL_MS = 300.0
+
 
 @define(eq=False)
 class CrashWatch:
@@ -71,19 +78,26 @@
             suspected_part = Suspect(part, sign, now_ms, lost.closed)
             self._lost_runs.add(lost.endpoint_id, suspected_part)
         if must_probe:
-            self._probe(record)
+            self._probe(record, now_ms)
 
-    def _probe(self, endpoint: EndpointRecord) -> None:
+    def _probe(self, endpoint: EndpointRecord, since_ms: float) -> None:
         EndpointProbe(
             self.reactor,
             self.client,
             endpoint,
             self.client.dialect.report,
             self.settings.timers.report_ms,
-            lambda result: self._probe_ended(endpoint.endpoint_id, result),
+            lambda result: self._probe_ended(endpoint, since_ms, result),
         ).start()
 
-    def _probe_ended(self, endpoint_id: str, result: ProbeResult) -> None:
+    def _probe_ended(
+        self, endpoint: EndpointRecord, since_ms: float, result: ProbeResult
+    ) -> None:
+        endpoint_id = endpoint.endpoint_id
+        if self._may_be_silent(endpoint_id, since_ms, result):
+            delay_s = _PROBE_INTERVAL_MS / MS_PER_SECOND
+            self.reactor.callLater(delay_s, self._probe, endpoint, since_ms)
+            return
         suspects = self._lost_runs.pop(endpoint_id)
         gives_reports = endpoint_id in self._reporting_endpoints
         self._reporting_endpoints.discard(endpoint_id)
@@ -96,6 +110,18 @@
         self.metrics.endpoint_ended(endpoint_id, [x.fingerprint for x in suspects])
         self.gate.report_crash(endpoint_id, suspects)
 
+    def _may_be_silent(
+        self, endpoint_id: str, since_ms: float, result: ProbeResult
+    ) -> bool:
+        """Return whether an endpoint that didn't answer may be sound all the same."""
+        if not isinstance(result, ProbeFailure) or self._lost_runs.any_closed(
+            endpoint_id
+        ):
+            return False
+        timed_out = result.kind is ProbeFailureKind.TIMED_OUT
+        silent_ms = self.clock.now_ms() - since_ms
+        return timed_out and silent_ms < _SILENT_CRASH_MS
+
     def _report_alive(
         self, endpoint_id: str, result: ProbeResult, suspects: list[Suspect]
     ) -> None:
--- a/src/coursekeel/suspects/_lost_runs.py
+++ b/src/coursekeel/suspects/_lost_runs.py
@@ -54,6 +54,11 @@
         suspects.setdefault(suspect.fingerprint, suspect)
         return is_first
 
+    def any_closed(self, endpoint_id: str) -> bool:
+        """Whether a suspect's connection was closed, rather than given up."""
+        suspects = self._by_endpoint.get(endpoint_id, {})
+        return any(suspect.closed for suspect in suspects.values())
+
     def pop(self, endpoint_id: str) -> list[Suspect]:
         """Remove and return an endpoint's suspects, when the probe has ended."""
         return list(self._by_endpoint.pop(endpoint_id).values())
