A cut connection is aborted if its caller doesn't read

A caller that doesn't read what was sent kept its connection open past its request's deadline: `CallerReply.cut` closes it once everything written has been sent, which had no limit. Change: the connection is aborted 0.25 s after the cut.

Not tried over a socket with a full buffer.

--- a/src/coursekeel/gateway/_caller_reply.py
+++ b/src/coursekeel/gateway/_caller_reply.py
@@ -4,6 +4,7 @@
 """
 
 from collections.abc import Callable
+from typing import Any
 
 from attrs import define, field
 
@@ -79,7 +80,8 @@
         """Close the connection, so that the caller sees an incomplete reply."""
         if not self.ended:
             self.ended = True
-            self.request.channel.loseConnection()
+            channel: Any = self.request.channel
+            channel.cut()
 
     def _on_disconnect(self, _: object) -> None:
         if self.ended:
--- a/src/coursekeel/gateway/_http.py
+++ b/src/coursekeel/gateway/_http.py
@@ -27,6 +27,9 @@
 
 _Limits = Callable[[], RequestLimits]
 
+# How long a connection that is cut may take to send what is written to it.
+_CUT_FLUSH_S = 0.25
+
 
 class CallerRequest(BoundedBody, Request):
     """A request whose path and body Twisted doesn't parse for arguments and forms.
@@ -105,6 +108,7 @@
 
     limits: _Limits
     connections: OpenConnections
+    _abort_call: Any = None
 
     def connectionMade(self) -> None:
         self.totalHeadersSize = self.limits().header_bytes
@@ -113,8 +117,16 @@
 
     def connectionLost(self, reason: Any = connectionDone) -> None:
         self.connections.remove(self)
+        if self._abort_call is not None and self._abort_call.active():
+            self._abort_call.cancel()
         super().connectionLost(reason)
 
+    def cut(self) -> None:
+        """Close the connection, soon also if the caller doesn't read what was sent."""
+        transport: Any = self.transport
+        self.loseConnection()
+        self._abort_call = self.callLater(_CUT_FLUSH_S, transport.abortConnection)
+
 
 def caller_server(
     take: Callable[[CallerRequest], None],
