A run that goes on withdraws the search for its successor

The search held a place in the queue until a slot was free, and took that slot for a moment for nothing. Change: the next event returns the reserved retry and withdraws the search.

--- a/src/coursekeel/answers/_answer.py
+++ b/src/coursekeel/answers/_answer.py
@@ -157,6 +157,10 @@
                 self._machine.feed("cancelled")
                 return [*self._attempts.cancel_all(), StopSending()]
 
+    def search_withdrawn(self) -> None:
+        """Forget a pending request for an endpoint: a suspected run has recovered."""
+        self.recovery.search_withdrawn()
+
     def withdraw(self) -> None:
         """End the answer because routing refused the request before it ran."""
         self._machine.feed("patience_over")
--- a/src/coursekeel/answers/_recovery.py
+++ b/src/coursekeel/answers/_recovery.py
@@ -234,6 +234,10 @@
             *self._resume_from_copy_or_seek(attempt, now_ms),
         ]
 
+    def search_withdrawn(self) -> None:
+        """Forget a pending request for an endpoint."""
+        self._seeking = False
+
     def keep_suspected(self, now_ms: float) -> list[Action]:
         """Wait on suspected attempts, as no endpoint is free to replace them."""
         self._seeking = False
--- a/src/coursekeel/gateway/_retry_budgets.py
+++ b/src/coursekeel/gateway/_retry_budgets.py
@@ -126,11 +126,12 @@
             self._has_reserved = self.budget.take(now_ms)
         return self._has_reserved
 
-    def release(self) -> None:
-        """Return a retry that was reserved and isn't needed."""
-        if self._has_reserved:
-            self._has_reserved = False
+    def release(self) -> bool:
+        """Return a retry that was reserved and isn't needed, if there is one."""
+        had_reserved, self._has_reserved = self._has_reserved, False
+        if had_reserved:
             self.budget.give_back()
+        return had_reserved
 
     def may_send(self, now_ms: float) -> bool:
         """Whether the request may be sent (again); if so, the send is counted."""
--- a/src/coursekeel/gateway/streams/_stream_task.py
+++ b/src/coursekeel/gateway/streams/_stream_task.py
@@ -191,6 +191,11 @@
             self._placement.avoid_zone_of(attempt.endpoint_id)
         self.handle_event(EndpointStalled(attempt.endpoint_id))
 
+    def _keep_recovered_run(self) -> None:
+        """Withdraw the search for a successor of a run that goes on."""
+        self._stop_searching()
+        self.core.search_withdrawn()
+
     def _log_run_kept(self, endpoint_id: str, reason: str) -> None:
         """Log once a stall that an overdue run is waited on."""
         position = self.core.ledger.next_position
@@ -257,7 +262,8 @@
             case CancelAttempt():
                 self._cancel(action.attempt)
             case Deliver():
-                self._send_account.release()
+                if self._send_account.release():
+                    self._keep_recovered_run()
                 self._stream_reply.deliver(self.core.ledger.take())
             case Complete():
                 self._complete()
@@ -573,15 +579,18 @@
         if self._deadline is not None:
             self._deadline.cancel()
         self._send_account.release()
-        self._held_search.stop()
         self._held_copy.stop()
+        self._stop_searching()
+        for number in list(self._open_attempts):
+            self._cancel(number)
+        self._driver.stop_alarm()
+
+    def _stop_searching(self) -> None:
+        self._held_search.stop()
         self._placement.stop()
         if self._search_timer is not None:
             self._search_timer.cancel()
             self._search_timer = None
-        for number in list(self._open_attempts):
-            self._cancel(number)
-        self._driver.stop_alarm()
 
 
 def _opens_attempt(actions: list[Action]) -> bool:
--- a/tests/cover/test_stream_placement.py
+++ b/tests/cover/test_stream_placement.py
@@ -223,6 +223,47 @@
     sink.data_arrived(b"id: 1\ndata: x\n\n")
 
 
+def fill_endpoints(harness: StreamHarness, names: tuple[str, ...]) -> None:
+    for name in names:
+        for _ in range(8):
+            harness.router.count_run_at_copy(name)
+
+
+def test_a_run_that_goes_on_leaves_the_queue_for_its_successor(harness):
+    """Its search would hold a place in the queue, and take a slot for a moment."""
+    task = harness.start()
+    send_first_event(harness, harness.client.sinks[0])
+    fill_endpoints(harness, ("e0", "e1", "e2"))
+    task.run_overdue(1, "no_report")
+    assert harness.router.waiting == 1
+    assert not harness.reply.cut.called
+    harness.client.sinks[0].data_arrived(b"id: 2\ndata: x\n\n")
+    assert harness.router.waiting == 0
+    assert len(harness.client.sent) == 1
+    task.run_overdue(1, "no_report")
+    assert harness.router.waiting == 1
+
+
+def test_an_overdue_run_without_a_retry_is_kept():
+    harness = StreamHarness(slack=0.0)
+    task = harness.start()
+    send_first_event(harness, harness.client.sinks[0])
+    task.run_overdue(1, "no_report")
+    assert harness.router.waiting == 0
+    assert len(harness.client.sent) == 1
+    assert not harness.reply.cut.called
+
+
+def test_an_overdue_run_is_closed_before_its_successor_is_sent(harness):
+    task = harness.start()
+    send_first_event(harness, harness.client.sinks[0])
+    task.run_overdue(1, "no_report")
+    assert len(harness.client.sent) == 2
+    assert harness.client.sent[1].resume_after == 1
+    assert harness.open_runs() == 1
+    assert not task.is_open(1)
+
+
 def test_a_started_stream_resumes_with_a_stale_configuration(harness):
     """An outage of the store must not cut a stream that a copy can resume."""
     harness.start(copies=True)
