A run that recovered has no reason for its replacement any more

The reason stayed on the attempt after the run's events had come again, and would have been logged if the run was cancelled later for another cause. Found by reading; tests of stream placement, successors and keys at the send pass.

--- a/src/coursekeel/gateway/streams/_stream_task.py
+++ b/src/coursekeel/gateway/streams/_stream_task.py
@@ -193,6 +193,8 @@
 
     def _keep_recovered_run(self) -> None:
         """Withdraw the search for a successor of a run that goes on."""
+        for attempt in self._open_attempts.values():
+            attempt.overdue_reason = ""
         self._stop_searching()
         self.core.search_withdrawn()
 
