An overdue run without a retry is lost once its endpoint is surely gone

Callers of streams whose server was really dark waited until their deadline where no retry was left, and couldn't resume at another instance: since such a run was waited on without limit.

Change: a run against which all reports have spoken for two seconds is lost; a sound endpoint is silent for a second or so. Then the stream is resumed if a retry has come, else cut, so that its caller can resume it.

Measured: the new test of test_stream_placement fails without the change (the reply isn't cut).

--- a/src/coursekeel/gateway/streams/_begin_watch.py
+++ b/src/coursekeel/gateway/streams/_begin_watch.py
@@ -41,8 +41,9 @@
 class FirstEventWatch:
     """Watches one run until its first event; reports list it under ``run_id``.
 
-    ``on_overdue`` is called each time that the endpoint gives no report, ``on_lost``
-    once if its reports show that it doesn't run the request.
+    ``on_overdue`` is called each time that the endpoint gives no report, with the ms
+    for which it hasn't, ``on_lost`` once if its reports show that it doesn't run the
+    request.
     """
 
     reactor: Reactor
@@ -50,13 +51,14 @@
     reports: LoadReports
     endpoint_id: str
     run_id: str
-    on_overdue: Callable[[], None]
+    on_overdue: Callable[[float], None]
     on_lost: Callable[[], None]
     _sent_ms: float = 0.0
     _watching: bool = False
     _missed_reports: int = 0
     _unlisted_reports: int = 0
     _times_turned_away: int = 0
+    _overdue_since_ms: float | None = None
     _next_request: Any = None
 
     def start(self) -> None:
@@ -89,8 +91,13 @@
             return
         is_first_miss = result is NoReport.SILENT and self._missed_reports == 1
         self._schedule_request(0.0 if is_first_miss else _REQUEST_INTERVAL_MS)
-        if self._is_overdue:
-            self.on_overdue()
+        if not self._is_overdue:
+            self._overdue_since_ms = None
+            return
+        now_ms = self.clock.now_ms()
+        if self._overdue_since_ms is None:
+            self._overdue_since_ms = now_ms
+        self.on_overdue(now_ms - self._overdue_since_ms)
 
     def _count(self, result: ReportResult) -> None:
         """Count the results in a row that speak against the run."""
--- a/src/coursekeel/gateway/streams/_relayed_attempt.py
+++ b/src/coursekeel/gateway/streams/_relayed_attempt.py
@@ -39,6 +39,7 @@
     _search: MemberSearch | None = None
     _tries: int = 0
     _watch_timer: Any = None
+    _member_lost_ms: float | None = None
 
     @property
     def is_relayed(self) -> bool:
@@ -69,7 +70,13 @@
         self._watch_member()
         if not self.task.context.relays.is_serving(self.endpoint_id):
             self.search.lost(self.endpoint_id)
-            self.task.run_overdue(self.number, "member_lost")
+            now_ms = self.task.context.clock.now_ms()
+            if self._member_lost_ms is None:
+                self._member_lost_ms = now_ms
+            overdue_ms = now_ms - self._member_lost_ms
+            self.task.run_overdue(self.number, "member_lost", overdue_ms)
+        else:
+            self._member_lost_ms = None
 
     def may_send(self) -> bool:
         return self.task.may_still_relay()
--- a/src/coursekeel/gateway/streams/_silence_doubt.py
+++ b/src/coursekeel/gateway/streams/_silence_doubt.py
@@ -34,20 +34,21 @@
 class StallCheck:
     """Checks one stream's stalled runs.
 
-    ``position`` returns the stream's position in events. ``on_overdue`` is called with
-    the id of the endpoint and the reason, a log value, for each report that speaks
-    against a run there.
+    ``position`` returns the stream's position in events. ``on_overdue`` is called for
+    each report that speaks against a run: with the id of its endpoint, the reason, a
+    log value, and for how long, in ms, all reports have done so.
     """
 
     clock: Clock
     reports: LoadReports
     run_id: str
     position: Callable[[], int]
-    on_overdue: Callable[[str, str], None]
+    on_overdue: Callable[[str, str, float], None]
     _endpoint_id: str = ""
     _stalled_at: int = -1
     _stalls: int = 0
     _events_made: int | None = None
+    _overdue_since_ms: float | None = None
 
     def run_stalled(self, endpoint_id: str, first_event_ms: float) -> None:
         """Request the report of the endpoint of a run that stalled.
@@ -58,14 +59,20 @@
         if (endpoint_id, position) != (self._endpoint_id, self._stalled_at):
             self._endpoint_id, self._stalled_at = endpoint_id, position
             self._stalls, self._events_made = 0, None
+            self._overdue_since_ms = None
         self._stalls += 1
 
         def report_received(result: ReportResult) -> None:
             if endpoint_id != self._endpoint_id or position != self.position():
                 return
             reason = self._overdue_reason(result, first_event_ms)
-            if reason:
-                self.on_overdue(endpoint_id, reason)
+            if not reason:
+                self._overdue_since_ms = None
+                return
+            now_ms = self.clock.now_ms()
+            if self._overdue_since_ms is None:
+                self._overdue_since_ms = now_ms
+            self.on_overdue(endpoint_id, reason, now_ms - self._overdue_since_ms)
 
         self.reports.request_shared_report(endpoint_id, report_received)
 
--- a/src/coursekeel/gateway/streams/_stream_attempt.py
+++ b/src/coursekeel/gateway/streams/_stream_attempt.py
@@ -89,10 +89,11 @@
         """Remove an attempt whose connection has ended."""
 
     @abstractmethod
-    def run_overdue(self, number: int, reason: str) -> None:
+    def run_overdue(self, number: int, reason: str, overdue_ms: float) -> None:
         """Replace a run that may be lost, if a retry and an endpoint allow it.
 
-        ``reason`` is the log value of its loss.
+        ``reason`` is the log value of its loss, ``overdue_ms`` for how long nothing has
+        spoken for the run.
         """
 
     @abstractmethod
@@ -180,8 +181,8 @@
             task.reports,
             self.endpoint_id,
             task.call.caller.request_id,
-            lambda: task.run_overdue(self.number, "no_report"),
-            lambda: self._run_lost("not_running"),
+            lambda ms: task.run_overdue(self.number, "no_report", ms),
+            lambda: self.lose("not_running"),
         )
         self._watch.start()
 
@@ -228,7 +229,7 @@
         numbered = [(event_number(event), event) for event in events]
         numbers = [number for number, _ in numbered if number is not None]
         if len(numbers) < len(events):
-            self._run_lost("event_without_number")
+            self.lose("event_without_number")
             return
         if numbers:
             if not self._events:
@@ -279,13 +280,13 @@
             return
         self._closed = ending is not Ending.WHOLE
         if self._head is None:
-            self._run_lost(reason)
+            self.lose(reason)
         elif not self._streaming:
             self._non_stream_response(self._head, ending is Ending.WHOLE)
         elif ending is Ending.WHOLE and not self._buffer:
             self._stream_finished()
         else:
-            self._run_lost(reason or "torn_event")
+            self.lose(reason or "torn_event")
 
     def _not_sent(self) -> None:
         self.task.not_sent()
@@ -322,7 +323,7 @@
             task.attempt_ended(self.number)
             task.final_response_received(head, bytes(self._buffer))
         else:
-            self._run_lost(f"status_{head.status}")
+            self.lose(f"status_{head.status}")
 
     def _other_instance_answered(self, head: ExchangeHead) -> None:
         """Handle a response from another incarnation, which ran nothing.
@@ -383,7 +384,8 @@
         runs_once = self.task.call.route.kind is not RouteKind.RESUMABLE
         return runs_once or head.status < HTTPStatus.INTERNAL_SERVER_ERROR
 
-    def _run_lost(self, why: str) -> None:
+    def lose(self, why: str) -> None:
+        """Give the run up as lost, for the reason ``why`` (a log value)."""
         self.report_lost(why)
         if self._exchange is not None:
             self._exchange.abort()
--- a/src/coursekeel/gateway/streams/_stream_task.py
+++ b/src/coursekeel/gateway/streams/_stream_task.py
@@ -84,6 +84,10 @@
 # limits its requests. After that the run continues elsewhere with a new prefill.
 _COPY_PERMIT_WAIT_MS = 200.0
 
+# How long an overdue run is waited on without a retry. Sound endpoints may fall silent
+# for a second or so.
+_MAX_OVERDUE_MS = 2_000.0
+
 # How often a stream that has begun looks for an endpoint, or a member that reaches one,
 # while there is none.
 _UNREACHED_SEARCH_INTERVAL_MS = 100.0
@@ -170,21 +174,27 @@
                 )
         return not has_started and self._may_replace_run()
 
-    def _endpoint_overdue(self, endpoint_id: str, reason: str) -> None:
+    def _endpoint_overdue(
+        self, endpoint_id: str, reason: str, overdue_ms: float
+    ) -> None:
         for attempt in list(self._open_attempts.values()):
             if attempt.endpoint_id == endpoint_id:
-                self.run_overdue(attempt.number, reason)
+                self.run_overdue(attempt.number, reason, overdue_ms)
 
-    def run_overdue(self, number: int, reason: str) -> None:
+    def run_overdue(self, number: int, reason: str, overdue_ms: float) -> None:
         """Let the core replace a run, which stays open until its successor starts.
 
-        Without a retry the run is waited on: it may go on, and a cut would end it.
+        Without a retry the run is waited on for as long as a sound endpoint may be
+        silent. Then it is lost, so that the caller can resume it elsewhere.
         """
         attempt = self._open_attempts.get(number)
         if attempt is None or self.core.ended:
             return
         if not self._may_replace_run():
-            self._log_run_kept(attempt.endpoint_id, reason)
+            if overdue_ms >= _MAX_OVERDUE_MS:
+                attempt.lose(reason)
+            else:
+                self._log_run_kept(attempt.endpoint_id, reason)
             return
         attempt.overdue_reason = reason
         if not attempt.is_relayed:
--- a/tests/cover/test_first_event_watch.py
+++ b/tests/cover/test_first_event_watch.py
@@ -35,8 +35,9 @@
         self.requests += 1
         on_report(self.result)
 
-    def count_overdue(self) -> None:
+    def count_overdue(self, overdue_ms: float) -> None:
         self.overdue += 1
+        self.overdue_ms = overdue_ms
 
     def count_lost(self) -> None:
         self.lost += 1
@@ -49,8 +50,10 @@
     run = WatchedRun(NoReport.SILENT)
     run.wait(0.5)
     assert (run.overdue, run.lost) == (1, 0)
+    assert run.overdue_ms == 0.0
     run.wait(2)
     assert run.overdue >= 4
+    assert run.overdue_ms >= 1_500
     assert run.requests <= 8
 
 
--- a/tests/cover/test_silence_doubt.py
+++ b/tests/cover/test_silence_doubt.py
@@ -27,6 +27,7 @@
         self.position = POSITION
         self.report_requests: list = []
         self.overdue: list[tuple[str, str]] = []
+        self.overdue_ms = 0.0
         reports = Mock(
             request_shared_report=lambda endpoint_id, on_report: (
                 self.report_requests.append((endpoint_id, on_report))
@@ -37,9 +38,13 @@
             reports,
             "r1",
             lambda: self.position,
-            lambda endpoint_id, reason: self.overdue.append((endpoint_id, reason)),
+            self.add_overdue,
         )
 
+    def add_overdue(self, endpoint_id: str, reason: str, overdue_ms: float) -> None:
+        self.overdue.append((endpoint_id, reason))
+        self.overdue_ms = overdue_ms
+
     def stall(self, position: int = POSITION) -> None:
         self.now_ms += 280
         self.position = position
@@ -132,3 +137,14 @@
         stream.position += 1
         stream.answer_request(result)
     assert stream.overdue == []
+
+
+def test_the_time_overdue_counts_from_the_first_report_since_one_for_the_run():
+    stream = StalledStream()
+    for result in (NoReport.SILENT, listed(), NoReport.SILENT):
+        stream.stall()
+        stream.answer_request(result)
+    assert stream.overdue_ms == 0.0
+    stream.stall()
+    stream.answer_request(NoReport.SILENT)
+    assert stream.overdue_ms == 280.0
--- a/tests/cover/test_stream_placement.py
+++ b/tests/cover/test_stream_placement.py
@@ -234,13 +234,13 @@
     task = harness.start()
     send_first_event(harness, harness.client.sinks[0])
     fill_endpoints(harness, ("e0", "e1", "e2"))
-    task.run_overdue(1, "no_report")
+    task.run_overdue(1, "no_report", 0.0)
     assert harness.router.waiting == 1
     assert not harness.reply.cut.called
     harness.client.sinks[0].data_arrived(b"id: 2\ndata: x\n\n")
     assert harness.router.waiting == 0
     assert len(harness.client.sent) == 1
-    task.run_overdue(1, "no_report")
+    task.run_overdue(1, "no_report", 0.0)
     assert harness.router.waiting == 1
 
 
@@ -248,16 +248,30 @@
     harness = StreamHarness(slack=0.0)
     task = harness.start()
     send_first_event(harness, harness.client.sinks[0])
-    task.run_overdue(1, "no_report")
+    task.run_overdue(1, "no_report", 0.0)
     assert harness.router.waiting == 0
     assert len(harness.client.sent) == 1
     assert not harness.reply.cut.called
 
 
+def test_an_overdue_run_without_a_retry_is_cut_once_its_endpoint_is_surely_gone():
+    """It was waited on until its deadline, and the caller couldn't resume it."""
+    harness = StreamHarness(slack=0.0)
+    task = harness.start()
+    harness.reply.head_sent = True
+    send_first_event(harness, harness.client.sinks[0])
+    task.run_overdue(1, "no_report", 1_500.0)
+    assert not harness.reply.cut.called
+    task.run_overdue(1, "no_report", 2_000.0)
+    assert harness.reply.cut.called
+    assert harness.open_runs() == 0
+    assert len(harness.client.sent) == 1
+
+
 def test_an_overdue_run_is_closed_before_its_successor_is_sent(harness):
     task = harness.start()
     send_first_event(harness, harness.client.sinks[0])
-    task.run_overdue(1, "no_report")
+    task.run_overdue(1, "no_report", 0.0)
     assert len(harness.client.sent) == 2
     assert harness.client.sent[1].resume_after == 1
     assert harness.open_runs() == 1
