A process logs its memory, its stalls and its end

`memory_grew` for each 16 MiB of peak memory, `reactor_stalled` for more than 250 ms beside suspensions, `process_ended` with cause and exit code as the last line.

--- a/src/coursekeel/runtime/_process.py
+++ b/src/coursekeel/runtime/_process.py
@@ -2,6 +2,7 @@
 
 import gc
 import logging
+import resource
 import signal
 from abc import ABC, abstractmethod
 from typing import Any
@@ -13,6 +14,7 @@
 from coursekeel.reactor import Reactor
 from coursekeel.runtime._clock import Clock
 from coursekeel.runtime._periodic import Periodic, spawn
+from coursekeel.runtime._resources import MemoryWatch, StallWatch
 from coursekeel.runtime._suspension import SuspensionWatch
 
 __all__ = ["Role", "install_reactor", "run_role"]
@@ -21,7 +23,8 @@
 # Threshold of the garbage collector's youngest generation. Far above Python's default,
 # since reference counting frees most objects.
 _GC_THRESHOLD = 20_000
-# Interval at which buffered log lines are written again and suspensions are detected.
+# Interval at which buffered log lines are written again, and suspensions, stalls of the
+# reactor and growth of the memory are detected.
 _UPKEEP_INTERVAL_MS = 500
 
 
@@ -114,23 +117,47 @@
     reactor.callWhenRunning(install_signal_handlers)
     _configure_garbage_collector()
     reactor.run()
-    return EXIT_INVARIANT_BROKEN if watch.invariant_broken else 0
+    exit_code = EXIT_INVARIANT_BROKEN if watch.invariant_broken else 0
+    log_event(
+        "process_ended",
+        logging.INFO if has_been_told_to_stop else logging.ERROR,
+        cause="signal" if has_been_told_to_stop else "failure",
+        exit_code=exit_code,
+        peak_memory_bytes=_peak_memory_bytes(),
+    )
+    flush_logs()
+    return exit_code
 
 
 def _upkeep_task(reactor: Reactor) -> Periodic:
-    """The periodic task that flushes buffered log lines and logs suspensions."""
+    """The periodic task that flushes buffered log lines and logs the process's state.
+
+    It logs suspensions of the machine, stalls of the reactor and growth of the memory.
+    """
     clock = Clock()
-    watch = SuspensionWatch(clock.suspended_ms())
+    suspensions = SuspensionWatch(clock.suspended_ms())
+    stalls = StallWatch(_UPKEEP_INTERVAL_MS, clock.now_ms())
+    memory = MemoryWatch(_peak_memory_bytes())
 
     async def run_upkeep() -> None:
-        suspended_ms = watch.check(clock.suspended_ms())
+        suspended_ms = suspensions.check(clock.suspended_ms())
         if suspended_ms:
             log_event("suspended", logging.WARNING, for_ms=round(suspended_ms))
+        stalled_ms = stalls.check(clock.now_ms(), suspended_ms)
+        if stalled_ms:
+            log_event("reactor_stalled", logging.WARNING, for_ms=round(stalled_ms))
+        peak_bytes = _peak_memory_bytes()
+        if memory.has_grown(peak_bytes):
+            log_event("memory_grew", logging.WARNING, peak_bytes=peak_bytes)
         flush_logs()
 
     return Periodic(reactor, "upkeep", _UPKEEP_INTERVAL_MS, run_upkeep)
 
 
+def _peak_memory_bytes() -> int:
+    return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * 1024
+
+
 def _configure_garbage_collector() -> None:
     """Freeze the objects that exist at start, and run the garbage collector rarely."""
     gc.collect()
