Answers without end: tests that are red, listed

A server that sends header lines, interim answers, a body, an event or a line of one without end keeps its connection, and the memory for what it sent, until the request's own timers end: whole answers for up to 8 s, 20 MB/s each.

--- /dev/null
+++ b/tests/platform/test_unending_answers.py
@@ -0,0 +1,136 @@
+"""Bytes without end in place of an answer cost one exchange, not its instance."""
+
+import re
+import threading
+import time
+
+import pytest
+from attrs import frozen
+
+from standins.site import wait_until
+from tests.platform.site import (
+    Answer,
+    GatewaySite,
+    configuration,
+    read,
+    route,
+    running_gateway,
+)
+from tests.platform.unending import UnendingServer, unending_server
+
+# What the users' machines can spare: they have 200 MB and more.
+MAX_GROWTH_BYTES = 64 << 20
+# A connection that carries no answer is closed within a second of that being plain; the
+# stand-in of such a server needs 0.4 s to send the longest answer that is allowed.
+MAX_KEPT_S = 1.5
+REQUESTS = 16
+
+HEADS = ("header_lines", "one_header_line", "interim_answers", "no_protocol")
+BODIES = ("chunks", "chunk_extensions", "huge_length", "until_closed", "failure_body")
+EVENTS = ("data_line", "data_lines", "comment", "no_text")
+
+
+@frozen
+class Asked:
+    """What a caller got, and after how long."""
+
+    answer: Answer
+    took_s: float
+
+
+@pytest.fixture
+def site():
+    with running_gateway(servers=9, engines=5) as site:
+        more = [
+            route("again8", "idempotent", "plain", **{"timeout-ms": 8_000}),
+            route("once8", "non_idempotent", "plain", **{"timeout-ms": 8_000}),
+        ]
+        wide = configuration(2)
+        wide["routes"] += more
+        site.put([("op", "config", wide)])
+        wait_until(
+            lambda: site.ask("/again8/1").status == 200, "the routes are in force"
+        )
+        yield site
+
+
+def list_server(site: GatewaySite, server: UnendingServer, service: str) -> None:
+    row = {
+        "service": service,
+        "address": server.address,
+        "zone": "ikeja",
+        "slots": 8,
+        "state": "ready",
+        "version": "v1",
+    }
+    site.put([("servers", "u0", row)])
+    time.sleep(0.5)
+
+
+def ask_at_once(site: GatewaySite, path: str) -> list[Asked]:
+    """Send requests at the same moment, and return their answers."""
+    asked: list[Asked] = []
+
+    def ask() -> None:
+        began_s = time.monotonic()
+        connection, _ = site.open(path, b"prompt", deadline_ms="20000")
+        answer = read(connection)
+        asked.append(Asked(answer, time.monotonic() - began_s))
+
+    threads = [threading.Thread(target=ask) for _ in range(REQUESTS)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return asked
+
+
+def peak_bytes(site: GatewaySite) -> float:
+    return metric(site, "coursekeel_memory_bytes")
+
+
+def metric(site: GatewaySite, name: str) -> float:
+    values = re.findall(rf"^{name}(?:{{[^}}]*}})? ([\d.e+]+)$", site.metrics(), re.M)
+    return sum(float(value) for value in values)
+
+
+def assert_bounded(site: GatewaySite, server: UnendingServer, before: float) -> None:
+    assert server.exchanges, "no request reached the server"
+    longest = max(server.exchanges, key=lambda each: each.kept_s)
+    assert longest.kept_s < MAX_KEPT_S, longest
+    assert peak_bytes(site) - before < MAX_GROWTH_BYTES
+
+
+@pytest.mark.parametrize("kind", HEADS + BODIES)
+def test_answers_without_end_are_replaced_where_they_may_be_repeated(site, kind):
+    with unending_server(kind) as server:
+        list_server(site, server, "plain")
+        before = peak_bytes(site)
+        asked = ask_at_once(site, "/again8/1")
+        assert_bounded(site, server, before)
+    assert [each.answer.status for each in asked] == [200] * REQUESTS
+    assert max(each.took_s for each in asked) < 2 * MAX_KEPT_S
+
+
+@pytest.mark.parametrize("kind", HEADS + BODIES)
+def test_answers_without_end_fail_at_once_where_they_may_not_be_repeated(site, kind):
+    with unending_server(kind) as server:
+        list_server(site, server, "plain")
+        before = peak_bytes(site)
+        asked = ask_at_once(site, "/once8/1")
+        assert_bounded(site, server, before)
+    failed = [each for each in asked if each.answer.status != 200]
+    assert len(failed) == len(server.exchanges)
+    assert {each.answer.status for each in failed} == {502}
+    assert max(each.took_s for each in asked) < 2 * MAX_KEPT_S
+
+
+@pytest.mark.parametrize("kind", HEADS + ("failure_body",) + EVENTS)
+def test_streams_without_end_of_an_event_go_on_elsewhere(site, kind):
+    with unending_server(kind) as server:
+        list_server(site, server, "engines")
+        before = peak_bytes(site)
+        asked = ask_at_once(site, "/stream/20")
+        assert_bounded(site, server, before)
+    assert [each.answer.status for each in asked] == [200] * REQUESTS
+    assert all(each.answer.whole for each in asked)
