A response without end is given up at a bound

Cause: what is read from endpoints, engines, services and the store had no bound in bytes. The head is parsed by Twisted, which bounds a line but not their number, nor that of interim responses; bodies were collected for as long as the request's timers ran.

Change: one bounded protocol under both clients (exchanges and fetchers) gives up a head of more than 32 KiB, interim responses counted, and framing that outweighs its body; an exchange gives up a body over `answers.max_body_bytes` (8 MiB), a fetcher over 8 MiB or its transfer's limit, a probe over 1 MiB, at once where the length is announced. An exchange ends as OVERRUN then: it may have run, so it is repeated where that is allowed and fails at once elsewhere; it counts as a failure of the endpoint, but not as a crash that bars requests. `response_overrun` and `coursekeel_responses_overrun` tell of it.

A proper answer as long as the bound is passed on whole.

--- a/src/coursekeel/entry/_gauges.py
+++ b/src/coursekeel/entry/_gauges.py
@@ -2,6 +2,7 @@
 
 from coursekeel.entry.answers._adoption_task import AdoptionTask
 from coursekeel.entry.answers._answer_registry import AnswerRegistry
+from coursekeel.fetch import OVERRUNS
 from coursekeel.observe import Metrics
 from coursekeel.quarantine import Quarantine
 from coursekeel.routing import Router
@@ -30,6 +31,11 @@
         "Answers at work",
         lambda: sum(not each.ended for each in registry.tasks.values()),
     )
+    gauge(
+        "coursekeel_responses_overrun",
+        "Responses so far that were given up because they exceed a bound",
+        lambda: OVERRUNS.total,
+    )
     gauge(
         "coursekeel_suspect_requests",
         "Requests under which endpoints ended",
--- a/src/coursekeel/fetch/__init__.py
+++ b/src/coursekeel/fetch/__init__.py
@@ -17,9 +17,11 @@
     HttpReply,
     NotReached,
 )
+from coursekeel.fetch._overruns import OVERRUNS, Overrun, record_overrun
 from coursekeel.fetch._own_link import OwnLink
 
 __all__ = [
+    "OVERRUNS",
     "AnswerLost",
     "DirectAgents",
     "Ending",
@@ -33,7 +35,9 @@
     "HttpReply",
     "MaySend",
     "NotReached",
+    "Overrun",
     "OwnLink",
     "SendWithheld",
     "Transfer",
+    "record_overrun",
 ]
--- a/src/coursekeel/fetch/_agent.py
+++ b/src/coursekeel/fetch/_agent.py
@@ -7,10 +7,12 @@
 from twisted.internet.endpoints import TCP4ClientEndpoint, TCP6ClientEndpoint
 from twisted.internet.error import ConnectError
 from twisted.internet.interfaces import IStreamClientEndpoint
-from twisted.web.client import Agent, HTTPConnectionPool
+from twisted.web.client import Agent, HTTPConnectionPool, _HTTP11ClientFactory
 from twisted.web.iweb import IAgentEndpointFactory
 from zope.interface import implementer
 
+from coursekeel.fetch._bounded_protocol import BoundedProtocol
+
 __all__ = ["DirectAgents", "MaySend", "SendWithheld"]
 
 # Idle persistent connections that are kept per host.
@@ -76,10 +78,23 @@
         return _CheckedEndpoint(self.endpoints.endpointForURI(uri), self.may_send)
 
 
+class _BoundedFactory(_HTTP11ClientFactory):
+    def buildProtocol(self, addr: Any) -> BoundedProtocol:
+        return BoundedProtocol(self._quiescentCallback)
+
+
+class _BoundedPool(HTTPConnectionPool):
+    """Twisted's connection pool, whose connections bound the heads of responses."""
+
+    _factory = _BoundedFactory
+
+
 @define(eq=False)
 class DirectAgents:
     """Creates Twisted agents that never retry a request.
 
+    The head of a response is bounded by `BoundedProtocol`, its body by its receiver.
+
     Without persistent connections (``keeps_connections``), a server that closed an idle
     connection can't be mistaken for one that accepted the request and then crashed.
     ``connect_ms`` limits the time to connect.
@@ -92,7 +107,7 @@
     _endpoints: Any = field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        self._pool = HTTPConnectionPool(self.reactor, persistent=self.keeps_connections)
+        self._pool = _BoundedPool(self.reactor, persistent=self.keeps_connections)
         self._pool.maxPersistentPerHost = _CONNECTIONS_PER_HOST
         self._pool.retryAutomatically = False
         self._endpoints = _DirectEndpoints(self.reactor, self.connect_ms / 1000)
--- a/src/coursekeel/fetch/_arrival.py
+++ b/src/coursekeel/fetch/_arrival.py
@@ -22,7 +22,11 @@
 from coursekeel.fetch._own_link import OwnLink
 from coursekeel.reactor import Reactor
 
-__all__ = ["BodyCollector", "ResponseWatchdog", "Transfer"]
+__all__ = ["MAX_BODY_BYTES", "BodyCollector", "ResponseWatchdog", "Transfer"]
+
+# The longest body that is read without a `Transfer`: an answer of a service is the
+# longest.
+MAX_BODY_BYTES = 8 << 20
 
 
 @frozen
@@ -42,17 +46,21 @@
 class ResponseWatchdog:
     """Cancels a request whose response exceeds a limit, and records the reason.
 
-    Without a ``transfer``, the whole response must arrive within ``timeout_ms``; with
-    one, only its head. ``link`` is notified of each chunk; ``received_bytes`` counts
-    the body; ``cancel_reason`` is empty unless the request was cancelled.
+    Without a ``transfer``, the whole response must arrive within ``timeout_ms`` and its
+    body have ``max_body_bytes`` at most; with one, only its head must arrive in that
+    time. ``link`` is notified of each chunk; ``received_bytes`` counts the body;
+    ``cancel_reason`` is empty unless the request was cancelled, ``is_overrun`` tells
+    that its body was too long.
     """
 
     reactor: Reactor
     timeout_ms: float
     transfer: Transfer | None
     link: OwnLink | None = None
+    max_body_bytes: int = MAX_BODY_BYTES
     received_bytes: int = 0
     cancel_reason: str = ""
+    is_overrun: bool = False
     _request: Any = None
     _timer: Any = None
     _end_s: float = field(default=0.0, init=False)
@@ -62,9 +70,14 @@
         self._request = request
         self._start_timer(self.timeout_ms, f"no answer within {self.timeout_ms:.0f} ms")
 
-    def head_received(self) -> None:
-        """The head of the response arrived."""
-        if self.transfer is not None:
+    def head_received(self, body_bytes: int | None = None) -> None:
+        """The head of the response arrived, with the length of its body if it tells.
+
+        Sets ``is_overrun`` if that is too long; the caller is to cancel the request.
+        """
+        if body_bytes is not None and body_bytes > self._most_bytes:
+            self._set_overrun()
+        elif self.transfer is not None:
             self._end_s = self.reactor.seconds() + self.transfer.max_ms / 1000
             self._wait_for_chunk(self.transfer)
 
@@ -73,12 +86,22 @@
         self.received_bytes += size_bytes
         if self.link is not None:
             self.link.chunk_received(self.received_bytes)
-        if self.transfer is None or self.cancel_reason:
-            return
-        if self.received_bytes > self.transfer.most_bytes:
-            self._cancel(f"more than {self.transfer.most_bytes} bytes")
+        if self.cancel_reason:
             return
-        self._wait_for_chunk(self.transfer)
+        if self.received_bytes > self._most_bytes:
+            self._set_overrun()
+            self._request.cancel()
+        elif self.transfer is not None:
+            self._wait_for_chunk(self.transfer)
+
+    @property
+    def _most_bytes(self) -> int:
+        transfer = self.transfer
+        return self.max_body_bytes if transfer is None else transfer.most_bytes
+
+    def _set_overrun(self) -> None:
+        self.is_overrun = True
+        self.cancel_reason = f"more than {self._most_bytes} bytes"
 
     def stop(self) -> None:
         """Stop the timer: the request has ended, successfully or not."""
--- /dev/null
+++ b/src/coursekeel/fetch/_bounded_protocol.py
@@ -0,0 +1,74 @@
+"""Twisted's HTTP client protocol with bounds on the bytes that are no body.
+
+Rule: a peer may send bytes without end, so a response is given up once its head, with
+the interim responses (1xx) before it, is longer than `MAX_HEAD_BYTES`, or once its
+framing outweighs the body that it frames. Bodies and events are bounded by who collects
+them. Twisted itself bounds a line of the head (16 KiB), the size line of a chunk
+(1 KiB) and trailers (64 KiB).
+
+Owns the counts of one connection.
+"""
+
+from typing import Any
+
+from twisted.web._newclient import HTTP11ClientProtocol
+
+from coursekeel.fetch._overruns import Overrun, record_overrun
+
+__all__ = ["MAX_HEAD_BYTES", "BoundedProtocol"]
+
+# Twice the head that common HTTP servers accept.
+MAX_HEAD_BYTES = 32 * 1024
+# One read of the socket, whose body isn't counted before it is delivered.
+_READ_BYTES = 64 * 1024
+# Framing of one-byte chunks, the least that a body needs more than its own bytes.
+_FRAMING_PER_BODY_BYTE = 8
+
+
+class BoundedProtocol(HTTP11ClientProtocol):
+    """Closes its connection once a bound is exceeded, and then names it in ``overrun``.
+
+    ``body_bytes`` is to be raised by who receives the body; without that,
+    ``counts_body`` must be false, and the framing isn't bounded.
+    """
+
+    counts_body = False
+    body_bytes = 0
+    overrun: Overrun | None = None
+    _received_bytes = 0
+
+    def request(self, request: Any) -> Any:
+        self._received_bytes = self.body_bytes = 0
+        return super().request(request)
+
+    def dataReceived(self, data: bytes) -> None:
+        if self.overrun is not None:
+            return
+        self._received_bytes += len(data)
+        super().dataReceived(data)
+        parser: Any = self._parser
+        if parser is None:
+            return
+        if parser.bodyDecoder is None:
+            if self._received_bytes > MAX_HEAD_BYTES:
+                self.give_up(Overrun.HEAD)
+        elif self.counts_body and self._framing_bytes > self._max_framing_bytes:
+            self.give_up(Overrun.FRAMING)
+
+    @property
+    def _framing_bytes(self) -> int:
+        return self._received_bytes - self.body_bytes
+
+    @property
+    def _max_framing_bytes(self) -> int:
+        return MAX_HEAD_BYTES + _READ_BYTES + _FRAMING_PER_BODY_BYTE * self.body_bytes
+
+    def give_up(self, overrun: Overrun) -> None:
+        """Close the connection at once, since the response exceeds a bound."""
+        if self.overrun is not None:
+            return
+        self.overrun = overrun
+        transport: Any = self.transport
+        peer = transport.getPeer()
+        record_overrun(overrun, f"{peer.host}:{peer.port}", self._received_bytes)
+        transport.abortConnection()
--- a/src/coursekeel/fetch/_exchange.py
+++ b/src/coursekeel/fetch/_exchange.py
@@ -14,12 +14,15 @@
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Factory, Protocol, connectionDone
-from twisted.web._newclient import HTTP11ClientProtocol, Request, ResponseDone
+from twisted.web._newclient import Request, ResponseDone
 from twisted.web.http import PotentialDataLoss
 from twisted.web.http_headers import Headers
-from twisted.web.iweb import IBodyProducer
+from twisted.web.iweb import UNKNOWN_LENGTH, IBodyProducer
 from zope.interface import implementer
 
+from coursekeel.fetch._arrival import MAX_BODY_BYTES
+from coursekeel.fetch._bounded_protocol import BoundedProtocol
+from coursekeel.fetch._overruns import Overrun
 from coursekeel.reactor import Reactor
 
 __all__ = [
@@ -37,6 +40,7 @@
 
     ``WITHHELD``: ``may_send`` returned false once connected, so nothing was sent.
     ``NO_ANSWER``: sent, but no response head arrived. ``CUT``: the body is incomplete.
+    ``OVERRUN``: sent, and given up here as the response exceeds a bound (`Overrun`).
     """
 
     WHOLE = "whole"
@@ -44,6 +48,7 @@
     WITHHELD = "withheld"
     NO_ANSWER = "no_answer"
     CUT = "cut"
+    OVERRUN = "overrun"
 
 
 @frozen
@@ -135,13 +140,14 @@
         pass
 
 
-class _Connection(HTTP11ClientProtocol):
-    """Twisted's client protocol, which also records whether it was closed cleanly.
+class _Connection(BoundedProtocol):
+    """A bounded connection, which also records whether it was closed cleanly.
 
     A response without a length ends when its connection closes, and Twisted reports a
     reset in the same way as a clean close.
     """
 
+    counts_body = True
     lost_cleanly = False
 
     def connectionLost(self, reason: Any = connectionDone) -> None:
@@ -162,12 +168,17 @@
 
 @define(eq=False)
 class Exchange:
-    """Sends one request and reports its events to a sink; `abort` cancels it."""
+    """Sends one request and reports its events to a sink; `abort` cancels it.
+
+    ``max_body_bytes`` is the longest body that is taken, None for any; the sink may
+    change it when the head arrives.
+    """
 
     reactor: Reactor
     request: ExchangeRequest
     sink: ExchangeSink
     connect_ms: float
+    max_body_bytes: int | None = MAX_BODY_BYTES
     _connecting: Any = None
     _connection: _Connection | None = None
     _finished: bool = False
@@ -236,7 +247,14 @@
         self._end(Ending.NOT_SENT, failure.getErrorMessage() or failure.type.__name__)
 
     def _request_failed(self, failure: Any) -> None:
-        self._end(Ending.NO_ANSWER, failure.type.__name__)
+        if not self._end_if_overrun():
+            self._end(Ending.NO_ANSWER, failure.type.__name__)
+
+    def _end_if_overrun(self) -> bool:
+        overrun = self._connection.overrun if self._connection is not None else None
+        if overrun is not None:
+            self._end(Ending.OVERRUN, overrun.value)
+        return overrun is not None
 
     def _head_received(self, response: Any) -> None:
         if self._finished:
@@ -247,16 +265,36 @@
             for value in values
         ]
         self.sink.head_arrived(ExchangeHead(response.code, pairs))
-        if not self._finished:
+        if self._finished:
+            return
+        if response.length is not UNKNOWN_LENGTH and self._is_too_long(response.length):
+            self._give_up_body()
+        else:
             response.deliverBody(_BodyReceiver(self))
 
+    def _is_too_long(self, body_bytes: int) -> bool:
+        return self.max_body_bytes is not None and body_bytes > self.max_body_bytes
+
+    def _give_up_body(self) -> None:
+        assert self._connection is not None
+        self._connection.give_up(Overrun.BODY)
+        self._end_if_overrun()
+
     def body_data(self, data: bytes) -> None:
         """A chunk of the body arrived; called by `_BodyReceiver`."""
-        if not self._finished:
+        assert self._connection is not None
+        self._connection.body_bytes += len(data)
+        if self._finished:
+            return
+        if self._is_too_long(self._connection.body_bytes):
+            self._give_up_body()
+        else:
             self.sink.data_arrived(data)
 
     def body_ended(self, reason: Any) -> None:
         """The body ended; one without a length is complete only if closed cleanly."""
+        if self._end_if_overrun():
+            return
         if reason is not None and reason.check(ResponseDone):
             self._end(Ending.WHOLE, "")
         elif reason is not None and reason.check(PotentialDataLoss):
--- a/src/coursekeel/fetch/_fetch.py
+++ b/src/coursekeel/fetch/_fetch.py
@@ -8,9 +8,11 @@
 from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.internet.error import ConnectError
 from twisted.python.failure import Failure
+from twisted.web.iweb import UNKNOWN_LENGTH
 
 from coursekeel.fetch._agent import DirectAgents, MaySend
 from coursekeel.fetch._arrival import BodyCollector, ResponseWatchdog, Transfer
+from coursekeel.fetch._overruns import Overrun, record_overrun
 from coursekeel.fetch._own_link import OwnLink
 from coursekeel.reactor import Reactor
 
@@ -102,6 +104,8 @@
             return AnswerLost(reason, watchdog.received_bytes)
         finally:
             watchdog.stop()
+            if watchdog.is_overrun:
+                record_overrun(Overrun.BODY, url, watchdog.received_bytes)
 
     async def _exchange(
         self,
@@ -118,9 +122,12 @@
         response = await client.request(
             method, url, data=data, headers=headers, allow_redirects=False
         )
-        watchdog.head_received()
+        has_length = response.length is not UNKNOWN_LENGTH
+        watchdog.head_received(response.length if has_length else None)
         collector = BodyCollector(watchdog)
         response.deliverBody(collector)
+        if watchdog.is_overrun:
+            collector.body.cancel()
         headers = {
             name.decode("latin-1").lower(): values[-1].decode("latin-1")
             for name, values in response.headers.getAllRawHeaders()
--- a/src/coursekeel/gateway/_gauges.py
+++ b/src/coursekeel/gateway/_gauges.py
@@ -1,5 +1,6 @@
 """Gauges of a gateway: values read from its components when metrics are rendered."""
 
+from coursekeel.fetch import OVERRUNS
 from coursekeel.gateway._dispatcher import Dispatcher
 from coursekeel.gateway._metrics import GatewayMetrics
 from coursekeel.gateway.admission._start_hold import StartHold
@@ -121,6 +122,11 @@
         "Requests so far that weren't taken: no member's, malformed, or too many",
         lambda: relay_server.refused,
     )
+    gauge(
+        "coursekeel_responses_overrun",
+        "Responses so far that were given up because they exceed a bound",
+        lambda: OVERRUNS.total,
+    )
     core = limits.limits
     gauge(
         "coursekeel_limited_endpoints",
--- a/src/coursekeel/gateway/_live_settings.py
+++ b/src/coursekeel/gateway/_live_settings.py
@@ -10,6 +10,7 @@
 from attrs import define, evolve
 
 from coursekeel.errors import SettingsInvalid
+from coursekeel.forwarding import RouteKind
 from coursekeel.observe import log_event
 from coursekeel.settings import GatewaySettings, GatewayTimers
 
@@ -27,11 +28,20 @@
         """The current timers."""
         return self.now.timers
 
+    def max_body_bytes(self, kind: RouteKind) -> int | None:
+        """The longest body of an answer; None for streams, which have no limit.
+
+        Their events are bounded by `StreamAttempt`, which also bounds what an endpoint
+        sends in place of a stream.
+        """
+        return None if kind.streams else self.now.answers.max_body_bytes
+
     def reload(self, read: Callable[[], GatewaySettings]) -> None:
-        """Replace timers and retry settings; invalid settings are logged and ignored.
+        """Replace timers, retry and answer settings.
 
-        Addresses and identity need a restart, and existing retry budgets keep the ratio
-        and window that they were created with.
+        Invalid settings are logged and ignored. Addresses and identity need a restart,
+        and existing retry budgets keep the ratio and window that they were created
+        with.
         """
         try:
             new = read()
@@ -40,7 +50,9 @@
             return
         if _restart_settings(new) != _restart_settings(self.now):
             log_event("reload_needs_restart", logging.WARNING)
-        self.now = evolve(self.now, timers=new.timers, retries=new.retries)
+        self.now = evolve(
+            self.now, timers=new.timers, retries=new.retries, answers=new.answers
+        )
         log_event("reloaded")
 
 
--- a/src/coursekeel/gateway/endpoints/_endpoint_client.py
+++ b/src/coursekeel/gateway/endpoints/_endpoint_client.py
@@ -31,6 +31,7 @@
 from coursekeel.gateway.relay._reach_task import ReachListener, ReachTask
 from coursekeel.reactor import Reactor
 from coursekeel.runtime import Clock
+from coursekeel.units import MEBIBYTE
 
 __all__ = ["EndpointClient"]
 
@@ -39,6 +40,9 @@
 # 1,469 routes takes at 5 Mbit/s (0.66 s).
 _FULL_LINK_CONNECT_MS = 1_000.0
 
+# Reports and lists of cached prompts have some kB.
+_MAX_PROBE_BYTES = MEBIBYTE
+
 
 @define(eq=False)
 class EndpointClient:
@@ -96,7 +100,8 @@
 
         listener = LimitListener(sink, self.clock, head_arrived, permitted)
         connect_ms = self.settings.timers.connect_ms
-        return self._open(request, listener, connect_ms, outbound.endpoint)
+        bound = self.settings.max_body_bytes(call.route.kind)
+        return self._open(request, listener, connect_ms, outbound.endpoint, bound)
 
     def send_probe(
         self,
@@ -115,7 +120,7 @@
             self.limits.probe_answered(endpoint.endpoint_id, head, sent_ms)
 
         listener = LimitListener(sink, self.clock, head_arrived)
-        return self._open(request, listener, connect_ms, endpoint)
+        return self._open(request, listener, connect_ms, endpoint, _MAX_PROBE_BYTES)
 
     def _open(
         self,
@@ -123,10 +128,11 @@
         sink: ExchangeSink,
         connect_ms: float,
         endpoint: EndpointRecord,
+        max_body_bytes: int | None,
     ) -> Exchange:
         if self.link.full:
             connect_ms = max(connect_ms, _FULL_LINK_CONNECT_MS)
         listener = ReachListener(sink, self.reach, endpoint)
-        exchange = Exchange(self.reactor, request, listener, connect_ms)
+        exchange = Exchange(self.reactor, request, listener, connect_ms, max_body_bytes)
         exchange.start()
         return exchange
--- a/src/coursekeel/gateway/relay/_relay_client.py
+++ b/src/coursekeel/gateway/relay/_relay_client.py
@@ -120,7 +120,8 @@
             local_host=self.swim.own.rpartition(":")[0],
         )
         connect_ms = self.settings.timers.connect_ms
-        exchange = Exchange(self.reactor, request, sink, connect_ms)
+        bound = self.settings.max_body_bytes(call.route.kind)
+        exchange = Exchange(self.reactor, request, sink, connect_ms, bound)
         exchange.start()
         return exchange
 
--- a/src/coursekeel/settings/__init__.py
+++ b/src/coursekeel/settings/__init__.py
@@ -1,6 +1,7 @@
 """Settings of gateways and entries, read from JSON with comments and validated."""
 
 from coursekeel.settings._gateway import (
+    AnswerSettings,
     CanarySettings,
     GatewayListen,
     GatewaySettings,
@@ -28,6 +29,7 @@
 
 __all__ = [
     "PROFILES",
+    "AnswerSettings",
     "CanarySettings",
     "EntrySettings",
     "GatewayListen",
--- a/src/coursekeel/settings/_gateway.py
+++ b/src/coursekeel/settings/_gateway.py
@@ -5,9 +5,10 @@
 
 from attrs import field, frozen
 
-from coursekeel.units import MS_PER_SECOND
+from coursekeel.units import MEBIBYTE, MS_PER_SECOND
 
 __all__ = [
+    "AnswerSettings",
     "CanarySettings",
     "GatewayListen",
     "GatewaySettings",
@@ -212,6 +213,19 @@
     max_requests: int = field(default=300, metadata={"least": 0, "most": 100_000})
 
 
+@frozen
+class AnswerSettings:
+    """Bounds on the answers of endpoints.
+
+    A whole answer's body has ``max_body_bytes`` at most, an event of a stream
+    ``max_event_bytes``. A longer one counts as no answer: its connection is closed, and
+    the request is sent again if it may be, or else fails.
+    """
+
+    max_body_bytes: int = field(default=8 * MEBIBYTE, metadata={"least": 1_024})
+    max_event_bytes: int = field(default=MEBIBYTE, metadata={"least": 1_024})
+
+
 @frozen
 class GatewaySettings:
     """All settings of a gateway. ``zone`` is its availability zone.
@@ -228,6 +242,7 @@
     retries: RetryBudgetSettings = field(factory=RetryBudgetSettings)
     canary: CanarySettings = field(factory=CanarySettings)
     relay: RelaySettings = field(factory=RelaySettings)
+    answers: AnswerSettings = field(factory=AnswerSettings)
     max_open_requests: int = field(default=1_000, metadata={"least": 1})
     log_level: str = "INFO"
     seed: int | None = None
--- a/src/coursekeel/settings/_load.py
+++ b/src/coursekeel/settings/_load.py
@@ -13,6 +13,7 @@
 
 from coursekeel.errors import SettingsInvalid
 from coursekeel.settings._gateway import (
+    AnswerSettings,
     CanarySettings,
     GatewayListen,
     GatewaySettings,
@@ -59,6 +60,7 @@
         GatewayTimers,
         RetryBudgetSettings,
         CanarySettings,
+        AnswerSettings,
         GatewaySettings,
     ),
 }
