An event without end is given up at a bound

Cause: the bytes of an incomplete event were collected without a bound, and the whole buffer was searched for the event's end at each read, so that the cost grew with the square of what had come. What came in place of a stream (the body of a 500) had no bound either.

A run that is given up so isn't reported as closed by its endpoint.

--- a/src/coursekeel/forwarding/_events.py
+++ b/src/coursekeel/forwarding/_events.py
@@ -51,9 +51,12 @@
         return data
 
 
-def split_events(buffer: bytearray) -> list[bytes]:
-    """Remove the whole events from ``buffer``, and leave an unfinished one in it."""
-    end = buffer.rfind(_END_OF_EVENT)
+def split_events(buffer: bytearray, searched: int = 0) -> list[bytes]:
+    """Remove the whole events from ``buffer``, and leave an unfinished one in it.
+
+    The first ``searched`` bytes were left by the call before, so no event ends in them.
+    """
+    end = buffer.rfind(_END_OF_EVENT, max(0, searched - 1))
     if end < 0:
         return []
     whole = bytes(buffer[: end + len(_END_OF_EVENT)])
--- a/src/coursekeel/gateway/streams/_stream_attempt.py
+++ b/src/coursekeel/gateway/streams/_stream_attempt.py
@@ -20,7 +20,14 @@
     Loss,
     TokensArrived,
 )
-from coursekeel.fetch import Ending, Exchange, ExchangeHead, ExchangeSink
+from coursekeel.fetch import (
+    Ending,
+    Exchange,
+    ExchangeHead,
+    ExchangeSink,
+    Overrun,
+    record_overrun,
+)
 from coursekeel.forwarding import (
     EndpointRecord,
     EventLedger,
@@ -40,6 +47,7 @@
 from coursekeel.gateway.streams._begin_watch import FirstEventWatch
 from coursekeel.gateway.streams._silence_doubt import NO_REPORT
 from coursekeel.gateway.streams._successors import SuccessorLookup
+from coursekeel.settings import AnswerSettings
 
 __all__ = ["AttemptOwner", "StreamAttempt"]
 
@@ -225,16 +233,32 @@
         if self._verdict(head) is HeadVerdict.RAN and head.status == HTTPStatus.OK:
             self._streaming = True
             task.stream_opened(self.number, head)
+        elif self._exchange is not None:
+            self._exchange.max_body_bytes = self._answers.max_body_bytes
 
     def _verdict(self, head: ExchangeHead) -> HeadVerdict:
         dialect = self.task.context.endpoints.dialect
         return dialect.judge(head, self.task.call.caller.request_id)
 
     def data_arrived(self, data: bytes) -> None:
+        searched = len(self._buffer)
         self._buffer += data
         if not self._streaming:
             return
-        events = split_events(self._buffer)
+        self._handle_events(split_events(self._buffer, searched))
+        if len(self._buffer) > self._answers.max_event_bytes:
+            self._event_too_large()
+
+    @property
+    def _answers(self) -> AnswerSettings:
+        return self.task.context.settings.now.answers
+
+    def _event_too_large(self) -> None:
+        if self.task.is_open(self.number):
+            record_overrun(Overrun.EVENT, self.endpoint_id, len(self._buffer))
+            self.lose(Overrun.EVENT.value)
+
+    def _handle_events(self, events: list[bytes]) -> None:
         numbered = [(event_number(event), event) for event in events]
         numbers = [number for number, _ in numbered if number is not None]
         if len(numbers) < len(events):
@@ -287,7 +311,7 @@
             self._not_sent()
             self._end(Loss.NOT_SENT)
             return
-        self._closed = ending is not Ending.WHOLE
+        self._closed = ending in (Ending.CUT, Ending.NO_ANSWER)
         if self._head is None:
             self.lose(reason)
         elif not self._streaming:
