Answers in memory are bounded in sum, and those nobody reads are dropped

Callers saw: nothing yet, but 60 callers that read nothing of 4 MB each raised a gateway by 232 MB (measured from outside), three times what they had asked for, and bodies without end that come at once add up to each one's bound times their number; a process over its machine's memory is killed with all that is open.

Cause: bounds were for each answer. An answer's chunks, the joined body, the core's reply and the transport's buffer all stayed until the garbage collector ran, which is seldom, as tasks, replies and transports refer to each other.

Change: bodies that are collected and replies that callers haven't taken share one bound, `answers.max_held_bytes` (24 MiB). Over it only the oldest body is read on; if nothing ends for 1.5 s the largest is given up. Over `answers.max_unsent_bytes` (12 MiB) the connections of callers that have taken nothing for a second are closed. Chunks, replies and buffers of lost connections are freed when they have been used. Log lines and gauges tell of each.

--- a/src/coursekeel/calls/_call.py
+++ b/src/coursekeel/calls/_call.py
@@ -190,10 +190,11 @@
         A result is sent at once, even if the table can't be written now. A refusal is
         recorded first, because it is guaranteed only once the table holds it.
         """
-        self._reply = reply
+        self._last_failure = None
         if self.claim is None:
             self._machine.feed("recorded")
             return [SendReply(self._reply_without_claim(reply))]
+        self._reply = reply
         record = Record(self.claim.settled(reply.run, reply.reply), self._claim_version)
         if reply.run is RunState.NOT_RUN:
             return [record]
--- a/src/coursekeel/fetch/_exchange.py
+++ b/src/coursekeel/fetch/_exchange.py
@@ -207,6 +207,18 @@
         self._finished = True
         self._close()
 
+    def pause(self) -> None:
+        """Read no more of the response until `resume`."""
+        if self._connection is not None and not self._finished:
+            transport: Any = self._connection.transport
+            transport.pauseProducing()
+
+    def resume(self) -> None:
+        """Go on reading the response."""
+        if self._connection is not None and not self._finished:
+            transport: Any = self._connection.transport
+            transport.resumeProducing()
+
     def _close(self) -> None:
         if self._connection is not None:
             transport: Any = self._connection.transport
--- a/src/coursekeel/gateway/_context.py
+++ b/src/coursekeel/gateway/_context.py
@@ -3,6 +3,7 @@
 Owns no state itself: each component owns its own. `Gateway` creates it.
 """
 
+from collections.abc import Callable
 from random import Random
 
 from attrs import define, field
@@ -20,6 +21,7 @@
 from coursekeel.gateway.relay._relay_client import RelayClient
 from coursekeel.gateway.rollouts._version_choice import VersionChoice
 from coursekeel.gateway.site._site_state import SiteState
+from coursekeel.gateway.whole._collected_body import CollectedBodies
 from coursekeel.reactor import Reactor
 from coursekeel.routing import ENDPOINT_LIMIT_CODE, Refuse
 from coursekeel.runtime import Clock, RoutingTask
@@ -48,10 +50,17 @@
     relays: RelayClient
     versions: VersionChoice = field(factory=VersionChoice)
     lengths: StreamDurations = field(factory=StreamDurations)
+    unsent_bytes: Callable[[], int] = lambda: 0
     deadlines: DeadlineTimers = field(init=False)
+    bodies: CollectedBodies = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.deadlines = DeadlineTimers(self.reactor, self.clock)
+        self.bodies = CollectedBodies(
+            self.reactor,
+            lambda: self.settings.now.answers.max_held_bytes,
+            self.unsent_bytes,
+        )
 
     def log_if_limited(self, call: AdmittedRequest, refused: Refuse) -> None:
         """Log a refusal whose cause is that the pool's endpoints limit requests."""
--- a/src/coursekeel/gateway/_gateway.py
+++ b/src/coursekeel/gateway/_gateway.py
@@ -119,12 +119,15 @@
     _dispatcher: Dispatcher = field(init=False)
     _follow_tasks: list[TableWatchTask] = field(init=False)
     _listeners: list[Any] = field(factory=list)
-    _connections: OpenConnections = field(factory=OpenConnections)
+    _connections: OpenConnections = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         random = Random(self.settings.seed)
         directory = EndpointDirectory()
         self._live_settings = LiveSettings(self.settings)
+        self._connections = OpenConnections(
+            lambda: self._live_settings.now.answers.max_unsent_bytes
+        )
         self._router = Router(
             self.settings.zone, random, directory.may_take, _ROUTER_SETTINGS
         )
@@ -265,6 +268,7 @@
             self._reach,
             relays,
             VersionChoice(self.clock, rollouts, self._router),
+            unsent_bytes=lambda: self._connections.held_bytes,
         )
         reports = LoadReports(context)
         self._dispatcher = Dispatcher(
@@ -296,6 +300,7 @@
             self._reach,
             relays,
             self._relay_server,
+            self._connections,
         )
 
     def _followed_tables(self) -> tuple[FollowedTable, ...]:
--- a/src/coursekeel/gateway/_gauges.py
+++ b/src/coursekeel/gateway/_gauges.py
@@ -2,6 +2,7 @@
 
 from coursekeel.fetch import OVERRUNS
 from coursekeel.gateway._dispatcher import Dispatcher
+from coursekeel.gateway._http import OpenConnections
 from coursekeel.gateway._metrics import GatewayMetrics
 from coursekeel.gateway.admission._start_hold import StartHold
 from coursekeel.gateway.limits._limits_task import LimitsTask
@@ -29,6 +30,7 @@
     reach: ReachTask,
     relays: RelayClient,
     relay_server: RelayServer,
+    connections: OpenConnections,
 ) -> None:
     """Add the gauges; ``configuration_task`` follows the configuration."""
     gauge = metrics.gauge
@@ -127,6 +129,22 @@
         "Responses so far that were given up because they exceed a bound",
         lambda: OVERRUNS.total,
     )
+    bodies = dispatcher.context.bodies
+    gauge(
+        "coursekeel_collected_bytes",
+        "Bytes of whole answers that are being received",
+        lambda: bodies.total_bytes,
+    )
+    gauge(
+        "coursekeel_bodies_given_up",
+        "Answers so far that were given up for the memory of all of them",
+        lambda: bodies.given_up,
+    )
+    gauge(
+        "coursekeel_replies_dropped",
+        "Connections so far that were closed with replies that nobody read",
+        lambda: connections.dropped + relay_server.connections.dropped,
+    )
     core = limits.limits
     gauge(
         "coursekeel_limited_endpoints",
--- a/src/coursekeel/gateway/_http.py
+++ b/src/coursekeel/gateway/_http.py
@@ -4,6 +4,7 @@
 HTTP server for everything else.
 """
 
+import logging
 import math
 from collections.abc import Callable
 from http import HTTPStatus
@@ -11,11 +12,13 @@
 from typing import Any
 
 from attrs import frozen
+from twisted.internet.abstract import FileDescriptor
 from twisted.internet.protocol import connectionDone
 from twisted.web.http import HTTPChannel, HTTPFactory, Request
 
 from coursekeel.forwarding import RequestLimits
 from coursekeel.gateway._adapters import HeaderPairs
+from coursekeel.observe import log_event
 from coursekeel.runtime import BoundedBody
 from coursekeel.units import MS_PER_SECOND
 
@@ -36,6 +39,12 @@
 # How long a connection that is cut may take to send what is written to it.
 _CUT_FLUSH_S = 0.25
 
+# What a peer that reads leaves unsent now and then: Twisted's own buffer size.
+_USUAL_UNSENT_BYTES = 64 * 1024
+_UNSENT_CHECK_S = 0.05
+# Checks without progress after which a peer counts as not reading: one second.
+_MAX_STALLED_CHECKS = 20
+
 
 class CallerRequest(BoundedBody, Request):
     """A request whose path and body Twisted doesn't parse for arguments and forms.
@@ -60,6 +69,12 @@
             return
         type(self).take(self)
 
+    def write(self, data: bytes) -> None:
+        super().write(data)
+        channel: Any = self.channel
+        if channel is not None:
+            channel.data_written(len(data))
+
     def header_pairs(self) -> HeaderPairs:
         """The received headers, with names in lower case."""
         return [
@@ -78,15 +93,32 @@
         return bytes(self.uri).split(b"?", 1)[0].decode("latin-1")
 
 
+@frozen
+class _Stall:
+    """How much a peer had taken, and for how many checks no more."""
+
+    sent_bytes: int
+    checks: int
+
+
 class OpenConnections:
-    """The open connections of a server.
+    """The open connections of a server, and what their peers haven't taken yet.
 
-    Used at shutdown: the end of a finished reply may still be in this process's
-    buffers, and would be lost if the process exited.
+    At shutdown the end of a finished reply may still be in this process's buffers, and
+    would be lost if the process exited. ``max_unsent_bytes`` returns the bound on all
+    that is in these buffers, ``held_bytes``; ``dropped`` counts the connections closed
+    for it.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, max_unsent_bytes: Callable[[], float] = lambda: math.inf
+    ) -> None:
         self._channels: set[_CallerChannel] = set()
+        self._max_unsent_bytes = max_unsent_bytes
+        self._stalls: dict[_CallerChannel, _Stall] = {}
+        self._is_check_due = False
+        self.held_bytes = 0
+        self.dropped = 0
 
     def __len__(self) -> int:
         return len(self._channels)
@@ -102,6 +134,54 @@
         """Remove a connection that was closed."""
         self._channels.discard(channel)
 
+    def watch_unsent(self, size_bytes: int, call_later: Callable[..., Any]) -> None:
+        """Count what was written for a slow peer, and check it soon.
+
+        Not at once: what has just been written is unsent at every connection.
+        """
+        self.held_bytes += size_bytes
+        if not self._is_check_due:
+            self._is_check_due = True
+            call_later(_UNSENT_CHECK_S, self._check_unsent, call_later)
+
+    def _check_unsent(self, call_later: Callable[..., Any]) -> None:
+        self._is_check_due = False
+        held = {
+            each: each.held_bytes
+            for each in self._channels
+            if each.held_bytes > _USUAL_UNSENT_BYTES
+        }
+        self._stalls = {each: self._stall_after(each) for each in held}
+        self._bound_held(held)
+        self.held_bytes = sum(held.values())
+        if held:
+            self.watch_unsent(0, call_later)
+
+    def _stall_after(self, channel: "_CallerChannel") -> "_Stall":
+        last = self._stalls.get(channel)
+        sent_bytes = channel.sent_bytes
+        same = last is not None and last.sent_bytes == sent_bytes
+        return _Stall(sent_bytes, last.checks + 1 if last is not None and same else 0)
+
+    def _bound_held(self, held: "dict[_CallerChannel, int]") -> None:
+        """Close connections until the rest is in bounds; removes them from ``held``.
+
+        Those whose peers have taken nothing for a while go first, by their size. While
+        there is none, twice as much is held.
+        """
+        max_bytes = self._max_unsent_bytes()
+        while (total := sum(held.values())) > max_bytes:
+            victim = max(held, key=lambda each: (self._is_stalled(each), held[each]))
+            if not self._is_stalled(victim) and total <= 2 * max_bytes:
+                break
+            self.dropped += 1
+            log_event("reply_dropped", logging.WARNING, unsent_bytes=held.pop(victim))
+            self.remove(victim)
+            victim.abort()
+
+    def _is_stalled(self, channel: "_CallerChannel") -> bool:
+        return self._stalls[channel].checks >= _MAX_STALLED_CHECKS
+
     def close_idle(self) -> None:
         """Close connections without a request, once all written data is sent.
 
@@ -134,6 +214,30 @@
     def _idle_timeout_s(self) -> int:
         return math.ceil(self.limits().idle_timeout_ms / MS_PER_SECOND)
 
+    @property
+    def held_bytes(self) -> int:
+        """The memory of what was written; Twisted frees it once all of it is sent."""
+        transport: Any = self.transport
+        if not isinstance(transport, FileDescriptor):
+            return 0
+        return len(transport.dataBuffer) + int(transport._tempDataLen)
+
+    @property
+    def sent_bytes(self) -> int:
+        """How much of what is held was handed to the system."""
+        transport: Any = self.transport
+        return int(transport.offset) if isinstance(transport, FileDescriptor) else 0
+
+    def data_written(self, size_bytes: int) -> None:
+        """Have the unsent data bounded if this connection has more than usual."""
+        if self.held_bytes > _USUAL_UNSENT_BYTES:
+            self.connections.watch_unsent(size_bytes, self.callLater)
+
+    def abort(self) -> None:
+        """Close the connection at once; what is unsent is lost."""
+        transport: Any = self.transport
+        transport.abortConnection()
+
     @property
     def has_unread_data(self) -> bool:
         """Whether the caller has sent something that wasn't read yet.
@@ -164,6 +268,14 @@
         if self._abort_call is not None and self._abort_call.active():
             self._abort_call.cancel()
         super().connectionLost(reason)
+        self._free_unsent()
+
+    def _free_unsent(self) -> None:
+        """Free what can't be sent any more; the garbage collector runs rarely."""
+        transport: Any = self.transport
+        if isinstance(transport, FileDescriptor):
+            transport.dataBuffer, transport.offset = b"", 0
+            transport._tempDataBuffer, transport._tempDataLen = [], 0
 
     def cut(self) -> None:
         """Close the connection, soon also if the caller doesn't read what was sent."""
--- a/src/coursekeel/gateway/_metrics.py
+++ b/src/coursekeel/gateway/_metrics.py
@@ -4,6 +4,7 @@
 line and in the metrics, so that both agree.
 """
 
+import logging
 import math
 from collections.abc import Callable, Sequence
 from http import HTTPStatus
@@ -202,6 +203,18 @@
             outcome=outcome,
         )
 
+    def body_given_up(
+        self, call: AdmittedRequest, endpoint_id: str, size_bytes: int
+    ) -> None:
+        """Log that an answer was given up for the memory that all of them take."""
+        log_event(
+            "body_given_up",
+            logging.WARNING,
+            request=call.caller.request_id,
+            endpoint=endpoint_id,
+            size_bytes=size_bytes,
+        )
+
     def run_lost(self, call: AdmittedRequest, lost: LostRun, position: int) -> None:
         """Record a run that was lost before its answer was complete.
 
--- a/src/coursekeel/gateway/members/_group.py
+++ b/src/coursekeel/gateway/members/_group.py
@@ -79,7 +79,11 @@
         )
         self.feeds = {table: TableFeed(self.reactor, self.clock) for table in Table}
         self.server = PeerServer(
-            now.store, self.feeds, self.relay_received, self.caller_limits
+            now.store,
+            self.feeds,
+            self.relay_received,
+            self.caller_limits,
+            lambda: self.settings.now.answers.max_unsent_bytes,
         )
         self.source = self._make_source()
         gossip = QuarantineGossip(
--- a/src/coursekeel/gateway/members/_peer_server.py
+++ b/src/coursekeel/gateway/members/_peer_server.py
@@ -16,6 +16,7 @@
 
 import gzip
 import logging
+import math
 from collections.abc import Callable
 from http import HTTPStatus
 from urllib.parse import parse_qs
@@ -64,18 +65,23 @@
 class PeerServer:
     """Responds to members' requests; ``group`` names the deployment.
 
-    ``caller_limits`` returns the limits on what a caller may send.
+    ``caller_limits`` returns the limits on what a caller may send, ``max_unsent_bytes``
+    the bound of `OpenConnections`.
     """
 
     group: str
     feeds: dict[Table, TableFeed]
     relay: Callable[[CallerRequest], None]
     caller_limits: Callable[[], RequestLimits]
-    connections: OpenConnections = field(factory=OpenConnections)
+    max_unsent_bytes: Callable[[], float] = lambda: math.inf
+    connections: OpenConnections = field(init=False)
     _encoders: dict[Table, TableReadEncoder] = field(
         factory=lambda: {table: TableReadEncoder() for table in Table}
     )
 
+    def __attrs_post_init__(self) -> None:
+        self.connections = OpenConnections(self.max_unsent_bytes)
+
     def site(self) -> object:
         """The HTTP server, to be listened with."""
         return caller_server(self.take, self._limits, self.connections)
--- a/src/coursekeel/gateway/whole/_relayed_try.py
+++ b/src/coursekeel/gateway/whole/_relayed_try.py
@@ -21,6 +21,7 @@
     says_not_run,
 )
 from coursekeel.gateway.relay._relay_wire import read_refusal
+from coursekeel.gateway.whole._collected_body import BodyReader, CollectedBody
 from coursekeel.gateway.whole._whole_try import Try, TryLimit, TryOwner
 
 __all__ = ["RelayedTry"]
@@ -30,7 +31,7 @@
 
 
 @define(eq=False)
-class RelayedTry(Try, ExchangeSink):
+class RelayedTry(Try, ExchangeSink, BodyReader):
     """One send to one member; ``search`` learns how it ended."""
 
     owner: TryOwner
@@ -42,9 +43,10 @@
     _limit: TryLimit = field(init=False)
     _exchange: Exchange | None = None
     _head: ExchangeHead | None = None
-    _body: list[bytes] = field(factory=list)
+    _body: CollectedBody = field(init=False)
 
     def __attrs_post_init__(self) -> None:
+        self._body = CollectedBody(self.context.bodies, self)
         self._limit = TryLimit(
             self.context.reactor, self.owner.may_replace_try, self._limit_reached
         )
@@ -63,7 +65,7 @@
         self._head = head
 
     def data_arrived(self, data: bytes) -> None:
-        self._body.append(data)
+        self._body.add(data)
 
     def ended(self, ending: Ending, reason: str) -> None:
         self._limit.stop()
@@ -76,6 +78,7 @@
             return
         self.search.served(self.member)
         reply = self._reply(ending) if refusal is None else None
+        self._body.drop()
         if reply is None:
             self._log(SendOutcome.MAYBE_SENT.value)
             self.search.lost(self.member)
@@ -106,14 +109,30 @@
         if dialect.judge(head, self.call.caller.request_id) is not HeadVerdict.RAN:
             return None
         headers = tuple(dialect.answer_headers(head))
-        return ServiceReply(head.status, "", b"".join(self._body), headers)
+        return ServiceReply(head.status, "", self._body.take(), headers)
 
     def abandon(self) -> None:
         """Abort without an outcome; the member stops when the connection closes."""
         self._limit.stop()
+        self._body.drop()
         if self._exchange is not None:
             self._exchange.abort()
 
+    def pause_reading(self) -> None:
+        if self._exchange is not None:
+            self._exchange.pause()
+
+    def resume_reading(self) -> None:
+        if self._exchange is not None:
+            self._exchange.resume()
+
+    def body_given_up(self, size_bytes: int) -> None:
+        """End the try for this instance's memory, not as the member's failure."""
+        self.abandon()
+        self.context.metrics.body_given_up(self.call, self.member, size_bytes)
+        self._log(SendOutcome.MAYBE_SENT.value)
+        self.owner.try_ended(SendOutcome.MAYBE_SENT)
+
     def _limit_reached(self) -> None:
         self.abandon()
         self._log(SendOutcome.MAYBE_SENT.value)
--- a/src/coursekeel/gateway/whole/_whole_try.py
+++ b/src/coursekeel/gateway/whole/_whole_try.py
@@ -16,6 +16,7 @@
 from coursekeel.gateway._metrics import LostRun
 from coursekeel.gateway._request import AdmittedRequest
 from coursekeel.gateway.admission._refusals import GatewayRefusal
+from coursekeel.gateway.whole._collected_body import BodyReader, CollectedBody
 from coursekeel.reactor import Reactor
 from coursekeel.units import MS_PER_SECOND
 
@@ -99,7 +100,7 @@
 
 
 @define(eq=False)
-class WholeTry(Try, ExchangeSink):
+class WholeTry(Try, ExchangeSink, BodyReader):
     """One send to one endpoint; it releases its slot in routing when it ends."""
 
     owner: TryOwner
@@ -111,10 +112,11 @@
     _limit: TryLimit = field(init=False)
     _exchange: Exchange | None = None
     _head: ExchangeHead | None = None
-    _body: list[bytes] = field(factory=list)
+    _body: CollectedBody = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self._started_ms = self.context.clock.now_ms()
+        self._body = CollectedBody(self.context.bodies, self)
         self._limit = TryLimit(
             self.context.reactor, self.owner.may_replace_try, self._limit_reached
         )
@@ -143,11 +145,12 @@
         self._head = head
 
     def data_arrived(self, data: bytes) -> None:
-        self._body.append(data)
+        self._body.add(data)
 
     def ended(self, ending: Ending, reason: str) -> None:
         self._limit.stop()
         outcome = self._outcome(ending, reason)
+        self._body.drop()
         limited = self.context.endpoints.limits.per_s(self.endpoint_id) is not None
         shed = outcome is SendOutcome.TURNED_AWAY
         failed = not isinstance(outcome, ServiceReply) or outcome.failed
@@ -170,10 +173,26 @@
     def abandon(self) -> None:
         """Abort without an outcome: the caller left, or the deadline has passed."""
         self._limit.stop()
+        self._body.drop()
         if self._exchange is not None:
             self._exchange.abort()
         self._release(failed=False)
 
+    def pause_reading(self) -> None:
+        if self._exchange is not None:
+            self._exchange.pause()
+
+    def resume_reading(self) -> None:
+        if self._exchange is not None:
+            self._exchange.resume()
+
+    def body_given_up(self, size_bytes: int) -> None:
+        """End the try for this instance's memory, not as the endpoint's failure."""
+        self.abandon()
+        self.context.metrics.body_given_up(self.call, self.endpoint_id, size_bytes)
+        self._log(SendOutcome.MAYBE_SENT)
+        self.owner.try_ended(SendOutcome.MAYBE_SENT)
+
     def _outcome(self, ending: Ending, reason: str) -> ServiceReply | SendOutcome:
         """Return the reply or the outcome; in doubt, that the request may have run."""
         context = self.context
@@ -200,7 +219,7 @@
 
     def _reply(self, head: ExchangeHead) -> ServiceReply:
         headers = tuple(self.context.endpoints.dialect.answer_headers(head))
-        return ServiceReply(head.status, "", b"".join(self._body), headers)
+        return ServiceReply(head.status, "", self._body.take(), headers)
 
     def _log(self, outcome: ServiceReply | SendOutcome) -> None:
         if isinstance(outcome, SendOutcome):
@@ -230,6 +249,7 @@
     def _limit_reached(self) -> None:
         assert self._exchange is not None
         self._exchange.abort()
+        self._body.drop()
         self._release(failed=True)
         self._log(SendOutcome.MAYBE_SENT)
         self.context.versions.ended(self.call, self.endpoint_id, True, 0.0)
--- a/src/coursekeel/settings/_gateway.py
+++ b/src/coursekeel/settings/_gateway.py
@@ -220,10 +220,16 @@
     A whole answer's body has ``max_body_bytes`` at most, an event of a stream
     ``max_event_bytes``. A longer one counts as no answer: its connection is closed, and
     the request is sent again if it may be, or else fails.
+
+    ``max_unsent_bytes`` bounds all that callers, or members, haven't taken yet; over it
+    the connections of those who don't read are closed. ``max_held_bytes`` bounds that
+    together with all bodies that are being received, which wait over it.
     """
 
     max_body_bytes: int = field(default=8 * MEBIBYTE, metadata={"least": 1_024})
     max_event_bytes: int = field(default=MEBIBYTE, metadata={"least": 1_024})
+    max_unsent_bytes: int = field(default=12 * MEBIBYTE, metadata={"least": 1_024})
+    max_held_bytes: int = field(default=24 * MEBIBYTE, metadata={"least": 1_024})
 
 
 @frozen
--- a/tests/platform/test_unending_answers.py
+++ b/tests/platform/test_unending_answers.py
@@ -3,6 +3,7 @@
 import re
 import threading
 import time
+from contextlib import ExitStack
 
 import pytest
 from attrs import frozen
@@ -57,7 +58,9 @@
         yield site
 
 
-def list_server(site: GatewaySite, server: UnendingServer, service: str) -> None:
+def list_server(
+    site: GatewaySite, server: UnendingServer, service: str, identity: str = "u0"
+) -> None:
     row = {
         "service": service,
         "address": server.address,
@@ -66,7 +69,7 @@
         "state": "ready",
         "version": "v1",
     }
-    site.put([("servers", "u0", row)])
+    site.put([("servers", identity, row)])
     time.sleep(0.5)
 
 
@@ -83,7 +86,7 @@
     return asked
 
 
-def ask_at_once(site: GatewaySite, path: str) -> list[Asked]:
+def ask_at_once(site: GatewaySite, path: str, count: int = REQUESTS) -> list[Asked]:
     """Send requests at the same moment, and return their answers."""
     asked: list[Asked] = []
 
@@ -93,7 +96,7 @@
         answer = read(connection)
         asked.append(Asked(answer, time.monotonic() - began_s))
 
-    threads = [threading.Thread(target=ask) for _ in range(REQUESTS)]
+    threads = [threading.Thread(target=ask) for _ in range(count)]
     for thread in threads:
         thread.start()
     for thread in threads:
@@ -180,3 +183,39 @@
         asked = ask_until_reached(site, server, "/stream/20")
         assert_bounded(site, server, before)
     assert all(each.answer.whole for each in asked if each.answer.status == 200)
+
+
+def test_many_answers_without_end_at_once_are_bounded_in_sum(site):
+    with ExitStack() as servers:
+        kinds = [servers.enter_context(unending_server("chunks")) for _ in range(4)]
+        for number, server in enumerate(kinds):
+            list_server(site, server, "plain", f"u{number}")
+        before = peak_bytes(site)
+        asked = ask_at_once(site, "/once8/1", count=60)
+        assert peak_bytes(site) - before < MAX_GROWTH_BYTES
+    assert {each.answer.status for each in asked} == {200, 502}
+    assert max(each.took_s for each in asked) < 4 * MAX_KEPT_S
+
+
+def test_callers_that_read_nothing_are_bounded_in_sum_and_others_are_served(site):
+    set_answer_bytes(site, 4_000_000)
+    before = peak_bytes(site)
+    unread = []
+    for _ in range(20):
+        connection, _ = site.open("/again8/1", deadline_ms="20000")
+        unread.append(connection)
+        time.sleep(0.05)
+    time.sleep(1.0)
+    answers = [site.ask("/again8/1") for _ in range(3)]
+    assert peak_bytes(site) - before < MAX_GROWTH_BYTES
+    assert [(each.status, each.whole) for each in answers] == [(200, True)] * 3
+    assert metric(site, "coursekeel_replies_dropped") > 0
+    for connection in unread:
+        connection.close()
+
+
+def test_callers_that_read_large_answers_at_the_same_time_get_them_whole(site):
+    set_answer_bytes(site, 4_000_000)
+    asked = ask_at_once(site, "/again8/1")
+    assert [each.answer.whole for each in asked] == [True] * REQUESTS
+    assert {each.answer.status for each in asked} == {200}
