A broken invariant stops its process without cutting open requests

What callers saw, or may have: all streams of one instance end at once, their connections closed in the middle, the servers had run them.

Cause: after `InvariantBroken` the reactor was stopped at once, for the state of the process may be wrong, so one request's bug ended the requests of all others. From a task it even ended with exit code 0 and no line that says so. Class of fault: a failure of one request whose handling has the whole process for its scope.

It holds for entries too, which share run_role.

Evidence: six open streams of a gateway in which an invariant breaks, in a callback or in a task. On the code before both tests fail, the streams end in the middle (IncompleteRead); now all six are whole, one run of each. No broken invariant is known: that this is what the users met is only suspected.

--- a/src/coursekeel/runtime/_periodic.py
+++ b/src/coursekeel/runtime/_periodic.py
@@ -6,6 +6,7 @@
 
 from attrs import define, field
 from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.logger import Logger
 
 from coursekeel.errors import InvariantBroken
 from coursekeel.observe import log_event
@@ -13,18 +14,20 @@
 
 __all__ = ["Periodic", "spawn"]
 
+_LOG = Logger()
+
 
 def spawn(work: Any, name: str, reactor: Any) -> "Deferred[None]":
     """Run a coroutine in the background; failures are logged as those of ``name``.
 
-    A broken invariant stops the reactor.
+    A broken invariant stops the role, as one in a callback does.
     """
 
     def on_failure(failure: Any) -> None:
         traceback = failure.getTraceback()
         log_event("task_failed", logging.ERROR, task=name, error=traceback)
         if failure.check(InvariantBroken):
-            reactor.callWhenRunning(reactor.stop)
+            _LOG.failure("broken invariant in a task", failure)
 
     result: Deferred[None] = ensureDeferred(work)
     result.addErrback(on_failure)
--- a/src/coursekeel/runtime/_process.py
+++ b/src/coursekeel/runtime/_process.py
@@ -44,16 +44,50 @@
         log_event("reload_ignored")
 
 
+@define(eq=False)
+class _Stop:
+    """The end of a role: once it has begun, nothing but the role ends it.
+
+    ``cause`` is the reason for the log, and ``exit_code`` that of the process.
+    """
+
+    reactor: Reactor
+    role: Role
+    cause: str = ""
+    exit_code: int = 0
+
+    def on_signal(self) -> None:
+        """Begin the stop that a signal asks for."""
+        self._begin("signal", 0)
+
+    def on_invariant_broken(self) -> None:
+        """Begin a stop after a broken invariant, from any context."""
+        self.reactor.callFromThread(
+            self._begin, "invariant_broken", EXIT_INVARIANT_BROKEN
+        )
+
+    def _begin(self, cause: str, exit_code: int) -> None:
+        if not self.cause:
+            self.cause, self.exit_code = cause, exit_code
+            spawn(self._stop_role(), "stop", self.reactor)
+
+    async def _stop_role(self) -> None:
+        try:
+            await self.role.stop()
+        finally:
+            self.reactor.stop()
+
+
 @define
 class _FailureWatch:
-    """Logs the exceptions that Twisted caught; a broken invariant stops the process.
+    """Logs the exceptions that Twisted caught; a broken invariant stops the role.
 
     For other exceptions it is enough that Twisted closes the connection concerned.
-    After a broken invariant the state of the whole process may be wrong.
+    After a broken invariant the state of the process may be wrong, so it takes no new
+    work; the open requests of others are finished all the same.
     """
 
-    reactor: Reactor
-    invariant_broken: bool = False
+    stop: _Stop
 
     def __call__(self, event: dict[str, Any]) -> None:
         failure = event.get("log_failure")
@@ -61,9 +95,8 @@
             return
         traceback = failure.getTraceback()
         log_event("unhandled_failure", logging.ERROR, error=traceback)
-        if failure.check(InvariantBroken) and not self.invariant_broken:
-            self.invariant_broken = True
-            self.reactor.callFromThread(self.reactor.stop)
+        if failure.check(InvariantBroken):
+            self.stop.on_invariant_broken()
 
 
 def install_reactor() -> Reactor:
@@ -80,33 +113,20 @@
 
 
 def run_role(reactor: Reactor, role: Role) -> int:
-    """Serve until SIGTERM or SIGINT; returns the exit code.
+    """Serve until SIGTERM, SIGINT or a broken invariant; returns the exit code.
 
-    Later signals don't end a stop before its role has.
+    Later ones don't end a stop before its role has.
     """
     from twisted.logger import globalLogBeginner
 
-    watch: Any = _FailureWatch(reactor)
+    stop = _Stop(reactor, role)
+    watch: Any = _FailureWatch(stop)
     globalLogBeginner.beginLoggingTo([watch], redirectStandardIO=False)
 
-    has_been_told_to_stop = False
-
-    async def stop_role() -> None:
-        nonlocal has_been_told_to_stop
-        if has_been_told_to_stop:
-            return
-        has_been_told_to_stop = True
-        try:
-            await role.stop()
-        finally:
-            reactor.stop()
-
     def on_signal(number: int, _frame: object) -> None:
         log_event("signal", number=number)
-        if number == signal.SIGHUP:
-            reactor.callFromThread(role.reload)
-        else:
-            reactor.callFromThread(lambda: spawn(stop_role(), "stop", reactor))
+        handle = role.reload if number == signal.SIGHUP else stop.on_signal
+        reactor.callFromThread(handle)
 
     def install_signal_handlers() -> None:
         for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
@@ -117,16 +137,15 @@
     reactor.callWhenRunning(install_signal_handlers)
     _configure_garbage_collector()
     reactor.run()
-    exit_code = EXIT_INVARIANT_BROKEN if watch.invariant_broken else 0
     log_event(
         "process_ended",
-        logging.INFO if has_been_told_to_stop else logging.ERROR,
-        cause="signal" if has_been_told_to_stop else "failure",
-        exit_code=exit_code,
+        logging.INFO if stop.cause == "signal" else logging.ERROR,
+        cause=stop.cause,
+        exit_code=stop.exit_code,
         peak_memory_bytes=_peak_memory_bytes(),
     )
     flush_logs()
-    return exit_code
+    return stop.exit_code
 
 
 def _upkeep_task(reactor: Reactor) -> Periodic:
