A process whose start failed ends with an error

Callers and operators saw: a second process at a taken address went on running, served nothing and took part in its group; nothing but a traceback told of it.

Cause: only the task of the start failed; nothing owned the process's end.

Change: a failed start ends the process with exit code 71 and `process_ended cause=start_failed`.

--- a/src/coursekeel/runtime/_process.py
+++ b/src/coursekeel/runtime/_process.py
@@ -20,6 +20,7 @@
 __all__ = ["Role", "install_reactor", "run_role"]
 
 EXIT_INVARIANT_BROKEN = 70  # EX_SOFTWARE of sysexits.h
+EXIT_START_FAILED = 71  # EX_OSERR of sysexits.h
 # Threshold of the garbage collector's youngest generation. Far above Python's default,
 # since reference counting frees most objects.
 _GC_THRESHOLD = 20_000
@@ -45,8 +46,8 @@
 
 
 @define(eq=False)
-class _Stop:
-    """The end of a role: once it has begun, nothing but the role ends it.
+class _Life:
+    """The start and the end of a role; once a stop has begun, only the role ends it.
 
     ``cause`` is the reason for the log, and ``exit_code`` that of the process.
     """
@@ -66,6 +67,15 @@
             self._begin, "invariant_broken", EXIT_INVARIANT_BROKEN
         )
 
+    async def start_role(self) -> None:
+        """Start the role; a failure ends the process, which could serve nothing."""
+        try:
+            await self.role.start()
+        except Exception:
+            self.cause, self.exit_code = "start_failed", EXIT_START_FAILED
+            self.reactor.callLater(0, self.reactor.stop)
+            raise
+
     def _begin(self, cause: str, exit_code: int) -> None:
         if not self.cause:
             self.cause, self.exit_code = cause, exit_code
@@ -87,7 +97,7 @@
     work; the open requests of others are finished all the same.
     """
 
-    stop: _Stop
+    life: _Life
 
     def __call__(self, event: dict[str, Any]) -> None:
         failure = event.get("log_failure")
@@ -96,7 +106,7 @@
         traceback = failure.getTraceback()
         log_event("unhandled_failure", logging.ERROR, error=traceback)
         if failure.check(InvariantBroken):
-            self.stop.on_invariant_broken()
+            self.life.on_invariant_broken()
 
 
 def install_reactor() -> Reactor:
@@ -119,13 +129,13 @@
     """
     from twisted.logger import globalLogBeginner
 
-    stop = _Stop(reactor, role)
-    watch: Any = _FailureWatch(stop)
+    life = _Life(reactor, role)
+    watch: Any = _FailureWatch(life)
     globalLogBeginner.beginLoggingTo([watch], redirectStandardIO=False)
 
     def on_signal(number: int, _frame: object) -> None:
         log_event("signal", number=number)
-        handle = role.reload if number == signal.SIGHUP else stop.on_signal
+        handle = role.reload if number == signal.SIGHUP else life.on_signal
         reactor.callFromThread(handle)
 
     def install_signal_handlers() -> None:
@@ -133,19 +143,19 @@
             signal.signal(number, on_signal)
 
     reactor.callWhenRunning(_upkeep_task(reactor).start)
-    reactor.callWhenRunning(lambda: spawn(role.start(), "start", reactor))
+    reactor.callWhenRunning(lambda: spawn(life.start_role(), "start", reactor))
     reactor.callWhenRunning(install_signal_handlers)
     _configure_garbage_collector()
     reactor.run()
     log_event(
         "process_ended",
-        logging.INFO if stop.cause == "signal" else logging.ERROR,
-        cause=stop.cause,
-        exit_code=stop.exit_code,
+        logging.INFO if life.cause == "signal" else logging.ERROR,
+        cause=life.cause,
+        exit_code=life.exit_code,
         peak_memory_bytes=_peak_memory_bytes(),
     )
     flush_logs()
-    return stop.exit_code
+    return life.exit_code
 
 
 def _upkeep_task(reactor: Reactor) -> Periodic:
--- a/tests/platform/test_own_end.py
+++ b/tests/platform/test_own_end.py
@@ -1,14 +1,19 @@
 """A gateway that ends itself finishes what is open, and its log says why it ended."""
 
+import os
 import signal
+import subprocess
+import sys
 
+import orjson
 import pytest
 
-from tests.platform.site import GatewaySite, events, running_gateway
+from tests.platform.site import ROOT, GatewaySite, events, running_gateway
 
 STREAMS = 6
 LAST_EVENT = 60
 EXIT_CODE = 70
+EXIT_START_FAILED = 71
 PROGRAM = ("-m", "tests.common.broken_gateway")
 
 
@@ -41,3 +46,22 @@
     assert f"event=process_ended cause=invariant_broken exit_code={EXIT_CODE}" in (
         last_line
     )
+
+
+def test_a_gateway_whose_address_is_taken_ends_with_an_error(site: GatewaySite):
+    """It went on running, served nothing and took part in its group."""
+    settings = orjson.loads((site.folder / "g1.json").read_bytes())
+    settings["listen"]["callers"] = f"127.0.0.1:{site.ports[0]}"
+    settings_file = site.folder / "second.json"
+    settings_file.write_bytes(orjson.dumps(settings))
+    second = subprocess.run(
+        [sys.executable, "platform/serve.py"],
+        cwd=ROOT,
+        env=os.environ | {"COURSEKEEL_SETTINGS": str(settings_file)},
+        capture_output=True,
+        text=True,
+        timeout=15,
+    )
+    assert second.returncode == EXIT_START_FAILED
+    assert "event=process_ended cause=start_failed" in second.stdout
+    assert site.ask("/again/1").status == 200
