Request bodies are bounded in sum

Cause: each body was bounded by itself, and stayed until its request's end in the buffer that read it and in the request.

Change: what the bodies of all open requests take is counted at each server, callers' and members'; a request whose body exceeds `max_received_bytes` (24 MiB) in sum is refused with 503 and Retry-After, before it is admitted, so it has not run. The body is handed over in place of being copied.

--- a/src/coursekeel/gateway/_dispatcher.py
+++ b/src/coursekeel/gateway/_dispatcher.py
@@ -213,7 +213,7 @@
             request.host_name(),
             request.uri,
             headers,
-            request.content.read(),
+            request.take_body(),
             caller,
             route,
             pool.name,
--- a/src/coursekeel/gateway/_gateway.py
+++ b/src/coursekeel/gateway/_gateway.py
@@ -126,7 +126,8 @@
         directory = EndpointDirectory()
         self._live_settings = LiveSettings(self.settings)
         self._connections = OpenConnections(
-            lambda: self._live_settings.now.answers.max_unsent_bytes
+            lambda: self._live_settings.now.answers.max_unsent_bytes,
+            lambda: self._live_settings.now.max_received_bytes,
         )
         self._router = Router(
             self.settings.zone, random, directory.may_take, _ROUTER_SETTINGS
--- a/src/coursekeel/gateway/_gauges.py
+++ b/src/coursekeel/gateway/_gauges.py
@@ -140,6 +140,11 @@
         "Answers so far that were given up for the memory of all of them",
         lambda: bodies.given_up,
     )
+    gauge(
+        "coursekeel_requests_without_room",
+        "Requests so far that were refused for the memory of their bodies",
+        lambda: connections.turned_away + relay_server.connections.turned_away,
+    )
     gauge(
         "coursekeel_replies_dropped",
         "Connections so far that were closed with replies that nobody read",
--- a/src/coursekeel/gateway/_http.py
+++ b/src/coursekeel/gateway/_http.py
@@ -8,6 +8,7 @@
 import math
 from collections.abc import Callable
 from http import HTTPStatus
+from io import BytesIO
 from socket import MSG_PEEK
 from typing import Any
 
@@ -42,6 +43,8 @@
 # What a peer that reads leaves unsent now and then: Twisted's own buffer size.
 _USUAL_UNSENT_BYTES = 64 * 1024
 _UNSENT_CHECK_S = 0.05
+# Seconds until a request is to come again for which there was no memory.
+_NO_ROOM_RETRY_AFTER = b"0.5"
 # Checks without progress after which a peer counts as not reading: one second.
 _MAX_STALLED_CHECKS = 20
 
@@ -54,20 +57,58 @@
 
     limits: _Limits
     take: Callable[["CallerRequest"], None]
+    connections: "OpenConnections"
+    has_no_room = False
+    _counted_bytes = 0
 
     def body_limit_bytes(self) -> int:
         return self.limits().body_bytes
 
+    def handleContentChunk(self, data: bytes) -> None:
+        if self.has_no_room:
+            return
+        super().handleContentChunk(data)
+        if self.body_is_too_large:
+            return
+        self._counted_bytes += len(data)
+        self.has_no_room = not self.connections.count_body(len(data))
+        if self.has_no_room:
+            self._free_body()
+
+    def take_body(self) -> bytes:
+        """Return the body, which isn't held here any more but still counted."""
+        body: bytes = self.content.getvalue()
+        self.content = BytesIO()
+        return body
+
+    def _free_body(self) -> None:
+        self.connections.count_body(-self._counted_bytes)
+        self._counted_bytes = 0
+        self.content = BytesIO()
+
+    def connectionLost(self, reason: Any) -> None:
+        self._free_body()
+        super().connectionLost(reason)
+
+    def finish(self) -> None:
+        self._free_body()
+        super().finish()
+
     def requestReceived(self, command: bytes, path: bytes, version: bytes) -> None:
-        self.content.seek(0)
         self.method, self.uri, self.clientproto = command, path, version
         if self.body_is_too_large:
-            self.setResponseCode(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
-            self.responseHeaders.setRawHeaders(b"connection", [b"close"])
-            self.responseHeaders.setRawHeaders(b"content-length", [b"0"])
-            self.finish()
-            return
-        type(self).take(self)
+            self._refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+        elif self.has_no_room:
+            self.responseHeaders.setRawHeaders(b"retry-after", [_NO_ROOM_RETRY_AFTER])
+            self._refuse(HTTPStatus.SERVICE_UNAVAILABLE)
+        else:
+            type(self).take(self)
+
+    def _refuse(self, status: HTTPStatus) -> None:
+        self.setResponseCode(status)
+        self.responseHeaders.setRawHeaders(b"connection", [b"close"])
+        self.responseHeaders.setRawHeaders(b"content-length", [b"0"])
+        self.finish()
 
     def write(self, data: bytes) -> None:
         super().write(data)
@@ -107,14 +148,20 @@
     At shutdown the end of a finished reply may still be in this process's buffers, and
     would be lost if the process exited. ``max_unsent_bytes`` returns the bound on all
     that is in these buffers, ``held_bytes``; ``dropped`` counts the connections closed
-    for it.
+    for it. ``max_received_bytes`` is the same for the bodies of open requests,
+    ``received_bytes``; ``turned_away`` counts the requests refused for it.
     """
 
     def __init__(
-        self, max_unsent_bytes: Callable[[], float] = lambda: math.inf
+        self,
+        max_unsent_bytes: Callable[[], float] = lambda: math.inf,
+        max_received_bytes: Callable[[], float] = lambda: math.inf,
     ) -> None:
         self._channels: set[_CallerChannel] = set()
         self._max_unsent_bytes = max_unsent_bytes
+        self._max_received_bytes = max_received_bytes
+        self.received_bytes = 0
+        self.turned_away = 0
         self._stalls: dict[_CallerChannel, _Stall] = {}
         self._is_check_due = False
         self.held_bytes = 0
@@ -134,6 +181,15 @@
         """Remove a connection that was closed."""
         self._channels.discard(channel)
 
+    def count_body(self, size_bytes: int) -> bool:
+        """Count bytes of a request's body; returns whether there is room for them."""
+        self.received_bytes += size_bytes
+        if size_bytes <= 0 or self.received_bytes <= self._max_received_bytes():
+            return True
+        self.turned_away += 1
+        log_event("no_room", logging.WARNING, received_bytes=self.received_bytes)
+        return False
+
     def watch_unsent(self, size_bytes: int, call_later: Callable[..., Any]) -> None:
         """Count what was written for a slow peer, and check it soon.
 
@@ -293,7 +349,11 @@
 
     ``limits`` is called for each connection and body, since the limits can change.
     """
-    attributes = {"limits": staticmethod(limits), "take": staticmethod(take)}
+    attributes = {
+        "limits": staticmethod(limits),
+        "take": staticmethod(take),
+        "connections": connections,
+    }
     request_class = type("TakenRequest", (CallerRequest,), attributes)
     channel_class = type(
         "TakenChannel",
--- a/src/coursekeel/gateway/members/_group.py
+++ b/src/coursekeel/gateway/members/_group.py
@@ -84,6 +84,7 @@
             self.relay_received,
             self.caller_limits,
             lambda: self.settings.now.answers.max_unsent_bytes,
+            lambda: self.settings.now.max_received_bytes,
         )
         self.source = self._make_source()
         gossip = QuarantineGossip(
--- a/src/coursekeel/gateway/members/_peer_server.py
+++ b/src/coursekeel/gateway/members/_peer_server.py
@@ -66,7 +66,7 @@
     """Responds to members' requests; ``group`` names the deployment.
 
     ``caller_limits`` returns the limits on what a caller may send, ``max_unsent_bytes``
-    the bound of `OpenConnections`.
+    and ``max_received_bytes`` the bounds of `OpenConnections`.
     """
 
     group: str
@@ -74,13 +74,16 @@
     relay: Callable[[CallerRequest], None]
     caller_limits: Callable[[], RequestLimits]
     max_unsent_bytes: Callable[[], float] = lambda: math.inf
+    max_received_bytes: Callable[[], float] = lambda: math.inf
     connections: OpenConnections = field(init=False)
     _encoders: dict[Table, TableReadEncoder] = field(
         factory=lambda: {table: TableReadEncoder() for table in Table}
     )
 
     def __attrs_post_init__(self) -> None:
-        self.connections = OpenConnections(self.max_unsent_bytes)
+        self.connections = OpenConnections(
+            self.max_unsent_bytes, self.max_received_bytes
+        )
 
     def site(self) -> object:
         """The HTTP server, to be listened with."""
--- a/src/coursekeel/settings/_gateway.py
+++ b/src/coursekeel/settings/_gateway.py
@@ -236,6 +236,9 @@
 class GatewaySettings:
     """All settings of a gateway. ``zone`` is its availability zone.
 
+    ``max_received_bytes`` bounds the bodies of all open requests; one for which there
+    is no room is refused with 503.
+
     ``seeds`` are addresses of some instances, of which only the host is used. They may
     include instances that are down, and this one.
     """
@@ -250,6 +253,7 @@
     relay: RelaySettings = field(factory=RelaySettings)
     answers: AnswerSettings = field(factory=AnswerSettings)
     max_open_requests: int = field(default=1_000, metadata={"least": 1})
+    max_received_bytes: int = field(default=24 * MEBIBYTE, metadata={"least": 1_024})
     log_level: str = "INFO"
     seed: int | None = None
     seeds: tuple[str, ...] = ()
--- a/tests/platform/test_unending_answers.py
+++ b/tests/platform/test_unending_answers.py
@@ -86,13 +86,15 @@
     return asked
 
 
-def ask_at_once(site: GatewaySite, path: str, count: int = REQUESTS) -> list[Asked]:
+def ask_at_once(
+    site: GatewaySite, path: str, count: int = REQUESTS, body: bytes = b"prompt"
+) -> list[Asked]:
     """Send requests at the same moment, and return their answers."""
     asked: list[Asked] = []
 
     def ask() -> None:
         began_s = time.monotonic()
-        connection, _ = site.open(path, b"prompt", deadline_ms="20000")
+        connection, _ = site.open(path, body, deadline_ms="20000")
         answer = read(connection)
         asked.append(Asked(answer, time.monotonic() - began_s))
 
@@ -219,3 +221,19 @@
     asked = ask_at_once(site, "/again8/1")
     assert [each.answer.whole for each in asked] == [True] * REQUESTS
     assert {each.answer.status for each in asked} == {200}
+
+
+def test_large_requests_at_the_same_time_are_bounded_in_sum(site):
+    large = configuration(3)
+    large["limits"] = {"max-body-bytes": 4_000_000}
+    site.put([("op", "config", large)])
+    body = b"x" * 4_000_000
+    wait_until(lambda: site.ask("/open/1", body).status == 200, "the limit is in force")
+    before = peak_bytes(site)
+    asked = ask_at_once(site, "/again/1", count=40, body=body)
+    assert peak_bytes(site) - before < MAX_GROWTH_BYTES
+    refused = [each.answer for each in asked if each.answer.status != 200]
+    assert {each.status for each in refused} <= {503}
+    assert all(float(each.headers["retry-after"]) > 0 for each in refused)
+    assert len(refused) < len(asked)
+    assert site.ask("/again/1", body).status == 200
