The stop that waits for a slow caller is tested with larger bounds on answers

test_a_stop_waits_until_a_slow_caller_has_read_its_response sends 24 MiB, so that most of it is in the process's own buffers.

--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -119,6 +119,7 @@
         listen: dict[str, str] | None = None,
         seeds: list[str] | None = None,
         retries: dict[str, float] | None = None,
+        answers: dict[str, int] | None = None,
         program: tuple[str, ...] = ("platform/serve.py",),
         store_link: str = "",
         cut_file: str = "",
@@ -141,6 +142,7 @@
             }
             | timers,
             "retries": retries or {"ratio": 1.0, "slack": 1_500},
+            "answers": answers or {},
             "seed": 1,
         }
         settings_file = self.folder / f"{name}.json"
