A request that has ended leaves no memory behind

Cause: the tasks of a request refer to each other (a try's limit to the try, a reply's callbacks to its task, an exchange to its sink and back), so that the request and its body stay until the garbage collector runs, after 20,000 new objects.

Change: a body is freed when its request ends, as it is counted until then; exchanges, replies and limits of tries let go of what they refer to when they end.

--- a/src/coursekeel/fetch/_exchange.py
+++ b/src/coursekeel/fetch/_exchange.py
@@ -9,7 +9,7 @@
 from enum import Enum
 from typing import Any
 
-from attrs import define, frozen
+from attrs import define, evolve, frozen
 from twisted.internet.defer import succeed
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.error import ConnectionDone
@@ -128,6 +128,7 @@
 
     def startProducing(self, consumer: Any) -> Any:
         consumer.write(self._body)
+        self._body = b""
         return succeed(None)
 
     def pauseProducing(self) -> None:
@@ -204,9 +205,19 @@
 
     def abort(self) -> None:
         """Close the connection at once; the sink receives no further events."""
-        self._finished = True
+        self._finish()
         self._close()
 
+    def _finish(self) -> ExchangeSink:
+        """End the exchange, and let go of its request and sink; returns the sink.
+
+        They refer back to the exchange, and the garbage collector runs rarely.
+        """
+        self._finished = True
+        sink, self.sink = self.sink, ExchangeSink()
+        self.request = evolve(self.request, headers=list, body=b"")
+        return sink
+
     def pause(self) -> None:
         """Read no more of the response until `resume`."""
         if self._connection is not None and not self._finished:
@@ -318,5 +329,4 @@
 
     def _end(self, ending: Ending, reason: str) -> None:
         if not self._finished:
-            self._finished = True
-            self.sink.ended(ending, reason)
+            self._finish().ended(ending, reason)
--- a/src/coursekeel/gateway/_caller_reply.py
+++ b/src/coursekeel/gateway/_caller_reply.py
@@ -58,9 +58,14 @@
     def finish(self) -> None:
         """End the reply after its complete body."""
         if not self.ended:
-            self.ended = True
+            self._end()
             self.request.finish()
 
+    def _end(self) -> None:
+        """End the reply, and let go of its task, which may hold a large request."""
+        self.ended = True
+        self._disconnect_callbacks.clear()
+
     def whole(self, status: int, headers: HeaderPairs, body: bytes) -> None:
         """Send a complete reply."""
         length = str(len(body)).encode()
@@ -79,13 +84,14 @@
     def cut(self) -> None:
         """Close the connection, so that the caller sees an incomplete reply."""
         if not self.ended:
-            self.ended = True
+            self._end()
             channel: Any = self.request.channel
             channel.cut()
 
     def _on_disconnect(self, _: object) -> None:
         if self.ended:
             return
-        self.ended = True
-        for callback in self._disconnect_callbacks:
+        callbacks = list(self._disconnect_callbacks)
+        self._end()
+        for callback in callbacks:
             callback()
--- a/src/coursekeel/gateway/_http.py
+++ b/src/coursekeel/gateway/_http.py
@@ -19,6 +19,7 @@
 
 from coursekeel.forwarding import RequestLimits
 from coursekeel.gateway._adapters import HeaderPairs
+from coursekeel.gateway._request import RequestBody
 from coursekeel.observe import log_event
 from coursekeel.runtime import BoundedBody
 from coursekeel.units import MS_PER_SECOND
@@ -60,6 +61,7 @@
     connections: "OpenConnections"
     has_no_room = False
     _counted_bytes = 0
+    _taken_body: RequestBody | None = None
 
     def body_limit_bytes(self) -> int:
         return self.limits().body_bytes
@@ -75,16 +77,18 @@
         if self.has_no_room:
             self._free_body()
 
-    def take_body(self) -> bytes:
-        """Return the body, which isn't held here any more but still counted."""
-        body: bytes = self.content.getvalue()
+    def take_body(self) -> RequestBody:
+        """Return the body, which is counted until this request ends, and freed then."""
+        self._taken_body = RequestBody(self.content.getvalue())
         self.content = BytesIO()
-        return body
+        return self._taken_body
 
     def _free_body(self) -> None:
         self.connections.count_body(-self._counted_bytes)
         self._counted_bytes = 0
         self.content = BytesIO()
+        if self._taken_body is not None:
+            self._taken_body.free()
 
     def connectionLost(self, reason: Any) -> None:
         self._free_body()
--- a/src/coursekeel/gateway/_request.py
+++ b/src/coursekeel/gateway/_request.py
@@ -5,18 +5,37 @@
 
 from functools import cached_property
 
-from attrs import frozen
+from attrs import define, field, frozen
 
 from coursekeel.forwarding import Route, Team
 from coursekeel.gateway._adapters import CallerHeaders, HeaderPairs
 from coursekeel.suspects import part_fingerprints, request_fingerprint
 
-__all__ = ["AdmittedRequest"]
+__all__ = ["AdmittedRequest", "RequestBody"]
 
 # Greater than any route's rank, so that the team's rank has precedence.
 _TEAM_RANK_FACTOR = 100
 
 
+@define
+class RequestBody:
+    """The body of a request, freed once the request has ended.
+
+    The tasks of a request refer to it and to each other, and the garbage collector runs
+    rarely.
+    """
+
+    data: bytes
+
+    def free(self) -> None:
+        """Forget the body."""
+        self.data = b""
+
+
+def _as_body(body: RequestBody | bytes) -> RequestBody:
+    return body if isinstance(body, RequestBody) else RequestBody(body)
+
+
 @frozen
 class AdmittedRequest:
     """A request that may be sent to an endpoint of ``pool``.
@@ -32,7 +51,7 @@
     host: str
     target: bytes
     received: HeaderPairs
-    body: bytes
+    body: RequestBody = field(converter=_as_body)
     caller: CallerHeaders
     route: Route
     pool: str
@@ -56,7 +75,7 @@
     @cached_property
     def fingerprint(self) -> str:
         """Hash of team and content; equal for a repeat with another id."""
-        content = (self.method, self.host.encode(), self.target, self.body)
+        content = (self.method, self.host.encode(), self.target, self.body.data)
         return request_fingerprint(self.team_name, *content)
 
     @cached_property
--- a/src/coursekeel/gateway/endpoints/_endpoint_client.py
+++ b/src/coursekeel/gateway/endpoints/_endpoint_client.py
@@ -84,7 +84,7 @@
             call.method,
             call.target,
             headers,
-            call.body,
+            call.body.data,
         )
         endpoint_id = outbound.endpoint.endpoint_id
 
--- a/src/coursekeel/gateway/relay/_relay_client.py
+++ b/src/coursekeel/gateway/relay/_relay_client.py
@@ -116,7 +116,7 @@
             call.method,
             call.target,
             headers,
-            call.body,
+            call.body.data,
             local_host=self.swim.own.rpartition(":")[0],
         )
         connect_ms = self.settings.timers.connect_ms
--- a/src/coursekeel/gateway/whole/_collected_body.py
+++ b/src/coursekeel/gateway/whole/_collected_body.py
@@ -47,15 +47,14 @@
     """One body, of which ``size_bytes`` have arrived."""
 
     bodies: "CollectedBodies"
-    reader: BodyReader
     size_bytes: int = 0
     _chunks: list[bytes] = field(factory=list)
 
-    def add(self, data: bytes) -> None:
-        """Add a chunk."""
+    def add(self, data: bytes, reader: BodyReader) -> None:
+        """Add a chunk that ``reader`` has read."""
         self._chunks.append(data)
         self.size_bytes += len(data)
-        self.bodies.added(self, len(data))
+        self.bodies.added(self, reader, len(data))
 
     def take(self) -> bytes:
         """Return the whole body, and forget it."""
@@ -83,18 +82,18 @@
     unsent_bytes: Callable[[], int]
     total_bytes: int = 0
     given_up: int = 0
-    _open: dict[CollectedBody, None] = field(factory=dict)
+    _open: dict[CollectedBody, BodyReader] = field(factory=dict)
     _waiting: dict[CollectedBody, None] = field(factory=dict)
     _checks: int = 0
     _timer: Any = None
 
-    def added(self, body: CollectedBody, size_bytes: int) -> None:
+    def added(self, body: CollectedBody, reader: BodyReader, size_bytes: int) -> None:
         """Count a chunk of ``body``, which has to wait if the sum is over its bound."""
-        self._open[body] = None
+        self._open[body] = reader
         self.total_bytes += size_bytes
         if self._is_full and body is not next(iter(self._open)):
             self._waiting[body] = None
-            body.reader.pause_reading()
+            reader.pause_reading()
             if self._timer is None:
                 self._checks = 0
                 self._check_later()
@@ -118,7 +117,7 @@
         for body in readable:
             if body in self._waiting:
                 del self._waiting[body]
-                body.reader.resume_reading()
+                self._open[body].resume_reading()
 
     def _check_later(self) -> None:
         self._timer = self.reactor.callLater(_CHECK_S, self._check)
@@ -136,7 +135,7 @@
 
     def _give_up_largest(self) -> None:
         largest = max(self._open, key=lambda each: each.size_bytes)
-        size_bytes = largest.size_bytes
+        reader, size_bytes = self._open[largest], largest.size_bytes
         largest.drop()
         self.given_up += 1
-        largest.reader.body_given_up(size_bytes)
+        reader.body_given_up(size_bytes)
--- a/src/coursekeel/gateway/whole/_relayed_try.py
+++ b/src/coursekeel/gateway/whole/_relayed_try.py
@@ -46,7 +46,7 @@
     _body: CollectedBody = field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        self._body = CollectedBody(self.context.bodies, self)
+        self._body = CollectedBody(self.context.bodies)
         self._limit = TryLimit(
             self.context.reactor, self.owner.may_replace_try, self._limit_reached
         )
@@ -65,7 +65,7 @@
         self._head = head
 
     def data_arrived(self, data: bytes) -> None:
-        self._body.add(data)
+        self._body.add(data, self)
 
     def ended(self, ending: Ending, reason: str) -> None:
         self._limit.stop()
--- a/src/coursekeel/gateway/whole/_whole_try.py
+++ b/src/coursekeel/gateway/whole/_whole_try.py
@@ -86,7 +86,8 @@
         self._timer = self.reactor.callLater(delay_s, self._reached)
 
     def stop(self) -> None:
-        """Stop: the try has ended."""
+        """Stop: the try has ended; its callbacks, which refer to it, are let go of."""
+        self.may_replace, self.on_reached = _never, _do_nothing
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
@@ -99,6 +100,14 @@
             self.start(_RETRY_CHECK_MS)
 
 
+def _never() -> bool:
+    return False
+
+
+def _do_nothing() -> None:
+    """The limit of a try that has ended."""
+
+
 @define(eq=False)
 class WholeTry(Try, ExchangeSink, BodyReader):
     """One send to one endpoint; it releases its slot in routing when it ends."""
@@ -116,7 +125,7 @@
 
     def __attrs_post_init__(self) -> None:
         self._started_ms = self.context.clock.now_ms()
-        self._body = CollectedBody(self.context.bodies, self)
+        self._body = CollectedBody(self.context.bodies)
         self._limit = TryLimit(
             self.context.reactor, self.owner.may_replace_try, self._limit_reached
         )
@@ -145,7 +154,7 @@
         self._head = head
 
     def data_arrived(self, data: bytes) -> None:
-        self._body.add(data)
+        self._body.add(data, self)
 
     def ended(self, ending: Ending, reason: str) -> None:
         self._limit.stop()
@@ -248,6 +257,7 @@
 
     def _limit_reached(self) -> None:
         assert self._exchange is not None
+        self._limit.stop()
         self._exchange.abort()
         self._body.drop()
         self._release(failed=True)
--- a/src/coursekeel/runtime/_process.py
+++ b/src/coursekeel/runtime/_process.py
@@ -77,8 +77,9 @@
             raise
 
     def _begin(self, cause: str, exit_code: int) -> None:
+        self.exit_code = self.exit_code or exit_code
         if not self.cause:
-            self.cause, self.exit_code = cause, exit_code
+            self.cause = cause
             spawn(self._stop_role(), "stop", self.reactor)
 
     async def _stop_role(self) -> None:
--- a/tests/cover/test_collected_bodies.py
+++ b/tests/cover/test_collected_bodies.py
@@ -26,7 +26,7 @@
     body: CollectedBody = field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        self.body = CollectedBody(self.bodies, self)
+        self.body = CollectedBody(self.bodies)
 
     def pause_reading(self) -> None:
         self.paused = True
@@ -39,7 +39,7 @@
 
     def read(self, chunks: int = 1) -> None:
         for _ in range(chunks):
-            self.body.add(b"x" * CHUNK_BYTES)
+            self.body.add(b"x" * CHUNK_BYTES, self)
 
 
 @define(eq=False)
--- a/tests/cover/test_fingerprint.py
+++ b/tests/cover/test_fingerprint.py
@@ -42,3 +42,10 @@
 )
 def test_fingerprint_differs_for_another_team_or_content(changes):
     assert evolve(CALL, **changes).fingerprint != CALL.fingerprint
+
+
+def test_a_fingerprint_stays_the_same_once_the_body_has_been_freed():
+    call = evolve(CALL, body=b"prompt")
+    fingerprint = call.fingerprint
+    call.body.free()
+    assert call.fingerprint == fingerprint
--- a/tests/platform/test_unending_answers.py
+++ b/tests/platform/test_unending_answers.py
@@ -223,6 +223,25 @@
     assert {each.answer.status for each in asked} == {200}
 
 
+def allow_large_bodies(site: GatewaySite) -> bytes:
+    """Configure a larger limit on requests' bodies; returns a body of that size."""
+    large = configuration(3)
+    large["limits"] = {"max-body-bytes": 4_000_000}
+    site.put([("op", "config", large)])
+    body = b"x" * 4_000_000
+    wait_until(lambda: site.ask("/open/1", body).status == 200, "the limit is in force")
+    return body
+
+
+@pytest.mark.parametrize("path", ["/again/1", "/stream/2"])
+def test_large_requests_one_after_the_other_leave_no_memory_behind(site, path):
+    body = allow_large_bodies(site)
+    before = peak_bytes(site)
+    answers = [site.ask(path, body) for _ in range(24)]
+    assert {each.status for each in answers} == {200}
+    assert peak_bytes(site) - before < MAX_GROWTH_BYTES
+
+
 def test_large_requests_at_the_same_time_are_bounded_in_sum(site):
     large = configuration(3)
     large["limits"] = {"max-body-bytes": 4_000_000}
