Tries of whole answers share how their reading is paused

Both kinds of tries, to an endpoint and to a member, had the same two methods; they are in BodyReader now.

--- a/src/coursekeel/gateway/whole/_collected_body.py
+++ b/src/coursekeel/gateway/whole/_collected_body.py
@@ -16,6 +16,7 @@
 
 from attrs import define, field
 
+from coursekeel.fetch import Exchange
 from coursekeel.reactor import Reactor
 
 __all__ = ["BodyReader", "CollectedBodies", "CollectedBody"]
@@ -27,15 +28,19 @@
 
 
 class BodyReader(ABC):
-    """Reads one body."""
+    """Reads one body from its exchange."""
+
+    _exchange: Exchange | None
 
-    @abstractmethod
     def pause_reading(self) -> None:
         """Read no more until told."""
+        if self._exchange is not None:
+            self._exchange.pause()
 
-    @abstractmethod
     def resume_reading(self) -> None:
         """Read on."""
+        if self._exchange is not None:
+            self._exchange.resume()
 
     @abstractmethod
     def body_given_up(self, size_bytes: int) -> None:
--- a/src/coursekeel/gateway/whole/_relayed_try.py
+++ b/src/coursekeel/gateway/whole/_relayed_try.py
@@ -118,14 +118,6 @@
         if self._exchange is not None:
             self._exchange.abort()
 
-    def pause_reading(self) -> None:
-        if self._exchange is not None:
-            self._exchange.pause()
-
-    def resume_reading(self) -> None:
-        if self._exchange is not None:
-            self._exchange.resume()
-
     def body_given_up(self, size_bytes: int) -> None:
         """End the try for this instance's memory, not as the member's failure."""
         self.abandon()
--- a/src/coursekeel/gateway/whole/_whole_try.py
+++ b/src/coursekeel/gateway/whole/_whole_try.py
@@ -187,14 +187,6 @@
             self._exchange.abort()
         self._release(failed=False)
 
-    def pause_reading(self) -> None:
-        if self._exchange is not None:
-            self._exchange.pause()
-
-    def resume_reading(self) -> None:
-        if self._exchange is not None:
-            self._exchange.resume()
-
     def body_given_up(self, size_bytes: int) -> None:
         """End the try for this instance's memory, not as the endpoint's failure."""
         self.abandon()
