--- a/tests/platform/test_unending_answers.py
+++ b/tests/platform/test_unending_answers.py
@@ -127,24 +127,28 @@
     assert peak_bytes(site) - before < MAX_GROWTH_BYTES
 
 
-@pytest.mark.parametrize("kind", HEADS + BODIES)
-def test_answers_without_end_are_replaced_where_they_may_be_repeated(site, kind):
+def ask_beside_unending(
+    site: GatewaySite, kind: str, service: str, path: str
+) -> tuple[UnendingServer, list[Asked]]:
+    """Send requests while one server of their service sends bytes without end."""
     with unending_server(kind) as server:
-        list_server(site, server, "plain")
+        list_server(site, server, service)
         before = peak_bytes(site)
-        asked = ask_until_reached(site, server, "/again8/1")
+        asked = ask_until_reached(site, server, path)
         assert_bounded(site, server, before)
+    return server, asked
+
+
+@pytest.mark.parametrize("kind", HEADS + BODIES)
+def test_answers_without_end_are_replaced_where_they_may_be_repeated(site, kind):
+    _, asked = ask_beside_unending(site, kind, "plain", "/again8/1")
     assert {each.answer.status for each in asked} == {200}
     assert max(each.took_s for each in asked) < 2 * MAX_KEPT_S
 
 
 @pytest.mark.parametrize("kind", HEADS + BODIES)
 def test_answers_without_end_fail_at_once_where_they_may_not_be_repeated(site, kind):
-    with unending_server(kind) as server:
-        list_server(site, server, "plain")
-        before = peak_bytes(site)
-        asked = ask_until_reached(site, server, "/once8/1")
-        assert_bounded(site, server, before)
+    server, asked = ask_beside_unending(site, kind, "plain", "/once8/1")
     failed = [each for each in asked if each.answer.status != 200]
     assert len(failed) == len(server.exchanges)
     assert {each.answer.status for each in failed} == {502}
@@ -153,11 +157,7 @@
 
 @pytest.mark.parametrize("kind", (*HEADS, "failure_body", *EVENTS))
 def test_streams_without_end_of_an_event_go_on_elsewhere(site, kind):
-    with unending_server(kind) as server:
-        list_server(site, server, "engines")
-        before = peak_bytes(site)
-        asked = ask_until_reached(site, server, "/stream/20")
-        assert_bounded(site, server, before)
+    _, asked = ask_beside_unending(site, kind, "engines", "/stream/20")
     assert {each.answer.status for each in asked} == {200}
     assert all(each.answer.whole for each in asked)
 
@@ -179,11 +179,7 @@
 
 
 def test_reports_without_end_cost_no_stream(site):
-    with unending_server("report") as server:
-        list_server(site, server, "engines")
-        before = peak_bytes(site)
-        asked = ask_until_reached(site, server, "/stream/20")
-        assert_bounded(site, server, before)
+    _, asked = ask_beside_unending(site, "report", "engines", "/stream/20")
     assert all(each.answer.whole for each in asked if each.answer.status == 200)
 
 
