A gateway logs how old its list of endpoints is, and where each change was read

endpoint_chosen now has endpoints_moment, endpoints_source and endpoints_age_ms; endpoint_leaving and endpoint_gone have moment and source, whole reads included; endpoint_missing tells an endpoint that is kept after an outage from one that is gone; read_behind and coursekeel_reads_behind tell whole reads below the position in force. No decision changes.

--- a/src/coursekeel/forwarding/__init__.py
+++ b/src/coursekeel/forwarding/__init__.py
@@ -4,6 +4,7 @@
 from coursekeel.forwarding._events import EventLedger, event_number, split_events
 from coursekeel.forwarding._freshness import (
     ConfigurationAge,
+    EndpointListAge,
     Freshness,
     StoreClock,
     confirmed_time_ms,
@@ -25,6 +26,7 @@
 __all__ = [
     "ConfigurationAge",
     "EndpointDirectory",
+    "EndpointListAge",
     "EndpointRecord",
     "EventLedger",
     "ForwardingConfiguration",
--- a/src/coursekeel/forwarding/_directory.py
+++ b/src/coursekeel/forwarding/_directory.py
@@ -153,6 +153,10 @@
         """The endpoint's record; None if it isn't listed."""
         return self._records.get(endpoint_id)
 
+    def leaving_by_id(self) -> dict[str, bool]:
+        """Whether each listed endpoint is leaving."""
+        return {name: record.leaving for name, record in self._records.items()}
+
     def record_with_position(
         self, endpoint_id: str
     ) -> tuple[EndpointRecord, StorePosition]:
--- a/src/coursekeel/forwarding/_freshness.py
+++ b/src/coursekeel/forwarding/_freshness.py
@@ -11,7 +11,15 @@
 
 from attrs import define, field, frozen
 
-__all__ = ["ConfigurationAge", "Freshness", "StoreClock", "confirmed_time_ms"]
+from coursekeel.forwarding._moment import StorePosition
+
+__all__ = [
+    "ConfigurationAge",
+    "EndpointListAge",
+    "Freshness",
+    "StoreClock",
+    "confirmed_time_ms",
+]
 
 # How early a timer of the store may fire by this clock, because of rounding.
 _TIMER_SLACK_MS = 5.0
@@ -118,3 +126,16 @@
 
     version: int = -1
     age_ms: float = math.inf
+
+
+@frozen
+class EndpointListAge:
+    """The cached list of endpoints: its store position, source and confirmation.
+
+    ``source`` is where its last change was read: "store" or "member", empty before the
+    first read. ``age_ms`` is the age of the last confirmation, infinite before it.
+    """
+
+    position: StorePosition = field(factory=StorePosition)
+    source: str = ""
+    age_ms: float = math.inf
--- a/src/coursekeel/gateway/_adapters.py
+++ b/src/coursekeel/gateway/_adapters.py
@@ -270,6 +270,11 @@
     query: StoreQuery | None = None
     restored: bool = False
 
+    @property
+    def source(self) -> str:
+        """Who responded: "store" or "member"."""
+        return "store" if self.confirmed_ms is None else "member"
+
 
 @frozen
 class HistoryExpired:
--- a/src/coursekeel/gateway/_gateway.py
+++ b/src/coursekeel/gateway/_gateway.py
@@ -189,7 +189,9 @@
             self._report_period_ms,
             self._group.send,
         )
-        self._metrics = GatewayMetrics(self.clock, self._site.configuration_age)
+        self._metrics = GatewayMetrics(
+            self.clock, self._site.configuration_age, self._site.endpoint_list_age
+        )
         self._limits = LimitsTask(
             self.reactor,
             self.clock,
@@ -296,7 +298,7 @@
             self._site,
             self._start_hold,
             self._dispatcher,
-            self._follow_tasks[0],
+            self._follow_tasks,
             self._limits,
             self._reach,
             relays,
@@ -324,6 +326,7 @@
                 site.apply_endpoints,
                 site.prepare_after_outage,
                 self._start_hold.failed,
+                on_read_up_to=site.record_list_read,
             ),
         )
 
--- a/src/coursekeel/gateway/_gauges.py
+++ b/src/coursekeel/gateway/_gauges.py
@@ -1,5 +1,7 @@
 """Gauges of a gateway: values read from its components when metrics are rendered."""
 
+from collections.abc import Sequence
+
 from coursekeel.fetch import OVERRUNS
 from coursekeel.gateway._dispatcher import Dispatcher
 from coursekeel.gateway._http import OpenConnections
@@ -25,14 +27,14 @@
     site: SiteState,
     start_hold: StartHold,
     dispatcher: Dispatcher,
-    configuration_task: TableWatchTask,
+    follow_tasks: Sequence[TableWatchTask],
     limits: LimitsTask,
     reach: ReachTask,
     relays: RelayClient,
     relay_server: RelayServer,
     connections: OpenConnections,
 ) -> None:
-    """Add the gauges; ``configuration_task`` follows the configuration."""
+    """Add the gauges; the first of ``follow_tasks`` follows the configuration."""
     gauge = metrics.gauge
     gauge(
         "coursekeel_store_reads",
@@ -52,7 +54,17 @@
     gauge(
         "coursekeel_store_restores",
         "Times that the store came back from an older copy",
-        lambda: configuration_task.restores,
+        lambda: follow_tasks[0].restores,
+    )
+    gauge(
+        "coursekeel_reads_behind",
+        "Responses so far that were behind what this instance knew",
+        lambda: sum(task.reads_behind for task in follow_tasks),
+    )
+    gauge(
+        "coursekeel_endpoints_age_seconds",
+        "Age of what is known of the list of endpoints",
+        lambda: site.endpoint_list_age().age_ms / MS_PER_SECOND,
     )
     gauge(
         "coursekeel_members",
--- a/src/coursekeel/gateway/_metrics.py
+++ b/src/coursekeel/gateway/_metrics.py
@@ -12,7 +12,7 @@
 
 from attrs import define, field, frozen
 
-from coursekeel.forwarding import ConfigurationAge
+from coursekeel.forwarding import ConfigurationAge, EndpointListAge
 from coursekeel.gateway._request import AdmittedRequest
 from coursekeel.gateway.admission._refusals import REQUEST_BARRED_CODE, GatewayRefusal
 from coursekeel.observe import LabelSets, Metrics, log_event
@@ -50,11 +50,13 @@
 class GatewayMetrics:
     """Logs and counts what happens to requests, runs and endpoints.
 
-    ``configuration_age`` returns the version and age of the cached configuration.
+    ``configuration_age`` returns the version and age of the cached configuration,
+    ``endpoint_list_age`` the position, source and age of the list of endpoints.
     """
 
     clock: Clock
     configuration_age: Callable[[], ConfigurationAge] = ConfigurationAge
+    endpoint_list_age: Callable[[], EndpointListAge] = EndpointListAge
     metrics: Metrics = field(factory=Metrics)
     _counter_label_sets: LabelSets = field(
         factory=lambda: LabelSets(_MAX_COUNTER_LABEL_SETS, kept=("outcome",))
@@ -166,6 +168,7 @@
         endpoint names.
         """
         now_ms, configuration_age = self.clock.now_ms(), self.configuration_age()
+        list_age = self.endpoint_list_age()
         fields: dict[str, Any] = {
             "request": call.caller.request_id,
             "endpoint": endpoint_id,
@@ -173,6 +176,9 @@
             "remaining_ms": round(call.deadline_ms - now_ms),
             "configuration": configuration_age.version,
             "belief_age_ms": logged_age_ms(configuration_age.age_ms),
+            "endpoints_moment": list_age.position,
+            "endpoints_source": list_age.source,
+            "endpoints_age_ms": logged_age_ms(list_age.age_ms),
         }
         if copy_id:
             fields["copy"] = copy_id
--- a/src/coursekeel/gateway/site/_follow_task.py
+++ b/src/coursekeel/gateway/site/_follow_task.py
@@ -98,6 +98,7 @@
     store_clock: StoreClock
     feed: TableFeed
     restores: int = 0
+    reads_behind: int = 0
     _resume_position: StorePosition | None = None
     _applied_position: StorePosition | None = None
     _stopped: bool = False
@@ -193,12 +194,16 @@
 
     def _is_in_order(self, table_read: TableRead) -> bool:
         """Whether a response of this era isn't behind the position that was sent."""
+        known = self._applied_position
+        if table_read.whole and known is not None and table_read.position < known:
+            self._log_behind(table_read, known)
         if (
             table_read.whole
             or self._resume_position is None
             or table_read.position >= self._resume_position
         ):
             return True
+        self.reads_behind += 1
         log_event(
             "store_version_fell",
             logging.WARNING,
@@ -209,6 +214,17 @@
         self._resume_position = None
         return False
 
+    def _log_behind(self, table_read: TableRead, known: StorePosition) -> None:
+        self.reads_behind += 1
+        log_event(
+            "read_behind",
+            logging.WARNING,
+            table=self._name,
+            source=table_read.source,
+            moment=table_read.position,
+            known=known,
+        )
+
     def _hold_ms(self) -> float:
         """How long the store may hold the next query.
 
--- a/src/coursekeel/gateway/site/_site_state.py
+++ b/src/coursekeel/gateway/site/_site_state.py
@@ -21,6 +21,7 @@
 from coursekeel.forwarding import (
     ConfigurationAge,
     EndpointDirectory,
+    EndpointListAge,
     EndpointRecord,
     ForwardingConfiguration,
     Freshness,
@@ -71,6 +72,8 @@
     endpoints_changed: Callable[[], None] = lambda: None
     routes: RouteTable | None = None
     endpoints_read: bool = False
+    _list_position: StorePosition = field(factory=StorePosition)
+    _list_source: str = ""
     _settle_timer: Any = None
     _tried_pools: dict[str, str] = field(factory=dict)
 
@@ -134,9 +137,8 @@
         for versioned in table_read.entries:
             match versioned.entry:
                 case ForwardingConfiguration():
-                    relayed = table_read.confirmed_ms is not None
                     self._apply_configuration(
-                        versioned.entry, versioned.position, relayed
+                        versioned.entry, versioned.position, table_read.source
                     )
                 case RolloutOrder():
                     self._apply_order(versioned.entry, versioned.position)
@@ -171,7 +173,7 @@
         self,
         configuration: ForwardingConfiguration,
         position: StorePosition,
-        relayed: bool,
+        source: str,
     ) -> None:
         routes = self.routes
         if routes and configuration.version <= routes.configuration.version:
@@ -182,21 +184,31 @@
             version=configuration.version,
             routes=len(configuration.routes),
             moment=position,
-            source="member" if relayed else "store",
+            source=source,
         )
         self.update_routing()
         self._release_held()
 
     # Endpoints.
 
+    def endpoint_list_age(self) -> EndpointListAge:
+        """Position, source and age of the list of endpoints in force."""
+        age_ms = self.freshness.age_ms(Table.ENDPOINTS.value, self.clock.now_ms())
+        return EndpointListAge(self._list_position, self._list_source, age_ms)
+
+    def record_list_read(self, position: StorePosition) -> None:
+        """Record that all changes of the list up to a store position were read."""
+        self._list_position = position
+
     def apply_endpoints(self, table_read: TableRead) -> None:
         """Apply the whole list of endpoints, or changes of it."""
         self.endpoints_read = True
+        self._list_source = table_read.source
         if table_read.whole:
             self._apply_list(table_read)
         else:
             for versioned in table_read.entries:
-                self._apply_change(versioned)
+                self._apply_change(versioned, table_read.source)
         self.update_routing()
         self._release_held()
 
@@ -217,24 +229,70 @@
                     _log_unreadable(
                         Table.ENDPOINTS, versioned.entry, versioned.position
                     )
+        was_leaving = self.directory.leaving_by_id()
         if table_read.restored:
             self.directory.restore(pairs, kept=unreadable)
             self._schedule_settling()
         else:
             self.directory.replace_all(pairs, kept=unreadable)
+        log_event(
+            "endpoints_read",
+            endpoints=len(self.directory.leaving_by_id()),
+            moment=table_read.position,
+            source=table_read.source,
+        )
+        changed = was_leaving | self.directory.leaving_by_id()
+        named = {record.endpoint_id for record, _ in pairs} | set(unreadable)
+        for endpoint_id in changed:
+            self._log_change(
+                endpoint_id,
+                was_leaving.get(endpoint_id),
+                endpoint_id in named,
+                table_read.position,
+                table_read.source,
+            )
 
-    def _apply_change(self, change: VersionedEntry) -> None:
+    def _apply_change(self, change: VersionedEntry, source: str) -> None:
         entry, position = change.entry, change.position
         match entry:
             case EndpointRecord():
-                if entry.leaving:
-                    log_event("endpoint_leaving", endpoint=entry.endpoint_id)
+                known = self.directory.record(entry.endpoint_id)
+                was_leaving = None if known is None else known.leaving
                 self.directory.put(entry, position)
+                endpoint_id, named = entry.endpoint_id, True
             case Removed():
-                log_event("endpoint_gone", endpoint=entry.entry_id)
+                known = self.directory.record(entry.entry_id)
+                was_leaving = None if known is None else known.leaving
                 self.directory.remove(entry.entry_id, position)
-            case UnreadableEntry():
+                endpoint_id, named = entry.entry_id, False
+            case _:
+                assert isinstance(entry, UnreadableEntry)
                 _log_unreadable(Table.ENDPOINTS, entry, position)
+                return
+        self._log_change(endpoint_id, was_leaving, named, position, source)
+
+    def _log_change(
+        self,
+        endpoint_id: str,
+        was_leaving: bool | None,
+        named: bool,
+        position: StorePosition,
+        source: str,
+    ) -> None:
+        """Log that an endpoint is now leaving, gone, or missing after an outage.
+
+        ``was_leaving`` is None if it wasn't known before; ``named`` says whether the
+        list names it.
+        """
+        record = self.directory.record(endpoint_id)
+        if record is None:
+            event = "" if was_leaving is None else "endpoint_gone"
+        elif not named:
+            event = "endpoint_missing"
+        else:
+            event = "endpoint_leaving" if record.leaving and not was_leaving else ""
+        if event:
+            log_event(event, endpoint=endpoint_id, moment=position, source=source)
 
     def prepare_after_outage(self, lost_for_ms: float) -> None:
         """Prepare for the first read of the list after an outage of ``lost_for_ms``.
