--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -101,7 +101,7 @@
     version: int = 1
     engines: int = 3
 
-    def start(self, servers: int, listed: int | None = None) -> None:
+    def start(self, servers: int, listed: int | None = None, **timers: float) -> None:
         standin_ports = self.start_process(
             ["-m", "tests.platform.standin", str(servers)], "standin"
         )
@@ -110,7 +110,7 @@
         self.put([("op", "config", configuration())])
         for number in range(servers if listed is None else listed):
             self.put_server(number)
-        self.ports = self.start_gateway("g1")
+        self.ports = self.start_gateway("g1", **timers)
 
     def start_gateway(
         self,
@@ -351,11 +351,13 @@
 
 
 @contextmanager
-def running_gateway(servers: int = 6, engines: int = 3) -> Iterator[GatewaySite]:
+def running_gateway(
+    servers: int = 6, engines: int = 3, **timers: float
+) -> Iterator[GatewaySite]:
     with tempfile.TemporaryDirectory() as folder:
         site = GatewaySite(Path(folder), engines=engines)
         try:
-            site.start(servers)
+            site.start(servers, **timers)
             yield site
             for word in ("unhandled_failure", "task_failed", "Traceback"):
                 assert word not in site.log(), site.log()[-3_000:]
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -57,6 +57,12 @@
         self.sending = 0
         self.cut = 0
         self.waiting: list[tuple[str, int, Deferred[bytes]]] = []
+        # Until then feeds get no response, and whole reads get the copy.
+        self.feeds_silent_until_s = 0.0
+        self.behind_until_s = 0.0
+        self.copied_s = 0.0
+        # Whether only the pages after a table's first one are of the copy.
+        self.behind_later_pages = False
         self.app = self._routes()
 
     def put(self, table: str, key: str, value: Any) -> None:
@@ -69,6 +75,36 @@
         row |= {"gone": True} if value is None else {"value": value}
         self.rows[table, key] = row | {"ver": self.version}
 
+    def open_gap(self, silent_s: float, for_s: float, later_pages: bool) -> None:
+        """Lose the feeds' history, then let whole reads be behind.
+
+        Feeds get no response for ``silent_s`` seconds, then their history is gone and
+        their connections are aborted. After that whole reads get the copy, for
+        ``for_s`` seconds: its rows, version and time.
+        """
+        self.feeds_silent_until_s = reactor.seconds() + silent_s
+        self.behind_later_pages = later_pages
+        reactor.callLater(silent_s, self._drop_history, for_s)
+
+    def _drop_history(self, for_s: float) -> None:
+        self.feeds_silent_until_s = 0.0
+        self.version += 1
+        self.oldest = self.version
+        self.behind_until_s = reactor.seconds() + for_s
+        waiting, self.waiting = self.waiting, []
+        for *_, response in waiting:
+            response.errback(ConnectionAborted())
+
+    def _state_to_read(
+        self, first_page: bool
+    ) -> tuple[float, int, dict[tuple[str, str], dict[str, Any]]]:
+        """Return the time, version and rows that a whole read gets now."""
+        now_s = reactor.seconds()
+        if now_s >= self.behind_until_s or (first_page and self.behind_later_pages):
+            return now_s, self.version, self.rows
+        rows, version = self.copy
+        return self.copied_s, version, rows
+
     def beat(self) -> None:
         """Write a heartbeat and schedule the next."""
         if self.beats_per_s:
@@ -77,6 +113,7 @@
 
     def take_copy(self) -> None:
         self.copy = (dict(self.rows), self.version)
+        self.copied_s = reactor.seconds()
 
     def restore(self, again_s: float | None = None) -> None:
         """Restore the copy, raise the era and abort the waiting requests.
@@ -111,6 +148,8 @@
         return [row for (name, _), row in self.rows.items() if name == table]
 
     def wake(self, table: str) -> None:
+        if reactor.seconds() < self.feeds_silent_until_s:
+            return
         for waiter in list(self.waiting):
             if waiter[0] == table:
                 self.waiting.remove(waiter)
@@ -124,9 +163,16 @@
         ]
         return self._answer(sorted(rows, key=lambda row: row["ver"]))
 
-    def _answer(self, rows: list[dict[str, Any]], more: bool = False) -> bytes:
-        now_ms = reactor.seconds() * 1000
-        body = {"rows": rows, "more": more, "ver": self.version, "now_ms": now_ms}
+    def _answer(
+        self,
+        rows: list[dict[str, Any]],
+        more: bool = False,
+        version: int | None = None,
+        now_s: float | None = None,
+    ) -> bytes:
+        now_ms = (reactor.seconds() if now_s is None else now_s) * 1000
+        version = self.version if version is None else version
+        body = {"rows": rows, "more": more, "ver": version, "now_ms": now_ms}
         return orjson.dumps(body)
 
     def _routes(self) -> Klein:
@@ -139,12 +185,14 @@
             table = request.args[b"table"][0].decode()
             start = request.args.get(b"from", [b""])[0].decode()
             limit = min(int(request.args[b"limit"][0]), 3)
+            now_s, version, state = self._state_to_read(first_page=not start)
             rows = sorted(
-                (row for (name, _), row in self.rows.items() if name == table),
+                (row for (name, _), row in state.items() if name == table),
                 key=lambda row: row["key"],
             )
             rows = [r for r in rows if r["key"] >= start and "gone" not in r]
-            return self._send(request, self._answer(rows[:limit], len(rows) > limit))
+            page = self._answer(rows[:limit], len(rows) > limit, version, now_s)
+            return self._send(request, page)
 
         @app.route("/coursekeel/rows-tx", methods=["POST"])
         def write(request: Any) -> Any:
@@ -170,7 +218,9 @@
             if since < self.oldest or since > self.version:
                 request.setResponseCode(410)
                 return b"{}"
-            if any(r["ver"] > since for (t, _), r in self.rows.items() if t == table):
+            silent = reactor.seconds() < self.feeds_silent_until_s
+            changed = (r for (t, _), r in self.rows.items() if t == table)
+            if not silent and any(row["ver"] > since for row in changed):
                 return self._send(request, self.changes(table, since))
             response: Deferred[bytes] = Deferred()
             waiter = (table, since, response)
@@ -229,6 +279,8 @@
         return self.shares_link and self.sending > 0
 
     def _wait_over(self, waiter: tuple[str, int, "Deferred[bytes]"]) -> None:
+        if reactor.seconds() < self.feeds_silent_until_s:
+            return
         if waiter in self.waiting:
             self.waiting.remove(waiter)
             waiter[2].callback(self._answer([]))
@@ -603,6 +655,8 @@
             store.beat()
         if body.pop("compact", False):
             store.oldest = store.version
+        if "gap" in body:
+            store.open_gap(**body.pop("gap"))
         store.bytes_per_s = body.pop("bytes_per_s", store.bytes_per_s)
         store.stalls_at = body.pop("stalls_at", store.stalls_at)
         store.shares_link = body.pop("shares_link", store.shares_link)
