A read that is behind takes nothing back

What callers saw: requests were sent to endpoints that the same gateway had logged as leaving or gone, as long as such endpoints served on; sound endpoints that had registered since were dropped, and requests refused.

Cause: after its history was gone (410) a gateway reads the whole table, and took any whole read of the era for the newest state. One that is some seconds behind replaced the list: what it lacked was removed whatever was known of it, and of what had been removed nothing was remembered that a position could be compared with.

A later era still goes back, and so does a store without eras whose clock shows that it responded later. A read whose later page is behind the first one fails. store_version_fell is read_behind now.

The tests of replace_all and restore now pass the list's position; their assertions are the same.

--- a/src/coursekeel/forwarding/__init__.py
+++ b/src/coursekeel/forwarding/__init__.py
@@ -22,6 +22,7 @@
     key_digest,
 )
 from coursekeel.forwarding._moment import StorePosition
+from coursekeel.forwarding._read_order import ReadOrder, ReadVerdict
 
 __all__ = [
     "ConfigurationAge",
@@ -33,6 +34,8 @@
     "Freshness",
     "Pool",
     "PoolShare",
+    "ReadOrder",
+    "ReadVerdict",
     "RequestLimits",
     "Route",
     "RouteKind",
--- a/src/coursekeel/forwarding/_directory.py
+++ b/src/coursekeel/forwarding/_directory.py
@@ -1,16 +1,17 @@
 """The listed endpoints, and which of them may take new work now.
 
 Rule: an endpoint may take new work while the store's list names it and doesn't mark it
-as leaving. If a request of this instance finds it unreachable it is ejected, because
-the list drops a crashed endpoint only after three missed heartbeats; the time doubles
-with each ejection. One whose address another incarnation has is never used again.
+as leaving. An older record, list or removal takes nothing back, also once the endpoint
+is gone. If a request of this instance finds it unreachable it is ejected, because the
+list drops a crashed endpoint only after three missed heartbeats; the time doubles with
+each ejection. One whose address another incarnation has is never used again.
 
 Owns the records and the ejections. A core: the caller passes the time, in ms.
 """
 
 from collections.abc import Collection, Iterable
 
-from attrs import define, evolve, field
+from attrs import define, evolve, field, frozen
 
 from coursekeel.forwarding._model import EndpointRecord
 from coursekeel.forwarding._moment import StorePosition
@@ -39,6 +40,14 @@
     replaced: bool = False
 
 
+@frozen
+class _Delisted:
+    """An endpoint that the list dropped: its last record, and the position of that."""
+
+    record: EndpointRecord | None
+    position: StorePosition
+
+
 @define
 class EndpointDirectory:
     """Records by endpoint id, with the failures of this instance's requests there.
@@ -50,18 +59,32 @@
     _positions: dict[str, StorePosition] = field(factory=dict)
     _health: dict[str, _Health] = field(factory=dict)
     _recovering: bool = False
-    _missing: set[str] = field(factory=set)
+    _missing: dict[str, StorePosition] = field(factory=dict)
     _adopted: set[str] = field(factory=set)
-    _delisted: dict[str, EndpointRecord | None] = field(factory=dict)
+    _delisted: dict[str, _Delisted] = field(factory=dict)
 
     def put(self, record: EndpointRecord, position: StorePosition) -> None:
         """Store a record as of ``position``; an older one is ignored."""
-        if position < self._position_of(record.endpoint_id):
+        endpoint_id = record.endpoint_id
+        if self._is_older(endpoint_id, position):
             return
-        self._positions[record.endpoint_id] = position
-        self._records[record.endpoint_id] = record
-        self._missing.discard(record.endpoint_id)
-        self._adopted.discard(record.endpoint_id)
+        known = self._records.get(endpoint_id)
+        if known is not None and position == self._position_of(endpoint_id):
+            # After a restore the copy may lack the mark of an endpoint that leaves.
+            record = evolve(record, leaving=record.leaving or known.leaving)
+        self._positions[endpoint_id] = position
+        self._records[endpoint_id] = record
+        self._missing.pop(endpoint_id, None)
+        self._adopted.discard(endpoint_id)
+        self._delisted.pop(endpoint_id, None)
+
+    def _is_older(self, endpoint_id: str, position: StorePosition) -> bool:
+        """Whether a later position has told of an endpoint, or of its removal."""
+        delisted = self._delisted.get(endpoint_id)
+        if delisted is not None and position <= delisted.position:
+            return True
+        missing = self._missing.get(endpoint_id, StorePosition())
+        return position < max(self._position_of(endpoint_id), missing)
 
     def begin_recovery(self) -> None:
         """Note that the list is read again after an outage, and may lack endpoints.
@@ -71,32 +94,37 @@
         would refuse every request until they are listed again.
         """
         self._recovering = True
-        self._missing |= self._adopted
+        for endpoint_id in self._adopted:
+            self._missing.setdefault(endpoint_id, self._position_of(endpoint_id))
 
     def remove_missing(self) -> list[str]:
         """Remove the endpoints still missing some time after an outage; returns ids."""
         self._recovering = False
-        gone, self._missing = sorted(self._missing), set()
-        for endpoint_id in gone:
-            self._forget(endpoint_id)
-        return gone
+        gone, self._missing = self._missing, {}
+        for endpoint_id, position in gone.items():
+            self._forget(endpoint_id, position)
+        return sorted(gone)
 
     def remove(self, endpoint_id: str, position: StorePosition) -> None:
         """Remove an endpoint that the list dropped.
 
         After an outage it stays until `remove_missing`, unless it was leaving.
         """
-        if position < self._position_of(endpoint_id):
+        if self._is_older(endpoint_id, position):
             return
         record = self._records.get(endpoint_id)
         if self._recovering and record is not None and not record.leaving:
-            self._missing.add(endpoint_id)
+            self._missing[endpoint_id] = position
             return
-        self._forget(endpoint_id)
+        self._forget(endpoint_id, position)
 
-    def _forget(self, endpoint_id: str) -> None:
+    def _forget(self, endpoint_id: str, position: StorePosition) -> None:
         self._adopted.discard(endpoint_id)
-        self._delisted[endpoint_id] = self._records.pop(endpoint_id, None)
+        self._missing.pop(endpoint_id, None)
+        position = max(position, self._position_of(endpoint_id))
+        record = self._records.pop(endpoint_id, None)
+        self._delisted.pop(endpoint_id, None)
+        self._delisted[endpoint_id] = _Delisted(record, position)
         if len(self._delisted) > _MAX_DELISTED:
             del self._delisted[next(iter(self._delisted))]
         self._health.pop(endpoint_id, None)
@@ -105,38 +133,47 @@
     def replace_all(
         self,
         records: Iterable[tuple[EndpointRecord, StorePosition]],
+        position: StorePosition,
         kept: Collection[str] = (),
     ) -> None:
-        """Apply a whole list; endpoints that it doesn't name are removed.
+        """Apply a whole list as of ``position``; endpoints not in it are removed.
 
         ``kept`` are the ids of listed entries that can't be parsed.
         """
         listed = {record.endpoint_id: (record, as_of) for record, as_of in records}
         named = listed.keys() | set(kept)
         for endpoint_id in [name for name in self._records if name not in named]:
-            self.remove(endpoint_id, self._position_of(endpoint_id))
-        for record, position in listed.values():
-            self.put(record, position)
+            self.remove(endpoint_id, position)
+        for record, as_of in listed.values():
+            self.put(record, as_of)
 
     def restore(
         self,
         records: Iterable[tuple[EndpointRecord, StorePosition]],
+        position: StorePosition,
         kept: Collection[str] = (),
     ) -> None:
         """Apply the whole list of a store that was restored from an older copy.
 
         The copy may name endpoints that were removed since, or lack the mark of one
-        that is leaving: both stay as they are here. Endpoints that it lacks count as
-        missing until `remove_missing`, as after an outage; running ones register again.
+        that is leaving: both stay as they are here until they are written again.
+        Endpoints that it lacks count as missing until `remove_missing`, as after an
+        outage; running ones register again.
         """
         self.begin_recovery()
-        self.replace_all(self._merge_known_state(records), kept)
+        # The store issues its versions again, so that the positions here mean nothing.
+        self._positions.clear()
+        self._missing = dict.fromkeys(self._missing, StorePosition())
+        listed = list(self._merge_known_state(records))
+        self.replace_all(listed, position, kept)
 
     def _merge_known_state(
         self, records: Iterable[tuple[EndpointRecord, StorePosition]]
     ) -> Iterable[tuple[EndpointRecord, StorePosition]]:
         for record, position in records:
-            if record.endpoint_id in self._delisted:
+            delisted = self._delisted.get(record.endpoint_id)
+            if delisted is not None:
+                self._delisted[record.endpoint_id] = evolve(delisted, position=position)
                 continue
             known = self._records.get(record.endpoint_id)
             leaving = record.leaving or (known is not None and known.leaving)
@@ -147,7 +184,10 @@
 
         An endpoint that was dropped may serve what it has begun for some seconds.
         """
-        return self._records.get(endpoint_id) or self._delisted.get(endpoint_id)
+        record, delisted = self._records.get(endpoint_id), None
+        if record is None:
+            delisted = self._delisted.get(endpoint_id)
+        return record if delisted is None else delisted.record
 
     def record(self, endpoint_id: str) -> EndpointRecord | None:
         """The endpoint's record; None if it isn't listed."""
@@ -252,7 +292,7 @@
         self._records[successor_id] = record
         self._adopted.add(successor_id)
         if self._recovering:
-            self._missing.add(successor_id)
+            self._missing[successor_id] = self._positions[successor_id]
         return record
 
     def is_adopted(self, successor_id: str) -> bool:
@@ -262,7 +302,7 @@
     def remove_adopted(self, successor_id: str) -> None:
         """Remove an adopted endpoint that the list didn't name in time."""
         if successor_id in self._adopted:
-            self._forget(successor_id)
+            self._forget(successor_id, self._position_of(successor_id))
 
     def may_take(self, endpoint_id: str, now_ms: float) -> bool:
         """Whether new work may be sent to the endpoint."""
--- a/src/coursekeel/gateway/site/_follow_task.py
+++ b/src/coursekeel/gateway/site/_follow_task.py
@@ -1,23 +1,27 @@
 """Follows one table of the store and applies its changes.
 
 Rule: a store position is valid within its era only. After a store was restored from a
-backup the whole table is read again, and a response of an earlier era changes nothing.
+backup the whole table is read again, and a response of an earlier era changes nothing;
+neither does one that is behind the position in force (`ReadOrder`).
 
 Owns the position up to which the table was read. Relies on a `Source` for each query,
 and reports to `Freshness` the time as of which each response confirms the table.
 """
 
 import logging
+import math
 from collections.abc import Callable
 from random import Random
 from traceback import format_exception
 
-from attrs import define, evolve, frozen
+from attrs import define, evolve, field, frozen
 from twisted.internet.task import deferLater
 
 from coursekeel.errors import InvariantBroken
 from coursekeel.forwarding import (
     Freshness,
+    ReadOrder,
+    ReadVerdict,
     StoreClock,
     StorePosition,
     confirmed_time_ms,
@@ -99,8 +103,8 @@
     feed: TableFeed
     restores: int = 0
     reads_behind: int = 0
+    _order: ReadOrder = field(factory=ReadOrder)
     _resume_position: StorePosition | None = None
-    _applied_position: StorePosition | None = None
     _stopped: bool = False
     _failure_count: int = 0
     _change_count: int = 0
@@ -159,71 +163,70 @@
                 self._source_failed(outcome.reason)
 
     def _checked_reading(self, table_read: TableRead) -> TableRead | None:
-        """The snapshot or update if it may be applied, or None; handles a new era."""
-        if (
-            self._applied_position is None
-            or table_read.position.era == self._applied_position.era
-        ):
-            return table_read if self._is_in_order(table_read) else None
-        era, last_era = table_read.position.era, self._applied_position.era
-        if era < last_era:
+        """The snapshot or update if it may be applied, or None; handles the others."""
+        position = table_read.position
+        verdict = self._order.judge(
+            position, table_read.whole, self._made_by_ms(table_read)
+        )
+        if verdict is ReadVerdict.APPLY:
+            return table_read
+        known = self._order.position
+        assert known is not None
+        if verdict is ReadVerdict.RESTORED:
+            self._store_restored(table_read, known)
+            return evolve(table_read, restored=True)
+        self._resume_position = None
+        if verdict is ReadVerdict.ERA_FELL:
             log_event(
                 "store_era_fell",
                 logging.WARNING,
                 table=self._name,
-                moment=table_read.position,
-                era=last_era,
+                moment=position,
+                era=known.era,
             )
-            self._resume_position = None
-            self._source_failed(f"era {era} after {last_era}")
-            return None
-        if not table_read.whole:
-            # Updates since a position of the earlier era: some changes may be missing.
-            self._resume_position = None
-            return None
+            self._source_failed(f"era {position.era} after {known.era}")
+        elif verdict is ReadVerdict.BEHIND:
+            self._read_behind(table_read, known)
+        return None
+
+    def _made_by_ms(self, table_read: TableRead) -> float:
+        """The latest local time at which the store can have made this response."""
+        if table_read.confirmed_ms is not None:
+            return -math.inf
+        return self.store_clock.latest_ms(
+            table_read.position.era, table_read.store_ms, self.clock.now_ms()
+        )
+
+    def _store_restored(self, table_read: TableRead, known: StorePosition) -> None:
         log_event(
             "store_restored",
             logging.WARNING,
             table=self._name,
-            before=self._applied_position,
+            before=known,
             moment=table_read.position,
         )
         self.restores += 1
         self.followed.restored()
-        return evolve(table_read, restored=True)
-
-    def _is_in_order(self, table_read: TableRead) -> bool:
-        """Whether a response of this era isn't behind the position that was sent."""
-        known = self._applied_position
-        if table_read.whole and known is not None and table_read.position < known:
-            self._log_behind(table_read, known)
-        if (
-            table_read.whole
-            or self._resume_position is None
-            or table_read.position >= self._resume_position
-        ):
-            return True
-        self.reads_behind += 1
-        log_event(
-            "store_version_fell",
-            logging.WARNING,
-            table=self._name,
-            since=self._resume_position,
-            moment=table_read.position,
-        )
-        self._resume_position = None
-        return False
 
-    def _log_behind(self, table_read: TableRead, known: StorePosition) -> None:
+    def _read_behind(self, table_read: TableRead, known: StorePosition) -> None:
+        """Read again: changes that were behind at once and whole, a snapshot later.
+
+        After a snapshot the changes since the position in force are requested first:
+        members may have them, or the store's feed.
+        """
         self.reads_behind += 1
         log_event(
             "read_behind",
             logging.WARNING,
             table=self._name,
             source=table_read.source,
+            whole=table_read.whole,
             moment=table_read.position,
             known=known,
         )
+        if table_read.whole:
+            self._resume_position = known
+            self._source_failed("a read that is behind")
 
     def _hold_ms(self) -> float:
         """How long the store may hold the next query.
@@ -253,7 +256,8 @@
         self._from_member = table_read.confirmed_ms is not None
         confirmed_ms = self._confirmed_ms(table_read, query, now_ms)
         self._apply(table_read, confirmed_ms)
-        self._resume_position = self._applied_position = table_read.position
+        self._resume_position = table_read.position
+        self._order.applied(table_read.position, now_ms)
         self.feed.took(table_read, confirmed_ms)
 
     def _apply(self, table_read: TableRead, confirmed_ms: float) -> None:
--- a/src/coursekeel/gateway/site/_site_state.py
+++ b/src/coursekeel/gateway/site/_site_state.py
@@ -231,10 +231,10 @@
                     )
         was_leaving = self.directory.leaving_by_id()
         if table_read.restored:
-            self.directory.restore(pairs, kept=unreadable)
+            self.directory.restore(pairs, table_read.position, unreadable)
             self._schedule_settling()
         else:
-            self.directory.replace_all(pairs, kept=unreadable)
+            self.directory.replace_all(pairs, table_read.position, unreadable)
         log_event(
             "endpoints_read",
             endpoints=len(self.directory.leaving_by_id()),
--- a/tests/cover/test_forwarding.py
+++ b/tests/cover/test_forwarding.py
@@ -198,7 +198,7 @@
 def test_a_whole_list_removes_what_it_does_not_name():
     directory = EndpointDirectory()
     directory.put(make_record("a"), position_at(1))
-    directory.replace_all([(make_record("b", port=2), position_at(2))])
+    directory.replace_all([(make_record("b", port=2), position_at(2))], position_at(2))
     assert directory.pools() == {"p": ["b"]}
 
 
@@ -208,7 +208,7 @@
     directory.put(make_record("b", port=2), position_at(2))
     directory.begin_recovery()
     directory.remove("a", position_at(3))
-    directory.replace_all([])
+    directory.replace_all([], position_at(3))
     assert sorted(directory.pools()["p"]) == ["a", "b"]
     assert directory.may_take("a", 0.0)
     directory.put(make_record("b", port=2), position_at(4))
@@ -344,7 +344,7 @@
         (make_record(name, port), position_at(port, era=1))
         for port, name in ((1, "lives"), (3, "leaves"), (4, "gone"))
     ]
-    directory.restore(copy)
+    directory.restore(copy, position_at(4, era=1))
     available = [
         endpoint_id
         for endpoint_id in ("lives", "lacked", "leaves", "gone")
@@ -358,7 +358,9 @@
     directory = EndpointDirectory()
     directory.put(make_record("a"), position_at(3))
     directory.remove("a", position_at(4))
-    directory.restore([(make_record("a"), position_at(3, era=1))])
+    directory.restore(
+        [(make_record("a"), position_at(3, era=1))], position_at(3, era=1)
+    )
     directory.put(make_record("a"), position_at(4, era=1))
     assert directory.may_take("a", 0.0)
 
--- /dev/null
+++ b/tests/cover/test_read_order.py
@@ -0,0 +1,116 @@
+"""What is known of the store's tables never goes back by a read that is behind."""
+
+import math
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from coursekeel.forwarding import (
+    EndpointDirectory,
+    EndpointRecord,
+    ReadOrder,
+    ReadVerdict,
+)
+from tests.common.moments import position_at
+
+NAMES = ["a", "b", "c"]
+
+
+def record(name: str, leaving: bool = False) -> EndpointRecord:
+    return EndpointRecord(name, "p", f"h:{NAMES.index(name) + 1}", "z", leaving=leaving)
+
+
+def order_at(version: int, era: int = 0, received_ms: float = 1_000.0) -> ReadOrder:
+    order = ReadOrder()
+    order.applied(position_at(version, era), received_ms)
+    return order
+
+
+@pytest.mark.parametrize("whole", [True, False])
+@pytest.mark.parametrize("made_by_ms", [999.0, -math.inf])
+def test_a_response_below_the_position_in_force_is_behind(whole, made_by_ms):
+    verdict = order_at(9).judge(position_at(8), whole, made_by_ms)
+    assert verdict is ReadVerdict.BEHIND
+
+
+def test_a_store_without_eras_that_was_restored_is_known_by_its_clock():
+    order = order_at(9)
+    assert order.judge(position_at(8), True, 1_001.0) is ReadVerdict.RESTORED
+    assert order.judge(position_at(8), False, 1_001.0) is ReadVerdict.BEHIND
+
+
+@pytest.mark.parametrize(
+    ("era", "whole", "verdict"),
+    [
+        (0, True, ReadVerdict.ERA_FELL),
+        (0, False, ReadVerdict.ERA_FELL),
+        (1, True, ReadVerdict.APPLY),
+        (2, True, ReadVerdict.RESTORED),
+        (2, False, ReadVerdict.READ_WHOLE),
+    ],
+)
+def test_only_a_later_era_may_go_back(era, whole, verdict):
+    version = 9 if era == 1 else 3
+    assert order_at(9, era=1).judge(position_at(version, era), whole, 0.0) is verdict
+
+
+def test_a_position_confirmed_again_keeps_the_time_at_which_it_was_received():
+    """Guards against taking a restored store's response for one that is behind."""
+    order = order_at(9, received_ms=1_000.0)
+    order.applied(position_at(9), 60_000.0)
+    assert order.judge(position_at(8), True, 50_000.0) is ReadVerdict.RESTORED
+
+
+def test_an_older_list_neither_drops_nor_revives_endpoints():
+    directory = EndpointDirectory()
+    directory.put(record("a"), position_at(1))
+    directory.put(record("b"), position_at(2))
+    directory.remove("b", position_at(6))
+    directory.put(record("c"), position_at(7))
+    older = [(record("a"), position_at(1)), (record("b"), position_at(2))]
+    directory.replace_all(older, position_at(5))
+    assert sorted(directory.pools()["p"]) == ["a", "c"]
+
+
+def test_an_endpoint_listed_again_after_its_removal_is_used():
+    directory = EndpointDirectory()
+    directory.put(record("a"), position_at(1))
+    directory.replace_all([], position_at(4))
+    directory.put(record("a"), position_at(4))
+    assert directory.record("a") is None
+    directory.put(record("a"), position_at(5))
+    assert directory.may_take("a", 0.0)
+
+
+def test_a_list_read_twice_after_a_restore_revives_no_endpoint():
+    directory = EndpointDirectory()
+    directory.put(record("a"), position_at(5))
+    directory.put(record("b", leaving=True), position_at(6))
+    directory.remove("a", position_at(7))
+    copy = [(record(name), position_at(3, era=1)) for name in ("a", "b")]
+    directory.restore(copy, position_at(4, era=1))
+    directory.replace_all(copy, position_at(4, era=1))
+    assert not directory.may_take("a", 0.0)
+    assert not directory.may_take("b", 0.0)
+
+
+writes = st.tuples(st.sampled_from(NAMES), st.sampled_from(["up", "leaving", "gone"]))
+
+
+@given(st.lists(writes, min_size=1), st.randoms(use_true_random=False))
+def test_any_mix_of_reads_that_are_behind_leaves_the_newest_state(changes, random):
+    """The changes arrive in order; between them whole lists of earlier positions."""
+    directory, rows, lists = EndpointDirectory(), {}, []
+    for version, (name, state) in enumerate(changes, 1):
+        position = position_at(version)
+        if state == "gone":
+            rows.pop(name, None)
+            directory.remove(name, position)
+        else:
+            rows[name] = (record(name, state == "leaving"), position)
+            directory.put(*rows[name])
+        lists.append((list(rows.values()), position))
+        directory.replace_all(*random.choice(lists))
+        expected = {each: row.leaving for each, (row, _) in rows.items()}
+        assert directory.leaving_by_id() == expected
