A short failure doesn't start the time of missing endpoints again

What callers saw: an endpoint whose row was removed, and that had not been marked as leaving, got requests for as long as connections to the store failed for a moment every one or two seconds: 7.6 s in a play of six aborted feeds, though each response told of the removal.

Cause: after an outage an endpoint that is missing is kept for endpoints_return_ms, since registrations lapse while the store is away. The outage was measured from the last confirmation, which includes the time that the store held the query, so that a failure of 0.2 s counted as one of 1.5 s, and each started that time again for all. The class: a grace period without a bound in sum.

--- a/src/coursekeel/forwarding/_directory.py
+++ b/src/coursekeel/forwarding/_directory.py
@@ -97,6 +97,11 @@
         for endpoint_id in self._adopted:
             self._missing.setdefault(endpoint_id, self._position_of(endpoint_id))
 
+    @property
+    def recovering(self) -> bool:
+        """Whether endpoints that are missing are kept."""
+        return self._recovering
+
     def remove_missing(self) -> list[str]:
         """Remove the endpoints still missing some time after an outage; returns ids."""
         self._recovering = False
--- a/src/coursekeel/gateway/_adapters.py
+++ b/src/coursekeel/gateway/_adapters.py
@@ -29,6 +29,7 @@
     "HeadVerdict",
     "HeaderPairs",
     "HistoryExpired",
+    "Outage",
     "OutboundRequest",
     "Removed",
     "Source",
@@ -292,6 +293,19 @@
     received_bytes: int = 0
 
 
+@frozen
+class Outage:
+    """A time in which a table could not be read.
+
+    ``unconfirmed_ms``: since its last confirmation. It includes the time for which the
+    store held the last query, so that it is long even if only one query failed.
+    ``failed_ms``: since the first query that failed.
+    """
+
+    unconfirmed_ms: float
+    failed_ms: float
+
+
 # Bounds on receiving a response of the store once it has begun. The pause allows two
 # TCP retransmissions in a row (RFC 6298; Linux uses 200 ms once a path's round-trip
 # time is known). 20 s are enough for 12 MB at 5 Mbit/s, 45,000 routes at 280 bytes
--- a/src/coursekeel/gateway/_gateway.py
+++ b/src/coursekeel/gateway/_gateway.py
@@ -19,6 +19,7 @@
 from coursekeel.gateway._adapters import (
     CallerDialect,
     EndpointDialect,
+    Outage,
     Source,
     Table,
 )
@@ -458,5 +459,5 @@
         return len(self._connections) > 0 or self._relay_server.unsent > 0
 
 
-def _ignore_outage(_outage_ms: float) -> None:
+def _ignore_outage(_outage: Outage) -> None:
     """The configuration doesn't expire while the store is unreachable."""
--- a/src/coursekeel/gateway/site/_follow_task.py
+++ b/src/coursekeel/gateway/site/_follow_task.py
@@ -28,6 +28,7 @@
 )
 from coursekeel.gateway._adapters import (
     HistoryExpired,
+    Outage,
     Source,
     SourceFailed,
     StoreQuery,
@@ -67,17 +68,16 @@
     ``hold_ms``: how long the store may hold a query until something changes.
     ``gathering_ms``: pause after a change, since changes come in bursts.
     ``take``: applies a snapshot or update. ``on_source_return``: called before the
-    first one after failures, with the age of the last confirmation in ms. ``failed``:
-    called for each failed query. ``restored``: called before the first snapshot of a
-    later era is applied. ``on_read_up_to``: called with the position up to which all of
-    the table was read.
+    first one after failures. ``failed``: called for each failed query. ``restored``:
+    called before the first snapshot of a later era is applied. ``on_read_up_to``:
+    called with the position up to which all of the table was read.
     """
 
     table: Table
     hold_ms: float
     gathering_ms: float
     take: Callable[[TableRead], None]
-    on_source_return: Callable[[float], None]
+    on_source_return: Callable[[Outage], None]
     failed: Callable[[], None] = _ignore
     restored: Callable[[], None] = _ignore
     on_read_up_to: Callable[[StorePosition], None] = lambda _: None
@@ -107,6 +107,7 @@
     _resume_position: StorePosition | None = None
     _stopped: bool = False
     _failure_count: int = 0
+    _failing_since_ms: float = 0.0
     _change_count: int = 0
     _from_member: bool = False
 
@@ -294,13 +295,15 @@
     def _source_returned(self, now_ms: float) -> None:
         log_event("store_back", table=self._name, failures=self._failure_count)
         self._failure_count = 0
-        self.followed.on_source_return(self.freshness.age_ms(self._name, now_ms))
+        age_ms = self.freshness.age_ms(self._name, now_ms)
+        self.followed.on_source_return(Outage(age_ms, now_ms - self._failing_since_ms))
 
     def _source_failed(self, reason: str) -> None:
         self._failure_count += 1
         self.feed.failed()
         self.followed.failed()
         if self._failure_count == 1:
+            self._failing_since_ms = self.clock.now_ms()
             age_ms = self.freshness.age_ms(self._name, self.clock.now_ms())
             log_event(
                 "store_lost",
--- a/src/coursekeel/gateway/site/_site_state.py
+++ b/src/coursekeel/gateway/site/_site_state.py
@@ -30,6 +30,7 @@
     StorePosition,
 )
 from coursekeel.gateway._adapters import (
+    Outage,
     Removed,
     Table,
     TableRead,
@@ -294,14 +295,17 @@
         if event:
             log_event(event, endpoint=endpoint_id, moment=position, source=source)
 
-    def prepare_after_outage(self, lost_for_ms: float) -> None:
-        """Prepare for the first read of the list after an outage of ``lost_for_ms``.
+    def prepare_after_outage(self, outage: Outage) -> None:
+        """Prepare for the first read of the list after an outage.
 
         Registrations expire while the store is down, and live endpoints register again
-        within `endpoints_return_ms`; one that is missing after that is gone.
+        within `endpoints_return_ms`; one that is missing after that is gone. That time
+        isn't started again by an outage in which none can have expired.
         """
-        timers = self.settings.timers
-        if lost_for_ms < timers.endpoints_lapse_ms:
+        lapse_ms = self.settings.timers.endpoints_lapse_ms
+        if outage.unconfirmed_ms < lapse_ms:
+            return
+        if self.directory.recovering and outage.failed_ms < lapse_ms:
             return
         self.directory.begin_recovery()
         self._schedule_settling()
--- a/tests/cover/test_freshness_machine.py
+++ b/tests/cover/test_freshness_machine.py
@@ -15,7 +15,7 @@
     confirmed_time_ms,
     key_digest,
 )
-from coursekeel.gateway._adapters import Removed, TableRead, VersionedEntry
+from coursekeel.gateway._adapters import Outage, Removed, TableRead, VersionedEntry
 from coursekeel.gateway._live_settings import LiveSettings
 from coursekeel.gateway.site._site_state import SiteState
 from coursekeel.settings import GatewayListen, GatewaySettings
@@ -116,7 +116,7 @@
         sent_ms, version = self.now_ms, self.version
         self.reactor.advance(delay_ms / 1000)
         if self.outage_ms:
-            self.site.prepare_after_outage(self.outage_ms)
+            self.site.prepare_after_outage(Outage(self.outage_ms, self.outage_ms))
             self.outage_ms = 0.0
         self.freshness.record_confirmation(
             "list", confirmed_time_ms(sent_ms, self.now_ms, 0.0)
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -91,6 +91,10 @@
         self.version += 1
         self.oldest = self.version
         self.behind_until_s = reactor.seconds() + for_s
+        self.abort_waiting()
+
+    def abort_waiting(self) -> None:
+        """Abort the connections of the feeds that wait for a change."""
         waiting, self.waiting = self.waiting, []
         for *_, response in waiting:
             response.errback(ConnectionAborted())
@@ -126,9 +130,7 @@
         self.era += 1
         if again_s is not None:
             reactor.callLater(again_s, self._write_again, lost, self.version)
-        waiting, self.waiting = self.waiting, []
-        for *_, response in waiting:
-            response.errback(ConnectionAborted())
+        self.abort_waiting()
 
     def _write_again(
         self, lost: dict[tuple[str, str], dict[str, Any]], copy_version: int
@@ -645,6 +647,8 @@
         if body.pop("open_silent", False):
             # Waiting requests never get a response; new ones do.
             store.waiting.clear()
+        if body.pop("abort_waiting", False):
+            store.abort_waiting()
         if body.pop("copy", False):
             store.take_copy()
         if body.pop("restore", False):
