Each row of a leaving endpoint is logged, as before

test_the_tables_are_followed_after_unreadable_rows failed since: it waits for the line of a second leaving, and a row that had been ready in between, unread, no longer gave one. Changes are logged by row again; whole reads log what they change.

--- a/src/coursekeel/gateway/site/_site_state.py
+++ b/src/coursekeel/gateway/site/_site_state.py
@@ -257,20 +257,13 @@
         entry, position = change.entry, change.position
         match entry:
             case EndpointRecord():
-                known = self.directory.record(entry.endpoint_id)
-                was_leaving = None if known is None else known.leaving
                 self.directory.put(entry, position)
-                endpoint_id, named = entry.endpoint_id, True
+                self._log_change(entry.endpoint_id, False, True, position, source)
             case Removed():
-                known = self.directory.record(entry.entry_id)
-                was_leaving = None if known is None else known.leaving
                 self.directory.remove(entry.entry_id, position)
-                endpoint_id, named = entry.entry_id, False
-            case _:
-                assert isinstance(entry, UnreadableEntry)
+                self._log_change(entry.entry_id, False, False, position, source)
+            case UnreadableEntry():
                 _log_unreadable(Table.ENDPOINTS, entry, position)
-                return
-        self._log_change(endpoint_id, was_leaving, named, position, source)
 
     def _log_change(
         self,
