A process that starts by a read that is behind learns the later state from a member

What callers saw: a gateway that started while the store's whole reads were behind sent requests to an endpoint that all others knew to be gone.

Cause: a process's first read has no position before it that would show that it is behind. Members were queried for a later configuration, only of a store with eras; never for the list of endpoints. The class: the first word of a source is taken for its newest one.

Change: after the first read of each table, with eras or without, an instance queries members until one responds, and applies what is later there. Once a process and table; later_state (before: later_configuration) tells it.

Until the first member is known and has responded such an instance goes by the old read.

--- a/src/coursekeel/gateway/members/_shared_source.py
+++ b/src/coursekeel/gateway/members/_shared_source.py
@@ -11,9 +11,9 @@
 confirmation counts only while its confirmation is no older than usual: members must not
 confirm each other's state while the store is down, nor hide a change from the others.
 
-A store with eras may have been restored from a backup, and its operator may not have
-written again yet. So after its first configuration an instance queries members, until
-one responds, for a later one.
+The first read of a process may be behind, and a store that was restored from a backup
+lacks what its operator hasn't written again. So after the first read of each table an
+instance queries members, until one responds, for a later state.
 
 Owns which members are avoided for a while, and when the store was last queried. Relies
 on `Swim` for the members and on `Source` for the store.
@@ -127,7 +127,7 @@
         factory=lambda: {t: _QueryState() for t in Table}
     )
     _silent_until_ms: dict[str, float] = field(factory=dict)
-    _compared_with_member: bool = False
+    _compared_tables: set[Table] = field(factory=set)
 
     def hold_ms(self, table: Table, usual_ms: float) -> float:
         """How long the store may hold a query; less if it serves members too."""
@@ -153,7 +153,7 @@
     ) -> _Outcome:
         """Read the changes after ``since``, or wait for some for ``hold_ms``."""
         usual_age_ms = self.terms.usual_age_ms[table]
-        if (later := await self._later_configuration(table, since)) is not None:
+        if (later := await self._later_state(table, since)) is not None:
             return later
         if self._queries_store() and not self._store_just_failed(table):
             outcome = await self._follow_store(table, since, hold_ms, timeout_ms)
@@ -173,38 +173,50 @@
         wait_ms = 0.0 if had_candidates else shared_ms
         return await self._follow_store(table, since, wait_ms, timeout_ms)
 
-    async def _later_configuration(
+    async def _later_state(
         self, table: Table, since: StorePosition
     ) -> TableRead | None:
-        """A member's configuration if it is later than ours, once per process.
+        """A member's state if it is later than this process's first read, once a table.
 
-        The store position stays that of this instance's own read.
+        Nothing was known yet that showed whether that read was behind.
         """
-        if (
-            self._compared_with_member
-            or not since.era
-            or table is not Table.CONFIGURATION
-        ):
+        if table in self._compared_tables:
             return None
         others = [member for member in self.swim.alive() if member != self.swim.own]
         for address in sorted(others, key=self._query_order)[:_MAX_MEMBERS_QUERIED]:
-            sent_ms, version = self.clock.now_ms(), self.configuration_version()
-            limit_ms = self.terms.slack_ms
+            later = await self._state_from(address, table, since)
+            if not isinstance(later, MemberFailed):
+                self._compared_tables.add(table)
+                return later
+        return None
+
+    async def _state_from(
+        self, address: str, table: Table, since: StorePosition
+    ) -> TableRead | MemberFailed | None:
+        """One member's state if it is later, None if it isn't."""
+        sent_ms, limit_ms = self.clock.now_ms(), self.terms.slack_ms
+        if table is Table.CONFIGURATION:
+            version = self.configuration_version()
             reply = await self.members.request_configuration_above(
                 address, version, limit_ms
             )
-            if isinstance(reply, MemberFailed):
-                continue
-            self._compared_with_member = True
-            if isinstance(reply, NothingNewer):
+        else:
+            reply = await self.members.request(address, table, since, 0.0, limit_ms)
+        match reply:
+            case MemberFailed():
+                return reply
+            case NothingNewer():
                 return None
-            entries = tuple(evolve(entry, position=since) for entry in reply.entries)
-            confirmed_ms = sent_ms - max(reply.age_ms, 0.0)
-            log_event("later_configuration", member=address)
-            return TableRead(
-                entries, since, 0.0, whole=False, confirmed_ms=confirmed_ms
-            )
-        return None
+        if table is Table.ENDPOINTS and reply.position <= since:
+            return None
+        log_event("later_state", table=table.value, member=address)
+        confirmed_ms = sent_ms - max(reply.age_ms, 0.0)
+        if table is Table.ENDPOINTS:
+            return self._reading_from_reply(table, reply, confirmed_ms)
+        # A restored store may lack that configuration: the position stays that of this
+        # instance's own read.
+        entries = tuple(evolve(entry, position=since) for entry in reply.entries)
+        return TableRead(entries, since, 0.0, whole=False, confirmed_ms=confirmed_ms)
 
     def _member_hold_ms(
         self, table: Table, hold_ms: float, usual_age_ms: float
--- a/tests/platform/test_reads_behind.py
+++ b/tests/platform/test_reads_behind.py
@@ -5,7 +5,7 @@
 import pytest
 
 from standins.site import wait_until
-from tests.platform.site import GatewaySite, running_gateway
+from tests.platform.site import GatewaySite, free_port, running_gateway
 
 # How long feeds get no response, and then whole reads are of the copy.
 _SILENT_S = 0.2
@@ -105,3 +105,22 @@
     site.forget()
     assert all(site.ask("/again/x").status == 200 for _ in range(12))
     assert arrivals(site, "s4") == 0
+
+
+def test_a_gateway_that_starts_by_a_read_behind_learns_leavings_from_a_member(site):
+    port = free_port("127.0.0.12")
+    peers = [f"127.0.0.{number}:{port}" for number in (12, 13)]
+    timers = {"revoke_ms": _REVOKE_MS}
+    site.start_gateway("m1", listen={"peers": peers[0]}, seeds=peers[:1], **timers)
+    site.store(copy=True)
+    leave(site, 3, draining=False)
+    wait_until(lambda: "endpoint_gone endpoint=s3" in site.log("m1"), "m1 knows")
+    site.store(gap={"silent_s": 0, "for_s": 5, "later_pages": False})
+    ports = site.start_gateway(
+        "m2", listen={"peers": peers[1]}, seeds=peers[:1], **timers
+    )
+    wait_until(lambda: "member_joined" in site.log("m2"), "m2 has found m1")
+    time.sleep(0.5)
+    site.forget()
+    assert all(site.ask("/again/x", port=ports[0]).status == 200 for _ in range(20))
+    assert arrivals(site, "s3") == 0
