After a restore the positions of endpoints that are gone mean nothing either

Read of: a store without eras that was restored issues lower versions, and an endpoint that had lapsed and registered again was ignored until its version passed that of its removal. test_an_endpoint_that_registers_in_a_restored_store_without_eras_is_used fails before and passes. On the users' store, which has eras, nothing changes.

--- a/src/coursekeel/forwarding/_directory.py
+++ b/src/coursekeel/forwarding/_directory.py
@@ -42,7 +42,7 @@
 
 @frozen
 class _Delisted:
-    """An endpoint that the list dropped: its last record, and the position of that."""
+    """An endpoint that the list dropped: its last record, and when it was dropped."""
 
     record: EndpointRecord | None
     position: StorePosition
@@ -169,6 +169,10 @@
         # The store issues its versions again, so that the positions here mean nothing.
         self._positions.clear()
         self._missing = dict.fromkeys(self._missing, StorePosition())
+        self._delisted = {
+            endpoint_id: evolve(delisted, position=StorePosition())
+            for endpoint_id, delisted in self._delisted.items()
+        }
         listed = list(self._merge_known_state(records))
         self.replace_all(listed, position, kept)
 
@@ -189,10 +193,10 @@
 
         An endpoint that was dropped may serve what it has begun for some seconds.
         """
-        record, delisted = self._records.get(endpoint_id), None
-        if record is None:
-            delisted = self._delisted.get(endpoint_id)
-        return record if delisted is None else delisted.record
+        if endpoint_id in self._records:
+            return self._records[endpoint_id]
+        delisted = self._delisted.get(endpoint_id)
+        return None if delisted is None else delisted.record
 
     def record(self, endpoint_id: str) -> EndpointRecord | None:
         """The endpoint's record; None if it isn't listed."""
--- a/src/coursekeel/gateway/site/_site_state.py
+++ b/src/coursekeel/gateway/site/_site_state.py
@@ -242,9 +242,8 @@
             moment=table_read.position,
             source=table_read.source,
         )
-        changed = was_leaving | self.directory.leaving_by_id()
         named = {record.endpoint_id for record, _ in pairs} | set(unreadable)
-        for endpoint_id in changed:
+        for endpoint_id in was_leaving | self.directory.leaving_by_id():
             self._log_change(
                 endpoint_id,
                 was_leaving.get(endpoint_id),
--- a/tests/cover/test_read_order.py
+++ b/tests/cover/test_read_order.py
@@ -95,6 +95,16 @@
     assert not directory.may_take("b", 0.0)
 
 
+def test_an_endpoint_that_registers_in_a_restored_store_without_eras_is_used():
+    """Guards against ignoring it, as its version is below that of its removal."""
+    directory = EndpointDirectory()
+    directory.put(record("a"), position_at(5))
+    directory.remove("a", position_at(9))
+    directory.restore([], position_at(3))
+    directory.put(record("a"), position_at(4))
+    assert directory.may_take("a", 0.0)
+
+
 writes = st.tuples(st.sampled_from(NAMES), st.sampled_from(["up", "leaving", "gone"]))
 
 
