Reads that are behind are no outage for missing endpoints

What callers saw: while reads were behind for a second, after a short failure of the store's connections, an endpoint whose row had been removed unmarked got requests for more than two seconds after its gateway had logged endpoint_missing.

Cause: counts a read that is behind as a failed query, so that the reads after it looked like the end of an outage in which registrations lapse, and started the time of missing endpoints again. The store responds all the while.

Change: the outage counts from the last such read on.

--- a/src/coursekeel/gateway/site/_follow_task.py
+++ b/src/coursekeel/gateway/site/_follow_task.py
@@ -228,6 +228,8 @@
         if table_read.whole:
             self._resume_position = known
             self._source_failed("a read that is behind")
+            # The store responds, so that no registration lapses.
+            self._failing_since_ms = self.clock.now_ms()
 
     def _hold_ms(self) -> float:
         """How long the store may hold the next query.
