The log of a whole list of endpoints has no dead case and reads the list once

Read of the change: _log_change had a case for an endpoint that is neither known before nor now, which its callers can't reach, and _apply_list built the table of leavings three times. No line and no decision changes.

--- a/src/coursekeel/gateway/site/_site_state.py
+++ b/src/coursekeel/gateway/site/_site_state.py
@@ -236,17 +236,18 @@
             self._schedule_settling()
         else:
             self.directory.replace_all(pairs, table_read.position, unreadable)
+        is_leaving = self.directory.leaving_by_id()
         log_event(
             "endpoints_read",
-            endpoints=len(self.directory.leaving_by_id()),
+            endpoints=len(is_leaving),
             moment=table_read.position,
             source=table_read.source,
         )
         named = {record.endpoint_id for record, _ in pairs} | set(unreadable)
-        for endpoint_id in was_leaving | self.directory.leaving_by_id():
+        for endpoint_id in was_leaving | is_leaving:
             self._log_change(
                 endpoint_id,
-                was_leaving.get(endpoint_id),
+                was_leaving.get(endpoint_id, False),
                 endpoint_id in named,
                 table_read.position,
                 table_read.source,
@@ -267,19 +268,19 @@
     def _log_change(
         self,
         endpoint_id: str,
-        was_leaving: bool | None,
+        was_leaving: bool,
         named: bool,
         position: StorePosition,
         source: str,
     ) -> None:
         """Log that an endpoint is now leaving, gone, or missing after an outage.
 
-        ``was_leaving`` is None if it wasn't known before; ``named`` says whether the
-        list names it.
+        ``was_leaving`` says whether that was known before, ``named`` whether the list
+        names the endpoint.
         """
         record = self.directory.record(endpoint_id)
         if record is None:
-            event = "" if was_leaving is None else "endpoint_gone"
+            event = "endpoint_gone"
         elif not named:
             event = "endpoint_missing"
         else:
