A report that speaks against a run is logged with what it counts

Cause: run_lost not_listed doesn't tell a run that waits in its endpoint's queue, after it was preempted, from one that is gone; request_ended doesn't tell what retries its instance had.

Change: run_overdue has the report's running, queued, listed and pending requests and its free tokens; request_ended of a stream that wasn't answered has retries_left. No logic is changed.

--- a/src/coursekeel/gateway/_metrics.py
+++ b/src/coursekeel/gateway/_metrics.py
@@ -74,12 +74,14 @@
         first_ms: float | None = None,
         ways: Sequence[str] = (),
         position: int | None = None,
+        retries_left: float | None = None,
     ) -> None:
         """Record the end of an admitted request.
 
         ``code`` is its outcome and ``sends`` how often it was sent. ``first_ms`` is
         when a stream's endpoint opened it; ``ways`` are how the runs of a stream
         started, ``position`` is the number of the last event written to its caller.
+        ``retries_left`` is what this instance has for the request's pool.
         """
         now_ms = self.clock.now_ms()
         self._count_request(call.team_name, call.route.name, code)
@@ -100,6 +102,8 @@
             fields["ways"] = ",".join(ways)
         if position is not None:
             fields["position"] = position
+        if retries_left is not None:
+            fields["retries_left"] = round(retries_left, 2)
         if code == REQUEST_BARRED_CODE:
             fields["fingerprint"] = call.fingerprint
         log_event("request_ended", **fields)
--- a/src/coursekeel/gateway/streams/_begin_watch.py
+++ b/src/coursekeel/gateway/streams/_begin_watch.py
@@ -20,7 +20,11 @@
     NoReport,
     ReportResult,
 )
-from coursekeel.gateway.streams._silence_doubt import MAX_REPORT_LAG_MS
+from coursekeel.gateway.streams._silence_doubt import (
+    MAX_REPORT_LAG_MS,
+    NO_REPORT,
+    log_overdue,
+)
 from coursekeel.reactor import Reactor
 from coursekeel.runtime import Clock
 from coursekeel.units import MS_PER_SECOND
@@ -94,6 +98,7 @@
         self._count(result)
         if self._unlisted_reports >= _MISSED_REPORTS_LIMIT:
             self._watching = False
+            log_overdue(self.run_id, self.endpoint_id, "not_running", 0.0, result)
             self.on_lost()
             return
         is_first_miss = result is NoReport.SILENT and self._missed_reports == 1
@@ -104,7 +109,9 @@
         now_ms = self.clock.now_ms()
         if self._overdue_since_ms is None:
             self._overdue_since_ms = now_ms
-        self.on_overdue(now_ms - self._overdue_since_ms)
+        overdue_ms = now_ms - self._overdue_since_ms
+        log_overdue(self.run_id, self.endpoint_id, NO_REPORT, overdue_ms, result)
+        self.on_overdue(overdue_ms)
 
     def _count(self, result: ReportResult) -> None:
         """Count the results in a row that speak against the run."""
--- a/src/coursekeel/gateway/streams/_silence_doubt.py
+++ b/src/coursekeel/gateway/streams/_silence_doubt.py
@@ -11,6 +11,7 @@
 """
 
 from collections.abc import Callable
+from typing import Any
 
 from attrs import define
 
@@ -19,9 +20,10 @@
     NoReport,
     ReportResult,
 )
+from coursekeel.observe import log_event
 from coursekeel.runtime import Clock
 
-__all__ = ["MAX_REPORT_LAG_MS", "NO_REPORT", "StallCheck"]
+__all__ = ["MAX_REPORT_LAG_MS", "NO_REPORT", "StallCheck", "log_overdue"]
 
 # The reason, a log value, of a run whose endpoint gives no report.
 NO_REPORT = "no_report"
@@ -77,7 +79,9 @@
             now_ms = self.clock.now_ms()
             if self._overdue_since_ms is None:
                 self._overdue_since_ms = now_ms
-            self.on_overdue(endpoint_id, reason, now_ms - self._overdue_since_ms)
+            overdue_ms = now_ms - self._overdue_since_ms
+            log_overdue(self.run_id, endpoint_id, reason, overdue_ms, result)
+            self.on_overdue(endpoint_id, reason, overdue_ms)
 
         self.reports.request_shared_report(
             endpoint_id, report_received, lambda: self.on_late(endpoint_id)
@@ -102,3 +106,33 @@
 
     def _reason_without_proof(self) -> str:
         return "silent" if self._stalls >= _MAX_STALLS else ""
+
+
+def log_overdue(
+    run_id: str,
+    endpoint_id: str,
+    reason: str,
+    overdue_ms: float,
+    result: ReportResult,
+) -> None:
+    """Log a report that speaks against a run, with the requests that it counts.
+
+    ``reported_pending`` are those queued or in prefill: the run may be one of them.
+    """
+    fields: dict[str, Any] = {}
+    if isinstance(result, NoReport):
+        fields["report"] = result.value
+    else:
+        fields["reported_running"] = result.running
+        fields["reported_queued"] = result.queued
+        fields["reported_listed"] = len(result.runs)
+        fields["reported_pending"] = result.prefill_pending_runs
+        fields["reported_free_tokens"] = result.free_tokens
+    log_event(
+        "run_overdue",
+        request=run_id,
+        endpoint=endpoint_id,
+        reason=reason,
+        overdue_ms=round(overdue_ms),
+        **fields,
+    )
--- a/src/coursekeel/gateway/streams/_stream_reply.py
+++ b/src/coursekeel/gateway/streams/_stream_reply.py
@@ -23,6 +23,9 @@
 # The status in the log of a reply whose head was sent already.
 _NO_STATUS = 0
 
+# The outcome of a stream that ended as its endpoint ended it.
+_ANSWERED = "answered"
+
 
 @define(eq=False)
 class StreamReply:
@@ -74,7 +77,7 @@
 
     def log_completed(self) -> None:
         """Log that the stream is complete."""
-        self._log_end("answered", HTTPStatus.OK)
+        self._log_end(_ANSWERED, HTTPStatus.OK)
 
     def finish(self) -> None:
         """Close the reply of a complete stream, which may have no events."""
@@ -83,7 +86,7 @@
 
     def final_response_received(self, head: ExchangeHead, body: bytes) -> None:
         """Pass on a final response that is not a stream; cut a reply that has begun."""
-        self._log_end("answered", head.status)
+        self._log_end(_ANSWERED, head.status)
         if self.reply.head_sent:
             self.reply.cut()
         else:
@@ -104,7 +107,12 @@
         self._log_end("caller_left", _NO_STATUS)
 
     def _log_end(self, code: str, status: int) -> None:
-        self.context.metrics.ended(
+        context = self.context
+        retries_left = None
+        if code != _ANSWERED:
+            budget = context.budgets.of(self.call.pool)
+            retries_left = budget.left(context.clock.now_ms())
+        context.metrics.ended(
             self.call,
             code,
             status,
@@ -112,4 +120,5 @@
             self._opened_ms,
             self.ways,
             self._position,
+            retries_left,
         )
--- a/src/coursekeel/routing/_window_budget.py
+++ b/src/coursekeel/routing/_window_budget.py
@@ -52,9 +52,7 @@
 
     def take(self, now_ms: float) -> bool:
         """Spend one retry, or draw at random for it if less than one is left."""
-        self._expire(now_ms)
-        self._refill(now_ms)
-        left = self.saved + sum(earning.part for earning in self._earned)
+        left = self.left(now_ms)
         if left >= 1:
             self._spend(1.0)
             return True
@@ -62,6 +60,12 @@
         self.saved = 0.0
         return self.random.random() < left
 
+    def left(self, now_ms: float) -> float:
+        """Return how many retries this instance has, parts included."""
+        self._expire(now_ms)
+        self._refill(now_ms)
+        return self.saved + sum(earning.part for earning in self._earned)
+
     def give_back(self) -> None:
         """Return a retry that was taken and not sent to any endpoint."""
         self.saved = min(self.saved + 1, max(self.most, 1.0))
