--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -325,6 +325,8 @@
         self.held: list[dict[str, Any]] = []
         self.copies: set[str] = set()
         self.open: dict[str, Any] = {}
+        # Runs that were preempted for memory; a report counts them, without an id.
+        self.preempted: dict[str, Any] = {}
         self.worker_crashes = 0
         self.shed_s: list[float] = []
         self.falls_s: list[float] = []
@@ -448,7 +450,7 @@
         runs = [[run_id, 10, 1, 5] for run_id in self.open]
         return orjson.dumps(
             {
-                "queued": 0,
+                "queued": len(self.preempted),
                 "running": len(runs),
                 "kv-used": 0,
                 "kv-total": 90_000,
@@ -479,7 +481,7 @@
             request.responseHeaders.addRawHeader(b"server-limit", limit)
         if "brittle" in self.faults:
             request.setHeader("server-brittle", str(self.faults["brittle"]))
-        if self._use_fault("shed") or self._is_full():
+        if self.faults.get("full") or self._use_fault("shed") or self._is_full():
             request.setResponseCode(503)
             request.setHeader("not-executed", "1")
             return b""
@@ -513,6 +515,11 @@
             return Deferred()
         if self._is_crashed_by(path, body) or self._is_crashed_by_part(headers):
             return self._crash_soon(request, run_id, path)
+        if "last-event-id" in headers and self._use_fault("rejects_resumed"):
+            request.setHeader("request-id", run_id)
+            request.setHeader("response-signature", f"sig-{self.name}")
+            request.setResponseCode(409)
+            return b"not resumed here"
         response_id = "f" * 16 if self._use_fault("foreign") else run_id
         request.setHeader("request-id", response_id)
         request.setHeader("response-signature", f"sig-{self.name}")
@@ -583,10 +590,29 @@
         if self.faults.get("dark_at") == number:
             self.faults["dark"] = True
             return
+        if self.faults.get("mute_at") == number and self._use_fault("mutes"):
+            # The connection stays open, and nothing tells of the run any more.
+            del self.open[run_id]
+            return
+        if self.faults.get("preempt_at") == number and self._use_fault("preempts"):
+            self._preempt(request, run_id, number, last)
+            return
         request.write(event)
         gap_s = self.faults.get("gap_ms", 1000 * _EVENT_GAP_S) / 1000
         reactor.callLater(gap_s, self._event, request, run_id, number + 1, last)
 
+    def _preempt(self, request: Any, run_id: str, number: int, last: int) -> None:
+        """Queue a run again, as an engine that is out of memory does."""
+        self.preempted[run_id] = self.open.pop(run_id)
+        request.notifyFinish().addBoth(lambda _: self.preempted.pop(run_id, None))
+        delay_s = self.faults["preempted_ms"] / 1000
+        reactor.callLater(delay_s, self._go_on, request, run_id, number, last)
+
+    def _go_on(self, request: Any, run_id: str, number: int, last: int) -> None:
+        if self.preempted.pop(run_id, None) is not None:
+            self.open[run_id] = request
+            self._event(request, run_id, number, last)
+
     def _is_crashed_by(self, path: str, body: str) -> bool:
         text = self.faults.get("crashed_by", "")
         return bool(text) and (text in body or text in path)
