A run that may be queued again isn't taken for lost

Callers saw begun streams cut at sound servers, in bursts of load.

Cause: a server that is out of memory preempts runs, in the middle of their streams too; they are queued and read again, and its report counts them without their ids until they go on. StallCheck took a report without the run for a proof that it is gone. Class: absence from a list is taken for absence.

Change: such a run is overdue as preempted, and waited on for as long as a silent one; without pending requests it is not_listed as before. The stand-in preempts a run once.

--- a/src/coursekeel/gateway/streams/_overdue_runs.py
+++ b/src/coursekeel/gateway/streams/_overdue_runs.py
@@ -9,6 +9,8 @@
 endpoint is searched for. Reason: a silence common to several endpoints tells nothing of
 any of them, and they go on where they were.
 
+A run that its endpoint may have preempted is waited on for as long, too.
+
 Owns what is known of one stream's stalls, and the last reports of the endpoints that
 keep copies of its runs, None until they come. The stream's task owns the runs. Relies
 on `LoadReports`.
@@ -22,7 +24,11 @@
 
 from coursekeel.answers import EndpointStalled
 from coursekeel.gateway.endpoints._load_reports import NoReport, ReportResult
-from coursekeel.gateway.streams._silence_doubt import NO_REPORT, StallCheck
+from coursekeel.gateway.streams._silence_doubt import (
+    NO_REPORT,
+    PREEMPTED,
+    StallCheck,
+)
 from coursekeel.gateway.streams._stream_attempt import AttemptOwner, StreamAttempt
 
 __all__ = ["OverdueRuns", "RunOwner"]
@@ -112,7 +118,9 @@
         attempt = self._unsuspected(number)
         if attempt is None:
             return
-        if reason != NO_REPORT:
+        if reason == PREEMPTED and overdue_ms < _MAX_OVERDUE_MS:
+            self.run_kept(attempt, reason)
+        elif reason != NO_REPORT:
             self._replace_or_keep(attempt, reason, overdue_ms)
         elif self._copy_reports.get(number, NoReport.SILENT) is None:
             self._ask_again(attempt, overdue_ms)
--- a/src/coursekeel/gateway/streams/_silence_doubt.py
+++ b/src/coursekeel/gateway/streams/_silence_doubt.py
@@ -6,6 +6,10 @@
 haven't arrived here; otherwise it is waited on, and the report is requested again after
 each further `silence_ms`. Without a count of events the wait is limited.
 
+An endpoint without free memory preempts runs: they are queued and read again, and are
+not listed meanwhile. So a run that isn't listed may be one of the pending requests that
+the report counts; only without any is it certainly gone.
+
 The stream's task replaces the run only if it has a retry and an endpoint for it. Owns
 what is known of one stream's stall. Relies on `LoadReports`.
 """
@@ -23,11 +27,14 @@
 from coursekeel.observe import log_event
 from coursekeel.runtime import Clock
 
-__all__ = ["MAX_REPORT_LAG_MS", "NO_REPORT", "StallCheck", "log_overdue"]
+__all__ = ["MAX_REPORT_LAG_MS", "NO_REPORT", "PREEMPTED", "StallCheck", "log_overdue"]
 
 # The reason, a log value, of a run whose endpoint gives no report.
 NO_REPORT = "no_report"
 
+# The reason, a log value, of a run that isn't listed but may be queued again.
+PREEMPTED = "preempted"
+
 # Reports lag by about 200 ms; after this time a run must be listed.
 MAX_REPORT_LAG_MS = 700.0
 
@@ -94,8 +101,9 @@
         if isinstance(result, NoReport):
             return self._reason_without_proof()
         if self.run_id not in result.runs:
-            listed_by_ms = first_event_ms + MAX_REPORT_LAG_MS
-            return "not_listed" if self.clock.now_ms() >= listed_by_ms else ""
+            if self.clock.now_ms() < first_event_ms + MAX_REPORT_LAG_MS:
+                return ""
+            return PREEMPTED if result.prefill_pending_runs else "not_listed"
         events_made = result.runs[self.run_id]
         if events_made is None:
             return self._reason_without_proof()
--- a/tests/cover/test_silence_doubt.py
+++ b/tests/cover/test_silence_doubt.py
@@ -85,6 +85,18 @@
     assert stream.overdue == [("e1", "not_listed")]
 
 
+@pytest.mark.parametrize(
+    ("pending", "reason"), [(0, "not_listed"), (1, "preempted"), (None, "not_listed")]
+)
+def test_an_unlisted_run_may_be_queued_again_if_the_report_counts_pending_ones(
+    pending, reason
+):
+    stream = StalledStream()
+    stream.stall()
+    stream.answer_request(EndpointReport(3, 1, None, pending, {"r2": POSITION}))
+    assert stream.overdue == [("e1", reason)]
+
+
 def test_a_run_too_young_for_an_old_report_is_waited_on():
     stream = StalledStream()
     stream.first_event_ms = stream.now_ms - 100
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -327,6 +327,7 @@
         self.open: dict[str, Any] = {}
         # Runs that were preempted for memory; a report counts them, without an id.
         self.preempted: dict[str, Any] = {}
+        self.once_preempted: set[str] = set()
         self.worker_crashes = 0
         self.shed_s: list[float] = []
         self.falls_s: list[float] = []
@@ -594,16 +595,23 @@
             # The connection stays open, and nothing tells of the run any more.
             del self.open[run_id]
             return
-        if self.faults.get("preempt_at") == number and self._use_fault("preempts"):
+        if self._is_preempted(run_id, number):
             self._preempt(request, run_id, number, last)
             return
         request.write(event)
         gap_s = self.faults.get("gap_ms", 1000 * _EVENT_GAP_S) / 1000
         reactor.callLater(gap_s, self._event, request, run_id, number + 1, last)
 
+    def _is_preempted(self, run_id: str, number: int) -> bool:
+        """Whether a run is preempted at an event; each is only once."""
+        if self.faults.get("preempt_at") != number or run_id in self.once_preempted:
+            return False
+        return self._use_fault("preempts")
+
     def _preempt(self, request: Any, run_id: str, number: int, last: int) -> None:
         """Queue a run again, as an engine that is out of memory does."""
         self.preempted[run_id] = self.open.pop(run_id)
+        self.once_preempted.add(run_id)
         request.notifyFinish().addBoth(lambda _: self.preempted.pop(run_id, None))
         delay_s = self.faults["preempted_ms"] / 1000
         reactor.callLater(delay_s, self._go_on, request, run_id, number, last)
