A begun stream without a retry waits for one in place of being cut

Callers saw streams end in their middle, most of their time left, when their instance's part of the retries was spent.

Cause: a refusal was the only answer to a missing retry; for a stream whose head is on the wire a refusal is a cut. An overdue run was given up after two seconds without a retry, a crashed run's stream at once. Class: a shortage of a moment ends what could wait for it.

Change: RetryQueue has the begun streams of a pool that wait, the longest wait first. They get whole retries of the instance's part, or a draw for a part that would lapse; meanwhile no other request gets one, so nothing is sent beyond the budget. A stream waits until its deadline; a run that is silent stays open beside it, and a copy is waited with for 3 s. Before the first event nothing changes: the caller is refused and may ask another instance. stream_waits, waited_for, coursekeel_streams_waiting_for_retry.

--- a/src/coursekeel/gateway/_context.py
+++ b/src/coursekeel/gateway/_context.py
@@ -12,7 +12,8 @@
 from coursekeel.gateway._live_settings import LiveSettings
 from coursekeel.gateway._metrics import GatewayMetrics
 from coursekeel.gateway._request import AdmittedRequest
-from coursekeel.gateway._retry_budgets import RetryBudgets
+from coursekeel.gateway._retry_budgets import RetryBudgets, SendAccount
+from coursekeel.gateway._retry_queue import RetryQueues
 from coursekeel.gateway.admission._stream_lengths import StreamDurations
 from coursekeel.gateway.endpoints._crash_watch import CrashWatch
 from coursekeel.gateway.endpoints._endpoint_client import EndpointClient
@@ -53,8 +54,10 @@
     unsent_bytes: Callable[[], int] = lambda: 0
     deadlines: DeadlineTimers = field(init=False)
     bodies: CollectedBodies = field(init=False)
+    retry_queues: RetryQueues = field(init=False)
 
     def __attrs_post_init__(self) -> None:
+        self.retry_queues = RetryQueues(self.reactor, self.clock, self.budgets)
         self.deadlines = DeadlineTimers(self.reactor, self.clock)
         self.bodies = CollectedBodies(
             self.reactor,
@@ -62,6 +65,11 @@
             self.unsent_bytes,
         )
 
+    def send_account(self, pool: str) -> SendAccount:
+        """Return the account of a request whose retries go to a pool."""
+        queue = self.retry_queues.of(pool)
+        return SendAccount(self.budgets.of(pool), lambda: len(queue) > 0)
+
     def log_if_limited(self, call: AdmittedRequest, refused: Refuse) -> None:
         """Log a refusal whose cause is that the pool's endpoints limit requests."""
         if refused.code != ENDPOINT_LIMIT_CODE:
--- a/src/coursekeel/gateway/_gauges.py
+++ b/src/coursekeel/gateway/_gauges.py
@@ -66,6 +66,11 @@
         "Age of what is known of the list of endpoints",
         lambda: site.endpoint_list_age().age_ms / MS_PER_SECOND,
     )
+    gauge(
+        "coursekeel_streams_waiting_for_retry",
+        "Streams that have begun and wait for a retry",
+        lambda: dispatcher.context.retry_queues.waiting,
+    )
     gauge(
         "coursekeel_members",
         "Members of the group that nothing speaks against",
--- a/src/coursekeel/gateway/_metrics.py
+++ b/src/coursekeel/gateway/_metrics.py
@@ -75,13 +75,15 @@
         ways: Sequence[str] = (),
         position: int | None = None,
         retries_left: float | None = None,
+        waited_for: str = "",
     ) -> None:
         """Record the end of an admitted request.
 
         ``code`` is its outcome and ``sends`` how often it was sent. ``first_ms`` is
         when a stream's endpoint opened it; ``ways`` are how the runs of a stream
         started, ``position`` is the number of the last event written to its caller.
-        ``retries_left`` is what this instance has for the request's pool.
+        ``retries_left`` is what this instance has for the request's pool, and
+        ``waited_for`` what a stream waited for at its end, a refusal's code.
         """
         now_ms = self.clock.now_ms()
         self._count_request(call.team_name, call.route.name, code)
@@ -104,6 +106,8 @@
             fields["position"] = position
         if retries_left is not None:
             fields["retries_left"] = round(retries_left, 2)
+        if waited_for:
+            fields["waited_for"] = waited_for
         if code == REQUEST_BARRED_CODE:
             fields["fingerprint"] = call.fingerprint
         log_event("request_ended", **fields)
@@ -260,6 +264,24 @@
             position=position,
         )
 
+    def stream_waits(
+        self, call: AdmittedRequest, code: str, ahead: int, position: int
+    ) -> None:
+        """Record that a stream that has begun can't go on now, and waits.
+
+        ``code`` is the refusal's, ``ahead`` the number of streams that wait for a retry
+        before it, ``position`` the number of the last event that its caller has.
+        """
+        self.metrics.attempts.inc({"way": "waits"})
+        log_event(
+            "stream_waits",
+            request=call.caller.request_id,
+            outcome=code,
+            position=position,
+            ahead=ahead,
+            remaining_ms=round(call.deadline_ms - self.clock.now_ms()),
+        )
+
     def endpoint_ended(self, endpoint_id: str, fingerprints: Sequence[str]) -> None:
         """Record the crash of an endpoint that had these requests."""
         self.metrics.attempts.inc({"way": "ended_under"})
--- a/src/coursekeel/gateway/_retry_budgets.py
+++ b/src/coursekeel/gateway/_retry_budgets.py
@@ -112,20 +112,37 @@
                 budget.saved = budget.most
 
 
+def _nobody_waits() -> bool:
+    return False
+
+
 @define
 class SendAccount:
-    """Counts the sends of one request and takes its retries from ``budget``."""
+    """Counts the sends of one request and takes its retries from ``budget``.
+
+    While ``others_wait`` for a retry (`RetryQueue`), there is none.
+    """
 
     budget: WindowBudget
+    others_wait: Callable[[], bool] = _nobody_waits
     _sends: int = 0
     _has_reserved: bool = False
 
     def reserve(self, now_ms: float) -> bool:
         """Take the retry for the next send now; return whether there is one."""
-        if not self._has_reserved:
+        if not self._has_reserved and not self.others_wait():
             self._has_reserved = self.budget.take(now_ms)
         return self._has_reserved
 
+    @property
+    def has_reserved(self) -> bool:
+        """Whether the retry for the next send was taken."""
+        return self._has_reserved
+
+    def retry_given(self) -> None:
+        """Keep a retry that was taken from the budget for the next send."""
+        self._has_reserved = True
+
     def release(self) -> bool:
         """Return a retry that was reserved and isn't needed, if there is one."""
         had_reserved, self._has_reserved = self._has_reserved, False
--- a/src/coursekeel/gateway/streams/_overdue_runs.py
+++ b/src/coursekeel/gateway/streams/_overdue_runs.py
@@ -1,8 +1,9 @@
 """Decide what becomes of a stream's run that is overdue: replaced, kept or lost.
 
 Rule: an overdue run is replaced only if the request may be sent again and a retry is
-reserved. Without a retry it is waited on for as long as a sound endpoint may be silent;
-then it is lost, so that the caller can resume it elsewhere.
+reserved. Without a retry it is waited on for as long as a sound endpoint may be silent.
+Then it is lost, so that the caller can ask another instance; but once the caller has a
+part of the answer, the run is waited on while its stream waits for a retry.
 
 A run whose endpoint gives no report is left only for an endpoint that does. If the one
 that keeps its copy is silent as well, the run is waited on for as long; then another
@@ -51,6 +52,15 @@
 
     open_attempts: dict[int, StreamAttempt]
 
+    @property
+    @abstractmethod
+    def has_begun(self) -> bool:
+        """Whether a part of the answer was sent to the caller."""
+
+    @abstractmethod
+    def wait_for_retry(self) -> None:
+        """Take a retry as soon as this instance has one, in order."""
+
     @abstractmethod
     def may_replace_run(self) -> bool:
         """Return whether the request may be sent again; if so, a retry is reserved."""
@@ -193,16 +203,25 @@
     ) -> None:
         task = self.task
         if not task.may_replace_run():
-            if overdue_ms >= _MAX_OVERDUE_MS:
-                attempt.lose(reason)
-            else:
-                self.run_kept(attempt, reason)
+            self._keep_without_retry(attempt, reason, overdue_ms)
             return
         attempt.overdue_reason = reason
         if not attempt.is_relayed:
             task.avoid_zone_of(attempt.endpoint_id)
         task.handle_event(EndpointStalled(attempt.endpoint_id, may_use_copy))
 
+    def _keep_without_retry(
+        self, attempt: StreamAttempt, reason: str, overdue_ms: float
+    ) -> None:
+        """Wait on a run, for longer than a silence only if its caller has a part."""
+        if overdue_ms < _MAX_OVERDUE_MS:
+            self.run_kept(attempt, reason)
+        elif self.task.has_begun:
+            self.run_kept(attempt, reason)
+            self.task.wait_for_retry()
+        else:
+            attempt.lose(reason)
+
     def run_kept(self, attempt: StreamAttempt, reason: str) -> None:
         """Log once a stall that an overdue run is waited on, for a log value."""
         position = self.task.core.ledger.next_position
--- a/src/coursekeel/gateway/streams/_stream_reply.py
+++ b/src/coursekeel/gateway/streams/_stream_reply.py
@@ -39,6 +39,7 @@
     _opened_ms: float | None = None
     _run_lost_ms: float | None = None
     _position: int = 0
+    _waits_for: str = ""
 
     @property
     def is_recovering(self) -> bool:
@@ -62,6 +63,15 @@
             self._run_lost_ms = self.context.clock.now_ms()
         self.context.metrics.run_lost(self.call, lost, position)
 
+    def waits(self, code: str, ahead: int) -> None:
+        """Log once, until events arrive, that the stream waits; ``code`` is for what.
+
+        ``ahead`` is the number of streams that wait for a retry before it.
+        """
+        if code != self._waits_for:
+            self._waits_for = code
+            self.context.metrics.stream_waits(self.call, code, ahead, self._position)
+
     def deliver(self, events: bytes, position: int) -> None:
         """Send events, the last of which has the number ``position``.
 
@@ -71,6 +81,7 @@
             waited_ms = self.context.clock.now_ms() - self._run_lost_ms
             self.context.metrics.resumed(self.call, self.ways[-1], waited_ms)
             self._run_lost_ms = None
+        self._waits_for = ""
         self._position = position
         self._send_head()
         self.reply.write(events)
@@ -121,4 +132,5 @@
             self.ways,
             self._position,
             retries_left,
+            self._waits_for,
         )
--- a/src/coursekeel/gateway/streams/_stream_task.py
+++ b/src/coursekeel/gateway/streams/_stream_task.py
@@ -15,7 +15,7 @@
 from functools import partial
 from typing import Any
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from coursekeel.answers import (
     Action,
@@ -52,9 +52,11 @@
 from coursekeel.gateway._metrics import LostRun
 from coursekeel.gateway._request import AdmittedRequest
 from coursekeel.gateway._retry_budgets import SendAccount
+from coursekeel.gateway._retry_queue import RetryQueue
 from coursekeel.gateway.admission._refusals import (
     OTHER_INSTANCE_RETRY_MS,
     REQUEST_BARRED_CODE,
+    STOPPING,
     STREAM_RETRY_MS,
     GatewayRefusal,
     refusal_after_loss,
@@ -93,6 +95,26 @@
 _UNREACHED_SEARCH_INTERVAL_MS = 100.0
 
 
+# How long a stream waits for a retry to go on from its copy: endpoints drop a copy some
+# seconds after its run has ended.
+_COPY_RETRY_WAIT_MS = 3_000.0
+
+# The code of a refusal because this instance has no retry left for the pool.
+_NO_RETRY_CODE = "retry_budget"
+
+# Refusals that waiting doesn't change: the request is barred for minutes, or this
+# instance stops.
+_FINAL_CODES = frozenset({REQUEST_BARRED_CODE, STOPPING.code})
+
+
+@frozen
+class _WaitingCopy:
+    """A run from a copy that waits for a retry, and how long the copy is usable."""
+
+    action: OpenAttempt
+    usable_until_ms: float
+
+
 @define(eq=False)
 class StreamTask(RunOwner, AnswerShell):
     """Drives one stream from the admitted request to the end of the reply."""
@@ -106,6 +128,7 @@
     _driver: AnswerDriver = field(init=False)
     _placement: StreamPlacement = field(init=False)
     _stream_reply: StreamReply = field(init=False)
+    _retry_queue: RetryQueue = field(init=False)
     _send_account: SendAccount = field(init=False)
     _quarantine_pass: QuarantinePass = field(init=False)
     _held_search: HeldStart = field(init=False)
@@ -118,6 +141,7 @@
     _unproven_endpoint_id: str = ""
     _deadline: Deadline | None = None
     open_attempts: dict[int, StreamAttempt] = field(factory=dict)
+    _copy_waits: _WaitingCopy | None = None
     _permit_lapses_ms: float | None = None
     _refusal_code: str = ""
     _retry_after_ms: float = STREAM_RETRY_MS
@@ -126,7 +150,8 @@
         context, call = self.context, self.call
         self._placement = StreamPlacement(context, self.reports, call)
         self._stream_reply = StreamReply(context, call, self.reply)
-        self._send_account = SendAccount(context.budgets.of(call.pool))
+        self._retry_queue = context.retry_queues.of(call.pool)
+        self._send_account = context.send_account(call.pool)
         self._quarantine_pass = QuarantinePass(context.quarantine, call)
         self._held_search = HeldStart(context.reactor, self._quarantine_pass)
         self._held_copy = HeldStart(context.reactor, self._quarantine_pass)
@@ -166,6 +191,39 @@
         self._stop_searching()
         self.core.search_withdrawn()
 
+    def _progressed(self) -> None:
+        """Return what was asked for to go on: events arrive."""
+        self._send_account.release()
+        self._retry_queue.remove(self)
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether a part of the answer was sent to the caller."""
+        return self.reply.head_sent
+
+    def wait_for_retry(self) -> None:
+        """Take a retry as soon as this instance has one, in order."""
+        if not self._send_account.has_reserved:
+            self._retry_queue.add(self, self._retry_given)
+
+    def _retry_given(self) -> None:
+        self._send_account.retry_given()
+        waiting, self._copy_waits = self._copy_waits, None
+        if waiting is not None:
+            self._open_or_replace_copy(waiting)
+        elif not self.open_attempts:
+            self._search_again()
+
+    def _open_or_replace_copy(self, waiting: _WaitingCopy) -> None:
+        """Open the copy's run with the retry, or search if the copy is too old."""
+        attempt = waiting.action.attempt
+        if not self.core.attempts[attempt].live:
+            return
+        if self.context.clock.now_ms() < waiting.usable_until_ms:
+            self._open_attempt(waiting.action)
+        else:
+            self.handle_event(AttemptEnded(attempt, Loss.NOT_SENT))
+
     def may_replace_run(self) -> bool:
         """Return whether the request may be sent again; if so, a retry is reserved."""
         now_ms = self.context.clock.now_ms()
@@ -226,7 +284,7 @@
             case CancelAttempt():
                 self._cancel(action.attempt)
             case Deliver():
-                self._send_account.release()
+                self._progressed()
                 if self.core.is_searching:
                     self._keep_recovered_run()
                 ledger = self.core.ledger
@@ -318,12 +376,25 @@
             self._refusal_code = ""
             self.core.search_withdrawn()
             return
+        if self.has_begun and self._refusal_code not in _FINAL_CODES:
+            self._wait_to_go_on()
+            return
         run = self.core.run_state
         self._stream_reply.refuse_or_cut(
             refusal_without_endpoint(run, self._refusal_code, self._retry_after_ms)
         )
         self.handle_event(Cancelled())
 
+    def _wait_to_go_on(self) -> None:
+        """Wait for a retry, or search again soon, until the deadline at most."""
+        code, self._refusal_code = self._refusal_code, ""
+        self._stream_reply.waits(code, len(self._retry_queue))
+        if code == _NO_RETRY_CODE:
+            self.wait_for_retry()
+        else:
+            self._send_account.release()
+            self._search_later()
+
     # Attempts.
 
     def _start_attempt(self, action: OpenAttempt) -> None:
@@ -353,8 +424,19 @@
         if action.way is not Way.COPY:
             # A copy's slot wasn't granted; it is counted when the run is sent there.
             self._placement.release_grant(action.endpoint_id)
+        elif self.has_begun and self._refusal_code == _NO_RETRY_CODE:
+            self._wait_with_copy(action)
+            return
         self.handle_event(AttemptEnded(action.attempt, Loss.NOT_SENT))
 
+    def _wait_with_copy(self, action: OpenAttempt) -> None:
+        """Wait for a retry to go on from a copy, which costs the least."""
+        code, self._refusal_code = self._refusal_code, ""
+        usable_until_ms = self.context.clock.now_ms() + _COPY_RETRY_WAIT_MS
+        self._copy_waits = _WaitingCopy(action, usable_until_ms)
+        self._stream_reply.waits(code, len(self._retry_queue))
+        self.wait_for_retry()
+
     @property
     def _has_new_events(self) -> bool:
         """Whether the core has received an event beyond those that the caller has."""
@@ -372,7 +454,7 @@
             self._retry_after_ms = self._quarantine_pass.barred_ms
             return False
         elif not self._send_account.may_send(self.context.clock.now_ms()):
-            self._refusal_code = "retry_budget"
+            self._refusal_code = _NO_RETRY_CODE
         else:
             return True
         self._retry_after_ms = OTHER_INSTANCE_RETRY_MS
@@ -581,6 +663,7 @@
         if self._deadline is not None:
             self._deadline.cancel()
         self._send_account.release()
+        self._retry_queue.remove(self)
         self._held_copy.stop()
         self._stop_searching()
         for number in list(self.open_attempts):
--- a/src/coursekeel/gateway/whole/_whole_task.py
+++ b/src/coursekeel/gateway/whole/_whole_task.py
@@ -103,7 +103,7 @@
             retry_after_ms=int(WHOLE_RETRY_MS),
         )
         self.core = CallCore(policy, None, keyed=False)
-        self._send_account = SendAccount(self.context.budgets.of(self.call.pool))
+        self._send_account = self.context.send_account(self.call.pool)
         self._quarantine_pass = QuarantinePass(self.context.quarantine, self.call)
         self._held_start = HeldStart(self.context.reactor, self._quarantine_pass)
         self._member_search = MemberSearch(self.context.relays, self.call.pool)
--- a/src/coursekeel/routing/_window_budget.py
+++ b/src/coursekeel/routing/_window_budget.py
@@ -60,6 +60,20 @@
         self.saved = 0.0
         return self.random.random() < left
 
+    def take_saved(self, now_ms: float, lapses_by_ms: float) -> bool:
+        """Spend a retry for a request that can wait for it.
+
+        A part of a retry is drawn for only if some of it lapses by ``lapses_by_ms``, or
+        if it can't grow.
+        """
+        left = self.left(now_ms)
+        if left < 1:
+            lapses = self._earned and self._earned[0].expires_ms <= lapses_by_ms
+            is_full = not self._earned and self.saved >= self.most
+            if left <= 0 or not (lapses or is_full):
+                return False
+        return self.take(now_ms)
+
     def left(self, now_ms: float) -> float:
         """Return how many retries this instance has, parts included."""
         self._expire(now_ms)
