A begun stream pauses between tries that are refused

Callers saw streams cut beside full servers, which also got a burst of sends that they had no place for.

Cause: each refused try was followed at once by the next, and each costs a retry, so that a stream spent the retries of its instance within some milliseconds: 97 tries in 1.2 s with retries left, 25 seen from outside. Class: a retry without a pause.

Change: after two tries without an event (the copy, and one other endpoint) a begun stream pauses before it searches, 50 ms and twice as long each time, a second at most. Before the first event nothing changes.

--- a/src/coursekeel/gateway/streams/_stream_task.py
+++ b/src/coursekeel/gateway/streams/_stream_task.py
@@ -92,7 +92,13 @@
 
 # How often a stream that has begun looks for an endpoint, or a member that reaches one,
 # while there is none.
-_UNREACHED_SEARCH_INTERVAL_MS = 100.0
+_SEARCH_INTERVAL_MS = 100.0
+
+# Tries of a begun stream in a row, without an event, before it pauses between searches:
+# its copy, and one other endpoint. The pause doubles with each further try.
+_TRIES_WITHOUT_PAUSE = 2
+_MIN_SEARCH_PAUSE_MS = 50.0
+_MAX_SEARCH_PAUSE_MS = 1_000.0
 
 
 # How long a stream waits for a retry to go on from its copy: endpoints drop a copy some
@@ -137,6 +143,7 @@
     _member_search: MemberSearch = field(init=False)
     _chosen_member: str = ""
     _relayed_tries: int = 0
+    _tries_without_event: int = 0
     _search_timer: Any = None
     _unproven_endpoint_id: str = ""
     _deadline: Deadline | None = None
@@ -195,6 +202,7 @@
         """Return what was asked for to go on: events arrive."""
         self._send_account.release()
         self._retry_queue.remove(self)
+        self._tries_without_event = 0
 
     @property
     def has_begun(self) -> bool:
@@ -301,10 +309,28 @@
     def _search(self, action: RequestEndpoint) -> None:
         if self._refusal_code:
             self._refuse()
-        else:
-            self._held_search.run(
-                lambda: self._placement.search(action, self._placement_decided)
-            )
+            return
+        pause_ms = self._search_pause_ms
+        if pause_ms:
+            self._search_later(pause_ms)
+            return
+        self._start_search(action)
+
+    def _start_search(self, action: RequestEndpoint) -> None:
+        self._held_search.run(
+            lambda: self._placement.search(action, self._placement_decided)
+        )
+
+    @property
+    def _search_pause_ms(self) -> float:
+        """The pause before the next search of a begun stream whose tries are refused.
+
+        A refused try costs a retry, and endpoints are full for longer than a moment.
+        """
+        excess = self._tries_without_event - _TRIES_WITHOUT_PAUSE
+        if not self.has_begun or excess < 0:
+            return 0.0
+        return float(min(_MIN_SEARCH_PAUSE_MS * 2**excess, _MAX_SEARCH_PAUSE_MS))
 
     def _placement_decided(self, decision: Decision) -> None:
         if isinstance(decision, Grant):
@@ -477,6 +503,7 @@
         context, ways = self.context, self._stream_reply.ways
         now_ms = context.clock.now_ms()
         ways.append(action.way.value)
+        self._tries_without_event += 1
         if action.way is Way.COPY:
             context.routing.router.count_run_at_copy(action.endpoint_id)
         copy = self._placement.place_copy(action)
@@ -521,17 +548,17 @@
 
     # Relaying.
 
-    def _search_later(self) -> None:
+    def _search_later(self, pause_ms: float = _SEARCH_INTERVAL_MS) -> None:
         """Search again soon: a stream that has begun waits until its deadline."""
         self._member_search = MemberSearch(self.context.relays, self.call.pool)
         self._search_timer = self.context.reactor.callLater(
-            _UNREACHED_SEARCH_INTERVAL_MS / MS_PER_SECOND, self._search_again
+            pause_ms / MS_PER_SECOND, self._search_again
         )
 
     def _search_again(self) -> None:
         self._search_timer = None
         excluded, held = self.core.excluded_endpoints, self.core.ledger.next_position
-        self._search(RequestEndpoint(excluded, True, held))
+        self._start_search(RequestEndpoint(excluded, True, held))
 
     def _choose_member(self) -> str:
         return self._member_search.next_member() if self._tries_to_give else ""
--- a/tests/cover/test_stream_placement.py
+++ b/tests/cover/test_stream_placement.py
@@ -248,6 +248,13 @@
     sink.data_arrived(b"id: 1\ndata: x\n\n")
 
 
+def refuse(harness: StreamHarness, sink: ExchangeSink) -> None:
+    """Let the endpoint say that it hasn't run the request."""
+    harness.client.dialect.judge = lambda head, request_id: HeadVerdict.NOT_RUN
+    sink.head_arrived(ExchangeHead(503, []))
+    sink.ended(Ending.WHOLE, "")
+
+
 def fill_endpoints(harness: StreamHarness, names: tuple[str, ...]) -> None:
     for name in names:
         for _ in range(8):
@@ -327,6 +334,22 @@
     assert not harness.reply.cut.called
 
 
+def test_a_begun_stream_pauses_between_tries_that_are_refused(harness):
+    """Each refused try costs a retry; 25 were sent within 1.2 s."""
+    harness.start()
+    harness.reply.head_sent = True
+    send_first_event(harness, harness.client.sinks[0])
+    harness.client.sinks[0].ended(Ending.CUT, "reset")
+    refused = 1
+    for _ in range(1_200):
+        while refused < len(harness.client.sinks):
+            refuse(harness, harness.client.sinks[refused])
+            refused += 1
+        harness.reactor.advance(0.001)
+    assert 4 <= len(harness.client.sent) - 1 <= 8
+    assert not harness.reply.cut.called
+
+
 def test_a_stream_that_ends_waits_for_no_retry():
     harness = StreamHarness(slack=0.0)
     task = harness.start()
--- a/tests/platform/test_begun_streams.py
+++ b/tests/platform/test_begun_streams.py
@@ -134,7 +134,7 @@
 
 
 def test_a_begun_stream_whose_tries_are_refused_waits_for_a_place(site):
-    """Each refusal cost a retry, until there was none, within some milliseconds."""
+    """Refusals cost all of its retries within some milliseconds, and it was cut."""
     ports = site.start_gateway("g2", retries={"ratio": 12.0, "slack": 0})
     for name in ENGINES:
         site.faults(name, cut_at=FAULTY_EVENT)
@@ -142,10 +142,16 @@
     for name in ENGINES:
         site.faults(name, cut_at=FAULTY_EVENT, full=True)
     wait_for_log(site, "g2", "run_lost")
-    time.sleep(1.5)
+    time.sleep(0.3)
+    refused = site.log("g2").count("outcome=refused")
+    assert 2 <= refused <= 4
+    time.sleep(1.2)
     for name in ENGINES:
         site.faults(name)
-    assert read(connection).body == events(EVENTS)
+    with ThreadPoolExecutor(1) as reader:
+        answer = reader.submit(read, connection)
+        site.ask("/stream/2", port=ports[0])
+        assert answer.result().body == events(EVENTS)
     assert len(site.ran(request_id)) == 2
 
 
