A final response to a continuation doesn't end its stream

Callers saw a stream end in its middle though its time lasted and other servers would have gone on with it.

Cause: a response below 500 to a resumed run (a 409, say) was taken for the answer to the request; with the head on the wire that is a cut. Class: an answer to a part is taken for one to the whole.

Change: once the caller has a part of the stream, such a response loses the run, which counts against the route's tries, and the stream goes on elsewhere. Before the first event it is passed on as before.

--- a/src/coursekeel/gateway/streams/_overdue_runs.py
+++ b/src/coursekeel/gateway/streams/_overdue_runs.py
@@ -52,11 +52,6 @@
 
     open_attempts: dict[int, StreamAttempt]
 
-    @property
-    @abstractmethod
-    def has_begun(self) -> bool:
-        """Whether a part of the answer was sent to the caller."""
-
     @abstractmethod
     def wait_for_retry(self) -> None:
         """Take a retry as soon as this instance has one, in order."""
--- a/src/coursekeel/gateway/streams/_stream_attempt.py
+++ b/src/coursekeel/gateway/streams/_stream_attempt.py
@@ -65,6 +65,11 @@
     call: AdmittedRequest
     core: AnswerCore[EventLedger]
 
+    @property
+    @abstractmethod
+    def has_begun(self) -> bool:
+        """Whether a part of the answer was sent to the caller."""
+
     @abstractmethod
     def handle_event(self, event: Event) -> None:
         """Pass an event of the attempt to the core."""
@@ -410,9 +415,10 @@
     ) -> bool:
         """Return True if the caller gets this response.
 
-        A resumable stream is sent again after a 5xx response.
+        A resumable stream is sent again after a 5xx response. Once the caller has a
+        part of the stream, no response but a stream can go on with it.
         """
-        if verdict is not HeadVerdict.RAN or not whole:
+        if verdict is not HeadVerdict.RAN or not whole or self.task.has_begun:
             return False
         runs_once = self.task.call.route.kind is not RouteKind.RESUMABLE
         return runs_once or head.status < HTTPStatus.INTERNAL_SERVER_ERROR
--- a/src/coursekeel/gateway/streams/_stream_reply.py
+++ b/src/coursekeel/gateway/streams/_stream_reply.py
@@ -96,13 +96,10 @@
         self.reply.finish()
 
     def final_response_received(self, head: ExchangeHead, body: bytes) -> None:
-        """Pass on a final response that is not a stream; cut a reply that has begun."""
+        """Pass on a final response that is not a stream; no event was delivered yet."""
         self._log_end(_ANSWERED, head.status)
-        if self.reply.head_sent:
-            self.reply.cut()
-        else:
-            headers = self.context.endpoints.dialect.answer_headers(head)
-            self.reply.whole(head.status, headers, body)
+        headers = self.context.endpoints.dialect.answer_headers(head)
+        self.reply.whole(head.status, headers, body)
 
     def refuse_or_cut(self, refusal: GatewayRefusal) -> None:
         """End the reply: with the refusal, or by a cut if its head was sent."""
