An overdue run ends once its successor is accepted, not before

Callers saw streams whose run had only been paused or preempted start anew elsewhere, or wait for a place, after the endpoint of their copy had turned them away: the run that could have gone on was cancelled first.

Cause: AnswerCore cancelled a suspected run when its successor was opened, which is before the successor's endpoint says whether it has room.

Change: AnswerPolicy.handover_ms: a suspected run stays open until its successor's head arrives, 250 ms at most, so that two never work on one request for as long as 400 ms. If the successor is refused, or the run goes on, the run is kept and the successor ends, which is no loss. Policies without it, the entries', are as before.

The property that at most one run is open is kept for policies without a handover, and has its bound in time with one.

--- a/src/coursekeel/answers/_answer.py
+++ b/src/coursekeel/answers/_answer.py
@@ -206,7 +206,7 @@
             return self.recovery.drop_attempt(attempt, now_ms)
         attempt.last_received_ms = now_ms
         if attempt.accept_head(event.head, self.expected):
-            return []
+            return self.recovery.successor_accepted()
         return self.recovery.replace_rejected(attempt, now_ms)
 
     def _handle_tokens(self, event: TokensArrived, now_ms: float) -> list[Action]:
--- a/src/coursekeel/answers/_attempts.py
+++ b/src/coursekeel/answers/_attempts.py
@@ -91,6 +91,12 @@
         """Cancel all live attempts but the one that extended the ledger."""
         return self.cancel([attempt for attempt in self.live if attempt is not winner])
 
+    def cancel_suspected(self) -> list[CancelAttempt]:
+        """Cancel the suspected attempts, as a healthy one goes on."""
+        if not self.has_healthy:
+            return []
+        return self.cancel([attempt for attempt in self.live if attempt.suspected])
+
     def make_room(self) -> list[CancelAttempt]:
         """Cancel the oldest attempts, so that one more may be opened."""
         return self.cancel(self.live[: 1 - _MAX_RACING_ATTEMPTS])
--- a/src/coursekeel/answers/_policy.py
+++ b/src/coursekeel/answers/_policy.py
@@ -13,7 +13,9 @@
     A stream is suspected after ``first_token_ms`` without a first piece
     (``copy_first_ms`` when it continues from a copy), later after ``silence_ms``
     without data. ``races`` keeps a suspected stream open beside its successor, which
-    saves latency; cancelling it when its successor starts saves engine work.
+    saves latency; cancelling it when its successor starts saves engine work. Without
+    ``races`` it is cancelled once its successor's engine has accepted the run, at most
+    ``handover_ms`` after that was opened, so that there is a run if it is refused.
 
     An answer is interrupted after ``deaths_before_stop`` lost runs in a row, not
     counting those before a run that streamed for ``reset_losses_after_ms``. An engine's
@@ -25,6 +27,7 @@
     copy_first_ms: float = 1_500
     silence_ms: float = 1_000
     races: bool = True
+    handover_ms: float = 0
     deaths_before_stop: int = 3
     reset_losses_after_ms: float = 1_000
     reread_tries: int = 2
--- a/src/coursekeel/answers/_recovery.py
+++ b/src/coursekeel/answers/_recovery.py
@@ -5,8 +5,8 @@
 prefills the prompt and the tokens held so far. Several runs lost in a row, without
 one that streamed for a while, mean that the request itself crashes engines; the
 answer is then interrupted. A stalled run is suspected: with `races` it stays open
-beside its successor, otherwise until its successor may start. An answer that waits for
-longer than its class's ``patience_ms`` is interrupted.
+beside its successor, otherwise until its successor is accepted or starts. An answer
+that waits for longer than its class's ``patience_ms`` is interrupted.
 
 Owns the endpoints to avoid, the count of runs lost in a row, and the time since which
 the answer waits. All timeouts and limits are in `AnswerPolicy`. Has no clock: callers
@@ -111,8 +111,8 @@
         if self.attempts.has_healthy:
             return []
         attempts = self.attempts
-        races = self.policy.races
-        cancelled = attempts.make_room() if races else attempts.cancel_all()
+        keeps_suspected = self.policy.races or self.policy.handover_ms
+        cancelled = attempts.make_room() if keeps_suspected else attempts.cancel_all()
         self.machine.feed("granted")
         attempt = self._new_attempt(endpoint_id, Way.PREFILL, now_ms)
         return [*cancelled, *self.open_attempt(attempt)]
@@ -238,6 +238,8 @@
             return self._open_competing_run(attempt, now_ms)
         if not self._has_copy(attempt) or not may_use_copy:
             return [*self.request_endpoint(attempt.copy_id), self.next_alarm()]
+        if self.policy.handover_ms and not self.attempts.has_healthy:
+            return [*self.attempts.make_room(), *self._open_copy(attempt, now_ms)]
         attempt.machine.feed("lost")
         return [
             CancelAttempt(attempt.number),
@@ -277,6 +279,8 @@
         if since_ms is not None and now_ms >= since_ms + self.policy.patience_ms:
             return self._give_up("interrupted", "patience_over")
         actions: list[Action] = []
+        if now_ms >= self._handover_ends_ms():
+            actions += self.attempts.cancel_suspected()
         for attempt in self.stalled(now_ms):
             actions += self.suspect(attempt, now_ms)
         return [*actions, self.next_alarm()]
@@ -297,7 +301,23 @@
         ]
         if self.waiting_since_ms is not None:
             times_ms.append(self.waiting_since_ms + self.policy.patience_ms)
-        return SetAlarm(min(times_ms, default=math.inf))
+        times_ms.append(self._handover_ends_ms())
+        return SetAlarm(min(times_ms))
+
+    def successor_accepted(self) -> list[Action]:
+        """Cancel suspected runs, as the engine of their successor took it on."""
+        if self.policy.races:
+            return []
+        cancelled = self.attempts.cancel_suspected()
+        return [*cancelled, self.next_alarm()] if cancelled else []
+
+    def _handover_ends_ms(self) -> float:
+        """The time at which suspected runs end beside their successor; else inf."""
+        live = self.attempts.live
+        opened_ms = [each.opened_ms for each in live if not each.suspected]
+        if self.policy.races or not opened_ms or len(opened_ms) == len(live):
+            return math.inf
+        return min(opened_ms) + self.policy.handover_ms
 
     def _suspect_at_ms(self, attempt: Attempt) -> float:
         """The time at which an attempt becomes suspect unless data arrives before."""
--- a/src/coursekeel/gateway/_metrics.py
+++ b/src/coursekeel/gateway/_metrics.py
@@ -35,7 +35,8 @@
 
     ``ran_ms``: time since its response headers arrived, None if they didn't.
     ``streamed_ms``: time since its first event. ``events``: the number of its events.
-    ``closed``: its connection was closed, rather than given up.
+    ``closed``: its connection was closed, rather than given up. ``overdue_since_ms``:
+    when its successor was searched for, None if that wasn't before its loss.
     """
 
     endpoint_id: str
@@ -44,6 +45,7 @@
     streamed_ms: float | None = None
     events: int = 0
     closed: bool = False
+    overdue_since_ms: float | None = None
 
 
 @define(eq=False)
--- a/src/coursekeel/gateway/streams/_overdue_runs.py
+++ b/src/coursekeel/gateway/streams/_overdue_runs.py
@@ -27,6 +27,7 @@
 from coursekeel.gateway.endpoints._load_reports import NoReport, ReportResult
 from coursekeel.gateway.streams._silence_doubt import (
     NO_REPORT,
+    NOT_LISTED,
     PREEMPTED,
     StallCheck,
 )
@@ -123,7 +124,9 @@
         attempt = self._unsuspected(number)
         if attempt is None:
             return
-        if reason == PREEMPTED and overdue_ms < _MAX_OVERDUE_MS:
+        if reason == PREEMPTED and overdue_ms >= _MAX_OVERDUE_MS:
+            reason = NOT_LISTED
+        if reason == PREEMPTED:
             self.run_kept(attempt, reason)
         elif reason != NO_REPORT:
             self._replace_or_keep(attempt, reason, overdue_ms)
@@ -200,7 +203,7 @@
         if not task.may_replace_run():
             self._keep_without_retry(attempt, reason, overdue_ms)
             return
-        attempt.overdue_reason = reason
+        attempt.set_overdue(reason)
         if not attempt.is_relayed:
             task.avoid_zone_of(attempt.endpoint_id)
         task.handle_event(EndpointStalled(attempt.endpoint_id, may_use_copy))
--- a/src/coursekeel/gateway/streams/_silence_doubt.py
+++ b/src/coursekeel/gateway/streams/_silence_doubt.py
@@ -27,12 +27,22 @@
 from coursekeel.observe import log_event
 from coursekeel.runtime import Clock
 
-__all__ = ["MAX_REPORT_LAG_MS", "NO_REPORT", "PREEMPTED", "StallCheck", "log_overdue"]
+__all__ = [
+    "MAX_REPORT_LAG_MS",
+    "NOT_LISTED",
+    "NO_REPORT",
+    "PREEMPTED",
+    "StallCheck",
+    "log_overdue",
+]
 
 # The reason, a log value, of a run whose endpoint gives no report.
 NO_REPORT = "no_report"
 
-# The reason, a log value, of a run that isn't listed but may be queued again.
+# The reason of a run that its endpoint doesn't have any more.
+NOT_LISTED = "not_listed"
+
+# The reason of a run that isn't listed but may be queued again.
 PREEMPTED = "preempted"
 
 # Reports lag by about 200 ms; after this time a run must be listed.
@@ -103,7 +113,7 @@
         if self.run_id not in result.runs:
             if self.clock.now_ms() < first_event_ms + MAX_REPORT_LAG_MS:
                 return ""
-            return PREEMPTED if result.prefill_pending_runs else "not_listed"
+            return PREEMPTED if result.prefill_pending_runs else NOT_LISTED
         events_made = result.runs[self.run_id]
         if events_made is None:
             return self._reason_without_proof()
--- a/src/coursekeel/gateway/streams/_stream_attempt.py
+++ b/src/coursekeel/gateway/streams/_stream_attempt.py
@@ -139,7 +139,8 @@
     """One run at one endpoint; ``from_copy`` if it continues from a copy kept there.
 
     ``number`` is the attempt's number in the core; ``started_ms`` is when it was sent.
-    ``overdue_reason`` is why it is to be replaced, a log value, empty if it isn't.
+    ``overdue_reason`` is why it is to be replaced, a log value, empty if it isn't;
+    ``overdue_since_ms`` since when.
     """
 
     task: AttemptOwner
@@ -148,6 +149,7 @@
     from_copy: bool
     started_ms: float
     overdue_reason: str = ""
+    overdue_since_ms: float | None = None
     _outbound: OutboundRequest | None = None
     _exchange: Exchange | None = None
     _head: ExchangeHead | None = None
@@ -174,6 +176,11 @@
         """Whether a member serves the run."""
         return False
 
+    def set_overdue(self, reason: str) -> None:
+        """Record that the run is to be replaced, for a log value; empty: it isn't."""
+        self.overdue_reason = reason
+        self.overdue_since_ms = self.task.context.clock.now_ms() if reason else None
+
     @property
     def first_event_ms(self) -> float | None:
         """When the run's first event arrived, None before it."""
@@ -222,7 +229,13 @@
             None if self._first_event_ms is None else now_ms - self._first_event_ms
         )
         return LostRun(
-            self.endpoint_id, why, ran_ms, streamed_ms, self._events, self._closed
+            self.endpoint_id,
+            why,
+            ran_ms,
+            streamed_ms,
+            self._events,
+            self._closed,
+            self.overdue_since_ms,
         )
 
     def may_send(self) -> bool:
--- a/src/coursekeel/gateway/streams/_stream_reply.py
+++ b/src/coursekeel/gateway/streams/_stream_reply.py
@@ -60,7 +60,8 @@
     def run_lost(self, lost: LostRun, position: int) -> None:
         """Record a run lost at ``position`` (in events), and when recovery started."""
         if self._run_lost_ms is None:
-            self._run_lost_ms = self.context.clock.now_ms()
+            since_ms = lost.overdue_since_ms
+            self._run_lost_ms = since_ms or self.context.clock.now_ms()
         self.context.metrics.run_lost(self.call, lost, position)
 
     def waits(self, code: str, ahead: int) -> None:
--- a/src/coursekeel/gateway/streams/_stream_task.py
+++ b/src/coursekeel/gateway/streams/_stream_task.py
@@ -90,6 +90,10 @@
 # limits its requests. After that the run continues elsewhere with a new prefill.
 _COPY_PERMIT_WAIT_MS = 200.0
 
+# How long an overdue run stays open beside a successor that isn't accepted yet.
+# Endpoints refuse within some ms; two must not work on a request for over 400 ms.
+_HANDOVER_MS = 250.0
+
 # How often a stream that has begun looks for an endpoint, or a member that reaches one,
 # while there is none.
 _SEARCH_INTERVAL_MS = 100.0
@@ -193,13 +197,14 @@
 
     def _keep_recovered_run(self) -> None:
         """Withdraw the search for a successor of a run that goes on."""
-        for attempt in self.open_attempts.values():
-            attempt.overdue_reason = ""
         self._stop_searching()
         self.core.search_withdrawn()
 
     def _progressed(self) -> None:
         """Return what was asked for to go on: events arrive."""
+        for number, attempt in self.open_attempts.items():
+            if attempt.overdue_reason and self.core.attempts[number].live:
+                attempt.set_overdue("")
         self._send_account.release()
         self._retry_queue.remove(self)
         self._tries_without_event = 0
@@ -246,7 +251,8 @@
 
         A stream that is not resumable runs once, without a stall limit. Instead of time
         limits for the first token there is `FirstEventWatch`, instead of patience
-        the request's deadline. Runs never race, which would double the work.
+        the request's deadline. Runs never race, which would double the work; an
+        overdue one only ends after its successor was accepted.
         """
         call, timers = self.call, self.context.settings.timers
         resumable = call.route.kind is RouteKind.RESUMABLE
@@ -256,6 +262,7 @@
             copy_first_ms=math.inf,
             silence_ms=timers.silence_ms if resumable else math.inf,
             races=False,
+            handover_ms=_HANDOVER_MS,
             deaths_before_stop=max(call.route.tries, 1) if resumable else 1,
             # The quarantine decides which requests crash endpoints.
             reset_losses_after_ms=0,
@@ -383,7 +390,7 @@
     def _keep_suspected_run(self, reason: str) -> None:
         """Wait on a suspected run, as nothing can replace it now."""
         for attempt in self.open_attempts.values():
-            attempt.overdue_reason = ""
+            attempt.set_overdue("")
             self._overdue_runs.run_kept(attempt, reason)
         self._send_account.release()
         self.handle_event(NoEndpointFree(int(self._retry_after_ms)))
@@ -612,12 +619,21 @@
         attempt = self.open_attempts.pop(number, None)
         if attempt is None:
             return
-        if not self.core.ended and (
-            attempt.overdue_reason or not self._stream_reply.is_recovering
-        ):
-            attempt.report_lost(attempt.overdue_reason or "silent")
+        if attempt.overdue_reason and not self.core.ended:
+            attempt.report_lost(attempt.overdue_reason)
+        elif self._lost_by_what_it_sent(number):
+            attempt.report_lost("silent")
         attempt.close()
 
+    def _lost_by_what_it_sent(self, number: int) -> bool:
+        """Whether a run was cancelled for data that isn't this request's.
+
+        A run beside one that goes on was only its successor, and is no loss.
+        """
+        if self.core.ended or self.core.has_healthy_run:
+            return False
+        return not self._stream_reply.is_recovering
+
     def is_open(self, number: int) -> bool:
         """Return whether the attempt still belongs to the stream."""
         return number in self.open_attempts
