A preempted run goes on from its copy where nothing is queued

Callers would have waited for seconds, beyond target-gap-ms, for a run that waits for memory, where its copy goes on within some ms elsewhere.

Change: the endpoint of the copy is asked for its report. The run goes on there, with a retry in hand, if nothing is queued there; if that is refused all the same the run is waited on, not prefilled elsewhere. After two seconds it counts as not_listed.

Measured: test_a_preempted_run_goes_on_from_its_copy_where_nothing_is_queued fails without the change and passes with it.

--- a/src/coursekeel/gateway/streams/_overdue_runs.py
+++ b/src/coursekeel/gateway/streams/_overdue_runs.py
@@ -10,7 +10,8 @@
 endpoint is searched for. Reason: a silence common to several endpoints tells nothing of
 any of them, and they go on where they were.
 
-A run that its endpoint may have preempted is waited on for as long, too.
+A run that its endpoint may have preempted is waited on for as long, too; meanwhile it
+is replaced only from its copy, at an endpoint where nothing is queued.
 
 Owns what is known of one stream's stalls, and the last reports of the endpoints that
 keep copies of its runs, None until they come. The stream's task owns the runs. Relies
@@ -127,7 +128,7 @@
         if reason == PREEMPTED and overdue_ms >= _MAX_OVERDUE_MS:
             reason = NOT_LISTED
         if reason == PREEMPTED:
-            self.run_kept(attempt, reason)
+            self._preempted_run_overdue(attempt, overdue_ms)
         elif reason != NO_REPORT:
             self._replace_or_keep(attempt, reason, overdue_ms)
         elif self._copy_reports.get(number, NoReport.SILENT) is None:
@@ -135,6 +136,23 @@
         else:
             self._silent_run_overdue(attempt, overdue_ms)
 
+    def _preempted_run_overdue(self, attempt: StreamAttempt, overdue_ms: float) -> None:
+        """Go on from the run's copy if there is room for it, else wait on the run."""
+        self.run_kept(attempt, PREEMPTED)
+        core, copy_id = self.task.core, self._usable_copy(attempt.number)
+        if not copy_id or copy_id in core.excluded_endpoints:
+            return
+        position = core.ledger.next_position
+
+        def report_received(result: ReportResult) -> None:
+            recovered = position != core.ledger.next_position
+            if isinstance(result, NoReport) or result.queued or recovered:
+                return
+            if self._unsuspected(attempt.number) is attempt:
+                self._replace_or_keep(attempt, PREEMPTED, overdue_ms)
+
+        self.task.reports.request_shared_report(copy_id, report_received)
+
     def _unsuspected(self, number: int) -> StreamAttempt | None:
         """Return an open run that isn't being replaced yet, None if it isn't one."""
         core = self.task.core
--- a/src/coursekeel/gateway/streams/_stream_task.py
+++ b/src/coursekeel/gateway/streams/_stream_task.py
@@ -72,6 +72,7 @@
 from coursekeel.gateway.streams._overdue_runs import OverdueRuns, RunOwner
 from coursekeel.gateway.streams._placement import StreamPlacement
 from coursekeel.gateway.streams._relayed_attempt import RelayedAttempt
+from coursekeel.gateway.streams._silence_doubt import PREEMPTED
 from coursekeel.gateway.streams._stream_attempt import StreamAttempt
 from coursekeel.gateway.streams._stream_reply import StreamReply
 from coursekeel.gateway.streams._successors import SuccessorLookup
@@ -317,6 +318,9 @@
         if self._refusal_code:
             self._refuse()
             return
+        if self._waits_on_preempted_run:
+            self._keep_suspected_run("copy_refused")
+            return
         pause_ms = self._search_pause_ms
         if pause_ms:
             self._search_later(pause_ms)
@@ -328,6 +332,14 @@
             lambda: self._placement.search(action, self._placement_decided)
         )
 
+    @property
+    def _waits_on_preempted_run(self) -> bool:
+        """Whether a run is open that only its copy should have replaced."""
+        return any(
+            attempt.overdue_reason == PREEMPTED
+            for attempt in self.open_attempts.values()
+        )
+
     @property
     def _search_pause_ms(self) -> float:
         """The pause before the next search of a begun stream whose tries are refused.
--- a/tests/platform/test_begun_streams.py
+++ b/tests/platform/test_begun_streams.py
@@ -180,3 +180,21 @@
         )
     assert read(connection).body == events(EVENTS)
     assert len(site.ran(request_id)) == 1
+
+
+def test_a_preempted_run_goes_on_from_its_copy_where_nothing_is_queued(site):
+    """It would have waited for memory for seconds, beyond the gap that is in time."""
+    ports = site.start_gateway("g2", retries={"ratio": 12.0, "slack": 0})
+    for name in ENGINES:
+        site.faults(name, preempt_at=FAULTY_EVENT, preempts=1, preempted_ms=3_500)
+    connection, request_id = open_stream(site, ports[0])
+    (run,) = site.ran(request_id)
+    for name in set(ENGINES) - {run["server"]}:
+        site.faults(name)
+    began_s = time.monotonic()
+    assert read(connection).body == events(EVENTS)
+    assert time.monotonic() - began_s < 3.0
+    assert ["kv-from" in run["headers"] for run in site.ran(request_id)] == [
+        False,
+        True,
+    ]
