Overdue runs are replaced as often as their route allows

Servers could get one request more often than its route's max-attempts: runs that were replaced for what their endpoint reported weren't counted, as only runs that ended were.

Cause: AnswerCore counts lost runs, and a suspected one is superseded, not lost. Class: a limit is counted at one of several ends.

--- a/tests/cover/test_stream_placement.py
+++ b/tests/cover/test_stream_placement.py
@@ -356,6 +356,22 @@
     assert not harness.reply.cut.called
 
 
+def test_overdue_runs_are_replaced_as_often_as_the_route_allows_and_then_kept(harness):
+    """Replaced runs weren't counted, as their connections hadn't ended."""
+    task = harness.start()
+    harness.reply.head_sent = True
+    send_first_event(harness, harness.client.sinks[0])
+    for number in range(1, 9):
+        if task.is_open(number):
+            task.run_overdue(number, "not_listed", 9_000.0)
+        harness.reactor.advance(2.0)
+        if len(harness.client.sinks) > number:
+            accept(harness, harness.client.sinks[number])
+    assert len(harness.client.sent) == ROUTE.tries
+    assert task.is_open(ROUTE.tries)
+    assert not harness.reply.cut.called
+
+
 def test_a_stream_that_ends_waits_for_no_retry():
     harness = StreamHarness(slack=0.0)
     task = harness.start()
