A preempted run that moves is no failure of its endpoint

Sound endpoints that are short of memory had their zones avoided, were probed for a crash, and counted as failing in rollouts.

Cause: a run that goes on from its copy was reported like one that its endpoint had lost.

Change: reason preempted is logged and counted as a lost run, and not reported to health, rollouts and the crash watch; its zone isn't avoided. stream_waits is logged once until events arrive, also if what it waits for changes.

--- a/src/coursekeel/gateway/streams/_overdue_runs.py
+++ b/src/coursekeel/gateway/streams/_overdue_runs.py
@@ -222,7 +222,7 @@
             self._keep_without_retry(attempt, reason, overdue_ms)
             return
         attempt.set_overdue(reason)
-        if not attempt.is_relayed:
+        if not attempt.is_relayed and reason != PREEMPTED:
             task.avoid_zone_of(attempt.endpoint_id)
         task.handle_event(EndpointStalled(attempt.endpoint_id, may_use_copy))
 
--- a/src/coursekeel/gateway/streams/_stream_reply.py
+++ b/src/coursekeel/gateway/streams/_stream_reply.py
@@ -69,9 +69,9 @@
 
         ``ahead`` is the number of streams that wait for a retry before it.
         """
-        if code != self._waits_for:
-            self._waits_for = code
+        if not self._waits_for:
             self.context.metrics.stream_waits(self.call, code, ahead, self._position)
+        self._waits_for = code
 
     def deliver(self, events: bytes, position: int) -> None:
         """Send events, the last of which has the number ``position``.
--- a/src/coursekeel/gateway/streams/_stream_task.py
+++ b/src/coursekeel/gateway/streams/_stream_task.py
@@ -682,8 +682,13 @@
         self.handle_event(Cancelled())
 
     def run_lost(self, lost: LostRun) -> None:
-        """Report a lost run to the reply, placement, rollouts and the crash watch."""
+        """Report a lost run to the reply, placement, rollouts and the crash watch.
+
+        The endpoint of a preempted one is sound: it has too little memory for now.
+        """
         self._stream_reply.run_lost(lost, self.core.ledger.next_position)
+        if lost.why == PREEMPTED:
+            return
         self._placement.run_lost(lost.endpoint_id)
         self._record_version_outcome(lost)
         self.context.crashes.run_lost(self.call, lost)
--- a/tests/cover/test_stream_placement.py
+++ b/tests/cover/test_stream_placement.py
@@ -372,6 +372,18 @@
     assert not harness.reply.cut.called
 
 
+def test_a_preempted_run_that_goes_on_elsewhere_speaks_against_no_endpoint(harness):
+    """It counted as a loss there, for zones, rollouts and the crash watch."""
+    task = harness.start(copies=True)
+    harness.reply.head_sent = True
+    send_first_event(harness, harness.client.sinks[0])
+    task.run_overdue(1, "preempted", 0.0)
+    assert len(harness.client.sent) == 2
+    accept(harness, harness.client.sinks[1])
+    assert harness.context.metrics.run_lost.called
+    assert not harness.crashes.run_lost.called
+
+
 def test_a_stream_that_ends_waits_for_no_retry():
     harness = StreamHarness(slack=0.0)
     task = harness.start()
