A stream that waits draws for what is left when no request earns more

Streams that waited while no further request came got no retry before their deadline, though their instance had a part of one: take_saved drew only for what lapses or for a full reserve, and a reserve takes a window times ten to fill. Now it draws if no earned part can grow to a whole retry; the draw spends what it risks, so that the sum is as before. Parts that lapse are drawn for 300 ms before, as the timer may be late. A retry for a copy whose attempt has ended meanwhile leads to a search.

The bound on retries holds in cover/test_shared_budget.py.

--- a/src/coursekeel/gateway/_retry_queue.py
+++ b/src/coursekeel/gateway/_retry_queue.py
@@ -28,6 +28,10 @@
 # How often a queue that isn't empty looks for a retry.
 _CHECK_INTERVAL_MS = 100.0
 
+# A part of a retry that lapses within this time is drawn for. It is more than one
+# interval, as the timer may be late.
+_LAPSES_SOON_MS = 300.0
+
 
 @define(eq=False)
 class RetryQueue:
@@ -63,7 +67,7 @@
         self._timer = None
         while self._waiting:
             now_ms = self.clock.now_ms()
-            if not self.budget().take_saved(now_ms, now_ms + _CHECK_INTERVAL_MS):
+            if not self.budget().take_saved(now_ms, now_ms + _LAPSES_SOON_MS):
                 break
             on_retry = self._waiting.pop(next(iter(self._waiting)))
             on_retry()
--- a/src/coursekeel/gateway/streams/_stream_task.py
+++ b/src/coursekeel/gateway/streams/_stream_task.py
@@ -105,7 +105,6 @@
 _MIN_SEARCH_PAUSE_MS = 50.0
 _MAX_SEARCH_PAUSE_MS = 1_000.0
 
-
 # How long a stream waits for a retry to go on from its copy: endpoints drop a copy some
 # seconds after its run has ended.
 _COPY_RETRY_WAIT_MS = 3_000.0
@@ -223,20 +222,17 @@
     def _retry_given(self) -> None:
         self._send_account.retry_given()
         waiting, self._copy_waits = self._copy_waits, None
-        if waiting is not None:
-            self._open_or_replace_copy(waiting)
+        if waiting is not None and self.core.attempts[waiting.action.attempt].live:
+            self._open_or_drop_copy(waiting)
         elif not self.open_attempts:
             self._search_again()
 
-    def _open_or_replace_copy(self, waiting: _WaitingCopy) -> None:
-        """Open the copy's run with the retry, or search if the copy is too old."""
-        attempt = waiting.action.attempt
-        if not self.core.attempts[attempt].live:
-            return
+    def _open_or_drop_copy(self, waiting: _WaitingCopy) -> None:
+        """Open the copy's run with the retry; if the copy is too old, go on without."""
         if self.context.clock.now_ms() < waiting.usable_until_ms:
             self._open_attempt(waiting.action)
         else:
-            self.handle_event(AttemptEnded(attempt, Loss.NOT_SENT))
+            self.handle_event(AttemptEnded(waiting.action.attempt, Loss.NOT_SENT))
 
     def may_replace_run(self) -> bool:
         """Return whether the request may be sent again; if so, a retry is reserved."""
@@ -640,12 +636,13 @@
             return
         if attempt.overdue_reason and not self.core.ended:
             attempt.report_lost(attempt.overdue_reason)
-        elif self._lost_by_what_it_sent(number):
+        elif self._is_lost_by_what_it_sent:
             attempt.report_lost("silent")
         attempt.close()
 
-    def _lost_by_what_it_sent(self, number: int) -> bool:
-        """Whether a run was cancelled for data that isn't this request's.
+    @property
+    def _is_lost_by_what_it_sent(self) -> bool:
+        """Whether a run that is cancelled had sent data that isn't this request's.
 
         A run beside one that goes on was only its successor, and is no loss.
         """
--- a/src/coursekeel/routing/_window_budget.py
+++ b/src/coursekeel/routing/_window_budget.py
@@ -64,13 +64,12 @@
         """Spend a retry for a request that can wait for it.
 
         A part of a retry is drawn for only if some of it lapses by ``lapses_by_ms``, or
-        if it can't grow.
+        if requests have earned none of it, since the reserve refills slowly.
         """
         left = self.left(now_ms)
         if left < 1:
-            lapses = self._earned and self._earned[0].expires_ms <= lapses_by_ms
-            is_full = not self._earned and self.saved >= self.most
-            if left <= 0 or not (lapses or is_full):
+            may_grow = self._earned and self._earned[0].expires_ms > lapses_by_ms
+            if left <= 0 or may_grow:
                 return False
         return self.take(now_ms)
 
