After a read that is behind the next one comes soon

Callers' requests went to an endpoint that had been removed for up to 0.7 s longer than the bound, beside reads of the store that are behind.

Cause: such a read counted as a failure of its source, and the pause after failures doubles up to 600 ms; with endpoints_lapse_ms of 600 the next read could come so late that the time without one counted as an outage, which starts the time of missing endpoints again.

Change: the pause after a read that is behind doesn't grow: 150 to 300 ms.

--- a/src/coursekeel/gateway/site/_follow_task.py
+++ b/src/coursekeel/gateway/site/_follow_task.py
@@ -228,8 +228,9 @@
         if table_read.whole:
             self._resume_position = known
             self._source_failed("a read that is behind")
-            # The store responds, so that no registration lapses.
+            # The store responds: no registration lapses, and it is read again soon.
             self._failing_since_ms = self.clock.now_ms()
+            self._failure_count = 1
 
     def _hold_ms(self) -> float:
         """How long the store may hold the next query.
