--- a/tests/platform/test_begun_streams.py
+++ b/tests/platform/test_begun_streams.py
@@ -53,6 +53,17 @@
         return dict(zip(opened, readers.map(read, opened.values()), strict=True))
 
 
+def read_beside_others(
+    site: GatewaySite, connection: HTTPConnection, port: int, others: int
+) -> Answer:
+    """Read a stream while other requests come, which earn retries."""
+    with ThreadPoolExecutor(1) as reader:
+        answer = reader.submit(read, connection)
+        for _ in range(others):
+            site.ask("/stream/2", port=port)
+        return answer.result()
+
+
 def cut(ended: dict[str, Answer]) -> list[str]:
     return [each for each, answer in ended.items() if answer.body != events(EVENTS)]
 
@@ -92,11 +103,7 @@
     time.sleep(2.5)
     for name in ENGINES:
         site.faults(name)
-    with ThreadPoolExecutor(1) as reader:
-        answer = reader.submit(read, connection)
-        for _ in range(3):
-            site.ask("/stream/2", port=ports[0])
-        assert answer.result().body == events(EVENTS)
+    assert read_beside_others(site, connection, ports[0], 3).body == events(EVENTS)
     assert len(site.ran(request_id)) == 2
 
 
@@ -109,11 +116,7 @@
     wait_for_log(site, "g2", "run_lost")
     for name in ENGINES:
         site.faults(name)
-    with ThreadPoolExecutor(1) as reader:
-        answer = reader.submit(read, connection)
-        for _ in range(3):
-            site.ask("/stream/2", port=ports[0])
-        assert answer.result().body == events(EVENTS)
+    assert read_beside_others(site, connection, ports[0], 3).body == events(EVENTS)
     assert ["kv-from" in run["headers"] for run in site.ran(request_id)] == [
         False,
         True,
@@ -148,10 +151,7 @@
     time.sleep(1.2)
     for name in ENGINES:
         site.faults(name)
-    with ThreadPoolExecutor(1) as reader:
-        answer = reader.submit(read, connection)
-        site.ask("/stream/2", port=ports[0])
-        assert answer.result().body == events(EVENTS)
+    assert read_beside_others(site, connection, ports[0], 1).body == events(EVENTS)
     assert len(site.ran(request_id)) == 2
 
 
