--- a/src/coursekeel/gateway/_retry_queue.py
+++ b/src/coursekeel/gateway/_retry_queue.py
@@ -2,7 +2,8 @@
 
 Rule: the one that has waited longest gets the next retry of this instance's part of the
 budget. It is a whole one (`WindowBudget.take_saved`); a smaller part is drawn for only
-when it would be lost. While any stream waits, no other request gets a retry.
+when it would be lost, or when requests earn no more. While any stream waits, no other
+request gets a retry.
 
 Reason: a stream that has begun can't be refused, only cut. A retry that isn't there now
 may be earned soon, and the pool gets no more of them than the budget allows. Nothing is
