Idle connections to the store and to members that went silent are not used

What callers saw: a member of a zone of three started requests at an endpoint up to 6 s after its leaving had been acknowledged.

Cause: open connections may go silent for good while new ones work. A member that reads from its zone's reader queries the store seldom, and its connection stays in the pool for up to 240 s. When its request to the reader got no response it queried the store over that connection, and waited for 2.3 s (configuration) or 4.6 s (endpoints) more; then members over another one.

Change: `Fetcher.closes_idle`, for the store and for members: idle connections are closed after a second, and all of them after a response that didn't begin in time. A silent member closes those to the store too.

--- a/src/coursekeel/fetch/_agent.py
+++ b/src/coursekeel/fetch/_agent.py
@@ -112,6 +112,14 @@
         self._pool.retryAutomatically = False
         self._endpoints = _DirectEndpoints(self.reactor, self.connect_ms / 1000)
 
+    def keep_idle_for(self, idle_s: float) -> None:
+        """Close connections once they have been idle for so long."""
+        self._pool.cachedConnectionTimeout = idle_s
+
+    def close_idle(self) -> None:
+        """Close the idle connections to all hosts."""
+        self._pool.closeCachedConnections()
+
     def agent(self, may_send: MaySend | None = None) -> Any:
         """Return an agent; with ``may_send``, one for a single request.
 
--- a/src/coursekeel/fetch/_arrival.py
+++ b/src/coursekeel/fetch/_arrival.py
@@ -61,6 +61,7 @@
     received_bytes: int = 0
     cancel_reason: str = ""
     is_overrun: bool = False
+    _has_begun: bool = False
     _request: Any = None
     _timer: Any = None
     _end_s: float = field(default=0.0, init=False)
@@ -75,6 +76,7 @@
 
         Sets ``is_overrun`` if that is too long; the caller is to cancel the request.
         """
+        self._has_begun = True
         if body_bytes is not None and body_bytes > self._most_bytes:
             self._set_overrun()
         elif self.transfer is not None:
@@ -103,6 +105,11 @@
         self.is_overrun = True
         self.cancel_reason = f"more than {self._most_bytes} bytes"
 
+    @property
+    def is_silent(self) -> bool:
+        """Whether the request was cancelled before any of its response arrived."""
+        return bool(self.cancel_reason) and not self._has_begun
+
     def stop(self) -> None:
         """Stop the timer: the request has ended, successfully or not."""
         if self._timer is not None and self._timer.active():
--- a/src/coursekeel/fetch/_fetch.py
+++ b/src/coursekeel/fetch/_fetch.py
@@ -49,6 +49,9 @@
     received_bytes: int = 0
 
 
+# An idle connection may have gone silent, which only a timeout shows.
+_BRIEFLY_IDLE_S = 1.0
+
 FetchOutcome = HttpReply | NotReached | AnswerLost
 
 
@@ -58,7 +61,8 @@
 
     ``connect_ms`` and ``keeps_connections`` are those of `DirectAgents`. For long
     responses, ``transfer`` limits one whose head has arrived, and ``link`` is notified
-    of its chunks.
+    of its chunks. With ``closes_idle``, idle connections are kept only briefly, and
+    none is used again after a response that didn't begin in time.
     """
 
     reactor: Reactor
@@ -66,6 +70,7 @@
     keeps_connections: bool = True
     transfer: Transfer | None = None
     link: OwnLink | None = None
+    closes_idle: bool = False
     _agents: DirectAgents = field(init=False)
     _client: Any = field(init=False)
 
@@ -73,6 +78,8 @@
         self._agents = DirectAgents(
             self.reactor, self.connect_ms, self.keeps_connections
         )
+        if self.closes_idle:
+            self._agents.keep_idle_for(_BRIEFLY_IDLE_S)
         self._client = treq.client.HTTPClient(self._agents.agent())
 
     async def ask(
@@ -100,6 +107,8 @@
         except ConnectError as failure:
             return NotReached(_connect_reason(failure))
         except Exception as failure:  # the request may have taken effect
+            if self.closes_idle and watchdog.is_silent:
+                self.close_idle()
             reason = watchdog.cancel_reason or f"{type(failure).__name__}: {failure}"
             return AnswerLost(reason, watchdog.received_bytes)
         finally:
@@ -107,6 +116,10 @@
             if watchdog.is_overrun:
                 record_overrun(Overrun.BODY, url, watchdog.received_bytes)
 
+    def close_idle(self) -> None:
+        """Close the connections that aren't in use."""
+        self._agents.close_idle()
+
     async def _exchange(
         self,
         method: str,
--- a/src/coursekeel/gateway/_adapters.py
+++ b/src/coursekeel/gateway/_adapters.py
@@ -324,6 +324,10 @@
         """How long the store should hold a query now; ``usual_ms`` is the default."""
         return usual_ms
 
+    def close_idle(self) -> None:
+        """Close connections that aren't in use; they may have gone silent."""
+        return
+
     @abstractmethod
     async def read(self, table: Table, timeout_ms: float) -> TableRead | SourceFailed:
         """Read a snapshot of a table."""
--- a/src/coursekeel/gateway/members/_group.py
+++ b/src/coursekeel/gateway/members/_group.py
@@ -108,7 +108,11 @@
             timers.member_slack_ms, timers.member_transfer_ms, STORE_TRANSFER.most_bytes
         )
         fetcher = Fetcher(
-            self.reactor, _CONNECT_TIMEOUT_MS, transfer=transfer, link=self.link
+            self.reactor,
+            _CONNECT_TIMEOUT_MS,
+            transfer=transfer,
+            link=self.link,
+            closes_idle=True,
         )
         return SharedSource(
             self.store,
--- a/src/coursekeel/gateway/members/_shared_source.py
+++ b/src/coursekeel/gateway/members/_shared_source.py
@@ -402,6 +402,8 @@
 
     def _avoid_silent(self, table: Table, address: str, reason: str) -> None:
         self._silent_until_ms[address] = self.clock.now_ms() + _AVOID_SILENT_MS
+        # What silenced that connection may have silenced those to the store.
+        self.store.close_idle()
         log_event(
             "member_passed_over", member=address, table=table.value, reason=reason
         )
