A lost response delays a leaving by less than a second at every instance

What callers saw: requests started at an endpoint up to 3.7 s after its leaving had been acknowledged (5.7 s where its row was removed unmarked), at instances that query the store for themselves and, behind dead connections, at members of a zone.

Cause: the store's response to a held query can be lost while all else works. It was missed only after the hold, 4 s for the endpoints outside zones of three, and 600 ms more; a pause followed. The query was then taken for an outage in which registrations lapse, so that a missing endpoint was kept for 2 s more. The configuration's query was held for 1.7 s and given up after 2.3 s of the 2 s allowed.

Change: the hold is 0.3 of `drain_ms` at all instances, capped by `endpoints_hold_ms`, and shorter by the time that changes gathered; that of the configuration half of `configuration_ms` at most. A response counts as lost after 0.1 to 0.3 of the limit, by what the store's responses took (RFC 6298), and the query is repeated at once. An outage begins with the last time at which the store is known to have responded, not with the confirmation. `store_lost` has `held_ms` and `waited_ms`; `response_lost` tells of each such query.

--- a/src/coursekeel/gateway/_adapters.py
+++ b/src/coursekeel/gateway/_adapters.py
@@ -297,9 +297,9 @@
 class Outage:
     """A time in which a table could not be read.
 
-    ``unconfirmed_ms``: since its last confirmation. It includes the time for which the
-    store held the last query, so that it is long even if only one query failed.
-    ``failed_ms``: since the first query that failed.
+    ``unconfirmed_ms``: since the store is known to have responded. It includes the time
+    for which the store held the last query. ``failed_ms``: since the first query that
+    failed.
     """
 
     unconfirmed_ms: float
--- a/src/coursekeel/gateway/_gateway.py
+++ b/src/coursekeel/gateway/_gateway.py
@@ -49,6 +49,7 @@
 from coursekeel.gateway.rollouts._rollout_task import CanaryTask, report_period_ms
 from coursekeel.gateway.rollouts._version_choice import VersionChoice
 from coursekeel.gateway.site._follow_task import FollowedTable, TableWatchTask
+from coursekeel.gateway.site._response_timer import ResponseTimer
 from coursekeel.gateway.site._site_state import SiteState
 from coursekeel.gateway.streams._successors import SuccessorLookup
 from coursekeel.observe import log_event
@@ -319,15 +320,17 @@
                 self._start_hold.failed,
                 self._store_restored,
                 site.record_orders_read,
+                ResponseTimer(*timers.configuration_slack),
             ),
             FollowedTable(
                 Table.ENDPOINTS,
-                timers.endpoints_hold_ms,
+                timers.endpoints_query_hold_ms,
                 timers.endpoints_gathering_ms,
                 site.apply_endpoints,
                 site.prepare_after_outage,
                 self._start_hold.failed,
                 on_read_up_to=site.record_list_read,
+                response_timer=ResponseTimer(*timers.endpoints_slack),
             ),
         )
 
--- a/src/coursekeel/gateway/members/_group.py
+++ b/src/coursekeel/gateway/members/_group.py
@@ -126,7 +126,7 @@
                 timers.member_slack_ms,
                 {
                     Table.CONFIGURATION: timers.shared_configuration_hold_ms,
-                    Table.ENDPOINTS: timers.shared_endpoints_hold_ms,
+                    Table.ENDPOINTS: timers.endpoints_query_hold_ms,
                 },
                 {
                     Table.CONFIGURATION: timers.usual_configuration_age_ms,
--- a/src/coursekeel/gateway/site/_follow_task.py
+++ b/src/coursekeel/gateway/site/_follow_task.py
@@ -37,6 +37,7 @@
 )
 from coursekeel.gateway._metrics import logged_age_ms
 from coursekeel.gateway.members._table_feed import TableFeed
+from coursekeel.gateway.site._response_timer import ResponseTimer
 from coursekeel.observe import log_event
 from coursekeel.reactor import Reactor
 from coursekeel.runtime import Clock, spawn
@@ -52,9 +53,9 @@
 # Caps the exponent; the longest pause is reached before.
 _MAX_DOUBLINGS = 3
 
-# How long after its hold a response may begin before the query is abandoned. The
-# store's own responses take some ms.
-_ANSWER_SLACK_MS = 600.0
+# How long after its hold a response may begin before the query is abandoned.
+_LEAST_SLACK_MS = 200.0
+_MOST_SLACK_MS = 600.0
 
 
 def _ignore() -> None:
@@ -70,7 +71,8 @@
     ``take``: applies a snapshot or update. ``on_source_return``: called before the
     first one after failures. ``failed``: called for each failed query. ``restored``:
     called before the first snapshot of a later era is applied. ``on_read_up_to``:
-    called with the position up to which all of the table was read.
+    called with the position up to which all of the table was read. ``response_timer``:
+    how late the response to a held query may be.
     """
 
     table: Table
@@ -81,6 +83,9 @@
     failed: Callable[[], None] = _ignore
     restored: Callable[[], None] = _ignore
     on_read_up_to: Callable[[StorePosition], None] = lambda _: None
+    response_timer: ResponseTimer = field(
+        factory=lambda: ResponseTimer(_LEAST_SLACK_MS, _MOST_SLACK_MS)
+    )
 
 
 @define(eq=False)
@@ -110,6 +115,10 @@
     _failing_since_ms: float = 0.0
     _change_count: int = 0
     _from_member: bool = False
+    _gathered_ms: float = 0.0
+    _response_lost: bool = False
+    _responded_ms: float = -math.inf
+    _sent: StoreQuery = field(factory=lambda: StoreQuery(0.0, 0.0))
 
     def start(self) -> None:
         """Start the task that queries the source."""
@@ -127,11 +136,13 @@
         while not self._stopped:
             failures, changes = self._failure_count, self._change_count
             await self._query_or_reset()
+            self._gathered_ms = 0.0
             if self._failure_count > failures:
                 await deferLater(self.reactor, self._pause_s())
             elif self._change_count > changes and not self._from_member:
                 # A member gathers changes before it sends them.
-                await deferLater(self.reactor, self.followed.gathering_ms / 1000)
+                self._gathered_ms = self.followed.gathering_ms
+                await deferLater(self.reactor, self._gathered_ms / 1000)
 
     async def _query_or_reset(self) -> None:
         """Query once; after an unexpected exception, read the whole table again.
@@ -150,19 +161,28 @@
             self._failure_count += 1
 
     async def _query(self) -> None:
-        query = StoreQuery(self.clock.now_ms(), self._hold_ms())
+        query = self._sent = StoreQuery(self.clock.now_ms(), self._hold_ms())
         outcome = await self._send_query(query.held_ms)
+        self._response_lost = isinstance(outcome, SourceFailed) and self._waited_out()
         match outcome:
             case TableRead():
                 table_read = self._checked_reading(outcome)
                 if table_read is not None:
                     self._process(table_read, table_read.query or query)
             case HistoryExpired():
+                self._responded_ms = max(self._responded_ms, query.sent_ms)
                 log_event("history_gone", table=self._name, since=self._resume_position)
                 self._resume_position = None
             case SourceFailed():
+                if self._response_lost:
+                    self.followed.response_timer.lost()
                 self._source_failed(outcome.reason)
 
+    def _waited_out(self) -> bool:
+        """Whether the query was held to its end, and only its response is missing."""
+        query = self._sent
+        return 0 < query.held_ms <= self.clock.now_ms() - query.sent_ms
+
     def _checked_reading(self, table_read: TableRead) -> TableRead | None:
         """The snapshot or update if it may be applied, or None; handles the others."""
         position = table_read.position
@@ -236,11 +256,13 @@
         """How long the store may hold the next query.
 
         Zero after a failure: a held query would delay the detection of the store's
-        return by the whole hold.
+        return by the whole hold. Less after changes gathered, so that a lost response
+        delays a change by no more than the usual hold.
         """
         if self._resume_position is None or self._failure_count:
             return 0.0
-        return self.source.hold_ms(self.followed.table, self.followed.hold_ms)
+        hold_ms = self.source.hold_ms(self.followed.table, self.followed.hold_ms)
+        return max(0.0, hold_ms - self._gathered_ms)
 
     async def _send_query(
         self, held_ms: float
@@ -248,7 +270,9 @@
         table = self.followed.table
         if self._resume_position is None:
             return await self.source.read(table, self.timeout_ms)
-        longest_ms = held_ms + _ANSWER_SLACK_MS
+        timer = self.followed.response_timer
+        slack_ms = timer.most_ms if self._failure_count else timer.limit_ms
+        longest_ms = held_ms + slack_ms
         return await self.source.follow(
             table, self._resume_position, held_ms, longest_ms
         )
@@ -259,11 +283,30 @@
             self._source_returned(now_ms)
         self._from_member = table_read.confirmed_ms is not None
         confirmed_ms = self._confirmed_ms(table_read, query, now_ms)
+        self._record_response(table_read, query, confirmed_ms, now_ms)
         self._apply(table_read, confirmed_ms)
         self._resume_position = table_read.position
         self._order.applied(table_read.position, now_ms)
         self.feed.took(table_read, confirmed_ms)
 
+    def _record_response(
+        self,
+        table_read: TableRead,
+        query: StoreQuery,
+        confirmed_ms: float,
+        now_ms: float,
+    ) -> None:
+        """Record when the store responded at the earliest, and how late it was."""
+        responded_ms = confirmed_ms
+        if table_read.confirmed_ms is None:
+            era, store_ms = table_read.position.era, table_read.store_ms
+            made_ms = self.store_clock.earliest_ms(era, store_ms, query.sent_ms)
+            responded_ms = max(confirmed_ms, min(made_ms, now_ms))
+            due_ms = query.sent_ms + query.held_ms
+            if not (table_read.whole or (query.held_ms and table_read.entries)):
+                self.followed.response_timer.responded(max(0.0, now_ms - due_ms))
+        self._responded_ms = max(self._responded_ms, responded_ms)
+
     def _apply(self, table_read: TableRead, confirmed_ms: float) -> None:
         """Apply a snapshot or update, and record its confirmation.
 
@@ -298,8 +341,9 @@
     def _source_returned(self, now_ms: float) -> None:
         log_event("store_back", table=self._name, failures=self._failure_count)
         self._failure_count = 0
-        age_ms = self.freshness.age_ms(self._name, now_ms)
-        self.followed.on_source_return(Outage(age_ms, now_ms - self._failing_since_ms))
+        unconfirmed_ms = now_ms - self._responded_ms
+        failed_ms = now_ms - self._failing_since_ms
+        self.followed.on_source_return(Outage(unconfirmed_ms, failed_ms))
 
     def _source_failed(self, reason: str) -> None:
         self._failure_count += 1
@@ -312,10 +356,15 @@
                 "store_lost",
                 table=self._name,
                 reason=reason,
+                held_ms=round(self._sent.held_ms),
+                waited_ms=round(self.clock.now_ms() - self._sent.sent_ms),
                 belief_age_ms=logged_age_ms(age_ms),
             )
 
     def _pause_s(self) -> float:
+        if self._response_lost and self._failure_count == 1:
+            # The store may be sound, and the query took its time already.
+            return 0.0
         doubled_ms = _FIRST_PAUSE_MS * 2.0 ** min(
             self._failure_count - 1, _MAX_DOUBLINGS
         )
--- a/src/coursekeel/settings/_gateway.py
+++ b/src/coursekeel/settings/_gateway.py
@@ -37,6 +37,11 @@
 # holds of 1.7 and 4 s a change once came into force there after the 2 s allowed.
 _SHARED_SHARE = 0.3
 _LATE_SHARE = 0.1
+_LATEST_SHARE = 0.3
+# Share of `configuration_ms`: the longest hold of a request that waits for changes of
+# the configuration. With the latest response, which may be lost, and the next query it
+# stays below the limit.
+_CONFIGURATION_HOLD_SHARE = 0.5
 # Shares of `drain_ms`: how long a member of the group may hold a request, and how late
 # its response may be. Together with the gathering they bound the delay of a change
 # behind a member that stops responding: 0.775 of the limit.
@@ -111,7 +116,10 @@
     @property
     def configuration_hold_ms(self) -> float:
         """How long the store holds a request that waits for configuration changes."""
-        return _HOLD_SHARE * self.revoke_ms
+        return min(
+            _HOLD_SHARE * self.revoke_ms,
+            _CONFIGURATION_HOLD_SHARE * self.configuration_ms,
+        )
 
     @property
     def max_unknown_age_ms(self) -> float:
@@ -138,8 +146,12 @@
         return min(self.configuration_hold_ms, _SHARED_SHARE * self.configuration_ms)
 
     @property
-    def shared_endpoints_hold_ms(self) -> float:
-        """The endpoint list's hold of a request that serves other instances too."""
+    def endpoints_query_hold_ms(self) -> float:
+        """How long the store holds a request that waits for endpoint changes.
+
+        A response may be lost, which is noticed only after the hold; so it is short
+        also at an instance that queries for itself.
+        """
         return min(self.endpoints_hold_ms, _SHARED_SHARE * self.drain_ms)
 
     @property
@@ -154,9 +166,20 @@
     @property
     def usual_endpoints_age_ms(self) -> float:
         """The same for the endpoint list, whose changes gather between requests."""
-        interval_ms = self.endpoints_gathering_ms + self.shared_endpoints_hold_ms
+        interval_ms = self.endpoints_gathering_ms + self.endpoints_query_hold_ms
         return interval_ms + _LATE_SHARE * self.drain_ms
 
+    @property
+    def configuration_slack(self) -> tuple[float, float]:
+        """The least and the greatest limit on a response's delay, in ms."""
+        limit_ms = self.configuration_ms
+        return _LATE_SHARE * limit_ms, _LATEST_SHARE * limit_ms
+
+    @property
+    def endpoints_slack(self) -> tuple[float, float]:
+        """The same for the endpoint list."""
+        return _LATE_SHARE * self.drain_ms, _LATEST_SHARE * self.drain_ms
+
     @property
     def member_hold_ms(self) -> float:
         """How long a member of the group may hold another instance's request."""
--- a/tests/common/cut_links.py
+++ b/tests/common/cut_links.py
@@ -4,16 +4,20 @@
 Connections to those ports on this host hang (``hang``), are reset (``reset``), or live
 on while new ones are refused (``live``); an empty ``how`` heals them. The process looks
 at the file every 20 ms.
+
+Connections that are open when ``how`` becomes ``mute`` never say anything again, while
+new ones work; only those to ports that the file named before are known.
 """
 
 import os
 import socket
+from collections.abc import Sequence
 from pathlib import Path
 from typing import Any
 
 import orjson
 
-__all__ = ["CUT_FILE", "install"]
+__all__ = ["CUT_FILE", "install", "write_cut"]
 
 CUT_FILE = "COURSEKEEL_CUT_FILE"
 _POLL_S = 0.02
@@ -21,6 +25,13 @@
 _FILLING_CONNECTIONS = 4
 
 
+def write_cut(cut_file: Path, how: str, ports: Sequence[int]) -> None:
+    """Say how the process that looks at the file is cut off."""
+    new = cut_file.with_suffix(".new")
+    new.write_bytes(orjson.dumps({"how": how, "ports": ports}))
+    new.rename(cut_file)
+
+
 def install() -> None:
     """Cut the links of this process as the file says, if one is named."""
     if path := os.environ.get(CUT_FILE):
@@ -43,7 +54,7 @@
         self._poll()
 
     def _connect_tcp(self, host: str, port: int, factory: Any, *more: Any, **options):
-        if self._how and port in self._ports:
+        if self._how not in ("", "mute") and port in self._ports:
             cut_port = self._silent if self._how == "hang" else self._refusing
             return self._connect(host, cut_port, factory, *more, **options)
         connector = self._connect(host, port, factory, *more, **options)
@@ -68,7 +79,7 @@
         for connector in self._open:
             if connector.state != "connected":
                 continue
-            if how == "hang":
+            if how in ("hang", "mute"):
                 connector.transport.pauseProducing()
             elif how == "reset":
                 connector.transport.abortConnection()
--- a/tests/cover/test_follow_task.py
+++ b/tests/cover/test_follow_task.py
@@ -8,7 +8,14 @@
 from twisted.internet.task import Clock as FakeReactor
 
 from coursekeel.forwarding import Freshness, StoreClock
-from coursekeel.gateway._adapters import Source, SourceFailed, Table, TableRead
+from coursekeel.gateway._adapters import (
+    Removed,
+    Source,
+    SourceFailed,
+    Table,
+    TableRead,
+    VersionedEntry,
+)
 from coursekeel.gateway.members._table_feed import TableFeed
 from coursekeel.gateway.site._follow_task import FollowedTable, TableWatchTask
 from tests.common.moments import position_at
@@ -170,3 +177,57 @@
     feed.took(TableRead((), position_at(5), 0.0, whole=True), -3_000.0)
     feed.request(None, 0.0, answers.append)
     assert answers[0].age_ms == 4_000.0
+
+
+def test_a_lost_response_is_no_outage_and_is_asked_for_again_at_once():
+    """Guards against a leaving that an instance learns of a hold and a pause later."""
+    reactor, source = FakeReactor(), ScriptedSource()
+    task, table, _ = followed_table(reactor, source)
+    source.answers[0].callback(TableRead((), position_at(3), 0.0, whole=True))
+    reactor.advance(0)
+    reactor.advance(4.2)
+    source.answers[1].callback(SourceFailed("silent"))
+    reactor.advance(0)
+    assert source.holds[2:] == [0.0]
+    source.answers[2].callback(TableRead((), position_at(3), 4_200.0, whole=False))
+    outage = table.on_source_return.call_args.args[0]
+    assert 4_200 <= outage.unconfirmed_ms < 4_210
+    assert outage.failed_ms == 0
+    task.stop()
+
+
+def test_the_time_without_a_response_begins_with_the_last_response():
+    """Guards against counting the hold before a change as a part of an outage."""
+    reactor, source = FakeReactor(), ScriptedSource()
+    task, table, freshness = followed_table(reactor, source)
+    source.answers[0].callback(TableRead((), position_at(3), 0.0, whole=True))
+    reactor.advance(0)
+    reactor.advance(3)
+    change = VersionedEntry(Removed("e"), position_at(4))
+    source.answers[1].callback(
+        TableRead((change,), position_at(4), 3_000.0, whole=False)
+    )
+    assert freshness.confirmed_ms("endpoints") == 0
+    reactor.advance(0.5)
+    source.answers[2].callback(SourceFailed("reset"))
+    reactor.advance(0.5)
+    source.answers[3].callback(TableRead((), position_at(4), 4_000.0, whole=False))
+    outage = table.on_source_return.call_args.args[0]
+    assert 1_000 <= outage.unconfirmed_ms < 1_010
+    task.stop()
+
+
+def test_changes_that_gathered_shorten_the_next_hold():
+    reactor, source = FakeReactor(), ScriptedSource()
+    clock = Mock(now_ms=lambda: reactor.seconds() * 1000)
+    table = FollowedTable(Table.ENDPOINTS, 600, 450, Mock(), Mock())
+    feed = TableFeed(reactor, clock)
+    task = TableWatchTask(
+        reactor, clock, Random(1), source, table, 1_000, Freshness(), StoreClock(), feed
+    )
+    task.start()
+    source.answers[0].callback(TableRead((), position_at(3), 0.0, whole=True))
+    reactor.advance(0.45)
+    source.answers[1].callback(TableRead((), position_at(3), 450.0, whole=False))
+    task.stop()
+    assert source.holds == [0.0, 150, 600]
--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -123,11 +123,12 @@
         program: tuple[str, ...] = ("platform/serve.py",),
         store_link: str = "",
         cut_file: str = "",
+        zone: str = ZONES[0],
         **timers: float,
     ) -> list[int]:
         settings = {
             "instance_id": name,
-            "zone": "ikeja",
+            "zone": zone,
             "listen": {
                 "callers": "127.0.0.1:0",
                 "readiness": "127.0.0.1:0",
