Logs: for how long the list has lacked a chosen endpoint, and the outage that keeps it

Change: the directory notes when the first list without an endpoint was read, whatever outages follow; endpoint_chosen has it as missing_ms. endpoints_recovering names the outage, with the age of the last confirmation and for how long queries had failed. No behaviour changes: tests pass the time to the directory, their assertions are as before.

--- a/src/coursekeel/forwarding/_directory.py
+++ b/src/coursekeel/forwarding/_directory.py
@@ -40,6 +40,17 @@
     replaced: bool = False
 
 
+@frozen
+class _Missing:
+    """An endpoint that the list lacks after an outage: as of which position and time.
+
+    ``since_ms`` is when the first list without it was read.
+    """
+
+    position: StorePosition
+    since_ms: float
+
+
 @frozen
 class _Delisted:
     """An endpoint that the list dropped: its last record, and when it was dropped."""
@@ -59,7 +70,7 @@
     _positions: dict[str, StorePosition] = field(factory=dict)
     _health: dict[str, _Health] = field(factory=dict)
     _recovering: bool = False
-    _missing: dict[str, StorePosition] = field(factory=dict)
+    _missing: dict[str, _Missing] = field(factory=dict)
     _adopted: set[str] = field(factory=set)
     _delisted: dict[str, _Delisted] = field(factory=dict)
 
@@ -83,10 +94,11 @@
         delisted = self._delisted.get(endpoint_id)
         if delisted is not None and position <= delisted.position:
             return True
-        missing = self._missing.get(endpoint_id, StorePosition())
-        return position < max(self._position_of(endpoint_id), missing)
+        missing = self._missing.get(endpoint_id)
+        known = self._position_of(endpoint_id)
+        return position < (known if missing is None else max(known, missing.position))
 
-    def begin_recovery(self) -> None:
+    def begin_recovery(self, now_ms: float) -> None:
         """Note that the list is read again after an outage, and may lack endpoints.
 
         Running endpoints register again soon. Until `remove_missing` one that is
@@ -95,7 +107,19 @@
         """
         self._recovering = True
         for endpoint_id in self._adopted:
-            self._missing.setdefault(endpoint_id, self._position_of(endpoint_id))
+            self._count_missing(endpoint_id, self._position_of(endpoint_id), now_ms)
+
+    def _count_missing(
+        self, endpoint_id: str, position: StorePosition, now_ms: float
+    ) -> None:
+        known = self._missing.get(endpoint_id)
+        since_ms = now_ms if known is None else known.since_ms
+        self._missing[endpoint_id] = _Missing(position, since_ms)
+
+    def missing_since_ms(self, endpoint_id: str) -> float | None:
+        """When the list was first read without a kept endpoint; None if it isn't so."""
+        missing = self._missing.get(endpoint_id)
+        return None if missing is None else missing.since_ms
 
     @property
     def recovering(self) -> bool:
@@ -106,11 +130,11 @@
         """Remove the endpoints still missing some time after an outage; returns ids."""
         self._recovering = False
         gone, self._missing = self._missing, {}
-        for endpoint_id, position in gone.items():
-            self._forget(endpoint_id, position)
+        for endpoint_id, missing in gone.items():
+            self._forget(endpoint_id, missing.position)
         return sorted(gone)
 
-    def remove(self, endpoint_id: str, position: StorePosition) -> None:
+    def remove(self, endpoint_id: str, position: StorePosition, now_ms: float) -> None:
         """Remove an endpoint that the list dropped.
 
         After an outage it stays until `remove_missing`, unless it was leaving.
@@ -119,7 +143,7 @@
             return
         record = self._records.get(endpoint_id)
         if self._recovering and record is not None and not record.leaving:
-            self._missing[endpoint_id] = position
+            self._count_missing(endpoint_id, position, now_ms)
             return
         self._forget(endpoint_id, position)
 
@@ -139,6 +163,7 @@
         self,
         records: Iterable[tuple[EndpointRecord, StorePosition]],
         position: StorePosition,
+        now_ms: float,
         kept: Collection[str] = (),
     ) -> None:
         """Apply a whole list as of ``position``; endpoints not in it are removed.
@@ -148,7 +173,7 @@
         listed = {record.endpoint_id: (record, as_of) for record, as_of in records}
         named = listed.keys() | set(kept)
         for endpoint_id in [name for name in self._records if name not in named]:
-            self.remove(endpoint_id, position)
+            self.remove(endpoint_id, position, now_ms)
         for record, as_of in listed.values():
             self.put(record, as_of)
 
@@ -156,6 +181,7 @@
         self,
         records: Iterable[tuple[EndpointRecord, StorePosition]],
         position: StorePosition,
+        now_ms: float,
         kept: Collection[str] = (),
     ) -> None:
         """Apply the whole list of a store that was restored from an older copy.
@@ -165,16 +191,19 @@
         Endpoints that it lacks count as missing until `remove_missing`, as after an
         outage; running ones register again.
         """
-        self.begin_recovery()
+        self.begin_recovery(now_ms)
         # The store issues its versions again, so that the positions here mean nothing.
         self._positions.clear()
-        self._missing = dict.fromkeys(self._missing, StorePosition())
+        self._missing = {
+            endpoint_id: evolve(missing, position=StorePosition())
+            for endpoint_id, missing in self._missing.items()
+        }
         self._delisted = {
             endpoint_id: evolve(delisted, position=StorePosition())
             for endpoint_id, delisted in self._delisted.items()
         }
         listed = list(self._merge_known_state(records))
-        self.replace_all(listed, position, kept)
+        self.replace_all(listed, position, now_ms, kept)
 
     def _merge_known_state(
         self, records: Iterable[tuple[EndpointRecord, StorePosition]]
@@ -280,7 +309,9 @@
         """Mark an incarnation as replaced: another one responded at its address."""
         self._health.setdefault(endpoint_id, _Health()).replaced = True
 
-    def adopt(self, endpoint_id: str, successor_id: str) -> EndpointRecord | None:
+    def adopt(
+        self, endpoint_id: str, successor_id: str, now_ms: float
+    ) -> EndpointRecord | None:
         """Add a successor that the list doesn't name yet; returns its record.
 
         None if ``endpoint_id`` isn't listed, if the list has the successor in another
@@ -301,7 +332,8 @@
         self._records[successor_id] = record
         self._adopted.add(successor_id)
         if self._recovering:
-            self._missing[successor_id] = self._positions[successor_id]
+            position = self._positions[successor_id]
+            self._count_missing(successor_id, position, now_ms)
         return record
 
     def is_adopted(self, successor_id: str) -> bool:
--- a/src/coursekeel/gateway/_gateway.py
+++ b/src/coursekeel/gateway/_gateway.py
@@ -192,7 +192,10 @@
             self._group.send,
         )
         self._metrics = GatewayMetrics(
-            self.clock, self._site.configuration_age, self._site.endpoint_list_age
+            self.clock,
+            self._site.configuration_age,
+            self._site.endpoint_list_age,
+            self._site.missing_ms,
         )
         self._limits = LimitsTask(
             self.reactor,
--- a/src/coursekeel/gateway/_metrics.py
+++ b/src/coursekeel/gateway/_metrics.py
@@ -53,12 +53,14 @@
     """Logs and counts what happens to requests, runs and endpoints.
 
     ``configuration_age`` returns the version and age of the cached configuration,
-    ``endpoint_list_age`` the position, source and age of the list of endpoints.
+    ``endpoint_list_age`` the position, source and age of the list of endpoints,
+    ``missing_ms`` for how long the list has lacked an endpoint that is still used.
     """
 
     clock: Clock
     configuration_age: Callable[[], ConfigurationAge] = ConfigurationAge
     endpoint_list_age: Callable[[], EndpointListAge] = EndpointListAge
+    missing_ms: Callable[[str], float | None] = lambda _: None
     metrics: Metrics = field(factory=Metrics)
     _counter_label_sets: LabelSets = field(
         factory=lambda: LabelSets(_MAX_COUNTER_LABEL_SETS, kept=("outcome",))
@@ -190,6 +192,8 @@
             "endpoints_source": list_age.source,
             "endpoints_age_ms": logged_age_ms(list_age.age_ms),
         }
+        if (missing_ms := self.missing_ms(endpoint_id)) is not None:
+            fields["missing_ms"] = round(missing_ms)
         if copy_id:
             fields["copy"] = copy_id
         if version:
--- a/src/coursekeel/gateway/site/_site_state.py
+++ b/src/coursekeel/gateway/site/_site_state.py
@@ -38,6 +38,7 @@
     VersionedEntry,
 )
 from coursekeel.gateway._live_settings import LiveSettings
+from coursekeel.gateway._metrics import logged_age_ms
 from coursekeel.gateway._request import AdmittedRequest
 from coursekeel.gateway.admission._start_hold import StartHold
 from coursekeel.observe import log_event
@@ -197,6 +198,11 @@
         age_ms = self.freshness.age_ms(Table.ENDPOINTS.value, self.clock.now_ms())
         return EndpointListAge(self._list_position, self._list_source, age_ms)
 
+    def missing_ms(self, endpoint_id: str) -> float | None:
+        """For how long the list has lacked an endpoint that is kept; None if named."""
+        since_ms = self.directory.missing_since_ms(endpoint_id)
+        return None if since_ms is None else self.clock.now_ms() - since_ms
+
     def record_list_read(self, position: StorePosition) -> None:
         """Record that all changes of the list up to a store position were read."""
         self._list_position = position
@@ -231,11 +237,12 @@
                         Table.ENDPOINTS, versioned.entry, versioned.position
                     )
         was_leaving = self.directory.leaving_by_id()
+        position, now_ms = table_read.position, self.clock.now_ms()
         if table_read.restored:
-            self.directory.restore(pairs, table_read.position, unreadable)
+            self.directory.restore(pairs, position, now_ms, unreadable)
             self._schedule_settling()
         else:
-            self.directory.replace_all(pairs, table_read.position, unreadable)
+            self.directory.replace_all(pairs, position, now_ms, unreadable)
         is_leaving = self.directory.leaving_by_id()
         log_event(
             "endpoints_read",
@@ -260,7 +267,8 @@
                 self.directory.put(entry, position)
                 self._log_change(entry.endpoint_id, False, True, position, source)
             case Removed():
-                self.directory.remove(entry.entry_id, position)
+                now_ms = self.clock.now_ms()
+                self.directory.remove(entry.entry_id, position, now_ms)
                 self._log_change(entry.entry_id, False, False, position, source)
             case UnreadableEntry():
                 _log_unreadable(Table.ENDPOINTS, entry, position)
@@ -300,7 +308,12 @@
             return
         if self.directory.recovering and outage.failed_ms < lapse_ms:
             return
-        self.directory.begin_recovery()
+        self.directory.begin_recovery(self.clock.now_ms())
+        log_event(
+            "endpoints_recovering",
+            unconfirmed_ms=logged_age_ms(outage.unconfirmed_ms),
+            failed_ms=round(outage.failed_ms),
+        )
         self._schedule_settling()
 
     def _schedule_settling(self) -> None:
@@ -323,12 +336,12 @@
 
     def adopt(self, endpoint_id: str, successor_id: str) -> EndpointRecord | None:
         """Add an endpoint's successor at its address; None if it may not be used."""
-        record = self.directory.adopt(endpoint_id, successor_id)
+        now_ms = self.clock.now_ms()
+        record = self.directory.adopt(endpoint_id, successor_id, now_ms)
         if record is None or record.leaving:
             return None
         if self.directory.is_adopted(successor_id):
             log_event("endpoint_adopted", endpoint=successor_id, after=endpoint_id)
-            now_ms = self.clock.now_ms()
             self.reactor.callLater(
                 _LISTING_TIME_S, self._check_adopted, successor_id, now_ms
             )
--- a/tests/cover/test_crash_watch.py
+++ b/tests/cover/test_crash_watch.py
@@ -167,7 +167,7 @@
     if leaving:
         harness.put("e0", leaving=True)
     else:
-        harness.directory.remove("e0", position_at(1))
+        harness.directory.remove("e0", position_at(1), 0.0)
     harness.lose_run("e0", ran_ms=60)
     assert harness.probes == []
 
--- a/tests/cover/test_forwarding.py
+++ b/tests/cover/test_forwarding.py
@@ -183,7 +183,7 @@
     assert directory.may_take("a", 0.0)
     directory.put(make_record("a", leaving=True), position_at(2))
     assert not directory.may_take("a", 0.0)
-    directory.remove("a", position_at(3))
+    directory.remove("a", position_at(3), 0.0)
     assert not directory.may_take("a", 0.0)
 
 
@@ -198,7 +198,9 @@
 def test_a_whole_list_removes_what_it_does_not_name():
     directory = EndpointDirectory()
     directory.put(make_record("a"), position_at(1))
-    directory.replace_all([(make_record("b", port=2), position_at(2))], position_at(2))
+    directory.replace_all(
+        [(make_record("b", port=2), position_at(2))], position_at(2), 0.0
+    )
     assert directory.pools() == {"p": ["b"]}
 
 
@@ -206,31 +208,45 @@
     directory = EndpointDirectory()
     directory.put(make_record("a"), position_at(1))
     directory.put(make_record("b", port=2), position_at(2))
-    directory.begin_recovery()
-    directory.remove("a", position_at(3))
-    directory.replace_all([], position_at(3))
+    directory.begin_recovery(0.0)
+    directory.remove("a", position_at(3), 0.0)
+    directory.replace_all([], position_at(3), 0.0)
     assert sorted(directory.pools()["p"]) == ["a", "b"]
     assert directory.may_take("a", 0.0)
     directory.put(make_record("b", port=2), position_at(4))
     assert directory.remove_missing() == ["a"]
     assert directory.pools() == {"p": ["b"]}
-    directory.remove("b", position_at(5))
+    directory.remove("b", position_at(5), 0.0)
     assert directory.pools() == {}
 
 
+def test_an_endpoint_is_missing_since_the_first_list_without_it():
+    """Guards against a time that starts again with each outage."""
+    directory = EndpointDirectory()
+    directory.put(make_record("a"), position_at(1))
+    directory.begin_recovery(0.0)
+    directory.remove("a", position_at(2), 100.0)
+    directory.begin_recovery(1_000.0)
+    directory.replace_all([], position_at(3), 1_100.0)
+    directory.restore([], position_at(1, era=1), 1_200.0)
+    assert directory.missing_since_ms("a") == 100.0
+    directory.put(make_record("a"), position_at(2, era=1))
+    assert directory.missing_since_ms("a") is None
+
+
 def test_a_leaving_endpoint_missing_after_an_outage_is_removed():
     directory = EndpointDirectory()
     directory.put(make_record("a", leaving=True), position_at(1))
-    directory.begin_recovery()
-    directory.remove("a", position_at(2))
+    directory.begin_recovery(0.0)
+    directory.remove("a", position_at(2), 0.0)
     assert directory.record("a") is None
 
 
 def test_a_missing_endpoint_can_be_ejected():
     directory = EndpointDirectory()
     directory.put(make_record("a"), position_at(1))
-    directory.begin_recovery()
-    directory.remove("a", position_at(2))
+    directory.begin_recovery(0.0)
+    directory.remove("a", position_at(2), 0.0)
     directory.eject("a", 0.0)
     assert not directory.may_take("a", 1.0)
 
@@ -339,12 +355,12 @@
     for port, name in enumerate(("lives", "lacked", "leaves", "gone"), 1):
         directory.put(make_record(name, port), position_at(port))
     directory.put(make_record("leaves", 3, leaving=True), position_at(8))
-    directory.remove("gone", position_at(9))
+    directory.remove("gone", position_at(9), 0.0)
     copy = [
         (make_record(name, port), position_at(port, era=1))
         for port, name in ((1, "lives"), (3, "leaves"), (4, "gone"))
     ]
-    directory.restore(copy, position_at(4, era=1))
+    directory.restore(copy, position_at(4, era=1), 0.0)
     available = [
         endpoint_id
         for endpoint_id in ("lives", "lacked", "leaves", "gone")
@@ -357,9 +373,9 @@
 def test_an_endpoint_that_registers_after_a_restore_is_served():
     directory = EndpointDirectory()
     directory.put(make_record("a"), position_at(3))
-    directory.remove("a", position_at(4))
+    directory.remove("a", position_at(4), 0.0)
     directory.restore(
-        [(make_record("a"), position_at(3, era=1))], position_at(3, era=1)
+        [(make_record("a"), position_at(3, era=1))], position_at(3, era=1), 0.0
     )
     directory.put(make_record("a"), position_at(4, era=1))
     assert directory.may_take("a", 0.0)
--- a/tests/cover/test_freshness_machine.py
+++ b/tests/cover/test_freshness_machine.py
@@ -44,8 +44,9 @@
     def begin(self) -> None:
         self.reactor = FakeReactor()
         self.directory = EndpointDirectory()
+        clock = Mock(now_ms=lambda: self.now_ms)
         self.site = SiteState(
-            self.reactor, Mock(), LiveSettings(SETTINGS), self.directory, Mock()
+            self.reactor, clock, LiveSettings(SETTINGS), self.directory, Mock()
         )
         self.freshness = Freshness()
         self.version = 0
--- a/tests/cover/test_read_order.py
+++ b/tests/cover/test_read_order.py
@@ -66,17 +66,17 @@
     directory = EndpointDirectory()
     directory.put(record("a"), position_at(1))
     directory.put(record("b"), position_at(2))
-    directory.remove("b", position_at(6))
+    directory.remove("b", position_at(6), 0.0)
     directory.put(record("c"), position_at(7))
     older = [(record("a"), position_at(1)), (record("b"), position_at(2))]
-    directory.replace_all(older, position_at(5))
+    directory.replace_all(older, position_at(5), 0.0)
     assert sorted(directory.pools()["p"]) == ["a", "c"]
 
 
 def test_an_endpoint_listed_again_after_its_removal_is_used():
     directory = EndpointDirectory()
     directory.put(record("a"), position_at(1))
-    directory.replace_all([], position_at(4))
+    directory.replace_all([], position_at(4), 0.0)
     directory.put(record("a"), position_at(4))
     assert directory.record("a") is None
     directory.put(record("a"), position_at(5))
@@ -87,10 +87,10 @@
     directory = EndpointDirectory()
     directory.put(record("a"), position_at(5))
     directory.put(record("b", leaving=True), position_at(6))
-    directory.remove("a", position_at(7))
+    directory.remove("a", position_at(7), 0.0)
     copy = [(record(name), position_at(3, era=1)) for name in ("a", "b")]
-    directory.restore(copy, position_at(4, era=1))
-    directory.replace_all(copy, position_at(4, era=1))
+    directory.restore(copy, position_at(4, era=1), 0.0)
+    directory.replace_all(copy, position_at(4, era=1), 0.0)
     assert not directory.may_take("a", 0.0)
     assert not directory.may_take("b", 0.0)
 
@@ -99,8 +99,8 @@
     """Guards against ignoring it, as its version is below that of its removal."""
     directory = EndpointDirectory()
     directory.put(record("a"), position_at(5))
-    directory.remove("a", position_at(9))
-    directory.restore([], position_at(3))
+    directory.remove("a", position_at(9), 0.0)
+    directory.restore([], position_at(3), 0.0)
     directory.put(record("a"), position_at(4))
     assert directory.may_take("a", 0.0)
 
@@ -116,11 +116,11 @@
         position = position_at(version)
         if state == "gone":
             rows.pop(name, None)
-            directory.remove(name, position)
+            directory.remove(name, position, 0.0)
         else:
             rows[name] = (record(name, state == "leaving"), position)
             directory.put(*rows[name])
         lists.append((list(rows.values()), position))
-        directory.replace_all(*random.choice(lists))
+        directory.replace_all(*random.choice(lists), 0.0)
         expected = {each: row.leaving for each, (row, _) in rows.items()}
         assert directory.leaving_by_id() == expected
--- a/tests/cover/test_stream_placement.py
+++ b/tests/cover/test_stream_placement.py
@@ -601,7 +601,7 @@
     before = harness.open_runs()
     harness.reports.request_reports = Mock()
     task.start()
-    harness.directory.remove("e1", position_at(2))
+    harness.directory.remove("e1", position_at(2), 0.0)
     harness.router.count_run_at_copy("e1")
     task.handle_event(EndpointGranted("e1"))
     assert harness.open_runs() == before
@@ -643,7 +643,7 @@
     harness.start(copies=True)
     send_first_event(harness, harness.client.sinks[0])
     copy_endpoint = _copy_endpoint(harness)
-    harness.directory.remove(copy_endpoint.endpoint_id, position_at(2))
+    harness.directory.remove(copy_endpoint.endpoint_id, position_at(2), 0.0)
     harness.directory.put(
         evolve(copy_endpoint, endpoint_id="other", pool="plain"), position_at(3)
     )
@@ -687,7 +687,7 @@
         case "leaving":
             harness.directory.put(evolve(endpoint, leaving=True), position_at(2))
         case "gone":
-            harness.directory.remove(endpoint.endpoint_id, position_at(2))
+            harness.directory.remove(endpoint.endpoint_id, position_at(2), 0.0)
         case "too_late":
             harness.clock.now_ms = lambda: deadline_ms
     assert not sink.may_send()
--- a/tests/cover/test_successors.py
+++ b/tests/cover/test_successors.py
@@ -29,7 +29,7 @@
 
 def test_an_adopted_successor_replaces_its_predecessor():
     directory = make_directory()
-    record = directory.adopt("old", "new")
+    record = directory.adopt("old", "new", 0.0)
     assert record == evolve(OLD, endpoint_id="new")
     assert directory.pools() == {POOL: ["new"]}
     assert directory.may_take("new", 0.0)
@@ -39,23 +39,23 @@
 def test_a_removed_endpoint_is_not_adopted():
     directory = make_directory()
     directory.put(evolve(OLD, endpoint_id="new"), position_at(6))
-    directory.remove("new", position_at(7))
-    assert directory.adopt("old", "new") is None
+    directory.remove("new", position_at(7), 0.0)
+    assert directory.adopt("old", "new", 0.0) is None
 
 
 def test_an_endpoint_listed_as_leaving_stays_leaving():
     directory = make_directory()
     directory.put(evolve(OLD, endpoint_id="new", leaving=True), position_at(6))
-    assert directory.adopt("old", "new").leaving
+    assert directory.adopt("old", "new", 0.0).leaving
     assert not directory.may_take("new", 0.0)
 
 
 def test_only_listed_successors_are_kept_when_the_store_returns():
     directory = make_directory()
     directory.put(evolve(OLD, endpoint_id="old2", port=10), position_at(5))
-    directory.adopt("old", "new")
-    directory.adopt("old2", "new2")
-    directory.begin_recovery()
+    directory.adopt("old", "new", 0.0)
+    directory.adopt("old2", "new2", 0.0)
+    directory.begin_recovery(0.0)
     directory.put(evolve(OLD, endpoint_id="new"), position_at(8))
     assert directory.remove_missing() == ["new2"]
     assert directory.may_take("new", 0.0)
@@ -149,7 +149,7 @@
 def test_an_endpoint_listed_in_another_pool_is_not_adopted():
     directory = make_directory()
     directory.put(evolve(OLD, endpoint_id="new", pool="other"), position_at(6))
-    assert directory.adopt("old", "new") is None
+    assert directory.adopt("old", "new", 0.0) is None
 
 
 def test_new_work_goes_elsewhere_and_the_successor_is_adopted():
