Fix: outages in series kept an endpoint that had left for as long as they followed

Cause: the time for which an endpoint that is missing after an outage may take work was endpoints_return_ms, 2,000: as long as drain_ms; it belonged to the list, not to the endpoint, and each later outage or restore started it again. Only its timer ended it. A restored copy that named a missing endpoint brought it back into service. Class: a time that is put off after a trouble and starts again with the next one.

Change: MissingEndpoints, a core of its own, gives each endpoint one time in sum, from the reading of the first response without it: endpoints_missing_ms, 0.75 of drain_ms, and not beyond endpoints_return_ms after that outage. The choice and each send compare it with the time. What a restored copy says of a missing endpoint is ignored, as for one that is gone.

--- a/src/coursekeel/forwarding/__init__.py
+++ b/src/coursekeel/forwarding/__init__.py
@@ -9,6 +9,7 @@
     StoreClock,
     confirmed_time_ms,
 )
+from coursekeel.forwarding._missing import MissingEndpoints, RecoveryTimes
 from coursekeel.forwarding._model import (
     EndpointRecord,
     ForwardingConfiguration,
@@ -32,10 +33,12 @@
     "EventLedger",
     "ForwardingConfiguration",
     "Freshness",
+    "MissingEndpoints",
     "Pool",
     "PoolShare",
     "ReadOrder",
     "ReadVerdict",
+    "RecoveryTimes",
     "RequestLimits",
     "Route",
     "RouteKind",
--- a/src/coursekeel/forwarding/_directory.py
+++ b/src/coursekeel/forwarding/_directory.py
@@ -13,6 +13,7 @@
 
 from attrs import define, evolve, field, frozen
 
+from coursekeel.forwarding._missing import MissingEndpoints
 from coursekeel.forwarding._model import EndpointRecord
 from coursekeel.forwarding._moment import StorePosition
 
@@ -40,17 +41,6 @@
     replaced: bool = False
 
 
-@frozen
-class _Missing:
-    """An endpoint that the list lacks after an outage: as of which position and time.
-
-    ``since_ms`` is when the first list without it was read.
-    """
-
-    position: StorePosition
-    since_ms: float
-
-
 @frozen
 class _Delisted:
     """An endpoint that the list dropped: its last record, and when it was dropped."""
@@ -66,11 +56,10 @@
     Each record is stored with the store position at which it was read.
     """
 
+    missing: MissingEndpoints = field(factory=MissingEndpoints)
     _records: dict[str, EndpointRecord] = field(factory=dict)
     _positions: dict[str, StorePosition] = field(factory=dict)
     _health: dict[str, _Health] = field(factory=dict)
-    _recovering: bool = False
-    _missing: dict[str, _Missing] = field(factory=dict)
     _adopted: set[str] = field(factory=set)
     _delisted: dict[str, _Delisted] = field(factory=dict)
 
@@ -85,7 +74,7 @@
             record = evolve(record, leaving=record.leaving or known.leaving)
         self._positions[endpoint_id] = position
         self._records[endpoint_id] = record
-        self._missing.pop(endpoint_id, None)
+        self.missing.discard(endpoint_id)
         self._adopted.discard(endpoint_id)
         self._delisted.pop(endpoint_id, None)
 
@@ -94,62 +83,47 @@
         delisted = self._delisted.get(endpoint_id)
         if delisted is not None and position <= delisted.position:
             return True
-        missing = self._missing.get(endpoint_id)
-        known = self._position_of(endpoint_id)
-        return position < (known if missing is None else max(known, missing.position))
+        if endpoint_id in self.missing and position <= self.missing.position(
+            endpoint_id
+        ):
+            return True
+        return position < self._position_of(endpoint_id)
 
     def begin_recovery(self, now_ms: float) -> None:
         """Note that the list is read again after an outage, and may lack endpoints.
 
-        Running endpoints register again soon. Until `remove_missing` one that is
-        missing may still take work unless it was leaving: removing all of them at once
-        would refuse every request until they are listed again.
+        Running endpoints register again soon. For a while one that is missing may
+        still take work unless it was leaving: removing all of them at once would
+        refuse every request until they are listed again.
         """
-        self._recovering = True
+        self.missing.begin_recovery(now_ms)
         for endpoint_id in self._adopted:
-            self._count_missing(endpoint_id, self._position_of(endpoint_id), now_ms)
+            self.missing.add(endpoint_id, StorePosition(), now_ms)
 
-    def _count_missing(
-        self, endpoint_id: str, position: StorePosition, now_ms: float
-    ) -> None:
-        known = self._missing.get(endpoint_id)
-        since_ms = now_ms if known is None else known.since_ms
-        self._missing[endpoint_id] = _Missing(position, since_ms)
-
-    def missing_since_ms(self, endpoint_id: str) -> float | None:
-        """When the list was first read without a kept endpoint; None if it isn't so."""
-        missing = self._missing.get(endpoint_id)
-        return None if missing is None else missing.since_ms
-
-    @property
-    def recovering(self) -> bool:
-        """Whether endpoints that are missing are kept."""
-        return self._recovering
-
-    def remove_missing(self) -> list[str]:
-        """Remove the endpoints still missing some time after an outage; returns ids."""
-        self._recovering = False
-        gone, self._missing = self._missing, {}
-        for endpoint_id, missing in gone.items():
-            self._forget(endpoint_id, missing.position)
+    def remove_missing(self, now_ms: float) -> list[str]:
+        """Remove the endpoints that have been missing for too long; returns ids."""
+        gone = self.missing.overdue(now_ms)
+        for endpoint_id in gone:
+            self._forget(endpoint_id, self.missing.position(endpoint_id))
         return sorted(gone)
 
     def remove(self, endpoint_id: str, position: StorePosition, now_ms: float) -> None:
         """Remove an endpoint that the list dropped.
 
-        After an outage it stays until `remove_missing`, unless it was leaving.
+        After an outage it counts as missing, unless it was leaving.
         """
         if self._is_older(endpoint_id, position):
             return
         record = self._records.get(endpoint_id)
-        if self._recovering and record is not None and not record.leaving:
-            self._count_missing(endpoint_id, position, now_ms)
+        kept = endpoint_id in self.missing or self.missing.recovering(now_ms)
+        if kept and record is not None and not record.leaving:
+            self.missing.add(endpoint_id, position, now_ms)
             return
         self._forget(endpoint_id, position)
 
     def _forget(self, endpoint_id: str, position: StorePosition) -> None:
         self._adopted.discard(endpoint_id)
-        self._missing.pop(endpoint_id, None)
+        self.missing.discard(endpoint_id)
         position = max(position, self._position_of(endpoint_id))
         record = self._records.pop(endpoint_id, None)
         self._delisted.pop(endpoint_id, None)
@@ -187,32 +161,33 @@
         """Apply the whole list of a store that was restored from an older copy.
 
         The copy may name endpoints that were removed since, or lack the mark of one
-        that is leaving: both stay as they are here until they are written again.
-        Endpoints that it lacks count as missing until `remove_missing`, as after an
-        outage; running ones register again.
+        that is leaving: both stay as they are here until they are written again, and
+        so do those that are missing. Endpoints that it lacks count as missing, as
+        after an outage; running ones register again.
         """
         self.begin_recovery(now_ms)
         # The store issues its versions again, so that the positions here mean nothing.
         self._positions.clear()
-        self._missing = {
-            endpoint_id: evolve(missing, position=StorePosition())
-            for endpoint_id, missing in self._missing.items()
-        }
+        self.missing.reset_positions()
         self._delisted = {
             endpoint_id: evolve(delisted, position=StorePosition())
             for endpoint_id, delisted in self._delisted.items()
         }
-        listed = list(self._merge_known_state(records))
+        listed = list(self._merge_known_state(records, now_ms))
         self.replace_all(listed, position, now_ms, kept)
 
     def _merge_known_state(
-        self, records: Iterable[tuple[EndpointRecord, StorePosition]]
+        self, records: Iterable[tuple[EndpointRecord, StorePosition]], now_ms: float
     ) -> Iterable[tuple[EndpointRecord, StorePosition]]:
         for record, position in records:
             delisted = self._delisted.get(record.endpoint_id)
             if delisted is not None:
                 self._delisted[record.endpoint_id] = evolve(delisted, position=position)
                 continue
+            if record.endpoint_id in self.missing and not record.leaving:
+                # Only a later write says that it serves.
+                self.missing.add(record.endpoint_id, position, now_ms)
+                continue
             known = self._records.get(record.endpoint_id)
             leaving = record.leaving or (known is not None and known.leaving)
             yield evolve(record, leaving=leaving), position
@@ -331,9 +306,8 @@
         self._positions[successor_id] = evolve(before, version=before.version + 1)
         self._records[successor_id] = record
         self._adopted.add(successor_id)
-        if self._recovering:
-            position = self._positions[successor_id]
-            self._count_missing(successor_id, position, now_ms)
+        if self.missing.recovering(now_ms):
+            self.missing.add(successor_id, StorePosition(), now_ms)
         return record
 
     def is_adopted(self, successor_id: str) -> bool:
@@ -347,14 +321,24 @@
 
     def may_take(self, endpoint_id: str, now_ms: float) -> bool:
         """Whether new work may be sent to the endpoint."""
-        record = self._records.get(endpoint_id)
-        if record is None or record.leaving:
+        if self.serving_record(endpoint_id, now_ms) is None:
             return False
         health = self._health.get(endpoint_id)
         if health is None:
             return True
         return not health.replaced and now_ms >= health.ejected_until_ms
 
+    def serving_record(self, endpoint_id: str, now_ms: float) -> EndpointRecord | None:
+        """An endpoint's record, if what was placed there may still be sent to it.
+
+        None if it is gone, leaving, or has been missing for too long. Asked at each
+        send, since a timer may be late.
+        """
+        record = self._records.get(endpoint_id)
+        if record is None or record.leaving:
+            return None
+        return None if self.missing.is_over(endpoint_id, now_ms) else record
+
     def _position(self, record: EndpointRecord) -> StorePosition:
         return self._position_of(record.endpoint_id)
 
--- a/src/coursekeel/gateway/_gateway.py
+++ b/src/coursekeel/gateway/_gateway.py
@@ -15,7 +15,13 @@
 
 from coursekeel.canary import CanaryBounds, RolloutRecords, Rollouts
 from coursekeel.fetch import OwnLink
-from coursekeel.forwarding import EndpointDirectory, Freshness, StoreClock
+from coursekeel.forwarding import (
+    EndpointDirectory,
+    Freshness,
+    MissingEndpoints,
+    RecoveryTimes,
+    StoreClock,
+)
 from coursekeel.gateway._adapters import (
     CallerDialect,
     EndpointDialect,
@@ -125,8 +131,8 @@
 
     def __attrs_post_init__(self) -> None:
         random = Random(self.settings.seed)
-        directory = EndpointDirectory()
         self._live_settings = LiveSettings(self.settings)
+        directory = EndpointDirectory(MissingEndpoints(self._recovery_times))
         self._connections = OpenConnections(
             lambda: self._live_settings.now.answers.max_unsent_bytes,
             lambda: self._live_settings.now.max_received_bytes,
@@ -354,6 +360,10 @@
             for followed in self._followed_tables()
         ]
 
+    def _recovery_times(self) -> RecoveryTimes:
+        timers = self._live_settings.timers
+        return RecoveryTimes(timers.endpoints_return_ms, timers.endpoints_missing_ms)
+
     def _report_period_ms(self) -> float:
         members = self._group.members or 1
         return report_period_ms(members, self._live_settings.now.canary.rollback_ms)
--- a/src/coursekeel/gateway/site/_site_state.py
+++ b/src/coursekeel/gateway/site/_site_state.py
@@ -48,6 +48,9 @@
 
 __all__ = ["SiteState"]
 
+# Interval at which missing endpoints are reviewed; at each send the time is compared.
+_REVIEW_INTERVAL_S = 0.1
+
 # Time for a new endpoint to appear in the list: twice the sum of two usual heartbeats
 # of 1.2 s and the time that changes gather.
 _LISTING_TIME_S = 6.0
@@ -76,7 +79,7 @@
     endpoints_read: bool = False
     _list_position: StorePosition = field(factory=StorePosition)
     _list_source: str = ""
-    _settle_timer: Any = None
+    _review_timer: Any = None
     _tried_pools: dict[str, str] = field(factory=dict)
 
     # Routes and keys.
@@ -200,7 +203,7 @@
 
     def missing_ms(self, endpoint_id: str) -> float | None:
         """For how long the list has lacked an endpoint that is kept; None if named."""
-        since_ms = self.directory.missing_since_ms(endpoint_id)
+        since_ms = self.directory.missing.since_ms(endpoint_id)
         return None if since_ms is None else self.clock.now_ms() - since_ms
 
     def record_list_read(self, position: StorePosition) -> None:
@@ -240,7 +243,7 @@
         position, now_ms = table_read.position, self.clock.now_ms()
         if table_read.restored:
             self.directory.restore(pairs, position, now_ms, unreadable)
-            self._schedule_settling()
+            self._schedule_review()
         else:
             self.directory.replace_all(pairs, position, now_ms, unreadable)
         is_leaving = self.directory.leaving_by_id()
@@ -300,34 +303,38 @@
         """Prepare for the first read of the list after an outage.
 
         Registrations expire while the store is down, and live endpoints register again
-        within `endpoints_return_ms`; one that is missing after that is gone. That time
-        isn't started again by an outage in which none can have expired.
+        within `endpoints_return_ms`: endpoints that are removed in that time count as
+        missing. It isn't started again by an outage in which none can have expired.
         """
         lapse_ms = self.settings.timers.endpoints_lapse_ms
         if outage.unconfirmed_ms < lapse_ms:
             return
-        if self.directory.recovering and outage.failed_ms < lapse_ms:
+        now_ms = self.clock.now_ms()
+        if self.directory.missing.recovering(now_ms) and outage.failed_ms < lapse_ms:
             return
-        self.directory.begin_recovery(self.clock.now_ms())
+        self.directory.begin_recovery(now_ms)
         log_event(
             "endpoints_recovering",
             unconfirmed_ms=logged_age_ms(outage.unconfirmed_ms),
             failed_ms=round(outage.failed_ms),
         )
-        self._schedule_settling()
+        self._schedule_review()
 
-    def _schedule_settling(self) -> None:
-        timers = self.settings.timers
-        if self._settle_timer is not None and self._settle_timer.active():
-            self._settle_timer.cancel()
-        self._settle_timer = self.reactor.callLater(
-            timers.endpoints_return_ms / 1000, self._finish_settling
-        )
+    def _schedule_review(self) -> None:
+        """Review the missing endpoints soon, and for as long as there are any."""
+        if self._review_timer is None or not self._review_timer.active():
+            self._review_timer = self.reactor.callLater(
+                _REVIEW_INTERVAL_S, self._review_missing
+            )
 
-    def _finish_settling(self) -> None:
-        for endpoint_id in self.directory.remove_missing():
-            log_event("endpoint_gone", endpoint=endpoint_id, reason="not_back")
-        self.update_routing()
+    def _review_missing(self) -> None:
+        now_ms, directory = self.clock.now_ms(), self.directory
+        if gone := directory.remove_missing(now_ms):
+            for endpoint_id in gone:
+                log_event("endpoint_gone", endpoint=endpoint_id, reason="not_back")
+            self.update_routing()
+        if directory.missing.recovering(now_ms) or directory.missing.ids():
+            self._schedule_review()
 
     def mark_replaced(self, endpoint_id: str) -> None:
         """Mark an endpoint as replaced: another incarnation answers at its address."""
--- a/src/coursekeel/gateway/streams/_stream_task.py
+++ b/src/coursekeel/gateway/streams/_stream_task.py
@@ -510,11 +510,11 @@
 
     def may_still_send(self, endpoint: EndpointRecord) -> bool:
         """Return whether a run may still be sent, once its connection is open."""
-        context = self.context
-        record = context.site.directory.record(endpoint.endpoint_id)
-        if record is None or record.leaving or record.pool != self.call.pool:
+        context, now_ms = self.context, self.context.clock.now_ms()
+        record = context.site.directory.serving_record(endpoint.endpoint_id, now_ms)
+        if record is None or record.pool != self.call.pool:
             return False
-        if context.clock.now_ms() >= self.call.deadline_ms:
+        if now_ms >= self.call.deadline_ms:
             return False
         if not context.versions.may_receive(record):
             return False
--- a/src/coursekeel/gateway/whole/_whole_task.py
+++ b/src/coursekeel/gateway/whole/_whole_task.py
@@ -212,8 +212,9 @@
 
     def may_still_send(self, endpoint_id: str) -> bool:
         """Return whether the request may still be sent, once its connection is open."""
-        record = self._record_in_time(endpoint_id)
-        if record is None or record.leaving:
+        directory, now_ms = self.context.site.directory, self.context.clock.now_ms()
+        record = directory.serving_record(endpoint_id, now_ms)
+        if record is None or self._remaining_ms < _MIN_REMAINING_MS:
             return False
         return (
             self.context.versions.may_receive(record)
--- a/src/coursekeel/settings/_gateway.py
+++ b/src/coursekeel/settings/_gateway.py
@@ -51,6 +51,9 @@
 # link takes longer, the store's response arrives sooner. 1,469 routes have 24 kB on the
 # way, 40 ms at 5 Mbit/s; the store's own response has 411 kB.
 _MEMBER_TRANSFER_SHARE = 0.25
+# Share of `drain_ms` for which an endpoint that is missing after an outage takes work.
+# The rest is for a process that stops for 0.3 s at a send, and for the request's way.
+_MISSING_SHARE = 0.75
 
 
 @frozen
@@ -77,8 +80,9 @@
     is in trouble.
 
     ``drain_ms`` after the list shows that an endpoint is leaving, no new work may reach
-    it. After a store outage of ``endpoints_lapse_ms`` or more, missing endpoints count
-    as gone only ``endpoints_return_ms`` after the store's return.
+    it. In ``endpoints_return_ms`` after a store outage of ``endpoints_lapse_ms`` or
+    more, endpoints register again: one that is removed in that time may take work for
+    a part of ``drain_ms``.
 
     ``grace_s`` is the time from SIGTERM to exit. ``silence_ms`` is the silence after
     which a started stream counts as lost, ``report_ms`` the timeout of a request for an
@@ -137,6 +141,11 @@
         """
         return _GATHERING_SHARE * self.drain_ms
 
+    @property
+    def endpoints_missing_ms(self) -> float:
+        """How long an endpoint that is missing after an outage may take work."""
+        return _MISSING_SHARE * self.drain_ms
+
     @property
     def shared_configuration_hold_ms(self) -> float:
         """The configuration hold of a request that serves other instances too.
--- a/tests/cover/test_forwarding.py
+++ b/tests/cover/test_forwarding.py
@@ -214,9 +214,10 @@
     assert sorted(directory.pools()["p"]) == ["a", "b"]
     assert directory.may_take("a", 0.0)
     directory.put(make_record("b", port=2), position_at(4))
-    assert directory.remove_missing() == ["a"]
+    assert directory.remove_missing(1_499.0) == []
+    assert directory.remove_missing(1_500.0) == ["a"]
     assert directory.pools() == {"p": ["b"]}
-    directory.remove("b", position_at(5), 0.0)
+    directory.remove("b", position_at(5), 2_000.0)
     assert directory.pools() == {}
 
 
@@ -229,9 +230,9 @@
     directory.begin_recovery(1_000.0)
     directory.replace_all([], position_at(3), 1_100.0)
     directory.restore([], position_at(1, era=1), 1_200.0)
-    assert directory.missing_since_ms("a") == 100.0
+    assert directory.missing.since_ms("a") == 100.0
     directory.put(make_record("a"), position_at(2, era=1))
-    assert directory.missing_since_ms("a") is None
+    assert directory.missing.since_ms("a") is None
 
 
 def test_a_leaving_endpoint_missing_after_an_outage_is_removed():
@@ -367,7 +368,7 @@
         if directory.may_take(endpoint_id, 0.0)
     ]
     assert available == ["lives", "lacked"]
-    assert directory.remove_missing() == ["lacked"]
+    assert directory.remove_missing(1_500.0) == ["lacked"]
 
 
 def test_an_endpoint_that_registers_after_a_restore_is_served():
--- a/tests/cover/test_stream_placement.py
+++ b/tests/cover/test_stream_placement.py
@@ -693,6 +693,19 @@
     assert not sink.may_send()
 
 
+@pytest.mark.parametrize("start", [start_stream, start_call])
+def test_a_request_whose_endpoint_is_missing_for_too_long_is_not_sent(harness, start):
+    """Guards against a time that only a timer ends: no timer runs here."""
+    sink, _ = start(harness)
+    directory = harness.directory
+    directory.begin_recovery(0.0)
+    directory.remove(harness.client.sent[0].endpoint.endpoint_id, position_at(2), 0.0)
+    harness.clock.now_ms = lambda: 1_499.0
+    assert sink.may_send()
+    harness.clock.now_ms = lambda: 1_500.0
+    assert not sink.may_send()
+
+
 @pytest.mark.parametrize("start", [start_stream, start_call])
 def test_a_withheld_request_goes_elsewhere_and_ejects_nothing(
     harness, start, monkeypatch
--- a/tests/platform/test_missing_endpoints.py
+++ b/tests/platform/test_missing_endpoints.py
@@ -1,6 +1,9 @@
 """Endpoints whose rows go while a gateway's connections to the store fail."""
 
 import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from datetime import datetime
 
 import pytest
 
@@ -13,6 +16,11 @@
 _FAILURE_INTERVAL_S = 0.9
 _TIMERS = {"endpoints_lapse_ms": 600, "endpoints_return_ms": 1_000}
 _FAILURES = 6
+# Outages in series: registrations lapse in each, and the store doesn't respond for long
+# enough in between for endpoints to register again.
+_DOWN_S, _UP_S, _OUTAGES = 2.5, 0.8, 4
+# The last part of the time is for a request that is on its way.
+_LAST_START_S = 0.95 * _DRAIN_S
 
 
 @pytest.fixture
@@ -57,3 +65,44 @@
         arrived = site.control.get("/servers")["s3"]["arrived"]
     late_s = [each["at_s"] - removed_s for each in arrived]
     assert [each for each in late_s if each > _DRAIN_S] == []
+
+
+def missing_since_s(log: str, name: str) -> float:
+    """When the gateway first logged that an endpoint was missing, by `monotonic`."""
+    line = next(each for each in log.splitlines() if _is_missing(each, name))
+    written = datetime.fromisoformat(line.split()[0].removeprefix("time="))
+    return written.timestamp() - time.time() + time.monotonic()
+
+
+def _is_missing(line: str, name: str) -> bool:
+    return f"event=endpoint_missing endpoint={name} " in line
+
+
+@contextmanager
+def store_outage(site: GatewaySite, fault: str) -> Iterator[None]:
+    """The store is down, open connections included."""
+    site.store(fault=fault, abort_waiting=fault != "silent")
+    yield
+    site.store(fault="")
+
+
+def play_outages(site: GatewaySite, fault: str, removed: tuple[int, ...]) -> None:
+    """Outages in series; in the first one rows go."""
+    for number in range(_OUTAGES):
+        with store_outage(site, fault):
+            ask_for(site, _DOWN_S / 2)
+            if number == 0:
+                site.put([("servers", f"s{each}", None) for each in removed])
+            ask_for(site, _DOWN_S / 2)
+        ask_for(site, _UP_S)
+
+
+@pytest.mark.parametrize("fault", ["silent", "reset", "503"])
+def test_outages_in_series_keep_no_endpoint_that_was_removed(fault):
+    """Guards against keeping it anew after each outage."""
+    with running_gateway(revoke_ms=6_000) as site:
+        play_outages(site, fault, (3,))
+        told_s = missing_since_s(site.log(), "s3")
+        arrived = site.control.get("/servers")["s3"]["arrived"]
+    late_s = [each["at_s"] - told_s for each in arrived]
+    assert [each for each in late_s if each > _LAST_START_S] == []
