Endpoints that say in a report that they leave get no new requests

The reports' `state` and `leaves_ms` weren't read.

Change: `EndpointReport.leaving`, translated by the platform from `state` and `leaves_ms`; `SiteState.record_own_state` marks the endpoint in the directory and logs `endpoint_leaving source=endpoint`. `EndpointDirectory.mark_leaving` holds for the id, listed or not: no row, whole list, restore or return after an outage undoes it, since each start has an id of its own. A marked endpoint isn't kept after an outage.

Tests: rows, lists of any position, restores and outages in any mix (hypothesis); a mark before the row, a successor, 5,000 later marks; the translation.

--- a/src/coursekeel/forwarding/_directory.py
+++ b/src/coursekeel/forwarding/_directory.py
@@ -2,7 +2,8 @@
 
 Rule: an endpoint may take new work while the store's list names it and doesn't mark it
 as leaving. An older record, list or removal takes nothing back, also once the endpoint
-is gone. If a request of this instance finds it unreachable it is ejected, because the
+is gone. One that said itself that it is leaving takes no new work, whatever is read
+later. If a request of this instance finds it unreachable it is ejected, because the
 list drops a crashed endpoint only after three missed heartbeats; the time doubles with
 each ejection. One whose address another incarnation has is never used again.
 
@@ -26,9 +27,9 @@
 # A failure later than this after the end of an ejection counts as a first one.
 _EJECTION_RESET_MS = 5_000.0
 
-# How many endpoints that the list dropped are remembered. A stopping server serves for
-# some seconds after that, and must not be adopted as a new one. More than leave a site
-# in a minute.
+# How many endpoints that the list dropped, or that said they leave, are remembered. A
+# stopping server serves for some seconds after that, and must not be adopted as a new
+# one. More than leave a site in a minute.
 _MAX_DELISTED = 1_000
 
 
@@ -62,6 +63,7 @@
     _health: dict[str, _Health] = field(factory=dict)
     _adopted: set[str] = field(factory=set)
     _delisted: dict[str, _Delisted] = field(factory=dict)
+    _own_leavings: dict[str, None] = field(factory=dict)
 
     def put(self, record: EndpointRecord, position: StorePosition) -> None:
         """Store a record as of ``position``; an older one is ignored."""
@@ -73,7 +75,7 @@
             # After a restore the copy may lack the mark of an endpoint that leaves.
             record = evolve(record, leaving=record.leaving or known.leaving)
         self._positions[endpoint_id] = position
-        self._records[endpoint_id] = record
+        self._records[endpoint_id] = self._with_own_leaving(record)
         self.missing.discard(endpoint_id)
         self._adopted.discard(endpoint_id)
         self._delisted.pop(endpoint_id, None)
@@ -89,6 +91,33 @@
             return True
         return position < self._position_of(endpoint_id)
 
+    def mark_leaving(self, endpoint_id: str) -> bool:
+        """Mark an endpoint that said itself that it is leaving, listed or not.
+
+        No record, list or restore undoes it, since every start of an endpoint has an id
+        of its own. Returns whether a listed endpoint wasn't known to be leaving.
+        """
+        self._own_leavings.pop(endpoint_id, None)
+        self._own_leavings[endpoint_id] = None
+        if len(self._own_leavings) > _MAX_DELISTED:
+            self._forget_own_leaving()
+        record = self._records.get(endpoint_id)
+        if record is None or record.leaving:
+            return False
+        self._records[endpoint_id] = self._with_own_leaving(record)
+        return True
+
+    def _forget_own_leaving(self) -> None:
+        """Forget the oldest mark of an endpoint that isn't listed."""
+        unlisted = (name for name in self._own_leavings if name not in self._records)
+        oldest = next(unlisted, None)
+        if oldest is not None:
+            del self._own_leavings[oldest]
+
+    def _with_own_leaving(self, record: EndpointRecord) -> EndpointRecord:
+        leaving = record.leaving or record.endpoint_id in self._own_leavings
+        return evolve(record, leaving=leaving)
+
     def begin_recovery(self, now_ms: float) -> None:
         """Note that the list is read again after an outage, and may lack endpoints.
 
@@ -301,6 +330,7 @@
         if known is not None:
             return known if known.pool == old.pool else None
         record = evolve(old, endpoint_id=successor_id, leaving=False)
+        record = self._with_own_leaving(record)
         # Newer than its predecessor, and older than its own entry in the list.
         before = self._position_of(endpoint_id)
         self._positions[successor_id] = evolve(before, version=before.version + 1)
--- a/src/coursekeel/gateway/_adapters.py
+++ b/src/coursekeel/gateway/_adapters.py
@@ -123,7 +123,7 @@
     ``prefill_pending_runs`` is the number of requests that are queued or in prefill;
     ``runs`` maps the ids of the running requests to the number of events that each has
     made, None if the report doesn't tell; ``models`` are the names of the models
-    served.
+    served. ``leaving``: whether the endpoint is leaving, None if it doesn't tell.
     """
 
     running: int
@@ -132,6 +132,7 @@
     prefill_pending_runs: int | None = None
     runs: Mapping[str, int | None] = field(factory=dict)
     models: frozenset[str] = frozenset()
+    leaving: bool | None = None
 
 
 @frozen
--- a/src/coursekeel/gateway/endpoints/_load_reports.py
+++ b/src/coursekeel/gateway/endpoints/_load_reports.py
@@ -2,8 +2,9 @@
 
 Runs that stall at one endpoint at the same time share one request. Owns the callbacks
 of those requests. Relies on `EndpointProbe` for the requests. Passes reports to
-routing, and ejects an endpoint that doesn't answer, before a long prompt is sent to it.
-For a resumed stream, endpoints are also asked which prompts they have in their cache.
+routing, and to `SiteState` whether the endpoint is leaving. Ejects an endpoint that
+doesn't answer, before a long prompt is sent to it. For a resumed stream, endpoints are
+also asked which prompts they have in their cache.
 """
 
 import logging
@@ -230,6 +231,10 @@
             _log_unreadable(record.endpoint_id, report)
             return NoReport.TURNED_AWAY
         self.silent_endpoints.answered(record.endpoint_id)
+        if report.leaving is not None:
+            self.context.site.record_own_state(
+                record.endpoint_id, report.leaving, requested_ms
+            )
         self._update_routing(record, report, requested_ms)
         return report
 
--- a/src/coursekeel/gateway/site/_site_state.py
+++ b/src/coursekeel/gateway/site/_site_state.py
@@ -299,6 +299,23 @@
         if event:
             log_event(event, endpoint=endpoint_id, moment=position, source=source)
 
+    def record_own_state(
+        self, endpoint_id: str, leaving: bool, asked_ms: float
+    ) -> None:
+        """Record what an endpoint says of itself: whether it is leaving.
+
+        ``asked_ms`` is when it was asked. Its word is nearer than any list's: the list
+        may lag behind, or can't be read.
+        """
+        if leaving and self.directory.mark_leaving(endpoint_id):
+            log_event(
+                "endpoint_leaving",
+                endpoint=endpoint_id,
+                source="endpoint",
+                asked_age_ms=round(self.clock.now_ms() - asked_ms),
+            )
+            self.update_routing()
+
     def prepare_after_outage(self, outage: Outage) -> None:
         """Prepare for the first read of the list after an outage.
 
--- a/tests/cover/test_read_order.py
+++ b/tests/cover/test_read_order.py
@@ -124,3 +124,84 @@
         directory.replace_all(*random.choice(lists), 0.0)
         expected = {each: row.leaving for each, (row, _) in rows.items()}
         assert directory.leaving_by_id() == expected
+
+
+@pytest.mark.parametrize("listed_first", [True, False])
+def test_an_endpoint_that_said_it_leaves_takes_no_work_under_any_later_row(
+    listed_first,
+):
+    directory = EndpointDirectory()
+    if listed_first:
+        directory.put(record("a"), position_at(1))
+    assert directory.mark_leaving("a") is listed_first
+    assert not directory.mark_leaving("a")
+    directory.put(record("a"), position_at(2))
+    assert not directory.may_take("a", 0.0)
+    directory.remove("a", position_at(3), 0.0)
+    directory.put(record("a"), position_at(4))
+    assert not directory.may_take("a", 0.0)
+
+
+def test_an_endpoint_that_said_it_leaves_is_not_kept_after_an_outage():
+    directory = EndpointDirectory()
+    directory.put(record("a"), position_at(1))
+    directory.mark_leaving("a")
+    directory.begin_recovery(0.0)
+    directory.remove("a", position_at(2), 0.0)
+    assert directory.record("a") is None
+
+
+def test_a_successor_that_said_it_leaves_is_adopted_as_leaving():
+    directory = EndpointDirectory()
+    directory.put(record("a"), position_at(1))
+    directory.mark_leaving("b")
+    adopted = directory.adopt("a", "b", 0.0)
+    assert adopted is not None
+    assert adopted.leaving
+    assert not directory.may_take("b", 0.0)
+
+
+def test_the_mark_of_an_endpoint_that_is_listed_outlasts_those_of_endpoints_gone():
+    directory = EndpointDirectory()
+    directory.put(record("a"), position_at(1))
+    directory.mark_leaving("a")
+    for number in range(5_000):
+        directory.mark_leaving(f"gone-{number}")
+    directory.put(record("a"), position_at(2))
+    assert not directory.may_take("a", 0.0)
+
+
+steps = st.tuples(
+    st.sampled_from(NAMES),
+    st.sampled_from(["up", "gone", "said", "list", "restore", "outage", "settled"]),
+)
+
+
+@given(st.lists(steps, min_size=1), st.randoms(use_true_random=False))
+def test_nothing_makes_an_endpoint_takeable_that_said_it_leaves(changes, random):
+    """Rows, whole lists of any position, restores, outages: none undoes its word."""
+    directory, rows, said = EndpointDirectory(), {}, set()
+    lists, era = [([], position_at(0))], 0
+    for version, (name, step) in enumerate(changes, 1):
+        position = position_at(version, era)
+        if step == "up":
+            rows[name] = (record(name), position)
+            directory.put(*rows[name])
+        elif step == "gone":
+            rows.pop(name, None)
+            directory.remove(name, position, 0.0)
+        elif step == "said":
+            said.add(name)
+            directory.mark_leaving(name)
+        elif step == "list":
+            directory.replace_all(*random.choice(lists), 0.0)
+        elif step == "restore":
+            era += 1
+            directory.restore(random.choice(lists)[0], position_at(version, era), 0.0)
+        elif step == "outage":
+            directory.begin_recovery(0.0)
+        else:
+            directory.remove_missing(2_000.0)
+        lists.append((list(rows.values()), position_at(version, era)))
+        assert not any(directory.may_take(each, 0.0) for each in said)
+        assert not {each.endpoint_id for each in directory.in_pool("p")} & said
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -218,3 +218,19 @@
     models = [{"name": "m", "version": 1, "adapters": []}]
     assert read_report(models=models).models == {"m"}
     assert read_report().models == frozenset()
+
+
+@pytest.mark.parametrize(
+    ("fields", "leaving"),
+    [
+        ({}, None),
+        ({"state": "ready"}, False),
+        ({"state": "draining"}, True),
+        ({"state": "ready", "leaves_ms": 0}, True),
+        ({"leaves_ms": 1_500.5}, True),
+        ({"state": "ready", "leaves_ms": None}, False),
+        ({"state": None}, None),
+    ],
+)
+def test_a_report_tells_whether_the_server_is_leaving(fields, leaving):
+    assert read_report(**fields).leaving is leaving
