Soak: servers leave beside outages in series, lost answers and reads that are behind

What was missing: the soak's store was never behind, no server left unmarked, outages came alone, and where an instance's connections lost their answers the check of leavings excused everything from 3 s before the leaving on.

It plays gateways before the stand-in of the users' platform, as the soak did before; entries aren't played.

Checks added, each shown to find a deliberate break in cover/test_soak.py: - a request starts at a server over drain_ms after the same instance logged that the server leaves, is missing or gone, whatever the store does meanwhile; - one starts there over drain_ms after the store, stable, took the leaving, sent on by instances in touch (lost answers excuse 3 s, as the users' rules say); - sound servers, also ones whose rows lapse, stay in use.

The seeds of `draw` mean what they meant: the kinds of leavings are drawn by `draw_leavings` alone. So test_a_long_schedule_has_every_kind_and_ends_before_its_callers expects all kinds but these, and a test of its own expects all of these there.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,4 +1,4 @@
-"""Run, replay and shorten soaks: `python -m soak run|replay|shrink`.
+"""Run, replay and shorten soaks: `python -m soak run|leavings|replay|shrink`.
 
 Exit codes: 0 nothing found, 1 a promise was broken, 64 an argument can't be used.
 """
@@ -11,6 +11,7 @@
 import cappa
 from attrs import define
 
+from soak._leavings import draw_leavings
 from soak._play import Played, play
 from soak._report import summary, write_report
 from soak._schedule import Schedule, draw, read_schedule, write_schedule
@@ -52,6 +53,30 @@
         return found
 
 
+@define
+class Leavings:
+    """Draw schedules of servers that leave beside troubles of the store, and play them.
+
+    Nine gateways in zones of four, three and two.
+    """
+
+    seed: Annotated[int, cappa.Arg(long=True, help="the first seed")] = 1
+    seeds: Annotated[int, cappa.Arg(long=True, help="how many seeds")] = 1
+    seconds: Annotated[float, cappa.Arg(long=True, help="how long callers work")] = 44.0
+    out: Annotated[Path, cappa.Arg(long=True, help="where reports go")] = Path(
+        "soak-out"
+    )
+
+    def __call__(self) -> int:
+        """Play each seed; returns the exit code."""
+        if self.seconds < _LEAST_SECONDS:
+            return _usage(f"seconds: got {self.seconds}, expected {_LEAST_SECONDS} up")
+        found = 0
+        for seed in range(self.seed, self.seed + self.seeds):
+            found |= _play_and_tell(draw_leavings(seed, self.seconds), self.out)
+        return found
+
+
 @define
 class Replay:
     """Play a schedule from a file once more."""
@@ -100,7 +125,7 @@
 class Soak:
     """The fault soak."""
 
-    command: cappa.Subcommands[Run | Replay | Shrink]
+    command: cappa.Subcommands[Run | Leavings | Replay | Shrink]
 
 
 def _read(file: Path) -> Schedule | None:
@@ -126,6 +151,8 @@
     write_report(played, out)
     told = summary(played)
     print(f"seed {schedule.seed}: {told['calls']}, whole again {told['whole_again_s']}")
+    if told["left"]:
+        print(f"left {told['left']}, starts once told {told['starts_once_told']}")
     for each in played.violations:
         print(f"BROKEN {each.promise}: {each.what}")
     return _FOUND if played.violations else 0
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -17,6 +17,11 @@
     no_sound_stream_is_cut,
     what_is_passed_on_is_answered,
 )
+from soak._leaving_checks import (
+    nothing_new_once_told,
+    nothing_new_though_answers_are_lost,
+    sound_servers_stay_in_use,
+)
 from soak._records import CallKind, CallRecord, Evidence, LimitNamed
 
 __all__ = ["CHECKS", "Bounds", "Violation", "check"]
@@ -348,7 +353,14 @@
         _not_run_is_true,
     ),
     "keys end in time on every instance": (_no_key_past_its_bound,),
-    "a leaving server gets nothing new": (_nothing_new_to_who_leaves,),
+    "a leaving server gets nothing new": (
+        _nothing_new_to_who_leaves,
+        nothing_new_once_told,
+        nothing_new_though_answers_are_lost,
+    ),
+    "a server whose row lapses with the store stays in use": (
+        sound_servers_stay_in_use,
+    ),
     "repeats within a shared budget": (_repeats_within_the_bound,),
     "a request that ends its servers reaches few more, and no other is barred": (
         _guilty_reach_few_more,
--- a/soak/_play.py
+++ b/soak/_play.py
@@ -10,16 +10,16 @@
 from soak._callers import Caller
 from soak._checks import Violation, check
 from soak._records import Evidence
-from soak._schedule import Schedule
+from soak._schedule import LEAVINGS, Schedule
 from soak._world import KEYS, RETRIES, SETTINGS, World
 
 __all__ = ["BOUNDS", "Played", "play"]
 
-# Streams last a second or two; six callers keep a few open at once.
-_CALLERS = 6
 # A gateway starts within a second or two on a busy machine, and knows the others after
 # two more; the store's return is seen within 2 s.
 _WHOLE_AGAIN_S = 8.0
+# Requests go on through outages of the store beside which servers leave.
+_LONG_REVOKE_MS = 5_000.0
 # `contact-ms` of the users' small sites.
 _CONTACT_S = 3.0
 
@@ -49,13 +49,13 @@
 def play(schedule: Schedule) -> Played:
     """Play once, and check what was seen."""
     with tempfile.TemporaryDirectory() as folder:
-        world = World(Path(folder), schedule.gateways)
+        world = _world(schedule, Path(folder))
         try:
             world.start()
             began_s = time.monotonic()
             callers = [
                 Caller(number, world.ports, KEYS, schedule.seed)
-                for number in range(_CALLERS)
+                for number in range(schedule.callers)
             ]
             for each in callers:
                 each.start()
@@ -74,6 +74,18 @@
     return Played(schedule, seen, check(seen, BOUNDS), began_s, logs)
 
 
+def _world(schedule: Schedule, folder: Path) -> World:
+    if not any(each.kind in LEAVINGS for each in schedule.faults):
+        return World(folder, schedule.gateways)
+    return World(
+        folder,
+        schedule.gateways,
+        zones=schedule.zones,
+        servers=schedule.servers,
+        settings=SETTINGS | {"revoke_ms": _LONG_REVOKE_MS},
+    )
+
+
 def _play_faults(world: World, schedule: Schedule, began_s: float) -> None:
     moments = [(each.at_s, 1, each) for each in schedule.faults]
     moments += [(each.end_s, 0, each) for each in schedule.faults]
--- a/soak/_records.py
+++ b/soak/_records.py
@@ -9,6 +9,8 @@
     "CallKind",
     "CallRecord",
     "Crash",
+    "EndpointChosen",
+    "EndpointTold",
     "Evidence",
     "GatewayFault",
     "KeyRevoked",
@@ -17,6 +19,7 @@
     "ServerArrival",
     "ServerFault",
     "ServerLeft",
+    "ServerListed",
     "ServerReached",
     "ServerRun",
     "StoreFault",
@@ -162,6 +165,33 @@
     at_s: float
 
 
+@frozen
+class ServerListed:
+    """The store took a server's row at that moment."""
+
+    server: str
+    pool: str
+    at_s: float
+
+
+@frozen
+class EndpointTold:
+    """An instance logged that a server leaves, is missing or gone."""
+
+    instance: str
+    server: str
+    at_s: float
+
+
+@frozen
+class EndpointChosen:
+    """An instance logged that it sends a request to a server."""
+
+    instance: str
+    request_id: str
+    server: str
+
+
 @frozen
 class StoreFault:
     """The store was away, or refused, between two moments."""
@@ -186,6 +216,9 @@
     runs: list[ServerRun] = field(factory=list)
     revoked: list[KeyRevoked] = field(factory=list)
     left: list[ServerLeft] = field(factory=list)
+    listed: list[ServerListed] = field(factory=list)
+    told: list[EndpointTold] = field(factory=list)
+    chosen: list[EndpointChosen] = field(factory=list)
     store_faults: list[StoreFault] = field(factory=list)
     crashes: list[Crash] = field(factory=list)
     arrivals: list[ServerArrival] = field(factory=list)
--- a/soak/_report.py
+++ b/soak/_report.py
@@ -7,13 +7,15 @@
 import orjson
 import pygal
 
+from soak._leaving_checks import starts_once_told
 from soak._play import Played
-from soak._records import CallRecord
+from soak._records import CallRecord, Evidence
 from soak._schedule import write_schedule
 
 __all__ = ["summary", "write_report"]
 
 _OK = 200
+_NEARLY_LATE_S = 1.9
 
 
 def summary(played: Played) -> dict[str, object]:
@@ -26,6 +28,8 @@
         "faults": dict(Counter(each.kind.value for each in played.schedule.faults)),
         "calls": dict(Counter(_outcome(each) for each in seen.calls)),
         "server_runs": len(seen.runs),
+        "left": len(seen.left),
+        "starts_once_told": _after(seen),
         "whole_again_s": [each and round(each, 2) for each in seen.whole_again_s],
         "memory_mb": round(seen.memory_mb, 1),
         "descriptors": seen.descriptors,
@@ -34,6 +38,16 @@
     }
 
 
+def _after(seen: Evidence) -> dict[str, float]:
+    """How long after an instance knew of leavings it sent requests on, in s."""
+    after_s = [each.after_s for each in starts_once_told(seen)]
+    return {
+        "count": len(after_s),
+        "over_1_9_s": sum(each > _NEARLY_LATE_S for each in after_s),
+        "latest_s": round(max(after_s, default=0.0), 2),
+    }
+
+
 def write_report(played: Played, folder: Path) -> None:
     """Write the summary, the schedule, the picture and, after a finding, the logs."""
     folder.mkdir(parents=True, exist_ok=True)
--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -13,6 +13,7 @@
 from attrs import field, frozen
 
 __all__ = [
+    "LEAVINGS",
     "SILENCES",
     "Fault",
     "FaultKind",
@@ -80,6 +81,12 @@
     ZONE_SILENT = "zone_silent"
     ENGINES_SILENT = "engines_silent"
     SERVICES_SILENT = "services_silent"
+    SERVER_LEAVES = "server_leaves"
+    SERVER_GONE = "server_gone"
+    ROW_LAPSES = "row_lapses"
+    STORE_LOSES_ANSWERS = "store_loses_answers"
+    STORE_COPIED = "store_copied"
+    STORE_BEHIND = "store_behind"
 
 
 _OF_GATEWAYS = frozenset(
@@ -130,6 +137,19 @@
 )
 
 
+# Drawn by `soak._leavings` alone, so that seeds of `draw` go on to mean the same.
+LEAVINGS = frozenset(
+    {
+        FaultKind.SERVER_LEAVES,
+        FaultKind.SERVER_GONE,
+        FaultKind.ROW_LAPSES,
+        FaultKind.STORE_LOSES_ANSWERS,
+        FaultKind.STORE_COPIED,
+        FaultKind.STORE_BEHIND,
+    }
+)
+
+
 @frozen
 class Fault:
     """One fault; ``target`` numbers the gateway, server or zone, from 0."""
@@ -147,12 +167,19 @@
 
 @frozen
 class Schedule:
-    """Faults in order of their beginning, and how long callers are at work."""
+    """Faults in order of their beginning, and how long callers are at work.
+
+    ``zones`` are the numbers of gateways of each zone, all in one if empty, and
+    ``servers`` the number of servers of each pool.
+    """
 
     seconds: float
     gateways: int
     seed: int
     faults: tuple[Fault, ...]
+    zones: tuple[int, ...] = ()
+    servers: int = 3
+    callers: int = 6
 
     def without(self, index: int) -> "Schedule":
         """The same with one fault less."""
@@ -177,7 +204,7 @@
     at_s = _FIRST_S
     while at_s < seconds - _LAST_S:
         if not kinds:
-            kinds = list(FaultKind)
+            kinds = [each for each in FaultKind if each not in LEAVINGS]
             random.shuffle(kinds)
         kind = kinds.pop()
         for_s = min(_length_s(kind, random), seconds - _LAST_S - at_s)
@@ -227,7 +254,13 @@
             for each in given["faults"]
         )
         return Schedule(
-            float(given["seconds"]), int(given["gateways"]), int(given["seed"]), faults
+            float(given["seconds"]),
+            int(given["gateways"]),
+            int(given["seed"]),
+            faults,
+            tuple(int(each) for each in given.get("zones", [])),
+            int(given.get("servers", 3)),
+            int(given.get("callers", 6)),
         )
     except KeyError as missing:
         raise ValueError(f"{file}: got no {missing}, expected it") from None
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -25,11 +25,12 @@
     ServerArrival,
     ServerFault,
     ServerLeft,
+    ServerListed,
     ServerReached,
     ServerRun,
     StoreFault,
 )
-from soak._schedule import SILENCES, Fault, FaultKind
+from soak._schedule import LEAVINGS, SILENCES, Fault, FaultKind
 from standins.site import Http, wait_until
 from tests.platform.site import KEY, ZONES, GatewaySite, configuration
 
@@ -137,10 +138,16 @@
 
 @define(eq=False)
 class World:
-    """Gateways of one zone, and what they stand before."""
+    """Gateways and what they stand before; ``zones`` as in `Schedule`.
+
+    ``servers`` is the number of engines, and of services.
+    """
 
     folder: Path
     gateways: int
+    zones: tuple[int, ...] = ()
+    servers: int = ENGINES
+    settings: dict[str, float] = field(factory=lambda: dict(SETTINGS))
     evidence: Evidence = field(factory=Evidence)
     guilty: list[GuiltyCaller] = field(factory=list)
     ports: dict[int, int] = field(factory=dict)
@@ -164,11 +171,11 @@
     _cut_s: dict[int, float] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
-        self.site = GatewaySite(self.folder)
+        self.site = GatewaySite(self.folder, engines=self.servers)
 
     def start(self) -> None:
         """Start the stand-in, then all gateways at once, and wait until they serve."""
-        servers = ENGINES + SERVICES
+        servers = 2 * self.servers
         standin = self.site.start_process(
             ["-m", "tests.platform.standin", str(servers)], "w"
         )
@@ -188,6 +195,7 @@
         for number in range(servers):
             self.site.put_server(number)
             self.site.faults(f"s{number}", **_ALWAYS)
+            self._listed(number)
         self.site.store(beats_per_s=_BEATS_PER_S)
         self._peer_port = _free_port()
         for number in range(self.gateways):
@@ -225,12 +233,20 @@
             program=_GATEWAY,
             store_link=f"127.0.0.1:{self._link_ports[number]}",
             cut_file=str(self._cut_file(number)),
-            **SETTINGS,
+            zone=self._zone(number),
+            **self.settings,
         )
         self._processes[number] = self.site.processes[-1]
         self._ready_ports[number] = ports
         self.ports[number] = ports[0]
 
+    def _zone(self, number: int) -> str:
+        for zone, count in zip(ZONES, self.zones, strict=False):
+            if number < count:
+                return zone
+            number -= count
+        return ZONES[0]
+
     def _cut_file(self, number: int) -> Path:
         return self.folder / f"cut-{number}.json"
 
@@ -280,6 +296,8 @@
         elif kind in _LINK_FAULTS:
             self._link_fault_s.setdefault(target, time.monotonic())
             self._links.ask("POST", f"/links/{target}", _LINK_FAULTS[kind])
+        elif kind in LEAVINGS:
+            self._begin_leaving(fault)
         elif kind in SILENCES:
             self._silence(_silenced(kind, target), fault.for_s)
         else:
@@ -350,6 +368,8 @@
         elif kind is FaultKind.ENGINE_LEAVES:
             # What said that it leaves doesn't come back; another takes its place.
             self._engine_replaced(target)
+        elif kind in LEAVINGS:
+            self._end_leaving(fault)
         if fault in self._unsound_s:
             begun_s = self._unsound_s.pop(fault)
             server_fault = ServerFault(target, begun_s, time.monotonic())
@@ -467,6 +487,63 @@
         name = self.site.identity(number)
         self.evidence.left.append(ServerLeft(name, time.monotonic()))
 
+    def _listed(self, number: int) -> None:
+        pool = "engines" if number < self.servers else "plain"
+        listed = ServerListed(self.site.identity(number), pool, time.monotonic())
+        self.evidence.listed.append(listed)
+
+    def _begin_leaving(self, fault: Fault) -> None:
+        """Servers leave, rows lapse, and answers or reads fail beside it."""
+        match fault.kind:
+            case FaultKind.SERVER_LEAVES | FaultKind.SERVER_GONE:
+                self._server_leaves(fault)
+            case FaultKind.ROW_LAPSES:
+                self._drop_row(fault.target)
+            case FaultKind.STORE_LOSES_ANSWERS:
+                self._store_loses_answers()
+            case FaultKind.STORE_COPIED:
+                self.site.store(copy=True)
+            case FaultKind.STORE_BEHIND:
+                self._store_fault_s = time.monotonic()
+                half_s = fault.for_s / 2
+                gap = {"silent_s": half_s, "for_s": half_s, "later_pages": False}
+                self.site.store(gap=gap)
+
+    def _end_leaving(self, fault: Fault) -> None:
+        number = fault.target
+        match fault.kind:
+            case FaultKind.SERVER_LEAVES | FaultKind.SERVER_GONE:
+                self._engine_replaced(number)
+                self.site.faults(f"s{number}", **_ALWAYS)
+                self._listed(number)
+            case FaultKind.ROW_LAPSES:
+                self.site.put_server(number)
+            case FaultKind.STORE_BEHIND:
+                behind = StoreFault(self._store_fault_s, time.monotonic())
+                self.evidence.store_faults.append(behind)
+
+    def _server_leaves(self, fault: Fault) -> None:
+        """It serves on, and says in reports and answers that it leaves."""
+        number = fault.target
+        name = self.site.identity(number)
+        if fault.kind is FaultKind.SERVER_LEAVES:
+            self.site.put_server(number, "draining")
+        else:
+            self._drop_row(number)
+        self.evidence.left.append(ServerLeft(name, time.monotonic()))
+        leaves_ms = round(fault.for_s * 1000)
+        self.site.faults(f"s{number}", **_ALWAYS, leaves_ms=leaves_ms)
+
+    def _drop_row(self, number: int) -> None:
+        self.site.put([("servers", self.site.identity(number), None)])
+
+    def _store_loses_answers(self) -> None:
+        """What is open to the store says nothing more, and new connections work."""
+        now_s = time.monotonic()
+        for number in range(self.gateways):
+            self._links.ask("POST", f"/links/{number}", {"silence": True})
+            self.evidence.link_faults.append(GatewayFault(number, now_s, now_s))
+
     def _store_open_silent(self) -> None:
         """Counts as a fault of the store, since every question that is open hangs."""
         now_s = time.monotonic()
@@ -565,7 +642,10 @@
         seen.broken_invariants += _logs.failures(log.name, lines)
         most = float(_logs.most_lines_a_second(lines))
         seen.log_lines_s = max(seen.log_lines_s, most)
-        seen.barred += _logs.bars(log.stem, lines, time.time() - time.monotonic())
+        epoch_s = time.time() - time.monotonic()
+        seen.barred += _logs.bars(log.stem, lines, epoch_s)
+        seen.told += _logs.told(log.stem, lines, epoch_s)
+        seen.chosen += _logs.choices(log.stem, lines)
 
     def _ran(self, run: dict) -> None:
         headers = run["headers"]
--- a/tests/cover/test_soak.py
+++ b/tests/cover/test_soak.py
@@ -7,10 +7,14 @@
 from soak import _logs
 from soak._bounds import Bounds
 from soak._checks import CHECKS, check
+from soak._leaving_checks import starts_once_told
+from soak._leavings import draw_leavings
 from soak._records import (
     CallKind,
     CallRecord,
     Crash,
+    EndpointChosen,
+    EndpointTold,
     Evidence,
     GatewayFault,
     KeyRevoked,
@@ -19,11 +23,20 @@
     ServerArrival,
     ServerFault,
     ServerLeft,
+    ServerListed,
     ServerReached,
     ServerRun,
     StoreFault,
 )
-from soak._schedule import SILENCES, FaultKind, draw, read_schedule, write_schedule
+from soak._schedule import (
+    LEAVINGS,
+    SILENCES,
+    Fault,
+    FaultKind,
+    draw,
+    read_schedule,
+    write_schedule,
+)
 
 PROMISES = Path(__file__).parents[2] / "docs" / "PROMISES.md"
 BOUNDS = Bounds(3.0, 2.0, 3.0, 8.0, 0.8, 2.0, 10.0)
@@ -88,6 +101,28 @@
     seen.left.append(ServerLeft("s1", -0.5))
 
 
+def send_to_who_was_told_to_leave(seen: Evidence) -> None:
+    """The store is away all the while; the sender had logged the leaving before."""
+    seen.store_faults.append(StoreFault(9.0, 20.0))
+    seen.left.append(ServerLeft("s1", 10.0))
+    seen.told.append(EndpointTold("g0-1", "s1", 10.5))
+    seen.chosen.append(EndpointChosen("g0-1", "r2", "s1"))
+    seen.arrivals.append(ServerArrival("s1", "r2", 12.6))
+
+
+def send_though_answers_were_lost(seen: Evidence) -> None:
+    """The sender's connections lost their answers, and it isn't told for long."""
+    seen.link_faults.append(GatewayFault(0, 10.0, 10.0))
+    seen.left.append(ServerLeft("s1", 10.5))
+    seen.chosen.append(EndpointChosen("g0-1", "r2", "s1"))
+    seen.arrivals.append(ServerArrival("s1", "r2", 13.5))
+
+
+def leave_a_sound_server_unused(seen: Evidence) -> None:
+    seen.listed += [ServerListed(name, "engines", 0.0) for name in ("s1", "s2")]
+    seen.arrivals += [ServerArrival("s1", "r2", 3 + n / 10) for n in range(80)]
+
+
 def repeat_too_often(seen: Evidence) -> None:
     again = [ServerRun("s1", "r2", 2.0 + each / 10, False) for each in range(1, 5)]
     seen.runs += again
@@ -173,6 +208,11 @@
         "an instance without links to servers serves its callers"
     ),
     send_to_who_left: "a leaving server gets nothing new",
+    send_to_who_was_told_to_leave: "a leaving server gets nothing new",
+    send_though_answers_were_lost: "a leaving server gets nothing new",
+    leave_a_sound_server_unused: (
+        "a server whose row lapses with the store stays in use"
+    ),
     repeat_too_often: "repeats within a shared budget",
     send_on_what_ends_servers: (
         "a request that ends its servers reaches few more, and no other is barred"
@@ -226,6 +266,84 @@
     assert check(seen, BOUNDS) == []
 
 
+@pytest.mark.parametrize(
+    ("told", "at_s", "found"),
+    [
+        (EndpointTold("g0-1", "s1", 10.5), 12.4, 0),
+        (EndpointTold("g0-1", "s1", 9.0), 12.6, 0),
+        (EndpointTold("g1-2", "s1", 10.5), 12.6, 0),
+        (EndpointTold("g0-1", "s2", 10.5), 12.6, 0),
+        (EndpointTold("g0-1", "s1", 9.98), 12.6, 1),
+    ],
+    ids=["in time", "lapsed before", "another", "another server", "as it left"],
+)
+def test_an_instance_is_bound_from_when_it_was_told_of_a_leaving(told, at_s, found):
+    seen = sound()
+    send_to_who_was_told_to_leave(seen)
+    seen.told = [told]
+    seen.arrivals = [ServerArrival("s1", "r2", at_s)]
+    assert len(check(seen, BOUNDS)) == found
+
+
+def test_of_two_instances_that_sent_a_request_the_later_told_counts():
+    seen = sound()
+    send_to_who_was_told_to_leave(seen)
+    (late,) = starts_once_told(seen)
+    assert (late.sender, round(late.after_s, 2)) == ("g0-1", 2.1)
+    seen.chosen.append(EndpointChosen("g1-2", "r2", "s1"))
+    assert starts_once_told(seen) == []
+    seen.told.append(EndpointTold("g1-2", "s1", 12.5))
+    (late,) = starts_once_told(seen)
+    assert (late.sender, round(late.after_s, 2)) == ("g1-2", 0.1)
+
+
+@pytest.mark.parametrize(
+    ("spoil", "found"),
+    [
+        (lambda seen: None, 1),
+        (lambda seen: seen.link_faults.append(GatewayFault(0, 10.6, 10.6)), 0),
+        (lambda seen: seen.link_faults.append(GatewayFault(1, 10.6, 10.6)), 1),
+        (lambda seen: seen.gateway_faults.append(GatewayFault(0, 11.0, 11.5)), 0),
+        (lambda seen: seen.store_faults.append(StoreFault(7.4, 7.6)), 0),
+        (lambda seen: seen.store_faults.append(StoreFault(7.2, 7.4)), 1),
+        (lambda seen: seen.store_faults.append(StoreFault(12.0, 12.1)), 0),
+        (lambda seen: seen.chosen.append(EndpointChosen("g2-3", "r2", "s1")), 1),
+    ],
+    ids=[
+        "lost answers",
+        "lost again",
+        "another's lost again",
+        "killed",
+        "the store away shortly before",
+        "the store away before",
+        "the store away after",
+        "passed on",
+    ],
+)
+def test_lost_answers_excuse_a_gateway_until_it_is_in_touch_again(spoil, found):
+    seen = sound()
+    send_though_answers_were_lost(seen)
+    spoil(seen)
+    assert len(check(seen, BOUNDS)) == found
+
+
+@pytest.mark.parametrize(
+    ("spoil", "found"),
+    [
+        (lambda seen: seen.left.append(ServerLeft("s2", 10.9)), 0),
+        (lambda seen: seen.arrivals.insert(40, ServerArrival("s2", "r1", 7.0)), 0),
+        (lambda seen: seen.store_faults.append(StoreFault(0.0, 2.0)), 0),
+        (lambda seen: None, 1),
+    ],
+    ids=["it leaves", "it is used", "its row is news", "it idles"],
+)
+def test_a_sound_server_that_is_known_gets_its_part(spoil, found):
+    seen = sound()
+    leave_a_sound_server_unused(seen)
+    spoil(seen)
+    assert len(check(seen, BOUNDS)) == found
+
+
 @pytest.mark.parametrize(("until_s", "found"), [(0.9, 0), (1.1, 1)])
 def test_a_key_ends_until_it_is_given_again(until_s, found):
     seen = sound()
@@ -358,6 +476,19 @@
     assert _logs.bars("g0-1", lines, 40.0) == [bar]
 
 
+def test_leavings_and_choices_are_read_from_a_log():
+    lines = [
+        "time=1970-01-01T00:01:40.500Z level=INFO instance=g0-1 "
+        "event=endpoint_missing endpoint=s0 moment=1.2 source=store",
+        "time=1970-01-01T00:01:41.000Z level=INFO instance=g0-1 "
+        "event=endpoint_chosen request=c1-1 endpoint=s2 way=whole",
+        "time=1970-01-01T00:01:42.000Z level=INFO instance=g0-1 "
+        "event=endpoint_answers endpoint=s2 after_ms=3",
+    ]
+    assert _logs.told("g0-1", lines, 40.0) == [EndpointTold("g0-1", "s0", 60.5)]
+    assert _logs.choices("g0-1", lines) == [EndpointChosen("g0-1", "c1-1", "s2")]
+
+
 @pytest.mark.parametrize("spoil", BREAKS, ids=lambda each: each.__name__)
 def test_each_break_is_found_and_named(spoil):
     seen = sound()
@@ -384,11 +515,43 @@
 
 def test_a_long_schedule_has_every_kind_and_ends_before_its_callers():
     schedule = draw(1, 90.0, 3, 3, 3)
-    assert {each.kind for each in schedule.faults} == set(FaultKind)
+    assert {each.kind for each in schedule.faults} == set(FaultKind) - LEAVINGS
     assert all(each.end_s <= 82.1 for each in schedule.faults)
     assert len(schedule.without(0).faults) == len(schedule.faults) - 1
 
 
+def test_a_schedule_of_leavings_repeats_and_has_each_kind_of_them(tmp_path):
+    schedule = draw_leavings(3, 120.0)
+    assert draw_leavings(3, 120.0) == schedule != draw_leavings(4, 120.0)
+    assert {each.kind for each in schedule.faults} > LEAVINGS
+    assert all(each.end_s <= 114.1 for each in schedule.faults)
+    write_schedule(schedule, tmp_path / "s.json")
+    assert read_schedule(tmp_path / "s.json") == schedule
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_a_server_that_leaves_has_no_other_fault_and_half_of_its_pool_stays(seed):
+    schedule = draw_leavings(seed, 120.0)
+    kinds = (FaultKind.SERVER_LEAVES, FaultKind.SERVER_GONE)
+    leavings = [each for each in schedule.faults if each.kind in kinds]
+    lapses = [each for each in schedule.faults if each.kind is FaultKind.ROW_LAPSES]
+    for each in leavings:
+        others = [x for x in leavings if x is not each and _overlap(x, each)]
+        assert each.target not in {x.target for x in others}
+        begun = [x for x in others if x.at_s <= each.at_s]
+        pool = [x for x in begun if x.target // 6 == each.target // 6]
+        assert len(pool) < 3
+    assert not any(
+        _overlap(lapse, each) and lapse.target == each.target
+        for lapse in lapses
+        for each in leavings
+    )
+
+
+def _overlap(one: Fault, other: Fault) -> bool:
+    return one.at_s <= other.end_s and other.at_s <= one.end_s
+
+
 def test_silences_are_as_long_as_those_of_sound_servers():
     faults = draw(1, 300.0, 3, 3, 3).faults
     lengths_s = [each.for_s for each in faults if each.kind in SILENCES]
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -449,8 +449,11 @@
 
     def _report(self) -> bytes:
         runs = [[run_id, 10, 1, 5] for run_id in self.open]
+        leaves_ms = self.faults.get("leaves_ms")
+        leaving = {"state": "draining", "leaves_ms": leaves_ms} if leaves_ms else {}
         return orjson.dumps(
-            {
+            leaving
+            | {
                 "queued": len(self.preempted),
                 "running": len(runs),
                 "kv-used": 0,
@@ -480,6 +483,8 @@
         self.arrived.append(self._arrival(request))
         for limit in self.limits_to_name():
             request.responseHeaders.addRawHeader(b"server-limit", limit)
+        if "leaves_ms" in self.faults:
+            request.setHeader("connection", "close")
         if "brittle" in self.faults:
             request.setHeader("server-brittle", str(self.faults["brittle"]))
         if self.faults.get("full") or self._use_fault("shed") or self._is_full():
