Entries: an engine that the list lacked for once is not marked as leaving for good

What callers saw: an engine whose registration was missing in one read of the platform's list (it lapsed, or the list was one from before it registered) got no new work any more, though it was listed again and said in each status that it serves. The mark went to all other entries by the greetings, and only a restart of the engine undid it. With all engines of a model missing once, none of them served again.

Cause: `EndpointsTask._read_list` took a missing entry for `leaving`, and `EvidenceBook.record_listed` marks the incarnation, which is never undone. The entry's counterpart of a gateway's `endpoint_missing`: two facts that look alike in a row that isn't there.

Change: `record_unlisted`: no new work until it is listed again, and no mark. What the list marks, what the engine says itself, and other entries' marks stay so as before.

The state machine of cover/test_endpoints.py has reads that lack the endpoint, the old invariants hold on, and a new one says that a sound endpoint takes new work; a mark stays while the list lacks the endpoint.

--- a/src/coursekeel/endpoints/_evidence.py
+++ b/src/coursekeel/endpoints/_evidence.py
@@ -2,7 +2,8 @@
 
 Rule: only the endpoint's own status reports count for it, because the platform's list
 lags by an unknown time. The list and the leaving marks of other entries only count
-against it. A leaving mark on an incarnation is never removed.
+against it. A leaving mark on an incarnation is never removed; a missing registration
+marks none, since it may have lapsed.
 """
 
 from collections.abc import Iterable
@@ -31,6 +32,7 @@
     incarnation: str = ""
     seen_ms: float = float("-inf")
     listed_leaving: bool = False
+    unlisted: bool = False
     former: list[str] = field(factory=list)
     marked: set[str] = field(factory=set)
 
@@ -78,10 +80,20 @@
         """Record the platform list's state, which only counts against the endpoint."""
         evidence = self._evidence.setdefault(endpoint_id, _Evidence())
         evidence.listed_leaving = leaving
+        evidence.unlisted = False
         if leaving and evidence.incarnation:
             evidence.marked.add(evidence.incarnation)
             evidence.machine.feed("seen_leaving")
 
+    def record_unlisted(self, endpoint_id: str) -> None:
+        """Record that the platform's list lacks the endpoint.
+
+        It takes no new work until it is listed again.
+        """
+        evidence = self._evidence.setdefault(endpoint_id, _Evidence())
+        evidence.listed_leaving = False
+        evidence.unlisted = True
+
     def record_mark(self, mark: LeavingMark) -> None:
         """Record another entry's report that an incarnation is leaving."""
         evidence = self._evidence.setdefault(mark.endpoint_id, _Evidence())
@@ -103,11 +115,13 @@
         return now_ms - evidence.seen_ms <= self.fresh_ms
 
     def is_leaving(self, endpoint_id: str) -> bool:
-        """Whether the list or a mark on the current incarnation says it is leaving."""
+        """Whether it counts as leaving: by the list, a mark, or a missing entry."""
         evidence = self._evidence.get(endpoint_id)
         if evidence is None:
             return False
-        return evidence.listed_leaving or evidence.incarnation in evidence.marked
+        if evidence.unlisted or evidence.listed_leaving:
+            return True
+        return evidence.incarnation in evidence.marked
 
     def state(self, endpoint_id: str, now_ms: float) -> str:
         """The endpoint's state, as shown to operators."""
--- a/src/coursekeel/entry/control/_endpoints_task.py
+++ b/src/coursekeel/entry/control/_endpoints_task.py
@@ -115,9 +115,7 @@
         self.isolation.record_response(request_ms)
         self.listed = {each.instance_id: each for each in instance_list.instances}
         for endpoint in self._intent.endpoints:
-            instance = self.listed.get(endpoint.endpoint_id)
-            gone = instance is None or instance.leaving
-            self.evidence.record_listed(endpoint.endpoint_id, gone)
+            self._record_registration(endpoint.endpoint_id)
         self.on_entries_listed(
             {
                 each.instance_id: each.address
@@ -127,6 +125,13 @@
         )
         self._choose_endpoints()
 
+    def _record_registration(self, endpoint_id: str) -> None:
+        instance = self.listed.get(endpoint_id)
+        if instance is None:
+            self.evidence.record_unlisted(endpoint_id)
+        else:
+            self.evidence.record_listed(endpoint_id, instance.leaving)
+
     def _choose_endpoints(self) -> None:
         """Choose the endpoints that this entry uses, and configure the router."""
         intent = self._intent
--- a/tests/cover/test_endpoints.py
+++ b/tests/cover/test_endpoints.py
@@ -33,6 +33,7 @@
         self.current = ""
         self.seen_ms = float("-inf")
         self.listed_leaving = False
+        self.unlisted = False
 
     @rule(incarnation=INCARNATIONS, leaving=st.booleans(), age_ms=st.floats(0, 3_000))
     def receive_status(self, incarnation, leaving, age_ms):
@@ -54,9 +55,16 @@
     def read_list(self, leaving):
         self.book.record_listed("e", leaving)
         self.listed_leaving = leaving
+        self.unlisted = False
         if leaving and self.current:
             self.left_incarnations.add(self.current)
 
+    @rule()
+    def read_list_without_it(self):
+        self.book.record_unlisted("e")
+        self.listed_leaving = False
+        self.unlisted = True
+
     @rule(incarnation=INCARNATIONS)
     def receive_leaving_mark(self, incarnation):
         self.book.record_mark(LeavingMark("e", incarnation))
@@ -76,8 +84,18 @@
         if self.book.may_take_new_work("e", self.now_ms):
             assert self.current not in self.left_incarnations
             assert not self.listed_leaving
+            assert not self.unlisted
             assert self.now_ms - self.seen_ms <= FRESH_MS
 
+    @invariant()
+    def a_sound_endpoint_takes_new_work(self):
+        if self.book_class is not EvidenceBook:
+            return
+        left = self.listed_leaving or self.current in self.left_incarnations
+        fresh = self.now_ms - self.seen_ms <= FRESH_MS
+        if fresh and self.current and not left and not self.unlisted:
+            assert self.book.may_take_new_work("e", self.now_ms)
+
 
 class LatestReportBook:
     """Follows the latest report, of any source and age."""
@@ -92,6 +110,9 @@
     def record_listed(self, endpoint_id, leaving):
         self.serving = not leaving
 
+    def record_unlisted(self, endpoint_id):
+        self.serving = False
+
     def record_mark(self, mark):
         self.serving = False
 
@@ -115,6 +136,25 @@
     run_state_machine_as_test(EvidenceMachine, settings=schedules(300))
 
 
+def test_an_endpoint_that_is_listed_again_takes_new_work():
+    book = EvidenceBook(FRESH_MS)
+    book.record_status("e", "i-1", False, 0.0)
+    book.record_unlisted("e")
+    assert not book.may_take_new_work("e", 1.0)
+    assert book.leaving_marks() == []
+    book.record_listed("e", False)
+    assert book.may_take_new_work("e", 2.0)
+
+
+def test_an_endpoint_that_was_marked_stays_so_while_the_list_lacks_it():
+    book = EvidenceBook(FRESH_MS)
+    book.record_status("e", "i-1", False, 0.0)
+    book.record_listed("e", True)
+    book.record_unlisted("e")
+    book.record_listed("e", False)
+    assert not book.may_take_new_work("e", 1.0)
+
+
 def run_active_streams(endpoints, until_ms=1_000.0):
     silence = SilenceWatch()
     for name in endpoints:
