Entries: an engine whose status connection lost an answer stays in use

What callers saw: a kept connection to an engine goes silent for good while new ones work; the entry gave the engine no new work, though the engine serves. With the default timers a status is asked for each second, may take evidence_ms (3 s), and counts for 3 s: last answer asked for at 0, lost at 1, given up at 4, asked again at 4 to 5; no new work from 3 to 5 s. Where all connections go silent at once, that is so for all engines.

Cause: one probe at a time per engine, with a timeout as long as its evidence is fresh.

Change: a status that hasn't come within a third of `evidence_ms` is queried again over a new connection; whichever comes counts, from when it was asked for, and the next probe doesn't wait for the lost one. No setting is added; the first query isn't given up earlier, so that an engine with slow statuses is used as before.

The safe side holds as before: such an engine that leaves is known within 3 s (test_a_leaving_is_known_though_the_engines_answers_are_lost).

--- a/src/coursekeel/entry/control/_endpoints_task.py
+++ b/src/coursekeel/entry/control/_endpoints_task.py
@@ -25,6 +25,10 @@
 
 __all__ = ["EndpointsTask"]
 
+# A status that hasn't come within this share of the time for which evidence is fresh
+# is queried again over a new connection.
+_SECOND_PROBE_SHARE = 1 / 3
+
 
 @define(eq=False)
 class EndpointsTask:
@@ -188,15 +192,29 @@
                 spawn(self._probe(endpoint_id), "ask_status", self.reactor)
 
     async def _probe(self, endpoint_id: str) -> None:
+        second_s = self.settings.timers.evidence_ms * _SECOND_PROBE_SHARE / 1000
+        second = self.reactor.callLater(second_s, self._probe_again, endpoint_id)
         try:
-            request_ms = self.clock.now_ms()
-            status = await self._engines[endpoint_id].status()
-            if isinstance(status, EndpointStatus):
-                self._status_received(endpoint_id, status, request_ms)
-            elif status.refused:
-                self.connection_refused(endpoint_id)
+            await self._query_status(endpoint_id, new_connection=False)
         finally:
+            if second.active():
+                second.cancel()
+            self._probing.discard(endpoint_id)
+
+    def _probe_again(self, endpoint_id: str) -> None:
+        """Query a second time, since a kept connection may have lost its answers."""
+        query = self._query_status(endpoint_id, new_connection=True)
+        spawn(query, "ask_status_again", self.reactor)
+
+    async def _query_status(self, endpoint_id: str, new_connection: bool) -> None:
+        request_ms = self.clock.now_ms()
+        status = await self._engines[endpoint_id].status(new_connection)
+        if isinstance(status, EndpointStatus):
+            # The next probe doesn't wait for one that got no answer.
             self._probing.discard(endpoint_id)
+            self._status_received(endpoint_id, status, request_ms)
+        elif status.refused:
+            self.connection_refused(endpoint_id)
 
     def _status_received(
         self, endpoint_id: str, status: EndpointStatus, request_ms: float
--- a/tests/nocover/test_lost_answers.py
+++ b/tests/nocover/test_lost_answers.py
@@ -65,6 +65,11 @@
     wait_until(lambda: not takes_work(site, endpoint), what, _A_FEW_S)
 
 
+def test_an_engine_whose_answers_were_lost_stays_in_use(site):
+    site.to_engines["engine-2"].lose_answers()
+    assert all(takes_work_for(site, "engine-2", 4.0))
+
+
 def test_a_leaving_is_known_though_the_engines_answers_are_lost(site):
     site.to_engines["engine-1"].lose_answers()
     site.engines["engine-1"].fault(leaving=True)
