--- a/soak/_play.py
+++ b/soak/_play.py
@@ -19,7 +19,11 @@
 # two more; the store's return is seen within 2 s.
 _WHOLE_AGAIN_S = 8.0
 # Requests go on through outages of the store beside which servers leave.
-_LONG_REVOKE_MS = 5_000.0
+_THROUGH_OUTAGES = {
+    "revoke_ms": 5_000.0,
+    "strict_revoke": False,
+    "stretch_ms": 60_000.0,
+}
 # `contact-ms` of the users' small sites.
 _CONTACT_S = 3.0
 
@@ -82,7 +86,7 @@
         schedule.gateways,
         zones=schedule.zones,
         servers=schedule.servers,
-        settings=SETTINGS | {"revoke_ms": _LONG_REVOKE_MS},
+        settings=SETTINGS | _THROUGH_OUTAGES,
     )
 
 
