A begun stream waits on the last run that its route allows

Callers saw: a stream that had begun was cut long before its deadline, though no endpoint had broken anything off. Its endpoints accepted the continuation and said nothing: a run without an event that two reports don't list was given up ("not_running"), and when it was the last that `max-attempts` allows, so was the answer (`outcome=request_stops_engines`).

Evidence, one stream with two tries: `run_overdue reason=not_listed` at event 49, its continuation at a second endpoint `not_running` after 1.26 s, a third likewise, `request_ended outcome=request_stops_engines` after 3.9 s of 15 s.

Class: what works is given up where nothing may follow it. `OverdueRuns` keeps a run that has sent events and can't be replaced; the watch over the first event gave up its run by itself.

A begun stream now keeps the run whose loss would end it, until its deadline, its first event, or the end of its connection. Streams without an event on the wire are refused with a status as before.

test_a_begun_stream_waits_on_the_last_run_that_its_route_allows failed before (49 of 60 events) and passes now; its stand-in endpoints start 6 s late.

--- a/src/coursekeel/gateway/streams/_begin_watch.py
+++ b/src/coursekeel/gateway/streams/_begin_watch.py
@@ -23,6 +23,7 @@
 from coursekeel.gateway.streams._silence_doubt import (
     MAX_REPORT_LAG_MS,
     NO_REPORT,
+    NOT_RUNNING,
     log_overdue,
 )
 from coursekeel.reactor import Reactor
@@ -98,7 +99,7 @@
         self._count(result)
         if self._unlisted_reports >= _MISSED_REPORTS_LIMIT:
             self._watching = False
-            log_overdue(self.run_id, self.endpoint_id, "not_running", 0.0, result)
+            log_overdue(self.run_id, self.endpoint_id, NOT_RUNNING, 0.0, result)
             self.on_lost()
             return
         is_first_miss = result is NoReport.SILENT and self._missed_reports == 1
--- a/src/coursekeel/gateway/streams/_overdue_runs.py
+++ b/src/coursekeel/gateway/streams/_overdue_runs.py
@@ -29,6 +29,7 @@
 from coursekeel.gateway.streams._silence_doubt import (
     NO_REPORT,
     NOT_LISTED,
+    NOT_RUNNING,
     PREEMPTED,
     StallCheck,
 )
@@ -136,6 +137,19 @@
         else:
             self._silent_run_overdue(attempt, overdue_ms)
 
+    def run_not_listed(self, number: int) -> None:
+        """Give up a run without an event that its endpoint doesn't list.
+
+        The last one that a begun stream may have is kept, as its loss is a cut.
+        """
+        attempt = self.task.open_attempts.get(number)
+        if attempt is None:
+            return
+        if self.task.has_begun and self.task.core.next_loss_is_final:
+            self.run_kept(attempt, NOT_RUNNING)
+        else:
+            attempt.lose(NOT_RUNNING)
+
     def _preempted_run_overdue(self, attempt: StreamAttempt, overdue_ms: float) -> None:
         """Go on from the run's copy if there is room for it, else wait on the run."""
         self.run_kept(attempt, PREEMPTED)
--- a/src/coursekeel/gateway/streams/_silence_doubt.py
+++ b/src/coursekeel/gateway/streams/_silence_doubt.py
@@ -30,6 +30,7 @@
 __all__ = [
     "MAX_REPORT_LAG_MS",
     "NOT_LISTED",
+    "NOT_RUNNING",
     "NO_REPORT",
     "PREEMPTED",
     "StallCheck",
@@ -41,6 +42,7 @@
 
 # The reason of a run that its endpoint doesn't have any more.
 NOT_LISTED = "not_listed"
+NOT_RUNNING = "not_running"
 
 # The reason of a run that isn't listed but may be queued again.
 PREEMPTED = "preempted"
--- a/src/coursekeel/gateway/streams/_stream_attempt.py
+++ b/src/coursekeel/gateway/streams/_stream_attempt.py
@@ -114,6 +114,10 @@
     def report_late(self, number: int) -> None:
         """Record that the report of an open run's endpoint is late."""
 
+    @abstractmethod
+    def run_not_listed(self, number: int) -> None:
+        """Give up a run without an event that its endpoint doesn't list, or keep it."""
+
     @abstractmethod
     def run_lost(self, lost: LostRun) -> None:
         """Record that a run was lost before its answer was complete."""
@@ -210,7 +214,7 @@
             self.endpoint_id,
             task.call.caller.request_id,
             lambda ms: task.run_overdue(self.number, NO_REPORT, ms),
-            lambda: self.lose("not_running"),
+            lambda: task.run_not_listed(self.number),
             lambda: task.report_late(self.number),
         )
         self._watch.start()
--- a/src/coursekeel/gateway/streams/_stream_task.py
+++ b/src/coursekeel/gateway/streams/_stream_task.py
@@ -187,6 +187,10 @@
         """Replace a run that may be lost, or wait on it."""
         self._overdue_runs.run_overdue(number, reason, overdue_ms)
 
+    def run_not_listed(self, number: int) -> None:
+        """Give up a run without an event that its endpoint doesn't list, or keep it."""
+        self._overdue_runs.run_not_listed(number)
+
     def report_late(self, number: int) -> None:
         """Find out whether the endpoint that keeps the run's copy is silent too."""
         self._overdue_runs.report_late(number)
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -515,10 +515,20 @@
         if self._use_fault("mute") or self.faults.get("dark"):
             return self._until_closed(request)
         if self._use_fault("hang"):
-            return Deferred()
+            if "hang_ms" not in self.faults:
+                return Deferred()
+            delay_s = self.faults["hang_ms"] / 1000
+            return deferLater(reactor, delay_s, self._run, request, path, headers, body)
         if self._use_fault("reset") or self.worker_is_down:
             request.transport.abortConnection()
             return Deferred()
+        return self._run(request, path, headers, body)
+
+    def _run(self, request: Any, path: str, headers: dict[str, str], body: str) -> Any:
+        """Work on a request, unless its sender has left meanwhile."""
+        if request._disconnected:
+            return Deferred()
+        run_id = headers["request-id"]
         if self._is_crashed_by(path, body) or self._is_crashed_by_part(headers):
             return self._crash_soon(request, run_id, path)
         if "last-event-id" in headers and self._use_fault("rejects_resumed"):
--- a/tests/platform/test_begun_streams.py
+++ b/tests/platform/test_begun_streams.py
@@ -198,3 +198,22 @@
         False,
         True,
     ]
+
+
+def test_a_begun_stream_waits_on_the_last_run_that_its_route_allows(site):
+    """It was cut, with all of its time left, while its endpoints said nothing."""
+    config = configuration(3)
+    config["routes"][0] |= {"timeout-ms": TIMEOUT_MS, "max-attempts": 2}
+    site.put([("op", "config", config)])
+    wait_for_log(site, "g1", "configuration_applied version=3")
+    muted = {"mute_at": FAULTY_EVENT, "mutes": 1}
+    for name in ENGINES:
+        site.faults(name, **muted)
+    connection, request_id = open_stream(site, site.ports[0])
+    (run,) = site.ran(request_id)
+    for name in ENGINES:
+        site.faults(
+            name, hang=9, hang_ms=6_000, **(muted if name == run["server"] else {})
+        )
+    assert read(connection).body == events(EVENTS)
+    assert len(site.ran(request_id)) > 2
