A stopping gateway begins no stream once the balancer has noticed

Callers saw: a stream sent over 3 s after the SIGTERM, on a connection that the stopping gateway still took, began and was cut at the end of the grace. Nothing excuses such a cut: the users' rule does so for requests sent within 3 s only.

Cause: a stream was admitted whenever the estimate of its route's duration ended before the stop. The estimate comes from streams that finished, so a run that its endpoint preempts, or that pauses, meets the end all the same.

Class: an estimate decides where a refusal costs nothing. A caller that is refused 2.6 s after the signal is served by another instance at once; one that is cut must begin again.

Streams are now admitted until the balancer has noticed, and only if a long one can still finish. Requests for whole answers are admitted as before: they end with a status in any case.

test_a_late_stream_of_a_stopping_gateway_is_not_begun_and_then_cut failed before (200, 2 of 8 events, cut at the end) and passes now.

Changed test: test_a_stream_is_admitted_if_a_long_one_can_still_finish demanded that a stream of 2 s is admitted 2.8 s after the balancer has noticed. That is the fault. It demands the refusal now, and the same bound on the estimate (4.9 s admitted, 4.901 s refused) at the last time at which streams are admitted.

--- a/src/coursekeel/gateway/admission/_stop_window.py
+++ b/src/coursekeel/gateway/admission/_stop_window.py
@@ -2,8 +2,9 @@
 
 Rule: until the balancer has noticed the stop, every request for a whole answer is
 admitted, because most retries would return here; afterwards only one that can be
-answered before the end. A stream is admitted only if a long one of its route can still
-finish, because a stream that is cut starts again elsewhere. Idle kept-alive connections
+answered before the end. A stream is admitted until then at most, and only if a long one
+of its route can still finish, because a stream that is cut starts again elsewhere. The
+estimate doesn't foresee runs that their endpoints preempt. Idle kept-alive connections
 are closed once the balancer has noticed. What is still open at the end is refused, or
 cut if its answer has begun, early enough that the replies are sent before the exit.
 
@@ -66,6 +67,8 @@
         there is no estimate yet.
         """
         if route.kind.streams:
+            if now_ms > self.balancer_settled_ms:
+                return False
             if stream_estimate_ms is not None:
                 return now_ms + stream_estimate_ms <= self.last_ms
             grace_ms = self.last_ms - self.started_ms
--- a/tests/cover/test_stop_window.py
+++ b/tests/cover/test_stop_window.py
@@ -48,7 +48,14 @@
 
 @pytest.mark.parametrize(
     "upper_estimate_ms, now_ms, taken",
-    [(2_000, 6_400, True), (2_000, 6_600, False), (9_000, 1_001, False)],
+    [
+        (4_900, 3_600, True),
+        (4_901, 3_600, False),
+        (9_000, 1_001, False),
+        # Once the balancer has noticed, callers find another instance at once.
+        (200, 3_601, False),
+        (2_000, 6_400, False),
+    ],
 )
 def test_a_stream_is_admitted_if_a_long_one_can_still_finish(
     upper_estimate_ms, now_ms, taken
--- a/tests/platform/test_end_of_stop.py
+++ b/tests/platform/test_end_of_stop.py
@@ -3,6 +3,7 @@
 
 import signal
 import threading
+import time
 from collections.abc import Iterator
 from http.client import HTTPException
 
@@ -20,6 +21,8 @@
 )
 
 GRACE_S = 1.0
+# Callers may send requests to an instance for this long after its stop has begun.
+LATE_S = 3.0
 # Longer than any test: what is sent with it is open until its gateway stops.
 LONG_MS = 15_000
 NO_ANSWER = Answer(0, {}, b"", False)
@@ -55,8 +58,8 @@
     answers: dict[str, Answer] = field(factory=dict)
     _callers: list[threading.Thread] = field(factory=list)
 
-    def start(self, wait: bool = True) -> None:
-        self.port = self.site.start_gateway(self.name, wait, grace_s=GRACE_S)[0]
+    def start(self, wait: bool = True, grace_s: float = GRACE_S) -> None:
+        self.port = self.site.start_gateway(self.name, wait, grace_s=grace_s)[0]
 
     def ask(self, path: str, body: bytes = b"") -> str:
         """Send a request, and read its answer while the test goes on."""
@@ -79,9 +82,11 @@
 
     def stop(self) -> None:
         """Tell the gateway to stop, and wait for its end and that of its callers."""
-        process = self.site.processes[-1]
-        process.send_signal(signal.SIGTERM)
-        assert process.wait(10) == 0
+        self.site.processes[-1].send_signal(signal.SIGTERM)
+        self.wait_until_stopped()
+
+    def wait_until_stopped(self) -> None:
+        assert self.site.processes[-1].wait(10) == 0
         for caller in self._callers:
             caller.join(5)
 
@@ -125,6 +130,25 @@
     assert (answer.status, answer.body, answer.whole) == (200, events(2), False)
 
 
+def test_a_late_stream_of_a_stopping_gateway_is_not_begun_and_then_cut(gateway):
+    """Short streams before it made a preempted one seem to end in time."""
+    gateway.start(grace_s=6.0)
+    for _ in range(3):
+        gateway.site.ask("/stream/5", port=gateway.port)
+    open_before = gateway.ask("/stream/200")
+    gateway.runs(open_before)
+    time.sleep(0.2)
+    for name in ("s0", "s1", "s2"):
+        gateway.site.faults(name, preempt_at=3, preempts=9, preempted_ms=LONG_MS)
+    gateway.site.processes[-1].send_signal(signal.SIGTERM)
+    time.sleep(LATE_S)
+    late = gateway.ask("/stream/8")
+    gateway.wait_until_stopped()
+    assert gateway.answers[late].status == 503
+    assert gateway.site.ran(late) == []
+    assert gateway.answers[open_before].body == events(200)
+
+
 def test_requests_in_a_queue_at_the_end_of_a_stop_are_refused_as_not_run(gateway):
     gateway.site.faults("s3", delay_ms=LONG_MS)
     gateway.start()
