Fix: a signal that interrupted a log line ended the request that logged it

Cause: the handler of SIGTERM, SIGINT and SIGHUP logged by itself. It runs between any two instructions, so also within LogQueue.pop or the write of a line, whose state it changed: the interrupted code raised (KeyError) out of log_event. In a request that closes its connection; while a table is applied it is follow_failed. Class: a signal handler runs code that isn't reentrant. The same holds for lines that finalizers log.

Change: the handler only schedules what is to be done; a line that is logged while another is written is written after it.

--- a/src/coursekeel/observe/_logs.py
+++ b/src/coursekeel/observe/_logs.py
@@ -4,6 +4,7 @@
 import os
 import sys
 import time
+from collections import deque
 from typing import Any
 
 from coursekeel.observe._queue import LogQueue
@@ -20,7 +21,8 @@
     """Writes lines to a non-blocking file descriptor; queues what it doesn't accept.
 
     The queue is written at the next event or by `flush_logs`. If the reader stalls,
-    lines are dropped, and their number is logged once it reads again.
+    lines are dropped, and their number is logged once it reads again. A line that is
+    logged while another one is written, as by a finalizer, is written after it.
     """
 
     def __init__(self, descriptor: int, max_waiting_bytes: int) -> None:
@@ -29,14 +31,27 @@
         self._descriptor = descriptor
         self._queue = LogQueue(max_waiting_bytes)
         self._partial_line = b""
+        self._logged: deque[tuple[int, bytes]] = deque()
+        self._is_writing = False
 
     def emit(self, record: logging.LogRecord) -> None:
         line = self.format(record).encode("utf-8", "replace") + b"\n"
-        self._queue.add(record.levelno, line)
+        self._logged.append((record.levelno, line))
         self.flush()
 
     def flush(self) -> None:
-        while self._partial_line or not self._queue.empty:
+        if self._is_writing:
+            return
+        self._is_writing = True
+        try:
+            self._write_queued()
+        finally:
+            self._is_writing = False
+
+    def _write_queued(self) -> None:
+        while self._logged or self._partial_line or not self._queue.empty:
+            while self._logged:
+                self._queue.add(*self._logged.popleft())
             self._partial_line = self._partial_line or self._queue.pop()
             try:
                 written = os.write(self._descriptor, self._partial_line)
@@ -47,7 +62,8 @@
                 self._partial_line = b""
                 continue
             self._partial_line = self._partial_line[written:]
-        self._log_dropped()
+            if self._queue.empty and not self._partial_line:
+                self._log_dropped()
 
     def _log_dropped(self) -> None:
         dropped = self._queue.pop_dropped_count()
--- a/src/coursekeel/runtime/_process.py
+++ b/src/coursekeel/runtime/_process.py
@@ -134,10 +134,16 @@
     watch: Any = _FailureWatch(life)
     globalLogBeginner.beginLoggingTo([watch], redirectStandardIO=False)
 
-    def on_signal(number: int, _frame: object) -> None:
+    def handle_signal(number: int) -> None:
         log_event("signal", number=number)
-        handle = role.reload if number == signal.SIGHUP else life.on_signal
-        reactor.callFromThread(handle)
+        if number == signal.SIGHUP:
+            role.reload()
+        else:
+            life.on_signal()
+
+    def on_signal(number: int, _frame: object) -> None:
+        # It interrupts any code, so that it may only schedule what isn't reentrant.
+        reactor.callFromThread(handle_signal, number)
 
     def install_signal_handlers() -> None:
         for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
--- a/tests/cover/test_logs.py
+++ b/tests/cover/test_logs.py
@@ -198,3 +198,20 @@
 
 def test_a_request_without_log_lines_never_reached_an_instance():
     assert "never reached" in explain("r9", ["noise", "time=1 event=x"]).cause
+
+
+def test_a_line_that_is_logged_while_another_is_written_comes_whole_after_it(
+    pipe, monkeypatch
+):
+    write, written = os.write, []
+
+    def write_a_part_and_log(descriptor: int, line: bytes) -> int:
+        written.append(line)
+        if len(written) == 1:
+            log_event("nested")
+        return write(descriptor, line[:7])
+
+    monkeypatch.setattr(logs.os, "write", write_a_part_and_log)
+    log_event("outer")
+    lines = [parse_line(each) for each in read_all(pipe).decode().splitlines()]
+    assert [each and each.event for each in lines] == ["outer", "nested"]
