--- a/src/coursekeel/gateway/members/_shared_source.py
+++ b/src/coursekeel/gateway/members/_shared_source.py
@@ -254,7 +254,7 @@
     ) -> TableRead | SourceFailed:
         query = self._begin_store_query(table, 0.0)
         outcome = await self.store.read(table, timeout_ms)
-        self._record_store_outcome(table, query, outcome)
+        self._record_store_outcome(table, outcome)
         if isinstance(outcome, TableRead):
             return evolve(outcome, query=query)
         return outcome
@@ -264,7 +264,13 @@
     ) -> _Outcome:
         query = self._begin_store_query(table, hold_ms)
         outcome = await self.store.follow(table, since, hold_ms, timeout_ms)
-        self._record_store_outcome(table, query, outcome)
+        if self._is_response_lost(query, outcome):
+            # Its connection may be dead, and the store sound.
+            self._log_lost_response(table, query)
+            query = self._begin_store_query(table, 0.0)
+            slack_ms = timeout_ms - hold_ms
+            outcome = await self.store.follow(table, since, 0.0, slack_ms)
+        self._record_store_outcome(table, outcome)
         if isinstance(outcome, TableRead):
             return evolve(outcome, query=query)
         return outcome
@@ -279,28 +285,25 @@
         now_ms = self._query_states[table].store_queried_ms = self.clock.now_ms()
         return StoreQuery(now_ms, hold_ms)
 
-    def _record_store_outcome(
-        self, table: Table, query: StoreQuery, outcome: _Outcome
-    ) -> None:
+    def _record_store_outcome(self, table: Table, outcome: _Outcome) -> None:
         state = self._query_states[table]
         state.store_answers = not isinstance(outcome, SourceFailed)
         if isinstance(outcome, SourceFailed):
-            self._log_lost_response(table, query, outcome)
             self._log_cut_answer(table, "store", outcome, state.store_queried_ms)
 
-    def _log_lost_response(
-        self, table: Table, query: StoreQuery, failed: SourceFailed
-    ) -> None:
-        """Log that the store didn't respond to a query that it had held to its end."""
-        waited_ms = self.clock.now_ms() - query.sent_ms
-        if query.held_ms and waited_ms >= query.held_ms:
-            log_event(
-                "response_lost",
-                table=table.value,
-                held_ms=round(query.held_ms),
-                waited_ms=round(waited_ms),
-                reason=failed.reason,
-            )
+    def _is_response_lost(self, query: StoreQuery, outcome: _Outcome) -> bool:
+        """Whether nothing came of a query though the store held it to its end."""
+        if not isinstance(outcome, SourceFailed) or outcome.received_bytes:
+            return False
+        return 0 < query.held_ms <= self.clock.now_ms() - query.sent_ms
+
+    def _log_lost_response(self, table: Table, query: StoreQuery) -> None:
+        log_event(
+            "response_lost",
+            table=table.value,
+            held_ms=round(query.held_ms),
+            waited_ms=round(self.clock.now_ms() - query.sent_ms),
+        )
 
     def _log_cut_answer(
         self,
--- a/tests/platform/test_missing_endpoints.py
+++ b/tests/platform/test_missing_endpoints.py
@@ -36,11 +36,23 @@
         time.sleep(0.02)
 
 
+def let_registrations_lapse(site: GatewaySite) -> None:
+    """Refuse the gateway for longer than registrations take to lapse."""
+    before = site.log().count("store_back table=endpoints")
+    site.store(fault="reset", abort_waiting=True)
+    ask_for(site, 2 * _TIMERS["endpoints_lapse_ms"] / 1_000)
+    site.store(fault="")
+    wait_until(
+        lambda: site.log().count("store_back table=endpoints") > before, "it is back"
+    )
+
+
 def test_short_failures_in_series_keep_no_endpoint_that_was_removed(site):
     for number in range(_FAILURES):
         site.store(abort_waiting=True)
         ask_for(site, _FAILURE_INTERVAL_S / 2)
         if number == 1:
+            let_registrations_lapse(site)
             site.put([("servers", "s3", None)])
             removed_s = time.monotonic()
             wait_until(lambda: "endpoint_missing endpoint=s3" in site.log(), "told")
