The end of a stop is told from a deadline for streams

What was seen: `request_ended outcome=timeout` for a stream that the end of its instance's stop ended, though it had most of its time left, and a 504 if it had not begun. Whole answers name `stopping` there.

A relayed stream that hadn't run by then was refused by a member's `timeout`, which holds at every instance; `stopping` lets another member serve it (from the code, no play of it).

test_the_log_tells_the_end_of_a_stop_from_a_deadline failed before for both of its cases and passes now. test_a_stream_without_an_event_at_the_end_of_a_stop_... allows 502 and 504 as before; it gets 502 now.

--- a/src/coursekeel/explain/_explain.py
+++ b/src/coursekeel/explain/_explain.py
@@ -171,6 +171,7 @@
 _END_SENTENCES = {
     "answer_lost": "It may have run, and its answer was lost",
     "timeout": "It timed out before the answer was complete",
+    "stopping": "Its instance stopped before the answer was complete",
     "too_late": "No endpoint had room for it in its time",
     "retry_budget": "It needed another send, and the pool's retry budget was exhausted",
     "no_endpoint": "Every endpoint tried rejected it or couldn't be reached",
--- a/src/coursekeel/gateway/streams/_stream_task.py
+++ b/src/coursekeel/gateway/streams/_stream_task.py
@@ -717,11 +717,17 @@
         self._stream_reply.finish()
 
     def _interrupt(self, action: Interrupt) -> None:
-        code = "timeout" if action.code == "interrupted" else action.code
+        code = self._code_at_end if action.code == "interrupted" else action.code
         self._stop_work()
         refusal = refusal_after_loss(action.run, code, self._retry_after_ms)
         self._stream_reply.refuse_or_cut(refusal)
 
+    @property
+    def _code_at_end(self) -> str:
+        """Why its time is over: its deadline, or the end of this instance's stop."""
+        has_time_left = self.context.clock.now_ms() < self.call.deadline_ms
+        return STOPPING.code if has_time_left else "timeout"
+
     def _caller_left(self) -> None:
         if not self.core.ended:
             self._stream_reply.caller_left()
--- a/tests/platform/test_end_of_stop.py
+++ b/tests/platform/test_end_of_stop.py
@@ -130,6 +130,20 @@
     assert (answer.status, answer.body, answer.whole) == (200, events(2), False)
 
 
+@pytest.mark.parametrize("faults", [{"dark_at": 3}, {"first_gap_ms": LONG_MS}])
+def test_the_log_tells_the_end_of_a_stop_from_a_deadline(gateway, faults):
+    """Both were logged as a timeout."""
+    for name in ("s0", "s1", "s2"):
+        gateway.site.faults(name, **faults)
+    gateway.start()
+    request_id = gateway.ask("/stream/8")
+    gateway.runs(request_id)
+    gateway.stop()
+    lines = gateway.site.log(gateway.name).splitlines()
+    (end,) = [line for line in lines if "event=request_ended" in line]
+    assert f"request={request_id} " in end and "outcome=stopping" in end
+
+
 def test_a_late_stream_of_a_stopping_gateway_is_not_begun_and_then_cut(gateway):
     """Short streams before it made a preempted one seem to end in time."""
     gateway.start(grace_s=6.0)
