--- a/soak/_leavings.py
+++ b/soak/_leavings.py
@@ -132,14 +132,19 @@
             if from_s + down_s > to_s:
                 return
             self._add(self.random.choice(_OUTAGES), from_s, down_s)
+            at_s = self.random.uniform(from_s + _LAPSE_S, from_s + down_s)
+            end_s = from_s + down_s
+            up_s = self.random.uniform(*_UP_S)
             if down_s > _LAPSE_S:
-                self._lapse(from_s + _LAPSE_S, from_s + down_s)
-            from_s += down_s + self.random.uniform(*_UP_S)
+                self._lapse(at_s, end_s, up_s)
+            from_s = end_s + up_s
 
-    def _lapse(self, from_s: float, outage_end_s: float) -> None:
-        """The row of a server that stays lapses in an outage, and is back after it."""
-        at_s = self.random.uniform(from_s, outage_end_s)
-        back_s = outage_end_s + self.random.uniform(*_RETURN_S)
+    def _lapse(self, at_s: float, outage_end_s: float, up_s: float) -> None:
+        """The row of a server that stays lapses in an outage, and is back after it.
+
+        It can be written only before the next outage.
+        """
+        back_s = outage_end_s + min(self.random.uniform(*_RETURN_S), 0.9 * up_s)
         target = self.random.randrange(2 * self.servers)
         if back_s < self.until_s and not self._leaves_within(target, at_s, back_s):
             self._add(FaultKind.ROW_LAPSES, at_s, back_s - at_s, target)
