Services say themselves that they leave, after an answer that closes

Cause: nobody but the tables told of them.

Change: requests to endpoints don't ask for the close (`ExchangeRequest.asks_close`); the connection is closed here once the response is complete, as before. `ExchangeHead.closes` says whether the response closes it. `LeavingChecks` takes that as a hint only and asks the endpoint: for its report where its pool sends reports, else by its health check (`health-path` of the configuration), twice in a row; at most once in 300 ms, and not where a report was requested in that time. A 200 means not leaving; a 503 that closes, names the incarnation and isn't `Not-Executed` means leaving; anything else nothing: a full or failing endpoint, or another incarnation. `record_own_state` gets the answer.

Not seen: what a failing server answers.

Full, failing and closing servers stay in use; questions are counted. `CutGroup` takes timers; the stand-in's servers can leave.

--- a/src/coursekeel/fetch/_exchange.py
+++ b/src/coursekeel/fetch/_exchange.py
@@ -57,7 +57,9 @@
 
     ``headers`` is called once connected, since a header may hold the remaining time; it
     must return no hop-by-hop headers. ``local_host`` is the address to connect from,
-    empty for any.
+    empty for any. ``asks_close``: whether the request says that its connection closes
+    after it. If not, the connection is closed here once the response is complete, and
+    the response can say that its sender is about to close.
     """
 
     host: str
@@ -67,14 +69,20 @@
     headers: Callable[[], Sequence[tuple[bytes, bytes]]]
     body: bytes = b""
     local_host: str = ""
+    asks_close: bool = True
 
 
 @frozen
 class ExchangeHead:
-    """Status and headers of a response; header names are lower case."""
+    """Status and headers of a response; header names are lower case.
+
+    ``closes``: whether it says that its connection closes after it. Nearly every
+    response to a request that asked for that does.
+    """
 
     status: int
     headers: Sequence[tuple[bytes, bytes]]
+    closes: bool = False
 
     def get(self, name: bytes) -> bytes:
         """Return the first value of a header, empty if there is none."""
@@ -150,10 +158,36 @@
 
     counts_body = True
     lost_cleanly = False
+    _response_parser: Any = None
+
+    def __init__(self) -> None:
+        super().__init__(quiescentCallback=_close_unused)
+
+    def request(self, request: Any) -> Any:
+        sent = super().request(request)
+        # Twisted drops the parser of a response without a body before it hands the
+        # response out, which lacks the headers of the connection.
+        self._response_parser = self._parser
+        return sent
+
+    def take_says_close(self) -> bool:
+        """Return whether the response says that its connection closes; call it once."""
+        parser, self._response_parser = self._response_parser, None
+        if parser is None:
+            return False
+        values = parser.connHeaders.getRawHeaders(b"connection", ())
+        tokens = b",".join(values).lower().split(b",")
+        return b"close" in [token.strip() for token in tokens]
 
     def connectionLost(self, reason: Any = connectionDone) -> None:
         self.lost_cleanly = bool(reason.check(ConnectionDone))
         super().connectionLost(reason)
+        # The parser refers back to the connection.
+        self._response_parser = None
+
+
+def _close_unused(connection: Any) -> None:
+    connection.transport.loseConnection()
 
 
 class _BodyReceiver(Protocol):
@@ -252,8 +286,11 @@
             headers.addRawHeader(name, value)
         has_body = bool(request.body) or request.method not in (b"GET", b"HEAD")
         body = _WholeBody(request.body) if has_body else None
+        persistent = not request.asks_close
         sent = connection.request(
-            Request(request.method, request.target, headers, body, persistent=False)
+            Request(
+                request.method, request.target, headers, body, persistent=persistent
+            )
         )
         sent.addCallbacks(self._head_received, self._request_failed)
 
@@ -287,7 +324,8 @@
             for name, values in response.headers.getAllRawHeaders()
             for value in values
         ]
-        self.sink.head_arrived(ExchangeHead(response.code, pairs))
+        closes = self._connection is not None and self._connection.take_says_close()
+        self.sink.head_arrived(ExchangeHead(response.code, pairs, closes))
         if self._finished:
             return
         if response.length is not UNKNOWN_LENGTH and self._is_too_long(response.length):
--- a/src/coursekeel/forwarding/_model.py
+++ b/src/coursekeel/forwarding/_model.py
@@ -91,12 +91,16 @@
     """A pool of interchangeable endpoints.
 
     ``copies`` is set if they keep copies of runs. ``models`` are those that each of
-    them serves; empty for plain services.
+    them serves; empty for plain services. ``reports`` is set if they answer requests
+    for load reports, ``health_path`` is where they answer health checks, empty if they
+    don't.
     """
 
     name: str
     copies: bool = False
     models: frozenset[str] = frozenset()
+    reports: bool = False
+    health_path: str = ""
 
 
 @frozen
--- a/src/coursekeel/gateway/_adapters.py
+++ b/src/coursekeel/gateway/_adapters.py
@@ -187,6 +187,22 @@
     def incarnation_named(self, head: ExchangeHead) -> str:
         """The id of the incarnation that answered, empty if the headers lack it."""
 
+    @abstractmethod
+    def hints_at_leaving(self, head: ExchangeHead) -> bool:
+        """Whether an answer suggests that its endpoint is leaving; others may too."""
+
+    @abstractmethod
+    def health_check(self, health_path: str) -> EndpointCall:
+        """A request that asks an endpoint whether it is healthy and isn't leaving."""
+
+    @abstractmethod
+    def read_health(self, head: ExchangeHead, endpoint_id: str) -> bool | None:
+        """Whether the endpoint that answered a health check is leaving.
+
+        None if the answer doesn't tell: the endpoint may be full or failing, or
+        another incarnation answered.
+        """
+
     @abstractmethod
     def answer_headers(self, head: ExchangeHead) -> list[tuple[bytes, bytes]]:
         """The answer's headers to send to the caller."""
--- a/src/coursekeel/gateway/_gateway.py
+++ b/src/coursekeel/gateway/_gateway.py
@@ -46,6 +46,7 @@
 from coursekeel.gateway.endpoints._crash_watch import CrashWatch
 from coursekeel.gateway.endpoints._endpoint_client import EndpointClient
 from coursekeel.gateway.endpoints._endpoint_health import EndpointHealth
+from coursekeel.gateway.endpoints._leaving_checks import LeavingChecks
 from coursekeel.gateway.endpoints._load_reports import LoadReports
 from coursekeel.gateway.limits._limits_task import LimitsTask
 from coursekeel.gateway.members._group import Group
@@ -285,6 +286,7 @@
             unsent_bytes=lambda: self._connections.held_bytes,
         )
         reports = LoadReports(context)
+        client.answered = LeavingChecks(context, reports).answered
         self._dispatcher = Dispatcher(
             context,
             reports,
--- a/src/coursekeel/gateway/endpoints/_endpoint_client.py
+++ b/src/coursekeel/gateway/endpoints/_endpoint_client.py
@@ -7,7 +7,7 @@
 (docs/design/platform.md).
 """
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from attrs import define, evolve
 
@@ -44,12 +44,16 @@
 _MAX_PROBE_BYTES = MEBIBYTE
 
 
+def _ignore_answer(endpoint_id: str, head: ExchangeHead) -> None:
+    """Before `LeavingChecks` is there."""
+
+
 @define(eq=False)
 class EndpointClient:
     """Opens exchanges with endpoints, with the headers and paths of ``dialect``.
 
-    While ``link`` is full, the connect timeout is longer. ``limits`` gets the head of
-    each answer, ``reach`` whether each connection was made.
+    While ``link`` is full, the connect timeout is longer. ``limits`` and ``answered``
+    get the head of each answer, ``reach`` whether each connection was made.
     """
 
     reactor: Reactor
@@ -59,6 +63,7 @@
     link: OwnLink
     limits: LimitsTask
     reach: ReachTask
+    answered: Callable[[str, ExchangeHead], None] = _ignore_answer
 
     def send(
         self,
@@ -85,11 +90,13 @@
             call.target,
             headers,
             call.body.data,
+            asks_close=False,
         )
         endpoint_id = outbound.endpoint.endpoint_id
 
         def head_arrived(head: ExchangeHead, sent_ms: float) -> None:
             self.limits.answered(endpoint_id, outbound.request_id, head, sent_ms)
+            self.answered(endpoint_id, head)
 
         def permitted() -> bool:
             if self.limits.may_send(endpoint_id, permit_lapses_ms):
@@ -113,7 +120,12 @@
         """Send one of the gateway's own requests (a probe) to an endpoint."""
         headers = [(b"host", endpoint.address.encode())]
         request = ExchangeRequest(
-            endpoint.host, endpoint.port, call.method, call.target, lambda: headers
+            endpoint.host,
+            endpoint.port,
+            call.method,
+            call.target,
+            lambda: headers,
+            asks_close=False,
         )
 
         def head_arrived(head: ExchangeHead, sent_ms: float) -> None:
--- a/src/coursekeel/gateway/endpoints/_endpoint_probe.py
+++ b/src/coursekeel/gateway/endpoints/_endpoint_probe.py
@@ -38,9 +38,14 @@
 class ProbeResponse:
     """The complete response."""
 
-    status: int
+    head: ExchangeHead
     body: bytes
 
+    @property
+    def status(self) -> int:
+        """The response's status."""
+        return self.head.status
+
 
 @frozen
 class ProbeFailure:
@@ -88,7 +93,7 @@
         if self._timeout.active():
             self._timeout.cancel()
         if ending is Ending.WHOLE and self._head is not None:
-            self.on_result(ProbeResponse(self._head.status, b"".join(self._body)))
+            self.on_result(ProbeResponse(self._head, b"".join(self._body)))
         elif ending is Ending.NOT_SENT:
             self.on_result(ProbeFailure(ProbeFailureKind.NOT_REACHED, reason))
         else:
--- a/src/coursekeel/gateway/endpoints/_load_reports.py
+++ b/src/coursekeel/gateway/endpoints/_load_reports.py
@@ -40,6 +40,8 @@
 
 __all__ = ["LoadReports", "NoReport", "ReportResult"]
 
+# How many endpoints' last requests are remembered; more than a site has.
+_MAX_REQUESTED = 10_000
 
 # Share of the time for a report after which it is late. Sound endpoints send theirs
 # within a few ms, and another endpoint's must fit into the rest.
@@ -100,6 +102,7 @@
 
     context: GatewayContext
     _shared: dict[str, _SharedRequest] = field(factory=dict)
+    _requested_ms: dict[str, float] = field(factory=dict)
     silent_endpoints: SilentEndpoints = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -210,6 +213,7 @@
     def request_report_from(self, record: EndpointRecord, on_report: _OnReport) -> None:
         """Request a report of an endpoint that need not be listed."""
         requested_ms = self.context.clock.now_ms()
+        self._note_request(record.endpoint_id, requested_ms)
         call = self.context.endpoints.dialect.report
         self._probe(
             record,
@@ -217,6 +221,16 @@
             lambda result: on_report(self._read_report(record, requested_ms, result)),
         ).start()
 
+    def requested_ms(self, endpoint_id: str) -> float:
+        """When an endpoint's report was last requested; minus infinity if never."""
+        return self._requested_ms.get(endpoint_id, float("-inf"))
+
+    def _note_request(self, endpoint_id: str, now_ms: float) -> None:
+        self._requested_ms.pop(endpoint_id, None)
+        self._requested_ms[endpoint_id] = now_ms
+        if len(self._requested_ms) > _MAX_REQUESTED:
+            del self._requested_ms[next(iter(self._requested_ms))]
+
     def _read_report(
         self, record: EndpointRecord, requested_ms: float, result: ProbeResult
     ) -> ReportResult:
--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -74,7 +74,7 @@
         ],
         "services": [
             {"name": "engines", "engine": {"slots": 8, "backups": True}},
-            {"name": "plain"},
+            {"name": "plain", "health-path": "/health"},
         ],
         "limits": {"max-body-bytes": 2_000},
         "tenants": [
@@ -284,6 +284,10 @@
         servers = self.control.get("/servers")
         return [run for state in servers.values() for run in state["open"]]
 
+    def leave(self, number: int) -> None:
+        """Let the server say that it is leaving, and serve on; its row stays."""
+        self.control.ask("POST", f"/servers/s{number}/leave", {})
+
     def crash(self, number: int, down_s: float) -> None:
         """Crash the server; a new incarnation starts after ``down_s`` seconds."""
         self.control.ask("POST", f"/servers/s{number}/crash", {"down_s": down_s})
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -333,6 +333,11 @@
         self.falls_s: list[float] = []
         self.worker_back_s = 0.0
         self.silent_until_s = 0.0
+        # Whether the server says that it is leaving, when it began to, and the requests
+        # that ask for its state.
+        self.leaving = False
+        self.left_s = 0.0
+        self.state_requests: list[str] = []
         self.app = self._routes()
 
     def listen(self) -> int:
@@ -418,6 +423,7 @@
         old_name = self.name
         self.incarnation += 1
         self.name = f"{self.first_name}-{self.incarnation}"
+        self.leaving = False
         self.listen()
         value = self.store.rows.get(("servers", old_name), {}).get("value")
         if value is not None:
@@ -428,8 +434,22 @@
     def _routes(self) -> Klein:
         app = Klein()
 
+        @app.route("/health")
+        def health(request: Any) -> bytes:
+            self.state_requests.append("health")
+            self._say_whether_it_closes(request)
+            request.setHeader("instance-id", self.name)
+            if self.faults.get("full"):
+                request.setResponseCode(503)
+                request.setHeader("not-executed", "1")
+            elif self.leaving or self.faults.get("failing"):
+                request.setResponseCode(503)
+            return b""
+
         @app.route("/coursekeel/report")
         def report(request: Any) -> Any:
+            self.state_requests.append("report")
+            self._say_whether_it_closes(request)
             if self.faults.get("dark"):
                 return Deferred()
             if self.silent_s:
@@ -460,8 +480,22 @@
                 "kv-total": 90_000,
                 "runs": runs,
             }
+            | ({} if self.faults.get("tells_no_state") else {"state": self.state})
         )
 
+    @property
+    def state(self) -> str:
+        """What the server's report says of it."""
+        return "draining" if self.leaving else "ready"
+
+    def leave(self) -> None:
+        """Say from now on that it is leaving, and serve on."""
+        self.leaving, self.left_s = True, time.monotonic()
+
+    def _say_whether_it_closes(self, request: Any) -> None:
+        if self.leaving or self.faults.get("closes"):
+            request.setHeader("connection", "close")
+
     def _read_later(self, request: Any, path: str) -> Any:
         """Read a request that came during a silence, unless its sender has left."""
         return Deferred() if request._disconnected else self._call(request, path)
@@ -481,6 +515,7 @@
             request.setResponseCode(421)
             return b""
         self.arrived.append(self._arrival(request))
+        self._say_whether_it_closes(request)
         for limit in self.limits_to_name():
             request.responseHeaders.addRawHeader(b"server-limit", limit)
         if "leaves_ms" in self.faults:
@@ -743,6 +778,11 @@
         servers[name].name = orjson.loads(request.content.read())
         return b"{}"
 
+    @app.route("/servers/<name>/leave", methods=["POST"])
+    def leave(request: Any, name: str) -> bytes:
+        servers[name].leave()
+        return b"{}"
+
     @app.route("/servers/<name>/crash", methods=["POST"])
     def crash(request: Any, name: str) -> bytes:
         servers[name].crash(**orjson.loads(request.content.read()))
@@ -768,6 +808,8 @@
                 "open": list(server.open),
                 "crashes": server.incarnation - (server.listener is not None),
                 "worker_crashes": server.worker_crashes,
+                "left_s": server.left_s,
+                "state_requests": server.state_requests,
             }
             for name, server in servers.items()
         }
@@ -780,6 +822,7 @@
             server.arrived.clear()
             server.held.clear()
             server.falls_s.clear()
+            server.state_requests.clear()
             server.faults.clear()
         return b"{}"
 
--- a/tests/platform/test_cut_from_servers.py
+++ b/tests/platform/test_cut_from_servers.py
@@ -22,8 +22,9 @@
 class CutGroup:
     """Three gateways before nine servers, each with links that can be cut."""
 
-    def __init__(self, site: GatewaySite) -> None:
+    def __init__(self, site: GatewaySite, **timers: float) -> None:
         self.site = site
+        self.timers = timers
         self.peer_port = free_port("127.0.0.11")
         self.ports: dict[int, list[int]] = {}
         self.processes = {}
@@ -41,6 +42,7 @@
             seeds=[self.address(1), self.address(2)],
             program=("-m", "tests.common.faulted_gateway"),
             cut_file=str(self._cut_file(number)),
+            **self.timers,
         )
         self.processes[number] = self.site.processes[-1]
 
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -4,6 +4,7 @@
 
 import orjson
 import pytest
+from attrs import evolve
 
 from coursekeel.fetch import ExchangeHead
 from coursekeel.forwarding import EndpointRecord, RouteKind
@@ -234,3 +235,43 @@
 )
 def test_a_report_tells_whether_the_server_is_leaving(fields, leaving):
     assert read_report(**fields).leaving is leaving
+
+
+def health_head(status: int, closes: bool, **headers: str) -> ExchangeHead:
+    return evolve(response_head(status, instance_id="i-1", **headers), closes=closes)
+
+
+@pytest.mark.parametrize(
+    ("head", "leaving"),
+    [
+        (health_head(200, closes=False), False),
+        (health_head(200, closes=True), False),
+        (health_head(503, closes=True), True),
+        (health_head(503, closes=False), None),
+        (health_head(503, closes=True, not_executed="1"), None),
+        (health_head(500, closes=True), None),
+        (health_head(404, closes=True), None),
+        (response_head(200), None),
+        (evolve(response_head(503, instance_id="i-2"), closes=True), None),
+        (evolve(response_head(503), closes=True), None),
+    ],
+)
+def test_a_health_check_tells_whether_that_server_is_leaving(head, leaving):
+    """Guards against taking a full or failing server, or its successor, for it."""
+    assert PlatformEndpoints().read_health(head, "i-1") is leaving
+
+
+def test_a_closed_connection_hints_that_a_server_is_leaving():
+    endpoints = PlatformEndpoints()
+    assert endpoints.hints_at_leaving(health_head(200, closes=True))
+    assert not endpoints.hints_at_leaving(response_head(200, connection="close"))
+
+
+def test_only_engines_send_reports():
+    form = {"version": 1, "services": [{"name": "a", "health-path": "/h"}]}
+    form["services"].append({"name": "b", "engine": {"models": [{"name": "m"}]}})
+    decoded = decode_json(orjson.dumps(form), ConfigurationForm)
+    plain, engines = convert_configuration(decoded).pools
+    assert (plain.reports, plain.health_path) == (False, "/h")
+    assert (engines.reports, engines.health_path) == (True, "")
+    assert engines.models == {"m"}
