Fix: sound endpoints were refused while outages of the store followed each other

Callers: 503 no_endpoint in series of outages (2.5 s down, 0.8 s up), in which all rows had lapsed and the store never stayed for long enough for endpoints to register again.

Cause: the timer that ended the time of missing endpoints ran also while the store was down again. A row that lapsed and one whose endpoint left unmarked look alike in the list, and only the endpoint can tell.

Change: endpoints that are missing are asked for their reports every 0.2 s (MissingReports); a request that fails ejects nothing. One that says it serves, asked after the response without it was read and before its time was over, is used for 0.4 of drain_ms from that request, until the list is confirmed as of endpoints_return_ms after the last outage. One that says it leaves gets nothing more. The first word that counts is logged, endpoint_kept.

Not held: an endpoint that left unmarked and still says state=ready is used until the store has stayed; with a hold of the endpoints' query of 4 s that is learned up to 4 s later.

--- a/src/coursekeel/forwarding/_directory.py
+++ b/src/coursekeel/forwarding/_directory.py
@@ -129,9 +129,12 @@
         for endpoint_id in self._adopted:
             self.missing.add(endpoint_id, StorePosition(), now_ms)
 
-    def remove_missing(self, now_ms: float) -> list[str]:
-        """Remove the endpoints that have been missing for too long; returns ids."""
-        gone = self.missing.overdue(now_ms)
+    def remove_missing(self, now_ms: float, confirmed_ms: float) -> list[str]:
+        """Remove the endpoints that have been missing for too long; returns ids.
+
+        ``confirmed_ms`` is the time as of which the list is confirmed.
+        """
+        gone = self.missing.overdue(now_ms, confirmed_ms)
         for endpoint_id in gone:
             self._forget(endpoint_id, self.missing.position(endpoint_id))
         return sorted(gone)
--- a/src/coursekeel/forwarding/_missing.py
+++ b/src/coursekeel/forwarding/_missing.py
@@ -3,7 +3,9 @@
 Registrations may lapse while the store is down, and live endpoints register again. So
 an endpoint that is missing after an outage may go on taking work for a while. That time
 is one in sum for each endpoint: it runs from the first list without it, and nothing
-that follows starts it again.
+that follows starts it again. An endpoint that says itself that it serves, asked since
+then, is used for a short time more after each such word. That ends when the store has
+responded for as long as live endpoints need to register again.
 
 A core: the caller passes the time, in ms.
 """
@@ -23,11 +25,13 @@
     """Bounds on the use of missing endpoints.
 
     ``return_ms`` is the time after an outage in which live endpoints register again,
-    ``missing_ms`` how long a missing one may take work.
+    ``missing_ms`` how long a missing one may take work, ``own_state_ms`` how long after
+    it was asked, if it said that it serves.
     """
 
     return_ms: float = 2_000.0
     missing_ms: float = 1_500.0
+    own_state_ms: float = 800.0
 
 
 @frozen
@@ -40,6 +44,7 @@
     position: StorePosition
     since_ms: float
     until_ms: float
+    said_serving: bool = False
 
 
 @define
@@ -67,6 +72,21 @@
         until_ms = min(now_ms + self.times().missing_ms, self._recovery_until_ms)
         self._missing[endpoint_id] = _Missing(position, now_ms, until_ms)
 
+    def record_serving(self, endpoint_id: str, asked_ms: float) -> bool:
+        """Record that an endpoint which was asked at ``asked_ms`` says that it serves.
+
+        It counts if it was asked after the list lacked it, and before its time was
+        over. Returns whether this is the first word that counts.
+        """
+        missing = self._missing.get(endpoint_id)
+        if missing is None or not missing.since_ms <= asked_ms < missing.until_ms:
+            return False
+        until_ms = max(missing.until_ms, asked_ms + self.times().own_state_ms)
+        self._missing[endpoint_id] = evolve(
+            missing, until_ms=until_ms, said_serving=True
+        )
+        return not missing.said_serving
+
     def discard(self, endpoint_id: str) -> None:
         """Forget an endpoint that is listed again, or gone."""
         self._missing.pop(endpoint_id, None)
@@ -93,8 +113,14 @@
         missing = self._missing.get(endpoint_id)
         return missing is not None and now_ms >= missing.until_ms
 
-    def overdue(self, now_ms: float) -> list[str]:
-        """The ids of the endpoints that have been missing for too long."""
+    def overdue(self, now_ms: float, confirmed_ms: float) -> list[str]:
+        """The ids of the endpoints that have been missing for too long.
+
+        They are all of them once the list is confirmed as of a time by which live
+        endpoints have registered again.
+        """
+        if confirmed_ms >= self._recovery_until_ms:
+            return self.ids()
         return [name for name in self._missing if self.is_over(name, now_ms)]
 
     def reset_positions(self) -> None:
--- a/src/coursekeel/gateway/_gateway.py
+++ b/src/coursekeel/gateway/_gateway.py
@@ -48,6 +48,7 @@
 from coursekeel.gateway.endpoints._endpoint_health import EndpointHealth
 from coursekeel.gateway.endpoints._leaving_checks import LeavingChecks
 from coursekeel.gateway.endpoints._load_reports import LoadReports
+from coursekeel.gateway.endpoints._missing_reports import MissingReports
 from coursekeel.gateway.limits._limits_task import LimitsTask
 from coursekeel.gateway.members._group import Group
 from coursekeel.gateway.relay._reach_task import ReachTask
@@ -121,6 +122,7 @@
     _start_hold: StartHold = field(factory=StartHold)
     _rollouts: CanaryTask = field(init=False)
     _limits: LimitsTask = field(init=False)
+    _missing_reports: MissingReports = field(init=False)
     _reach: ReachTask = field(init=False)
     _gate: QuarantineGate = field(init=False)
     _relay_server: RelayServer = field(init=False)
@@ -184,7 +186,7 @@
             self._start_hold,
             rollouts,
             lambda: self._rollouts.ordered(),
-            lambda: self._limits.endpoints_changed(),
+            self._endpoints_changed,
         )
         self._rollouts = CanaryTask(
             self.reactor,
@@ -287,6 +289,9 @@
         )
         reports = LoadReports(context)
         client.answered = LeavingChecks(context, reports).answered
+        self._missing_reports = MissingReports(
+            self.reactor, self.clock, self._site, reports
+        )
         self._dispatcher = Dispatcher(
             context,
             reports,
@@ -364,7 +369,15 @@
 
     def _recovery_times(self) -> RecoveryTimes:
         timers = self._live_settings.timers
-        return RecoveryTimes(timers.endpoints_return_ms, timers.endpoints_missing_ms)
+        return RecoveryTimes(
+            timers.endpoints_return_ms,
+            timers.endpoints_missing_ms,
+            timers.endpoints_own_state_ms,
+        )
+
+    def _endpoints_changed(self) -> None:
+        self._limits.endpoints_changed()
+        self._missing_reports.endpoints_changed()
 
     def _report_period_ms(self) -> float:
         members = self._group.members or 1
--- a/src/coursekeel/gateway/endpoints/_load_reports.py
+++ b/src/coursekeel/gateway/endpoints/_load_reports.py
@@ -231,6 +231,25 @@
         if len(self._requested_ms) > _MAX_REQUESTED:
             del self._requested_ms[next(iter(self._requested_ms))]
 
+    def request_own_state(self, endpoint_id: str, on_ended: Callable[[], None]) -> None:
+        """Request a report for what the endpoint says of itself.
+
+        Unlike `request_report`, a request that fails ejects no endpoint.
+        """
+        record = self.context.site.directory.record(endpoint_id)
+        if record is None:
+            on_ended()
+            return
+        requested_ms = self.context.clock.now_ms()
+
+        def probe_ended(result: ProbeResult) -> None:
+            if isinstance(result, ProbeResponse):
+                self._read_report(record, requested_ms, result)
+            on_ended()
+
+        call = self.context.endpoints.dialect.report
+        self._probe(record, call, probe_ended).start()
+
     def _read_report(
         self, record: EndpointRecord, requested_ms: float, result: ProbeResult
     ) -> ReportResult:
--- a/src/coursekeel/gateway/site/_site_state.py
+++ b/src/coursekeel/gateway/site/_site_state.py
@@ -307,7 +307,9 @@
         ``asked_ms`` is when it was asked. Its word is nearer than any list's: the list
         may lag behind, or can't be read.
         """
-        if leaving and self.directory.mark_leaving(endpoint_id):
+        if not leaving:
+            self._record_serving(endpoint_id, asked_ms)
+        elif self.directory.mark_leaving(endpoint_id):
             log_event(
                 "endpoint_leaving",
                 endpoint=endpoint_id,
@@ -316,6 +318,13 @@
             )
             self.update_routing()
 
+    def _record_serving(self, endpoint_id: str, asked_ms: float) -> None:
+        if self.directory.missing.record_serving(endpoint_id, asked_ms):
+            missing_ms = self.missing_ms(endpoint_id) or 0.0
+            log_event(
+                "endpoint_kept", endpoint=endpoint_id, missing_ms=round(missing_ms)
+            )
+
     def prepare_after_outage(self, outage: Outage) -> None:
         """Prepare for the first read of the list after an outage.
 
@@ -346,7 +355,8 @@
 
     def _review_missing(self) -> None:
         now_ms, directory = self.clock.now_ms(), self.directory
-        if gone := directory.remove_missing(now_ms):
+        confirmed_ms = self.freshness.confirmed_ms(Table.ENDPOINTS.value)
+        if gone := directory.remove_missing(now_ms, confirmed_ms):
             for endpoint_id in gone:
                 log_event("endpoint_gone", endpoint=endpoint_id, reason="not_back")
             self.update_routing()
--- a/src/coursekeel/settings/_gateway.py
+++ b/src/coursekeel/settings/_gateway.py
@@ -54,6 +54,8 @@
 # Share of `drain_ms` for which an endpoint that is missing after an outage takes work.
 # The rest is for a process that stops for 0.3 s at a send, and for the request's way.
 _MISSING_SHARE = 0.75
+# Share of `drain_ms` for which its word that it serves counts, from the request for it.
+_OWN_STATE_SHARE = 0.4
 
 
 @frozen
@@ -82,7 +84,7 @@
     ``drain_ms`` after the list shows that an endpoint is leaving, no new work may reach
     it. In ``endpoints_return_ms`` after a store outage of ``endpoints_lapse_ms`` or
     more, endpoints register again: one that is removed in that time may take work for
-    a part of ``drain_ms``.
+    a part of ``drain_ms``, and for longer if it says itself that it serves.
 
     ``grace_s`` is the time from SIGTERM to exit. ``silence_ms`` is the silence after
     which a started stream counts as lost, ``report_ms`` the timeout of a request for an
@@ -146,6 +148,11 @@
         """How long an endpoint that is missing after an outage may take work."""
         return _MISSING_SHARE * self.drain_ms
 
+    @property
+    def endpoints_own_state_ms(self) -> float:
+        """How long a missing endpoint's word that it serves counts."""
+        return _OWN_STATE_SHARE * self.drain_ms
+
     @property
     def shared_configuration_hold_ms(self) -> float:
         """The configuration hold of a request that serves other instances too.
