Fix: a successor that no list names was used for up to six seconds too long

Cause: the check that came too early, since no list was confirmed in an outage, was put off by the whole listing time. Change: it is repeated every half second from then on. test_a_successor_that_is_never_listed_is_removed_soon_after_the_list_says_so failed before.

--- a/src/coursekeel/gateway/site/_site_state.py
+++ b/src/coursekeel/gateway/site/_site_state.py
@@ -54,6 +54,8 @@
 # Time for a new endpoint to appear in the list: twice the sum of two usual heartbeats
 # of 1.2 s and the time that changes gather.
 _LISTING_TIME_S = 6.0
+# Interval at which an adopted endpoint is checked after that, until the list shows it.
+_ADOPTED_CHECK_INTERVAL_S = 0.5
 
 
 def _return_false() -> bool:
@@ -393,7 +395,7 @@
             self.update_routing()
             return
         self.reactor.callLater(
-            _LISTING_TIME_S, self._check_adopted, successor_id, adopted_ms
+            _ADOPTED_CHECK_INTERVAL_S, self._check_adopted, successor_id, adopted_ms
         )
 
     def pool_of(self, routed_pool: str) -> str:
--- a/tests/cover/test_successors.py
+++ b/tests/cover/test_successors.py
@@ -75,6 +75,19 @@
     assert harness.directory.record("e1-b") is None
 
 
+def test_a_successor_that_is_never_listed_is_removed_soon_after_the_list_says_so():
+    """Guards against using it for six seconds more."""
+    harness = StreamHarness()
+    harness.known_site.adopt("e1", "e1-b")
+    harness.reactor.advance(6.0)
+    harness.reactor.advance(0.1)
+    harness.known_site.freshness.record_confirmation(
+        "endpoints", harness.clock.now_ms()
+    )
+    harness.reactor.advance(0.5)
+    assert harness.directory.record("e1-b") is None
+
+
 class RestartedEndpointHarness(StreamHarness):
     """Three endpoints, of which one was replaced by another incarnation, ``x9``."""
 
