--- a/tests/cover/test_shared_source.py
+++ b/tests/cover/test_shared_source.py
@@ -457,3 +457,17 @@
             accepted_ms.append(world.now_ms - world.revoked_ms["k1"])
     assert max(accepted_ms) <= TIMERS.max_key_age_ms
     assert max(accepted_ms) >= TIMERS.max_key_age_ms - 2_700, "none is given up early"
+
+
+@pytest.mark.parametrize("members", [1, 3])
+def test_a_lost_response_keeps_no_change_from_its_zone(members):
+    """Guards against a reader that takes a lost response for an outage, and then asks
+    members that know no more than itself."""
+    world = World(["a"] * members)
+    world.run(5_000)
+    world.change()
+    world.run(2 * TIMERS.configuration_gathering_ms)
+    world.waiting.clear()
+    world.change("k1")
+    world.run(TIMERS.configuration_ms * 0.75)
+    assert not any(each.accepts_key("k1") for each in world.instances.values())
