--- a/tests/nocover/test_soak.py
+++ b/tests/nocover/test_soak.py
@@ -141,6 +141,34 @@
 )
 
 
+# Servers that leave unmarked beside outages in series, or just after open connections
+# to the store have lost their answers, and one whose row lapses and that stays.
+LEAVING = Schedule(
+    24.0,
+    4,
+    8,
+    (
+        Fault(FaultKind.STORE_SILENT, 2.0, 2.5),
+        Fault(FaultKind.SERVER_GONE, 3.0, 8.0, 4),
+        Fault(FaultKind.SERVER_GONE, 3.2, 8.0, 0),
+        Fault(FaultKind.ROW_LAPSES, 3.4, 1.6, 5),
+        Fault(FaultKind.SETTINGS_CHANGED, 5.0, 0.0, 1),
+        Fault(FaultKind.STORE_SILENT, 5.3, 2.5),
+        Fault(FaultKind.SERVER_GONE, 6.0, 7.0, 7),
+        Fault(FaultKind.SERVER_GONE, 6.2, 7.0, 2),
+        Fault(FaultKind.STORE_RESETS, 8.6, 2.5),
+        Fault(FaultKind.STORE_LOSES_ANSWERS, 14.2, 0.0),
+        Fault(FaultKind.SERVER_LEAVES, 14.4, 6.0, 6),
+        Fault(FaultKind.SERVER_GONE, 14.5, 6.0, 1),
+        Fault(FaultKind.CONFIGURATION_CHANGED, 15.0, 0.0),
+        Fault(FaultKind.GATEWAY_KILLED, 15.5, 1.0, 3),
+    ),
+    zones=(2, 1, 1),
+    servers=4,
+    callers=24,
+)
+
+
 @pytest.mark.parametrize("said", [b"", b"HTTP/1.1 2"])
 def test_a_caller_notes_whether_any_byte_came_before_the_close(said):
     with socket.create_server(("127.0.0.1", 0)) as listener:
@@ -209,3 +237,11 @@
     assert len({each.path for each in played.evidence.crashes}) == 2
     served = [each for each in played.evidence.calls if each.status == 200]
     assert len(served) > 100
+
+
+def test_servers_that_leave_get_nothing_new_though_the_store_fails_again_and_again():
+    played = play(LEAVING)
+    assert played.violations == []
+    assert len(played.evidence.left) == 6
+    served = [each for each in played.evidence.calls if each.status == 200]
+    assert len(served) > 100
