Entries: outages in series renew no evidence, and keep no engine that left unmarked

An engine that says nothing takes no new work once its own last word is older than `evidence_ms`, whatever the platform's outages begin again, and one whose registration goes in the first of several outages isn't used within 3 s.

--- a/tests/nocover/test_lost_answers.py
+++ b/tests/nocover/test_lost_answers.py
@@ -1,5 +1,6 @@
-"""Open connections of an entry lose their answers for good, while new ones work."""
+"""Engines that leave while answers are lost or the platform fails in series."""
 
+import signal
 import time
 
 import pytest
@@ -29,7 +30,7 @@
     """One entry, with links to the platform and to two engines; a test has its own."""
     with Site() as running:
         running.start_platform()
-        running.start_engines(6, "--gap-ms", str(GAP_MS), "--prefill-ms", "5")
+        running.start_engines(8, "--gap-ms", str(GAP_MS), "--prefill-ms", "5")
         running.to_platform = Link(running, "to-platform", running.platform.port)
         running.links["entry-1"] = running.to_platform.port
         running.to_engines = {}
@@ -107,3 +108,34 @@
     site.list_instance("engine-6", "engine", "yaba", address)
     wait_until(lambda: takes_work(site, "engine-6"), "it is used again", _A_FEW_S)
     assert dossier(3).post(site.entries["entry-1"].port).whole
+
+
+def fail_in_series(site: Site) -> None:
+    """Short outages of the platform, one after the other."""
+    for _ in range(3):
+        site.platform.fault(outage=True)
+        time.sleep(0.5)
+        site.platform.fault(outage=False)
+        time.sleep(0.3)
+
+
+def test_outages_in_series_keep_no_engine_in_use_that_left_unmarked(site):
+    site.platform.fault(outage=True)
+    gone = {"instance_id": "engine-7", "gone": True}
+    site.platform.ask("POST", "/control/instances", [gone])
+    removed_s = time.monotonic()
+    fail_in_series(site)
+    assert time.monotonic() - removed_s < _A_FEW_S
+    assert not any(takes_work_for(site, "engine-7", 0.5))
+
+
+def test_outages_in_series_renew_no_evidence_of_an_engine_that_says_nothing(site):
+    engine = site.processes["engine-8"]
+    engine.signal(signal.SIGSTOP)
+    try:
+        time.sleep(FAST["evidence_ms"] / 1000 + 0.2)
+        fail_in_series(site)
+        assert not any(takes_work_for(site, "engine-8", 0.5))
+    finally:
+        engine.signal(signal.SIGCONT)
+    wait_until(lambda: takes_work(site, "engine-8"), "it is used again", _A_FEW_S)
