An outage of the store ends when the store has responded after it began

What callers saw: nothing by itself; in an outage of the store an instance could take the time of missing endpoints for begun, and end it, while the store was still away.

Cause: an instance whose query fails reads from members. A member that fails too has a copy that is newer by some microseconds or milliseconds, which counted as a response of the store: `store_back`, the time of missing endpoints, a held query, and `store_lost` again.

Change: such a copy is applied and its confirmation counts, but the table's outage ends only with a response that the store made after it had failed this instance, or with a member's confirmation of a time after that. Members are told meanwhile that the copy's owner fails.

--- a/src/coursekeel/gateway/members/_table_feed.py
+++ b/src/coursekeel/gateway/members/_table_feed.py
@@ -77,10 +77,13 @@
 
     # Updates from the store.
 
-    def took(self, table_read: TableRead, confirmed_ms: float) -> None:
+    def took(
+        self, table_read: TableRead, confirmed_ms: float, failing: bool = False
+    ) -> None:
         """Store a snapshot or update that confirms the table as of ``confirmed_ms``.
 
         ``confirmed_ms`` is a local time; `TableWatchTask` calls this after applying it.
+        ``failing``: a member responded, and the store is still away.
         """
         cached = self._rows.get(_CONFIGURATION)
         if table_read.whole or self._removed_rows > _MAX_REMOVED_ROWS:
@@ -92,7 +95,7 @@
             self._removed_rows += isinstance(versioned.entry, Removed)
         self._position = table_read.position
         self._confirmed_ms = max(self._confirmed_ms, confirmed_ms)
-        self.failing = False
+        self.failing = failing
         self._answer_waiters()
 
     def failed(self) -> None:
--- a/src/coursekeel/gateway/site/_follow_task.py
+++ b/src/coursekeel/gateway/site/_follow_task.py
@@ -279,15 +279,25 @@
 
     def _process(self, table_read: TableRead, query: StoreQuery) -> None:
         now_ms = self.clock.now_ms()
-        if self._failure_count:
+        if self._failure_count and self._shows_return(table_read):
             self._source_returned(now_ms)
+        elif self._failure_count:
+            self._failure_count += 1
         self._from_member = table_read.confirmed_ms is not None
         confirmed_ms = self._confirmed_ms(table_read, query, now_ms)
         self._record_response(table_read, query, confirmed_ms, now_ms)
         self._apply(table_read, confirmed_ms)
         self._resume_position = table_read.position
         self._order.applied(table_read.position, now_ms)
-        self.feed.took(table_read, confirmed_ms)
+        self.feed.took(table_read, confirmed_ms, failing=self._failure_count > 0)
+
+    def _shows_return(self, table_read: TableRead) -> bool:
+        """Whether the store responded after it had failed, to this instance or another.
+
+        A member that fails too may have a slightly newer copy than this instance.
+        """
+        confirmed_ms = table_read.confirmed_ms
+        return confirmed_ms is None or confirmed_ms > self._failing_since_ms
 
     def _record_response(
         self,
