--- a/tests/cover/test_fetch.py
+++ b/tests/cover/test_fetch.py
@@ -107,3 +107,39 @@
     server = start_request(platform.get_object("prompt"), reactor)
     reactor.advance(1.1)
     assert isinstance(server.outcomes[0], Unavailable)
+
+
+def ask(fetcher):
+    return fetcher.ask("GET", "http://127.0.0.1:1/", TIMEOUT_MS)
+
+
+def leave_idle(fetcher, reactor, count):
+    """Let ``count`` connections be idle in the pool."""
+    servers = [start_request(ask(fetcher), reactor) for _ in range(count)]
+    for server in servers:
+        server.send(HEAD + b"xxxxx")
+    assert len(reactor.tcpClients) == count
+
+
+@pytest.mark.parametrize(("closes_idle", "connections"), [(True, 3), (False, 2)])
+def test_no_idle_connection_is_used_after_a_response_that_never_began(
+    closes_idle, connections
+):
+    """Guards against waiting for a timeout on one dead connection after the other."""
+    reactor = MemoryReactorClock()
+    fetcher = Fetcher(reactor, 250, closes_idle=closes_idle)
+    leave_idle(fetcher, reactor, 2)
+    ensureDeferred(ask(fetcher))
+    reactor.advance(TIMEOUT_MS / 1_000)
+    ensureDeferred(ask(fetcher))
+    assert len(reactor.tcpClients) == connections
+
+
+@pytest.mark.parametrize(("closes_idle", "connections"), [(True, 2), (False, 1)])
+def test_idle_connections_are_kept_briefly(closes_idle, connections):
+    reactor = MemoryReactorClock()
+    fetcher = Fetcher(reactor, 250, closes_idle=closes_idle)
+    leave_idle(fetcher, reactor, 1)
+    reactor.advance(1.1)
+    ensureDeferred(ask(fetcher))
+    assert len(reactor.tcpClients) == connections
