Soak of leavings: the end of a stopped gateway delays no other fault

Traced: its row lapsed at 36.2 s and should have been back at 36.9, but the thread that plays the schedule awaited a stopped gateway, which at that load ended later than 6.5 s after its SIGTERM, so that the row was away for some 5 s of a store that was back. No fault of the gateways. They are awaited after 9 s now, longer than their grace period and the play's own limit.

--- a/soak/_leavings.py
+++ b/soak/_leavings.py
@@ -30,8 +30,9 @@
 _SERVES_ON_S = (3.0, 8.0)
 _GATEWAY_EVERY_S = (3.0, 6.0)
 _CONFIGURATION_EVERY_S = (2.0, 4.0)
-# A stopped gateway is awaited; longer than its grace period, so that nothing is late.
-_STOPPED_S = 6.5
+# A stopped gateway is awaited, at most for its grace period and 2 s: longer than that,
+# so that no other fault comes late.
+_STOPPED_S = 9.0
 _KILLED_S = 1.0
 
 
