Missing endpoints are asked 64 at a time, and again only before their word ends

Cause: each instance asked all missing endpoints every 0.2 s. Where all registrations lapse with the store, that is a connection to each of 2,600 servers at once from a process with 4,100 descriptors, and five requests a second from each of 380 instances at each server.

Change: at most 64 requests are open; an endpoint that has said that it serves is asked again 0.48 s before its word ends, not every 0.2 s. In the 1.5 s of the first time, in which most register again, that is two requests in place of seven.

tests/cover/test_missing_checks.py on the code before: 100 of 100 open at once, and 700 requests in 1.4 s where 200 may be; passes now. tests/platform/test_missing_endpoints.py and cover/test_missing_endpoints.py pass.

--- a/src/coursekeel/forwarding/_missing.py
+++ b/src/coursekeel/forwarding/_missing.py
@@ -113,6 +113,16 @@
         missing = self._missing.get(endpoint_id)
         return missing is not None and now_ms >= missing.until_ms
 
+    def needs_word(self, endpoint_id: str, now_ms: float, within_ms: float) -> bool:
+        """Whether a missing endpoint is to be asked whether it serves.
+
+        It is if it hasn't said so yet, or if its time is over within ``within_ms``.
+        """
+        missing = self._missing.get(endpoint_id)
+        if missing is None or now_ms >= missing.until_ms:
+            return False
+        return not missing.said_serving or now_ms + within_ms >= missing.until_ms
+
     def overdue(self, now_ms: float, confirmed_ms: float) -> list[str]:
         """The ids of the endpoints that have been missing for too long.
 
--- a/src/coursekeel/gateway/endpoints/_missing_checks.py
+++ b/src/coursekeel/gateway/endpoints/_missing_checks.py
@@ -23,8 +23,13 @@
 
 __all__ = ["MissingChecks"]
 
-# A word counts for 0.4 of `drain_ms`: several requests may fail in that time.
+# Interval at which endpoints without a word are asked, and others looked through.
 _INTERVAL_MS = 200.0
+# Share of the time for which a word counts: one that ends sooner is renewed. Two
+# requests may fail in that time.
+_RENEWAL_SHARE = 0.6
+# Requests that are open at a time, since all registrations may have lapsed at once.
+_MAX_OPEN = 64
 
 
 @define(eq=False)
@@ -45,20 +50,24 @@
 
     def _ask(self) -> None:
         self._timer = None
-        asked = self._serving()
-        for endpoint_id in asked - self._open:
+        due = [name for name in self._due() if name not in self._open]
+        for endpoint_id in due[: _MAX_OPEN - len(self._open)]:
             self._open.add(endpoint_id)
             self.checks.ask_missing(
                 endpoint_id, partial(self._open.discard, endpoint_id)
             )
-        if asked:
+        if self.site.directory.missing.ids():
             interval_s = _INTERVAL_MS / MS_PER_SECOND
             self._timer = self.reactor.callLater(interval_s, self._ask)
 
-    def _serving(self) -> set[str]:
+    def _due(self) -> list[str]:
+        """The missing endpoints that take work and are to be asked now."""
         directory, now_ms = self.site.directory, self.clock.now_ms()
-        return {
+        own_state_ms = self.site.settings.timers.endpoints_own_state_ms
+        within_ms = _RENEWAL_SHARE * own_state_ms
+        return [
             endpoint_id
             for endpoint_id in directory.missing.ids()
-            if directory.serving_record(endpoint_id, now_ms) is not None
-        }
+            if directory.missing.needs_word(endpoint_id, now_ms, within_ms)
+            and directory.serving_record(endpoint_id, now_ms) is not None
+        ]
