Fix: lapsed registrations were taken for leavings after an outage that no query had failed in

Callers: 503 no_endpoint after an outage of the store, until servers registered again: all endpoints whose registrations had lapsed were dropped at the first list without them.

Cause: an outage was told only after a query that had failed, and a response of 410 (the history is gone) counted as the end of the time without a response, so that the list read 20 ms later ended an outage of 20 ms. A lost response whose repeated query is answered, or a member's copy, hides an outage as well. Class: two facts that look alike, away and unheard.

Change: the time from one response to the next is reported before each read is applied, also through a 410 and a repeated query. A hold that the store kept isn't part of it.

--- a/src/coursekeel/gateway/_adapters.py
+++ b/src/coursekeel/gateway/_adapters.py
@@ -312,11 +312,11 @@
 
 @frozen
 class Outage:
-    """A time in which a table could not be read.
+    """A time in which the store isn't known to have responded for a table.
 
-    ``unconfirmed_ms``: since the store is known to have responded. It includes the time
-    for which the store held the last query. ``failed_ms``: since the first query that
-    failed.
+    ``unconfirmed_ms``: from one response to the next. It includes the time for which
+    the store held a query. ``failed_ms``: since the first query that failed, 0 if none
+    did.
     """
 
     unconfirmed_ms: float
--- a/src/coursekeel/gateway/site/_follow_task.py
+++ b/src/coursekeel/gateway/site/_follow_task.py
@@ -68,11 +68,11 @@
 
     ``hold_ms``: how long the store may hold a query until something changes.
     ``gathering_ms``: pause after a change, since changes come in bursts.
-    ``take``: applies a snapshot or update. ``on_source_return``: called before the
-    first one after failures. ``failed``: called for each failed query. ``restored``:
-    called before the first snapshot of a later era is applied. ``on_read_up_to``:
-    called with the position up to which all of the table was read. ``response_timer``:
-    how late the response to a held query may be.
+    ``take``: applies a snapshot or update. ``on_source_return``: called before each,
+    with the time for which the source hadn't responded. ``failed``: called for each
+    failed query. ``restored``: called before the first snapshot of a later era is
+    applied. ``on_read_up_to``: called with the position up to which all of the table
+    was read. ``response_timer``: how late the response to a held query may be.
     """
 
     table: Table
@@ -118,6 +118,7 @@
     _gathered_ms: float = 0.0
     _response_lost: bool = False
     _responded_ms: float = -math.inf
+    _unheard_ms: float = 0.0
     _sent: StoreQuery = field(factory=lambda: StoreQuery(0.0, 0.0))
 
     def start(self) -> None:
@@ -170,7 +171,7 @@
                 if table_read is not None:
                     self._process(table_read, table_read.query or query)
             case HistoryExpired():
-                self._responded_ms = max(self._responded_ms, query.sent_ms)
+                self._note_response(query.sent_ms)
                 log_event("history_gone", table=self._name, since=self._resume_position)
                 self._resume_position = None
             case SourceFailed():
@@ -279,13 +280,14 @@
 
     def _process(self, table_read: TableRead, query: StoreQuery) -> None:
         now_ms = self.clock.now_ms()
-        if self._failure_count and self._shows_return(table_read):
-            self._source_returned(now_ms)
-        elif self._failure_count:
-            self._failure_count += 1
-        self._from_member = table_read.confirmed_ms is not None
         confirmed_ms = self._confirmed_ms(table_read, query, now_ms)
         self._record_response(table_read, query, confirmed_ms, now_ms)
+        if self._failure_count and not self._shows_return(table_read):
+            # The store is still away: pause, and query without a hold.
+            self._failure_count += 1
+        else:
+            self._end_outage(now_ms)
+        self._from_member = table_read.confirmed_ms is not None
         self._apply(table_read, confirmed_ms)
         self._resume_position = table_read.position
         self._order.applied(table_read.position, now_ms)
@@ -306,15 +308,26 @@
         confirmed_ms: float,
         now_ms: float,
     ) -> None:
-        """Record when the store responded at the earliest, and how late it was."""
+        """Record when the store responded at the earliest, and how late that was."""
         responded_ms = confirmed_ms
         if table_read.confirmed_ms is None:
             era, store_ms = table_read.position.era, table_read.store_ms
             made_ms = self.store_clock.earliest_ms(era, store_ms, query.sent_ms)
             responded_ms = max(confirmed_ms, min(made_ms, now_ms))
+            if query.held_ms:
+                # A store that responds to a held query was there to hold it.
+                self._note_response(query.sent_ms)
+                self._responded_ms = max(self._responded_ms, responded_ms)
             due_ms = query.sent_ms + query.held_ms
             if not (table_read.whole or (query.held_ms and table_read.entries)):
                 self.followed.response_timer.responded(max(0.0, now_ms - due_ms))
+        self._note_response(responded_ms)
+
+    def _note_response(self, responded_ms: float) -> None:
+        """Record that the store responded then, and for how long it hadn't."""
+        if math.isfinite(self._responded_ms):
+            unheard_ms = responded_ms - self._responded_ms
+            self._unheard_ms = max(self._unheard_ms, unheard_ms)
         self._responded_ms = max(self._responded_ms, responded_ms)
 
     def _apply(self, table_read: TableRead, confirmed_ms: float) -> None:
@@ -348,12 +361,16 @@
         # A hold may have ended early, and its response arrived late.
         return min(confirmed_ms, earliest_ms, latest_ms)
 
-    def _source_returned(self, now_ms: float) -> None:
-        log_event("store_back", table=self._name, failures=self._failure_count)
+    def _end_outage(self, now_ms: float) -> None:
+        """Report the time without a response; no query need have failed in it."""
+        unheard_ms, self._unheard_ms = self._unheard_ms, 0.0
+        failed_ms = 0.0
+        if self._failure_count:
+            log_event("store_back", table=self._name, failures=self._failure_count)
+            failed_ms = now_ms - self._failing_since_ms
         self._failure_count = 0
-        unconfirmed_ms = now_ms - self._responded_ms
-        failed_ms = now_ms - self._failing_since_ms
-        self.followed.on_source_return(Outage(unconfirmed_ms, failed_ms))
+        if unheard_ms or failed_ms:
+            self.followed.on_source_return(Outage(unheard_ms, failed_ms))
 
     def _source_failed(self, reason: str) -> None:
         self._failure_count += 1
--- a/tests/cover/test_follow_task.py
+++ b/tests/cover/test_follow_task.py
@@ -9,9 +9,11 @@
 
 from coursekeel.forwarding import Freshness, StoreClock
 from coursekeel.gateway._adapters import (
+    HistoryExpired,
     Removed,
     Source,
     SourceFailed,
+    StoreQuery,
     Table,
     TableRead,
     VersionedEntry,
@@ -231,3 +233,57 @@
     source.answers[1].callback(TableRead((), position_at(3), 450.0, whole=False))
     task.stop()
     assert source.holds == [0.0, 150, 600]
+
+
+def test_an_outage_after_which_the_history_is_gone_counts_in_full():
+    """Guards against dropping all endpoints whose registrations lapsed in it."""
+    reactor, source = FakeReactor(), ScriptedSource()
+    task, table, _ = followed_table(reactor, source)
+    source.answers[0].callback(TableRead((), position_at(3), 0.0, whole=True))
+    reactor.advance(0)
+    source.answers[1].callback(SourceFailed("reset"))
+    reactor.advance(5)
+    source.answers[2].callback(SourceFailed("reset"))
+    reactor.advance(1)
+    source.answers[-1].callback(HistoryExpired())
+    reactor.advance(0)
+    source.answers[-1].callback(TableRead((), position_at(9), 6_000.0, whole=True))
+    outage = table.on_source_return.call_args.args[0]
+    assert outage.unconfirmed_ms >= 5_000
+    assert outage.failed_ms >= 5_000
+    task.stop()
+
+
+def test_an_outage_is_told_though_the_repeated_query_was_answered():
+    """Guards against an outage that falls into a hold whose response is lost."""
+    reactor, source = FakeReactor(), ScriptedSource()
+    task, table, _ = followed_table(reactor, source)
+    source.answers[0].callback(TableRead((), position_at(3), 0.0, whole=True))
+    reactor.advance(0)
+    reactor.advance(1.5)
+    repeated = StoreQuery(1_490.0, 0.0)
+    source.answers[1].callback(
+        TableRead((), position_at(4), 1_500.0, whole=False, query=repeated)
+    )
+    outage = table.on_source_return.call_args.args[0]
+    assert 1_490 <= outage.unconfirmed_ms <= 1_500
+    assert outage.failed_ms == 0
+    task.stop()
+
+
+def test_a_hold_that_the_store_kept_is_no_outage():
+    reactor, source = FakeReactor(), ScriptedSource()
+    task, table, _ = followed_table(reactor, source)
+    source.answers[0].callback(TableRead((), position_at(3), 0.0, whole=True))
+    reactor.advance(0)
+    reactor.advance(3)
+    change = VersionedEntry(Removed("e"), position_at(4))
+    source.answers[1].callback(
+        TableRead((change,), position_at(4), 3_000.0, whole=False)
+    )
+    reactor.advance(0)
+    reactor.advance(4)
+    source.answers[2].callback(TableRead((), position_at(4), 7_000.0, whole=False))
+    outages = [call.args[0] for call in table.on_source_return.call_args_list]
+    assert [each for each in outages if each.unconfirmed_ms > 10] == []
+    task.stop()
