Fix: questions to missing endpoints left sound ones unasked, and counted against a pool's reach

Callers: 503 pool_unreached at sound endpoints, where three or more of the missing ones had really ended; and at more than some 150 missing endpoints the others got no word and were dropped after 1.5 s.

Cause: three failures to connect at a pool's endpoints in a row, as one round of questions has them, are what unreached links look like. Of 64 questions at a time each round took the first ones of the list again.

Change: failures of these questions don't count for the reach; those whose time ends first are asked first, and a free place is used at once.

--- a/src/coursekeel/forwarding/_missing.py
+++ b/src/coursekeel/forwarding/_missing.py
@@ -103,6 +103,11 @@
         missing = self._missing.get(endpoint_id)
         return None if missing is None else missing.since_ms
 
+    def until_ms(self, endpoint_id: str) -> float:
+        """Until when a missing endpoint may take work; minus infinity for others."""
+        missing = self._missing.get(endpoint_id)
+        return -math.inf if missing is None else missing.until_ms
+
     def position(self, endpoint_id: str) -> StorePosition:
         """As of which position the endpoint is missing; the first one if it isn't."""
         missing = self._missing.get(endpoint_id)
--- a/src/coursekeel/gateway/endpoints/_endpoint_client.py
+++ b/src/coursekeel/gateway/endpoints/_endpoint_client.py
@@ -116,8 +116,12 @@
         call: EndpointCall,
         sink: ExchangeSink,
         connect_ms: float,
+        tells_reach: bool = True,
     ) -> Exchange:
-        """Send one of the gateway's own requests (a probe) to an endpoint."""
+        """Send one of the gateway's own requests (a probe) to an endpoint.
+
+        ``tells_reach``: whether a failure to connect counts against the pool's reach.
+        """
         headers = [(b"host", endpoint.address.encode())]
         request = ExchangeRequest(
             endpoint.host,
@@ -132,7 +136,9 @@
             self.limits.probe_answered(endpoint.endpoint_id, head, sent_ms)
 
         listener = LimitListener(sink, self.clock, head_arrived)
-        return self._open(request, listener, connect_ms, endpoint, _MAX_PROBE_BYTES)
+        return self._open(
+            request, listener, connect_ms, endpoint, _MAX_PROBE_BYTES, tells_reach
+        )
 
     def _open(
         self,
@@ -141,10 +147,11 @@
         connect_ms: float,
         endpoint: EndpointRecord,
         max_body_bytes: int | None,
+        tells_reach: bool = True,
     ) -> Exchange:
         if self.link.full:
             connect_ms = max(connect_ms, _FULL_LINK_CONNECT_MS)
-        listener = ReachListener(sink, self.reach, endpoint)
+        listener = ReachListener(sink, self.reach, endpoint) if tells_reach else sink
         exchange = Exchange(self.reactor, request, listener, connect_ms, max_body_bytes)
         exchange.start()
         return exchange
--- a/src/coursekeel/gateway/endpoints/_endpoint_probe.py
+++ b/src/coursekeel/gateway/endpoints/_endpoint_probe.py
@@ -62,7 +62,9 @@
 class EndpointProbe(ExchangeSink):
     """Sends one probe; ``on_result`` is called once.
 
-    ``timeout_ms`` starts again while this instance's own link is full.
+    ``timeout_ms`` starts again while this instance's own link is full. ``tells_reach``:
+    whether a failure to connect counts against the pool's reach; not for an endpoint
+    that may have ended.
     """
 
     reactor: Reactor
@@ -71,6 +73,7 @@
     call: EndpointCall
     timeout_ms: float
     on_result: Callable[[ProbeResult], None]
+    tells_reach: bool = True
     _exchange: Exchange | None = None
     _timeout: Any = None
     _head: ExchangeHead | None = None
@@ -80,7 +83,7 @@
         """Send the probe and start the timeout."""
         self._start_timeout()
         self._exchange = self.client.send_probe(
-            self.endpoint, self.call, self, self.timeout_ms
+            self.endpoint, self.call, self, self.timeout_ms, self.tells_reach
         )
 
     def head_arrived(self, head: ExchangeHead) -> None:
@@ -108,7 +111,7 @@
             self._start_timeout()
             return
         assert self._exchange is not None
-        if not self._exchange.is_connected:
+        if self.tells_reach and not self._exchange.is_connected:
             self.client.reach.failed(self.endpoint)
         self._exchange.abort()
         self.on_result(ProbeFailure(ProbeFailureKind.TIMED_OUT, "too_late"))
--- a/src/coursekeel/gateway/endpoints/_leaving_checks.py
+++ b/src/coursekeel/gateway/endpoints/_leaving_checks.py
@@ -43,7 +43,7 @@
 
 @define(eq=False)
 class LeavingChecks:
-    """Checks of the endpoints whose answers hint that they are leaving."""
+    """Checks of endpoints whose answers hint at a leaving, or that the list lacks."""
 
     context: GatewayContext
     reports: LoadReports
@@ -124,7 +124,13 @@
 
         call = context.endpoints.dialect.health_check(pool.health_path)
         EndpointProbe(
-            context.reactor, context.endpoints, record, call, timeout_ms, checked
+            context.reactor,
+            context.endpoints,
+            record,
+            call,
+            timeout_ms,
+            checked,
+            tells_reach=False,
         ).start()
 
     def _leaving(self, record: EndpointRecord, result: ProbeResult) -> bool | None:
--- a/src/coursekeel/gateway/endpoints/_load_reports.py
+++ b/src/coursekeel/gateway/endpoints/_load_reports.py
@@ -157,11 +157,9 @@
         record: EndpointRecord,
         call: EndpointCall,
         on_result: Callable[[ProbeResult], None],
-        timeout_ms: float | None = None,
     ) -> EndpointProbe:
         context = self.context
-        if timeout_ms is None:
-            timeout_ms = context.settings.timers.report_ms
+        timeout_ms = context.settings.timers.report_ms
         return EndpointProbe(
             context.reactor, context.endpoints, record, call, timeout_ms, on_result
         )
@@ -238,7 +236,8 @@
     ) -> None:
         """Request a report for what the endpoint says of itself.
 
-        Unlike `request_report`, a request that fails ejects no endpoint.
+        Unlike `request_report`, a request that fails ejects no endpoint, and doesn't
+        count against its pool's reach.
         """
         requested_ms = self.context.clock.now_ms()
 
@@ -247,8 +246,17 @@
                 self._read_report(record, requested_ms, result)
             on_ended()
 
-        call = self.context.endpoints.dialect.report
-        self._probe(record, call, probe_ended, timeout_ms).start()
+        context = self.context
+        call = context.endpoints.dialect.report
+        EndpointProbe(
+            context.reactor,
+            context.endpoints,
+            record,
+            call,
+            timeout_ms,
+            probe_ended,
+            tells_reach=False,
+        ).start()
 
     def _read_report(
         self, record: EndpointRecord, requested_ms: float, result: ProbeResult
--- a/src/coursekeel/gateway/endpoints/_missing_checks.py
+++ b/src/coursekeel/gateway/endpoints/_missing_checks.py
@@ -41,6 +41,7 @@
     site: SiteState
     checks: LeavingChecks
     _open: set[str] = field(factory=set)
+    _asked_ms: dict[str, float] = field(factory=dict)
     _timer: Any = None
 
     def endpoints_changed(self) -> None:
@@ -50,24 +51,41 @@
 
     def _ask(self) -> None:
         self._timer = None
-        due = [name for name in self._due() if name not in self._open]
-        for endpoint_id in due[: _MAX_OPEN - len(self._open)]:
-            self._open.add(endpoint_id)
-            self.checks.ask_missing(
-                endpoint_id, partial(self._open.discard, endpoint_id)
-            )
+        self._ask_due()
         if self.site.directory.missing.ids():
             interval_s = _INTERVAL_MS / MS_PER_SECOND
             self._timer = self.reactor.callLater(interval_s, self._ask)
 
-    def _due(self) -> list[str]:
-        """The missing endpoints that take work and are to be asked now."""
-        directory, now_ms = self.site.directory, self.clock.now_ms()
+    def _ask_due(self) -> None:
+        """Ask as many as may be asked at a time, those whose time ends first."""
+        now_ms = self.clock.now_ms()
+        for endpoint_id in self._due(now_ms)[: _MAX_OPEN - len(self._open)]:
+            self._open.add(endpoint_id)
+            self._asked_ms[endpoint_id] = now_ms
+            self.checks.ask_missing(endpoint_id, partial(self._ended, endpoint_id))
+
+    def _ended(self, endpoint_id: str) -> None:
+        was_full = len(self._open) == _MAX_OPEN
+        self._open.discard(endpoint_id)
+        if was_full:
+            self.reactor.callLater(0, self._ask_due)
+
+    def _due(self, now_ms: float) -> list[str]:
+        """The missing endpoints that take work and are to be asked now, in order."""
+        directory, missing = self.site.directory, self.site.directory.missing
         own_state_ms = self.site.settings.timers.endpoints_own_state_ms
         within_ms = _RENEWAL_SHARE * own_state_ms
-        return [
+        self._asked_ms = {
+            name: asked_ms
+            for name, asked_ms in self._asked_ms.items()
+            if now_ms - asked_ms < _INTERVAL_MS
+        }
+        due = [
             endpoint_id
-            for endpoint_id in directory.missing.ids()
-            if directory.missing.needs_word(endpoint_id, now_ms, within_ms)
+            for endpoint_id in missing.ids()
+            if endpoint_id not in self._open
+            and endpoint_id not in self._asked_ms
+            and missing.needs_word(endpoint_id, now_ms, within_ms)
             and directory.serving_record(endpoint_id, now_ms) is not None
         ]
+        return sorted(due, key=missing.until_ms)
--- a/tests/cover/test_leaving_checks.py
+++ b/tests/cover/test_leaving_checks.py
@@ -26,7 +26,7 @@
 
     def __init__(self) -> None:
         reactor = self.reactor = Clock()
-        self.asked, self.sinks = [], []
+        self.asked, self.sinks, self.told_reach = [], [], []
         self.directory = EndpointDirectory()
         for version, record in enumerate((ENGINE, PLAIN, MUTE), 1):
             self.directory.put(record, position_at(version))
@@ -47,7 +47,8 @@
         self.reports = LoadReports(context)
         self.checks = LeavingChecks(context, self.reports)
 
-    def _send(self, endpoint, call, sink, timeout_ms):
+    def _send(self, endpoint, call, sink, timeout_ms, tells_reach=True):
+        self.told_reach.append(tells_reach)
         self.asked.append((endpoint.endpoint_id, call))
         self.sinks.append(sink)
         return Mock()
@@ -145,6 +146,7 @@
     ended = Mock()
     world.checks.ask_missing(name, ended)
     assert world.asked == [(name, call)]
+    assert world.told_reach == [False], "ended ones would make the pool unreached"
     world.reactor.advance(0.35)
     ended.assert_not_called()
     world.answer(leaving=False)
--- a/tests/cover/test_missing_checks.py
+++ b/tests/cover/test_missing_checks.py
@@ -9,8 +9,8 @@
 from coursekeel.gateway.endpoints._missing_checks import MissingChecks
 from tests.common.moments import position_at
 
-# More than are asked at a time.
-ENDPOINTS = 100
+# Many more than are asked at a time.
+ENDPOINTS = 300
 
 
 class MissingWorld:
@@ -56,6 +56,16 @@
     return world
 
 
+def test_all_endpoints_that_serve_stay_in_use_though_few_are_asked_at_a_time(world):
+    """Guards against asking the first ones again and again."""
+    for _ in range(60):
+        world.reactor.advance(0.05)
+        world.answer_all(True)
+        world.reactor.advance(0)
+    now_ms = 1000 * world.reactor.seconds()
+    assert all(world.directory.may_take(f"e{n}", now_ms) for n in range(ENDPOINTS))
+
+
 def test_few_endpoints_are_asked_at_a_time_though_all_are_missing(world):
     assert 0 < len(world.open) < ENDPOINTS
     world.reactor.advance(1)
