Soak: servers that leave say so in their health checks too

The schedule's leaving servers said so in reports and answers; health checks, which missing endpoints without reports are asked since, answered 200.

--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -442,7 +442,7 @@
             if self.faults.get("full"):
                 request.setResponseCode(503)
                 request.setHeader("not-executed", "1")
-            elif self.leaving or self.faults.get("failing"):
+            elif self.is_leaving or self.faults.get("failing"):
                 request.setResponseCode(503)
             return b""
 
@@ -488,17 +488,22 @@
             return {"state": "draining", "leaves_ms": leaves_ms}
         return {"state": self.state}
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the server says in all its answers that it is leaving."""
+        return self.leaving or "leaves_ms" in self.faults
+
     @property
     def state(self) -> str:
         """Whether the server is leaving, as its report says."""
-        return "draining" if self.leaving else "ready"
+        return "draining" if self.is_leaving else "ready"
 
     def leave(self) -> None:
         """Say from now on that it is leaving, and serve on."""
         self.leaving, self.left_s = True, time.monotonic()
 
     def _say_whether_it_closes(self, request: Any) -> None:
-        if self.leaving or self.faults.get("closes"):
+        if self.is_leaving or self.faults.get("closes"):
             request.setHeader("connection", "close")
 
     def _read_later(self, request: Any, path: str) -> Any:
@@ -523,8 +528,6 @@
         self._say_whether_it_closes(request)
         for limit in self.limits_to_name():
             request.responseHeaders.addRawHeader(b"server-limit", limit)
-        if "leaves_ms" in self.faults:
-            request.setHeader("connection", "close")
         if "brittle" in self.faults:
             request.setHeader("server-brittle", str(self.faults["brittle"]))
         if self.faults.get("full") or self._use_fault("shed") or self._is_full():
