--- a/src/coursekeel/gateway/endpoints/_endpoint_client.py
+++ b/src/coursekeel/gateway/endpoints/_endpoint_client.py
@@ -45,7 +45,7 @@
 
 
 def _ignore_answer(endpoint_id: str, head: ExchangeHead) -> None:
-    """Before `LeavingChecks` is there."""
+    """Ignore answers; the gateway sets `LeavingChecks.answered` in its place."""
 
 
 @define(eq=False)
--- a/src/coursekeel/gateway/site/_response_timer.py
+++ b/src/coursekeel/gateway/site/_response_timer.py
@@ -32,7 +32,7 @@
         return min(limit_ms, max(self.least_ms, self.most_ms))
 
     def responded(self, delay_ms: float) -> None:
-        """A response came so long after it was due."""
+        """Record that a response came so long after it was due."""
         self._backoff = 1.0
         delay_ms = min(delay_ms, self.most_ms)
         if self._mean_ms is None:
@@ -43,5 +43,5 @@
         self._mean_ms += _MEAN_GAIN * (delay_ms - self._mean_ms)
 
     def lost(self) -> None:
-        """No response came in time."""
+        """Record that no response came in time."""
         self._backoff = min(2 * self._backoff, self.most_ms / self.least_ms)
--- a/src/coursekeel/settings/_gateway.py
+++ b/src/coursekeel/settings/_gateway.py
@@ -37,6 +37,7 @@
 # holds of 1.7 and 4 s a change once came into force there after the 2 s allowed.
 _SHARED_SHARE = 0.3
 _LATE_SHARE = 0.1
+# The same where the store's responses are usually late.
 _LATEST_SHARE = 0.3
 # Share of `configuration_ms`: the longest hold of a request that waits for changes of
 # the configuration. With the latest response, which may be lost, and the next query it
