Fix: a time without a response is an outage only for own queries, and longer than a hold

Between two responses of members the store may have been there all the time, and a hold's length says nothing.

Of the review's finding remains: an outage that a member bridges is not told to the instance that read from it.

--- a/src/coursekeel/gateway/site/_follow_task.py
+++ b/src/coursekeel/gateway/site/_follow_task.py
@@ -68,8 +68,9 @@
 
     ``hold_ms``: how long the store may hold a query until something changes.
     ``gathering_ms``: pause after a change, since changes come in bursts.
-    ``take``: applies a snapshot or update. ``on_source_return``: called before each,
-    with the time for which the source hadn't responded. ``failed``: called for each
+    ``take``: applies a snapshot or update. ``on_source_return``: called before the
+    first one after failures, or after a time longer than a hold in which the store
+    hadn't responded. ``failed``: called for each
     failed query. ``restored``: called before the first snapshot of a later era is
     applied. ``on_read_up_to``: called with the position up to which all of the table
     was read. ``response_timer``: how late the response to a held query may be.
@@ -286,7 +287,7 @@
             # The store is still away: pause, and query without a hold.
             self._failure_count += 1
         else:
-            self._end_outage(now_ms)
+            self._end_outage(table_read, now_ms)
         self._from_member = table_read.confirmed_ms is not None
         self._apply(table_read, confirmed_ms)
         self._resume_position = table_read.position
@@ -361,15 +362,19 @@
         # A hold may have ended early, and its response arrived late.
         return min(confirmed_ms, earliest_ms, latest_ms)
 
-    def _end_outage(self, now_ms: float) -> None:
-        """Report the time without a response; no query need have failed in it."""
+    def _end_outage(self, table_read: TableRead, now_ms: float) -> None:
+        """Report the time without a response; no query need have failed in it.
+
+        Between two responses of members the store may have been there all the time.
+        """
         unheard_ms, self._unheard_ms = self._unheard_ms, 0.0
+        is_own = table_read.confirmed_ms is None
         failed_ms = 0.0
         if self._failure_count:
             log_event("store_back", table=self._name, failures=self._failure_count)
             failed_ms = now_ms - self._failing_since_ms
         self._failure_count = 0
-        if unheard_ms or failed_ms:
+        if failed_ms or (is_own and unheard_ms > self.followed.hold_ms):
             self.followed.on_source_return(Outage(unheard_ms, failed_ms))
 
     def _source_failed(self, reason: str) -> None:
