Fix: a member that falls back to the store takes its reader's silence for no outage

Seen: test_lost_responses.py [3-all-0.55-unmarked] on, at load 10: 19 starts over 2.0 s after an unmarked leaving, the members' connections all silent. They read from the store 0.9 s after their reader had fallen silent, counted the 1.4 s since its last response as an outage of the store, and kept the endpoint, whose health check says that it serves.

Change: an outage without a failed query is told between two own reads only. What remains: a member that reads from others isn't told of an outage that they bridge.

test_members_that_answer_late_or_not_show_no_outage_of_the_store has the fallback.

--- a/src/coursekeel/gateway/site/_follow_task.py
+++ b/src/coursekeel/gateway/site/_follow_task.py
@@ -365,10 +365,10 @@
     def _end_outage(self, table_read: TableRead, now_ms: float) -> None:
         """Report the time without a response; no query need have failed in it.
 
-        Between two responses of members the store may have been there all the time.
+        Where members responded the store may have been there all the time.
         """
         unheard_ms, self._unheard_ms = self._unheard_ms, 0.0
-        is_own = table_read.confirmed_ms is None
+        is_own = table_read.confirmed_ms is None and not self._from_member
         failed_ms = 0.0
         if self._failure_count:
             log_event("store_back", table=self._name, failures=self._failure_count)
--- a/tests/cover/test_follow_task.py
+++ b/tests/cover/test_follow_task.py
@@ -288,7 +288,7 @@
     task.stop()
 
 
-def test_a_member_that_answers_late_shows_no_outage_of_the_store():
+def test_members_that_answer_late_or_not_show_no_outage_of_the_store():
     """Guards against keeping an endpoint that left, though the store was there."""
     reactor, source = FakeReactor(), ScriptedSource()
     task, table, _ = followed_table(reactor, source)
@@ -298,5 +298,11 @@
     source.answers[1].callback(
         TableRead((), position_at(4), 0.0, whole=False, confirmed_ms=4_900.0)
     )
+    reactor.advance(0)
+    reactor.advance(5)
+    fallback = StoreQuery(9_990.0, 0.0)
+    source.answers[2].callback(
+        TableRead((), position_at(4), 10_000.0, whole=False, query=fallback)
+    )
     table.on_source_return.assert_not_called()
     task.stop()
