One place notes when the store was heard, and the followed table's comment is wrapped

Found by reading the change again: the branch for held queries repeated what the note does, and relied on the second note having no effect.

--- a/src/coursekeel/gateway/site/_follow_task.py
+++ b/src/coursekeel/gateway/site/_follow_task.py
@@ -70,10 +70,10 @@
     ``gathering_ms``: pause after a change, since changes come in bursts.
     ``take``: applies a snapshot or update. ``on_source_return``: called before the
     first one after failures, or after a time longer than a hold in which the store
-    hadn't responded. ``failed``: called for each
-    failed query. ``restored``: called before the first snapshot of a later era is
-    applied. ``on_read_up_to``: called with the position up to which all of the table
-    was read. ``response_timer``: how late the response to a held query may be.
+    hadn't responded. ``failed``: called for each failed query. ``restored``: called
+    before the first snapshot of a later era is applied. ``on_read_up_to``: called with
+    the position up to which all of the table was read. ``response_timer``: how late the
+    response to a held query may be.
     """
 
     table: Table
@@ -172,7 +172,7 @@
                 if table_read is not None:
                     self._process(table_read, table_read.query or query)
             case HistoryExpired():
-                self._note_response(query.sent_ms)
+                self._note_heard(query.sent_ms)
                 log_event("history_gone", table=self._name, since=self._resume_position)
                 self._resume_position = None
             case SourceFailed():
@@ -310,26 +310,25 @@
         now_ms: float,
     ) -> None:
         """Record when the store responded at the earliest, and how late that was."""
-        responded_ms = confirmed_ms
+        heard_ms = responded_ms = confirmed_ms
         if table_read.confirmed_ms is None:
             era, store_ms = table_read.position.era, table_read.store_ms
             made_ms = self.store_clock.earliest_ms(era, store_ms, query.sent_ms)
             responded_ms = max(confirmed_ms, min(made_ms, now_ms))
-            if query.held_ms:
-                # A store that responds to a held query was there to hold it.
-                self._note_response(query.sent_ms)
-                self._responded_ms = max(self._responded_ms, responded_ms)
+            # A store that responds to a held query was there to hold it.
+            heard_ms = query.sent_ms if query.held_ms else responded_ms
             due_ms = query.sent_ms + query.held_ms
             if not (table_read.whole or (query.held_ms and table_read.entries)):
                 self.followed.response_timer.responded(max(0.0, now_ms - due_ms))
-        self._note_response(responded_ms)
+        self._note_heard(heard_ms)
+        self._responded_ms = max(self._responded_ms, responded_ms)
 
-    def _note_response(self, responded_ms: float) -> None:
-        """Record that the store responded then, and for how long it hadn't."""
+    def _note_heard(self, heard_ms: float) -> None:
+        """Record that the store was there then, and for how long it wasn't heard."""
         if math.isfinite(self._responded_ms):
-            unheard_ms = responded_ms - self._responded_ms
+            unheard_ms = heard_ms - self._responded_ms
             self._unheard_ms = max(self._unheard_ms, unheard_ms)
-        self._responded_ms = max(self._responded_ms, responded_ms)
+        self._responded_ms = max(self._responded_ms, heard_ms)
 
     def _apply(self, table_read: TableRead, confirmed_ms: float) -> None:
         """Apply a snapshot or update, and record its confirmation.
