A member queries the store again once it has answered another member

Each such outage also gives missing endpoints the time of an outage, and the instance learns nothing for a pause, at a store that is sound.

The other members that it reads from were avoided, as they had had nothing newer while the store was away, or still failed. Its own last query to the store had failed in the outage, and so it was not due for 1.5 to 4.5 s: the query ended after 0 to 4 ms as "no member has a newer confirmation", which counts as a failure of the store. That pause is meant for an instance that the store refuses while members respond "without a newer confirmation"; here there was a newer one.

Change: the store is due as soon as the instance holds a confirmation that is later than its own failed query, as the store has answered somebody since. That query isn't held and has the time of a response only: where the store refuses this instance alone, it falls back to members as soon as before. Such an instance queries the store at most once for each newer confirmation, and only when no member has one.

--- a/src/coursekeel/gateway/members/_shared_source.py
+++ b/src/coursekeel/gateway/members/_shared_source.py
@@ -168,6 +168,8 @@
             return relayed
         if not self._store_is_due(table):
             return SourceFailed("no member has a newer confirmation")
+        if not self._query_states[table].store_answers:
+            return await self._follow_store(table, since, 0.0, timeout_ms - hold_ms)
         # The members took their time already: the store must confirm without a hold.
         shared_ms = min(hold_ms, self.terms.shared_hold_ms[table])
         wait_ms = 0.0 if had_candidates else shared_ms
@@ -329,10 +331,15 @@
         )
 
     def _store_is_due(self, table: Table) -> bool:
-        """Whether to query the store; seldom while only members respond."""
+        """Whether to query the store; seldom while only members respond.
+
+        Once it has answered a member since it failed this instance, it may be back.
+        """
         state, now_ms = self._query_states[table], self.clock.now_ms()
         if state.store_answers or now_ms - state.reached_ms > _MEMBERS_REACHED_MS:
             return True
+        if self.freshness.confirmed_ms(table.value) > state.store_queried_ms:
+            return True
         wait_ms = _STORE_RETRY_MS * (0.5 + self.random.random())
         return now_ms - state.store_queried_ms >= wait_ms
 
--- a/tests/cover/test_shared_source.py
+++ b/tests/cover/test_shared_source.py
@@ -1,5 +1,6 @@
 """Instances read tables from each other, and accept no key past its bound."""
 
+import logging
 import math
 from types import MethodType
 from unittest.mock import AsyncMock, Mock
@@ -116,6 +117,20 @@
     assert world.store_calls < 10_000 / 600 + 10_000 / 500 + 5
 
 
+@pytest.mark.parametrize("seed", range(20))
+def test_the_return_of_a_store_that_refused_all_is_reported_once(seed, caplog):
+    """Guards against a second outage while the other members still lack the store."""
+    world = World(["a"] * 4 + ["b"] * 3 + ["c"] * 2, seed)
+    world.run(5_000)
+    world.refused, world.refuses_immediately = set(world.instances), True
+    world.run(6_000)
+    world.refused = set()
+    with caplog.at_level(logging.INFO):
+        world.run(2_000)
+    assert caplog.text.count("event=store_back") == len(world.instances)
+    assert "event=store_lost" not in caplog.text
+
+
 @pytest.mark.parametrize("phase_ms", range(0, 2_400, 150))
 def test_a_store_reader_without_the_store_does_not_delay_its_zone(phase_ms):
     """Guards against a late change when only the store reader loses the store."""
