An instance's turn for a permit counts only the instances that asked before it

Seen by callers: a pool whose servers all name a limit got as little as half of what the limit allows when requests came in bursts some 0.4 to 0.55 s apart, and requests were refused that could have been served within their time in the queue.

Cause: a holder told each instance that got no permit the last place in line, also the one that had asked first, and counted instances for a second after their requests were refused. With three instances every turn was over a second away, more than the quarter of a second for which requests wait. So nobody waited, and a permit that was due between two bursts stayed unused until the next one.

Change: the turn is by the place in line. The rate of permits, and with it the sum that endpoints may get, is as before.

--- a/src/coursekeel/limits/_issuer.py
+++ b/src/coursekeel/limits/_issuer.py
@@ -2,7 +2,7 @@
 
 Rule: permits for an endpoint are spaced evenly; unused ones aren't saved. An instance
 that gets none is told when to ask again, the later the more of them ask, and when a
-request may expect its turn.
+request may expect its turn: instances that got none earlier come first.
 
 Owns the time of each endpoint's last permit and the recent askers. A core: the caller
 passes the time, in ms.
@@ -15,8 +15,8 @@
 
 __all__ = ["Issue", "PermitIssuer"]
 
-# Askers that got no permit count as a crowd for this time.
-_CROWD_MS = 1_000.0
+# Askers that got no permit stay in line for this time.
+_LINE_MS = 1_000.0
 # So many askers may ask for each permit; with more, each waits longer.
 _ASKERS_PER_PERMIT = 8
 _MAX_WAIT_MS = 5_000.0
@@ -60,13 +60,14 @@
             self._last_ms[endpoint_id] = now_ms
             self._refused.get(endpoint_id, {}).pop(asker, None)
             return Issue(1)
-        crowd = self._crowd(endpoint_id, asker, now_ms)
+        # If each were told the last place, no request would wait for the next permit.
+        line = self._line(endpoint_id, asker, now_ms)
         wait_ms = due_ms - now_ms
-        surplus = max(crowd - _ASKERS_PER_PERMIT, 0) / _ASKERS_PER_PERMIT
+        surplus = max(len(line) - _ASKERS_PER_PERMIT, 0) / _ASKERS_PER_PERMIT
         return Issue(
             0,
             min(wait_ms + surplus * interval_ms, _MAX_WAIT_MS),
-            min(wait_ms + (crowd - 1) * interval_ms, _MAX_TURN_MS),
+            min(wait_ms + line.index(asker) * interval_ms, _MAX_TURN_MS),
         )
 
     def returned(self, endpoint_id: str) -> None:
@@ -75,14 +76,15 @@
         if before_ms is not None:
             self._last_ms[endpoint_id] = before_ms
 
-    def _crowd(self, endpoint_id: str, asker: str, now_ms: float) -> int:
-        """The number of instances that got no permit lately, this one included."""
+    def _line(self, endpoint_id: str, asker: str, now_ms: float) -> list[str]:
+        """The instances that got no permit lately, first come first; with this one."""
         refused = self._refused.setdefault(endpoint_id, {})
-        refused[asker] = now_ms
         for name, at_ms in list(refused.items()):
-            if now_ms - at_ms > _CROWD_MS:
+            if now_ms - at_ms > _LINE_MS:
                 del refused[name]
-        return len(refused)
+        # An instance that asks again keeps its place.
+        refused[asker] = now_ms
+        return list(refused)
 
     def forget_old(self, now_ms: float) -> None:
         """Forget endpoints whose next permit would be due at any rate.
