A permit that no waiting request needs goes back to the holder

Seen by callers: a pool of several servers that all name limits was used to a third of what it offers when few requests came, and requests were refused meanwhile.

Cause: routing asks for a permit of each endpoint of the pool and uses one. Permits for brittle endpoints that aren't needed go back since; others were kept until they lapsed, and the holder counted them as used.

Change: they go back, too. A holder gives one again only while it is the last that it gave, by the number of its question, and within its time. So the permits that are used are as far apart as before, and the worst sum stays. Number 0 of earlier members gives nothing back, and they ignore what comes back for limits that aren't brittle.

--- a/src/coursekeel/limits/_issuer.py
+++ b/src/coursekeel/limits/_issuer.py
@@ -1,8 +1,10 @@
 """Permits that this instance gives out as the holder of endpoints.
 
-Rule: permits for an endpoint are spaced evenly; unused ones aren't saved. An instance
-that gets none is told when to ask again, the later the more of them ask, and when a
-request may expect its turn: instances that got none earlier come first.
+Rule: permits for an endpoint are spaced evenly; unused ones aren't saved. One that
+comes back is given again unless another was given since, so that those that are used
+stay as far apart as ever. An instance that gets none is told when to ask again, the
+later the more of them ask, and when a request may expect its turn: instances that got
+none earlier come first.
 
 Owns the time of each endpoint's last permit and the recent askers. A core: the caller
 passes the time, in ms.
@@ -10,7 +12,7 @@
 
 from attrs import define, field, frozen
 
-from coursekeel.limits._rate import TRIAL_PER_S
+from coursekeel.limits._rate import PERMIT_VALID_S, TRIAL_PER_S
 from coursekeel.units import MS_PER_SECOND
 
 __all__ = ["Issue", "PermitIssuer"]
@@ -22,6 +24,7 @@
 _MAX_WAIT_MS = 5_000.0
 _MAX_TURN_MS = 10_000.0
 _MAX_INTERVAL_MS = MS_PER_SECOND / TRIAL_PER_S
+_PERMIT_VALID_MS = PERMIT_VALID_S * MS_PER_SECOND
 
 
 @frozen
@@ -44,12 +47,18 @@
     given: int = 0
     _last_ms: dict[str, float] = field(factory=dict)
     _before_last_ms: dict[str, float] = field(factory=dict)
+    _last_for: dict[str, tuple[str, int]] = field(factory=dict)
     _refused: dict[str, dict[str, float]] = field(factory=dict)
 
     def issue(
-        self, endpoint_id: str, asker: str, rate_per_s: float, now_ms: float
+        self,
+        endpoint_id: str,
+        asker: str,
+        number: int,
+        rate_per_s: float,
+        now_ms: float,
     ) -> Issue:
-        """Give ``asker`` one permit if one is due at this rate."""
+        """Give ``asker`` one permit for its question if one is due at this rate."""
         interval_ms = MS_PER_SECOND / rate_per_s
         due_ms = self._last_ms.get(endpoint_id, float("-inf")) + interval_ms
         if now_ms >= due_ms:
@@ -58,6 +67,7 @@
                 endpoint_id, float("-inf")
             )
             self._last_ms[endpoint_id] = now_ms
+            self._last_for[endpoint_id] = asker, number
             self._refused.get(endpoint_id, {}).pop(asker, None)
             return Issue(1)
         # If each were told the last place, no request would wait for the next permit.
@@ -70,8 +80,21 @@
             min(wait_ms + line.index(asker) * interval_ms, _MAX_TURN_MS),
         )
 
+    def returned_by(
+        self, endpoint_id: str, asker: str, number: int, now_ms: float
+    ) -> None:
+        """Take back the permit for the asker's question, if it is the last given.
+
+        After its time it would be due again in any case, and the asker may have started
+        anew with its numbers.
+        """
+        is_last = self._last_for.get(endpoint_id) == (asker, number)
+        if is_last and now_ms - self._last_ms[endpoint_id] < _PERMIT_VALID_MS:
+            self.returned(endpoint_id)
+
     def returned(self, endpoint_id: str) -> None:
         """Let the next permit come as if the last one hadn't been given."""
+        self._last_for.pop(endpoint_id, None)
         before_ms = self._before_last_ms.pop(endpoint_id, None)
         if before_ms is not None:
             self._last_ms[endpoint_id] = before_ms
@@ -96,4 +119,5 @@
             if now_ms - last_ms >= _MAX_INTERVAL_MS:
                 del self._last_ms[endpoint_id]
                 self._before_last_ms.pop(endpoint_id, None)
+                self._last_for.pop(endpoint_id, None)
                 self._refused.pop(endpoint_id, None)
--- a/src/coursekeel/limits/_messages.py
+++ b/src/coursekeel/limits/_messages.py
@@ -64,9 +64,13 @@
 
 @frozen
 class PermitReturned:
-    """An instance returns a permit for a brittle endpoint that it has no use for."""
+    """An instance returns a permit that it has no use for.
+
+    ``number`` is that of its question.
+    """
 
     news: LimitNews
+    number: int = 0
 
 
 LimitMessage = LimitNews | PermitQuestion | PermitAnswer | TurnedAway | PermitReturned
@@ -126,7 +130,7 @@
         case TurnedAway():
             form = attrs.evolve(form, turned_away=True)
         case PermitReturned():
-            form = attrs.evolve(form, returned=True)
+            form = attrs.evolve(form, number=message.number, returned=True)
     # Members of an earlier version know the other fields only.
     fields = attrs.asdict(form)
     unused = [name for name in _ADDED_FIELDS if not fields[name]]
@@ -160,7 +164,7 @@
     if form.turned_away:
         return TurnedAway(news)
     if form.returned:
-        return PermitReturned(news)
+        return PermitReturned(news, form.number)
     if form.known != _NOT_SENT:
         return PermitQuestion(form.number, news, max(form.known, 1))
     if form.given != _NOT_SENT:
--- a/src/coursekeel/limits/_send_limits.py
+++ b/src/coursekeel/limits/_send_limits.py
@@ -81,7 +81,7 @@
     def reviewed(self, now_ms: float) -> None:
         for endpoint_id in self.stock.at_hand_anywhere(now_ms):
             is_kept = now_ms < self._kept_until_ms.get(endpoint_id, 0.0)
-            if self.book.is_brittle(endpoint_id) and not is_kept:
+            if not is_kept:
                 self._return_permits(endpoint_id, now_ms)
 
     def keep(self, endpoint_id: str, until_ms: float) -> None:
@@ -110,7 +110,7 @@
         holder = self.holders.holder(endpoint_id)
         number = self.stock.asked(endpoint_id, now_ms)
         if holder in ("", self.holders.own):
-            issue = self._issue(endpoint_id, self.holders.own, now_ms)
+            issue = self._issue(endpoint_id, self.holders.own, number, now_ms)
             self._take_issue(endpoint_id, number, issue, now_ms)
             return
         news = self.book.news(endpoint_id, now_ms)
@@ -127,19 +127,23 @@
     def _return_permits(self, endpoint_id: str, now_ms: float) -> None:
         """Give the holder back what no request needs, so that others may have it."""
         holder = self.holders.holder(endpoint_id)
-        for _ in range(self.stock.drop(endpoint_id, now_ms)):
+        for number in self.stock.drop(endpoint_id, now_ms):
             if holder in ("", self.holders.own):
-                self._returned(endpoint_id)
+                self._returned(endpoint_id, self.holders.own, number, now_ms)
             else:
                 news = self.book.news(endpoint_id, now_ms)
-                self.send(holder, PermitReturned(news))
+                self.send(holder, PermitReturned(news, number))
 
-    def _returned(self, endpoint_id: str) -> None:
+    def _returned(
+        self, endpoint_id: str, asker: str, number: int, now_ms: float
+    ) -> None:
         if self.book.is_brittle(endpoint_id):
             self.issuer.returned(endpoint_id)
             self.brittle_rates.returned(endpoint_id)
+        else:
+            self.issuer.returned_by(endpoint_id, asker, number, now_ms)
 
-    def _issue(self, endpoint_id: str, asker: str, now_ms: float) -> Issue:
+    def _issue(self, endpoint_id: str, asker: str, number: int, now_ms: float) -> Issue:
         per_s = self.book.per_s(endpoint_id)
         if per_s is None:
             return Issue(0)
@@ -154,7 +158,7 @@
                 return Issue(0, _PAUSED_WAIT_MS, _PAUSED_WAIT_MS)
         else:
             rate_per_s = holder_rate_per_s(per_s, share)
-        issue = self.issuer.issue(endpoint_id, asker, rate_per_s, now_ms)
+        issue = self.issuer.issue(endpoint_id, asker, number, rate_per_s, now_ms)
         if issue.given:
             self.brittle_rates.given(endpoint_id, now_ms)
         return issue
@@ -200,7 +204,7 @@
                 self.brittle_rates.turned_away(news.endpoint_id, now_ms)
             case PermitQuestion():
                 self.holders.told_known(message.known, now_ms)
-                issue = self._issue(news.endpoint_id, sender, now_ms)
+                issue = self._issue(news.endpoint_id, sender, message.number, now_ms)
                 own_news = self.book.news(news.endpoint_id, now_ms)
                 self.send(sender, PermitAnswer(message.number, own_news, issue))
             case PermitAnswer() if self.book.per_s(news.endpoint_id) is not None:
@@ -208,7 +212,7 @@
                     news.endpoint_id, message.number, message.issue, now_ms
                 )
             case PermitReturned():
-                self._returned(news.endpoint_id)
+                self._returned(news.endpoint_id, sender, message.number, now_ms)
 
     def _apply_end(self, kind: LimitEventKind, endpoint_id: str) -> None:
         if kind is LimitEventKind.ENDED:
--- a/src/coursekeel/limits/_stock.py
+++ b/src/coursekeel/limits/_stock.py
@@ -4,12 +4,12 @@
 passes before the next; a question without an answer counts as refused once a permit for
 it would have lapsed. A permit lapses a fixed time after the question was sent, which is
 before it was given, so that no clock but this instance's own counts. One for a brittle
-endpoint lapses sooner, and what waiting requests don't need of it is returned.
+endpoint lapses sooner. What waiting requests don't need is returned.
 
 Owns the permits and the open questions. A core: the caller passes the time, in ms.
 """
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from coursekeel.limits._issuer import Issue
 from coursekeel.limits._rate import PERMIT_VALID_S
@@ -20,11 +20,19 @@
 _PERMIT_VALID_MS = PERMIT_VALID_S * MS_PER_SECOND
 
 
+@frozen
+class _Permit:
+    """``number`` is that of the question that it answers."""
+
+    lapses_ms: float
+    number: int
+
+
 @define
 class _Account:
-    """One endpoint's permits (when each lapses), open question and refusal."""
+    """One endpoint's permits, open question and refusal."""
 
-    lapse_ms: list[float] = field(factory=list)
+    permits: list[_Permit] = field(factory=list)
     question: int | None = None
     asked_ms: float = float("-inf")
     not_before_ms: float = float("-inf")
@@ -44,27 +52,27 @@
         account = self._accounts.get(endpoint_id)
         if account is None:
             return False
-        account.lapse_ms = [each for each in account.lapse_ms if each > now_ms]
-        return bool(account.lapse_ms)
+        account.permits = [x for x in account.permits if x.lapses_ms > now_ms]
+        return bool(account.permits)
 
     def take(self, endpoint_id: str, now_ms: float) -> float | None:
         """Take a permit; returns when it lapses, None if there is none."""
         if not self.at_hand(endpoint_id, now_ms):
             return None
         self.used += 1
-        return self._accounts[endpoint_id].lapse_ms.pop(0)
+        return self._accounts[endpoint_id].permits.pop(0).lapses_ms
 
     def at_hand_anywhere(self, now_ms: float) -> list[str]:
         """The endpoints for which a permit is at hand."""
         return [each for each in self._accounts if self.at_hand(each, now_ms)]
 
-    def drop(self, endpoint_id: str, now_ms: float) -> int:
-        """Give up the permits at hand; returns how many there were."""
+    def drop(self, endpoint_id: str, now_ms: float) -> list[int]:
+        """Give up the permits at hand; returns the numbers of their questions."""
         if not self.at_hand(endpoint_id, now_ms):
-            return 0
-        dropped = self._accounts[endpoint_id].lapse_ms
-        self._accounts[endpoint_id].lapse_ms = []
-        return len(dropped)
+            return []
+        dropped = self._accounts[endpoint_id].permits
+        self._accounts[endpoint_id].permits = []
+        return [each.number for each in dropped]
 
     def may_ask(self, endpoint_id: str, now_ms: float) -> bool:
         """Whether a question is due: none is open, and no refusal stands."""
@@ -96,7 +104,7 @@
             return
         account.question = None
         if issue.given:
-            account.lapse_ms.append(account.asked_ms + valid_ms)
+            account.permits.append(_Permit(account.asked_ms + valid_ms, number))
         account.not_before_ms = now_ms + issue.wait_ms
         account.turn_ms = now_ms + max(issue.wait_ms, issue.turn_ms)
 
--- a/tests/common/limit_world.py
+++ b/tests/common/limit_world.py
@@ -1,7 +1,8 @@
 """A group of instances that keep one endpoint's limit, on a simulated network.
 
 Every instance always has a request for the endpoint. Datagrams take a random time and
-are sometimes lost; each permit is used at a random moment before it lapses.
+are sometimes lost, or come twice; each permit is used at a random moment before it
+lapses, or goes back at once.
 """
 
 import heapq
@@ -24,6 +25,7 @@
 _OBSERVE_MS = 160.0
 _MAX_DELAY_MS = 40.0
 _LOSS = 0.02
+_TWICE = 0.02
 
 # The members that an instance takes for alive, and for present, at a time in ms.
 View = Callable[[str, float], Collection[str]]
@@ -32,7 +34,8 @@
 class LimitWorld:
     """``alive`` gives each member's view of the group, ``apart`` cuts links.
 
-    ``sent_ms`` are the times at which requests left for the endpoint.
+    ``sent_ms`` are the times at which requests left for the endpoint, ``returning`` is
+    the share of the permits that go back.
     """
 
     def __init__(self, per_s: float, members: list[str], alive: View, seed: int):
@@ -40,6 +43,8 @@
         self.random = Random(seed)
         self.now_ms = 0.0
         self.sent_ms: list[float] = []
+        self.returning = 0.0
+        self.returned = 0
         self.apart: Callable[[str, str, float], bool] = lambda a, b, now_ms: False
         self.joins_ms: dict[str, float] = {}
         self._datagrams: list[tuple[float, int, str, str, LimitMessage]] = []
@@ -50,7 +55,9 @@
     def _node(self, member: str) -> SendLimits:
         def send(receiver: str, message: LimitMessage) -> None:
             lost = self.random.random() < _LOSS
-            if not lost and not self.apart(member, receiver, self.now_ms):
+            if lost or self.apart(member, receiver, self.now_ms):
+                return
+            for _ in range(2 if self.random.random() < _TWICE else 1):
                 arrives_ms = self.now_ms + self.random.uniform(0, _MAX_DELAY_MS)
                 entry = (arrives_ms, next(self._numbers), member, receiver, message)
                 heapq.heappush(self._datagrams, entry)
@@ -73,7 +80,12 @@
             if observing:
                 self._observe(member, node)
                 self._hear(node)
-            if node.has_permit(ENDPOINT, self.now_ms):
+            if not node.has_permit(ENDPOINT, self.now_ms):
+                continue
+            if self.random.random() < self.returning:
+                node.reviewed(self.now_ms)
+                self.returned += 1
+            else:
                 self._use(member, node)
         self._deliver()
         self._send_due()
--- a/tests/cover/test_limit_sum.py
+++ b/tests/cover/test_limit_sum.py
@@ -15,6 +15,7 @@
     SETTLING_MS,
     TRIAL_PER_S,
     WINDOW_S,
+    PermitIssuer,
     holder_rate_per_s,
 )
 from tests.common.limit_world import ENDPOINT, LimitWorld, allowed, most_sent
@@ -68,6 +69,44 @@
     assert used_per_s >= 0.5 * min(per_s, 10.0) - 0.1
 
 
+@pytest.mark.parametrize("per_s", LIMITS)
+@pytest.mark.parametrize("returning", [0.3, 0.9])
+def test_permits_that_go_back_keep_the_limit(per_s, returning):
+    """Two members take themselves for the holder for good."""
+    members = by_rank(group_of(9))
+    stale = set(members[1::2])
+
+    def alive(member, now_ms):
+        return members[1:] if member in stale else members
+
+    world = LimitWorld(per_s, members, alive, seed=1)
+    world.returning = returning
+    world.run(SETTLED_MS + 32_000)
+    assert world.returned > 0
+    assert_kept(world)
+
+
+def test_a_permit_comes_back_once_and_only_while_it_is_the_last():
+    issuer = PermitIssuer()
+
+    def is_given(number: int, now_ms: float) -> bool:
+        return issuer.issue(ENDPOINT, "m1", number, rate_per_s=4.0, now_ms=now_ms).given
+
+    assert is_given(1, 0.0)
+    assert is_given(2, 250.0)
+    issuer.returned_by(ENDPOINT, "m1", 1, 251.0)
+    issuer.returned_by(ENDPOINT, "m2", 2, 251.0)
+    assert not is_given(3, 252.0)
+    issuer.returned_by(ENDPOINT, "m1", 2, 253.0)
+    assert is_given(4, 254.0)
+    issuer.returned_by(ENDPOINT, "m1", 2, 255.0)
+    assert not is_given(5, 256.0)
+    issuer.returned_by(ENDPOINT, "m1", 4, 257.0)
+    issuer.returned_by(ENDPOINT, "m1", 4, 257.0)
+    assert is_given(6, 258.0)
+    assert not is_given(7, 259.0)
+
+
 @pytest.mark.parametrize("size", SIZES)
 def test_a_growing_group_keeps_the_limit(size):
     """Members join one after the other, and learn of each other late."""
--- a/tests/cover/test_limited_pools_used.py
+++ b/tests/cover/test_limited_pools_used.py
@@ -55,3 +55,19 @@
     pool.run(300.0)
     assert len(sent_ms) == 4
     assert_kept(pool)
+
+
+@pytest.mark.parametrize("size", [3, 9])
+@pytest.mark.parametrize("asked_per_s", [3.0, 6.0, 12.0])
+def test_a_permit_that_no_request_needs_is_left_to_other_instances(size, asked_per_s):
+    """Each request asks for permits of all three endpoints, and uses one."""
+    pool, random = LimitedPool(size, 3, PER_S), Random(1)
+    begun_ms, asked = pool.now_ms, 0
+    while pool.now_ms < begun_ms + PLAYED_MS:
+        pool.ask(random.choice(pool.names))
+        asked += 1
+        pool.run(round(random.expovariate(asked_per_s / 1_000)))
+    served = sum(map(len, pool.sent_ms.values()))
+    offered = 3 * PER_S * PLAYED_MS / 1_000
+    assert served >= 0.5 * min(asked, offered)
+    assert_kept(pool)
