Test: the stop's test reads the head of its stream

What was seen: test_a_stop_closes_idle_connections_while_a_stream_runs failed once with "waited 20 s in vain: the run starts", which doesn't tell whether the stream was refused.

Cause: not shown.

Change: the test requires status 200 as well, and shows the body of another answer.

--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -383,6 +383,8 @@
     idle, _ = site.open("/again/x", port=ports[0])
     assert idle.getresponse().read()
     stream, request_id = site.open("/stream/900", port=ports[0])
+    response = stream.getresponse()
+    assert response.status == 200, response.read()
     wait_until(lambda: site.ran(request_id), "the run starts")
     process.send_signal(signal.SIGTERM)
     assert idle.sock.recv(1) == b""
