A member that tries a failed store early does so once in a retry interval

Cause: any confirmation that a member got made each instance whose own query had failed due at once, so that the interval between its retries no longer held.

Change: such an early query is sent once in a retry interval (1.5 to 4.5 s), besides the usual one.

--- a/src/coursekeel/gateway/members/_shared_source.py
+++ b/src/coursekeel/gateway/members/_shared_source.py
@@ -94,13 +94,15 @@
     """Results of the queries for one table; times are local.
 
     ``avoided_until_ms`` holds the members that had nothing newer. ``store_answers`` is
-    whether the store answered this instance's last query.
+    whether the store answered this instance's last query. ``retried_early_ms`` is when
+    the store was last queried because a member had its answer after that.
     """
 
     avoided_until_ms: dict[str, float] = field(factory=dict)
     reached_ms: float = -math.inf
     store_queried_ms: float = -math.inf
     store_answers: bool = True
+    retried_early_ms: float = -math.inf
 
 
 @define(eq=False)
@@ -168,8 +170,6 @@
             return relayed
         if not self._store_is_due(table):
             return SourceFailed("no member has a newer confirmation")
-        if not self._query_states[table].store_answers:
-            return await self._follow_store(table, since, 0.0, timeout_ms - hold_ms)
         # The members took their time already: the store must confirm without a hold.
         shared_ms = min(hold_ms, self.terms.shared_hold_ms[table])
         wait_ms = 0.0 if had_candidates else shared_ms
@@ -331,17 +331,20 @@
         )
 
     def _store_is_due(self, table: Table) -> bool:
-        """Whether to query the store; seldom while only members respond.
-
-        Once it has answered a member since it failed this instance, it may be back.
-        """
+        """Whether to query the store; seldom while only members respond."""
         state, now_ms = self._query_states[table], self.clock.now_ms()
         if state.store_answers or now_ms - state.reached_ms > _MEMBERS_REACHED_MS:
             return True
-        if self.freshness.confirmed_ms(table.value) > state.store_queried_ms:
-            return True
         wait_ms = _STORE_RETRY_MS * (0.5 + self.random.random())
-        return now_ms - state.store_queried_ms >= wait_ms
+        if now_ms - state.store_queried_ms >= wait_ms:
+            return True
+        # A store that answers few queries would get one from each instance otherwise
+        # for each confirmation.
+        may_be_back = self.freshness.confirmed_ms(table.value) > state.store_queried_ms
+        if may_be_back and now_ms - state.retried_early_ms >= wait_ms:
+            state.retried_early_ms = now_ms
+            return True
+        return False
 
     # Requests to members.
 
--- a/tests/cover/test_shared_source.py
+++ b/tests/cover/test_shared_source.py
@@ -117,12 +117,37 @@
     assert world.store_calls < 10_000 / 600 + 10_000 / 500 + 5
 
 
+def test_members_seldom_query_a_store_that_answers_few_queries():
+    """Guards against a query of each instance for each answer that one of them got.
+
+    One that doesn't read for its zone queries at most once in the shortest interval
+    between retries, on average.
+    """
+    world = World(["a"] * 12 + ["b"] * 12 + ["c"] * 12)
+    world.run(5_000)
+    readers = {
+        each.source.swim.store_reader(each.zone) for each in world.instances.values()
+    }
+    others = [
+        each.source for name, each in world.instances.items() if name not in readers
+    ]
+    before, world.refuses_immediately = sum(each.store_calls for each in others), True
+    for _ in range(30_000 // STEP_MS):
+        world.refused = {
+            name for name in world.instances if world.random.random() < 0.8
+        }
+        world.run(STEP_MS)
+    calls = sum(each.store_calls for each in others) - before
+    assert calls < len(others) * 30_000 / 1_500
+
+
+@pytest.mark.parametrize("immediately", [True, False])
 @pytest.mark.parametrize("seed", range(20))
-def test_the_return_of_a_store_that_refused_all_is_reported_once(seed, caplog):
+def test_the_return_of_a_store_is_reported_once(seed, immediately, caplog):
     """Guards against a second outage while the other members still lack the store."""
     world = World(["a"] * 4 + ["b"] * 3 + ["c"] * 2, seed)
     world.run(5_000)
-    world.refused, world.refuses_immediately = set(world.instances), True
+    world.refused, world.refuses_immediately = set(world.instances), immediately
     world.run(6_000)
     world.refused = set()
     with caplog.at_level(logging.INFO):
