Fix: interim responses without end held the gateway's loop

One log has reactor_stalled for_ms=616 beside eight runs at the bad endpoint, and callers got 502 belief_old; another stands still for 225 ms before one response_overrun, and callers got 503 too_late and pool_unreached.

Cause: the bound on a head (32 KiB) is checked once a read of 64 KiB is parsed.

Change: a response is given up after 100 interim responses, within a read too.

test_interim_responses_are_bounded_in_number_within_one_read: [1] failed before.

--- a/src/coursekeel/fetch/_bounded_protocol.py
+++ b/src/coursekeel/fetch/_bounded_protocol.py
@@ -1,24 +1,29 @@
 """Twisted's HTTP client protocol with bounds on the bytes that are no body.
 
 Rule: a peer may send bytes without end, so a response is given up once its head, with
-the interim responses (1xx) before it, is longer than `MAX_HEAD_BYTES`, or once its
-framing outweighs the body that it frames. Bodies and events are bounded by who collects
-them. Twisted itself bounds a line of the head (16 KiB), the size line of a chunk
-(1 KiB) and trailers (64 KiB).
+the interim responses (1xx) before it, is longer than `MAX_HEAD_BYTES`, once there are
+more of those than `MAX_INTERIM_RESPONSES`, or once its framing outweighs the body that
+it frames. Bodies and events are bounded by who collects them. Twisted itself bounds a
+line of the head (16 KiB), the size line of a chunk (1 KiB) and trailers (64 KiB).
+
+The number of interim responses counts within one read too: each has few bytes, and is
+parsed as a whole response.
 
 Owns the counts of one connection.
 """
 
+from http import HTTPStatus
 from typing import Any
 
-from twisted.web._newclient import HTTP11ClientProtocol
+from twisted.web._newclient import HTTP11ClientProtocol, HTTPClientParser
 
 from coursekeel.fetch._overruns import Overrun, record_overrun
 
-__all__ = ["MAX_HEAD_BYTES", "BoundedProtocol"]
+__all__ = ["MAX_HEAD_BYTES", "MAX_INTERIM_RESPONSES", "BoundedProtocol"]
 
 # Twice the head that common HTTP servers accept.
 MAX_HEAD_BYTES = 32 * 1024
+MAX_INTERIM_RESPONSES = 100
 # One read of the socket, whose body isn't counted before it is delivered.
 _READ_BYTES = 64 * 1024
 # Framing of one-byte chunks, the least that a body needs more than its own bytes.
@@ -36,10 +41,25 @@
     body_bytes = 0
     overrun: Overrun | None = None
     _received_bytes = 0
+    _interim_responses = 0
 
     def request(self, request: Any) -> Any:
-        self._received_bytes = self.body_bytes = 0
-        return super().request(request)
+        self._received_bytes = self.body_bytes = self._interim_responses = 0
+        sent = super().request(request)
+        parser: Any = self._parser
+        parser.allHeadersReceived = self._headers_received
+        return sent
+
+    def _headers_received(self) -> None:
+        """The headers of an interim response, or of the response itself, ended."""
+        parser: Any = self._parser
+        if parser.response.code < HTTPStatus.OK:
+            self._interim_responses += 1
+            if self._interim_responses > MAX_INTERIM_RESPONSES:
+                self.give_up(Overrun.HEAD)
+                # What has been read and not parsed yet may hold thousands more.
+                parser.pauseProducing()
+        HTTPClientParser.allHeadersReceived(parser)
 
     def dataReceived(self, data: bytes) -> None:
         if self.overrun is not None:
--- a/tests/cover/test_response_bounds.py
+++ b/tests/cover/test_response_bounds.py
@@ -16,12 +16,13 @@
     Fetcher,
     HttpReply,
 )
-from coursekeel.fetch._bounded_protocol import MAX_HEAD_BYTES
+from coursekeel.fetch._bounded_protocol import MAX_HEAD_BYTES, MAX_INTERIM_RESPONSES
 
 MAX_BODY_BYTES = 1_000
 HOST = [(b"host", b"127.0.0.1:1")]
 READ_BYTES = 64 * 1024
 STATUS = b"HTTP/1.1 200 OK\r\n"
+INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n"
 CHUNKED = STATUS + b"Transfer-Encoding: chunked\r\n\r\n"
 READS = 20
 
@@ -93,6 +94,18 @@
     assert server.sink.endings == [(Ending.WHOLE, "")]
 
 
+@pytest.mark.parametrize("more", [0, 1])
+def test_interim_responses_are_bounded_in_number_within_one_read(more):
+    server = Server()
+    interim = INTERIM * (MAX_INTERIM_RESPONSES + more)
+    server.connection.dataReceived(interim + STATUS + b"Content-Length: 2\r\n\r\nok")
+    if more:
+        server.close()
+    assert server.sink.body == (b"" if more else b"ok")
+    overrun = (Ending.OVERRUN, "head_too_large")
+    assert server.sink.endings == [overrun if more else (Ending.WHOLE, "")]
+
+
 def test_a_body_that_is_announced_as_too_long_is_not_read():
     server, before = Server(), OVERRUNS.total
     length = b"Content-Length: %d\r\n\r\n" % (MAX_BODY_BYTES + 1)
