Test: a store's return is read from the events, not from the log's handlers

The code is right.

Cause: caplog reads what reaches the root logger. An earlier test of the run sets up the gateway's logging, whose logger doesn't propagate.

Change: the test records `log_event`, as tests/cover/test_guarded_connection.py does. It requires the same: each instance tells the return once, none a second outage.

--- a/tests/cover/test_shared_source.py
+++ b/tests/cover/test_shared_source.py
@@ -1,6 +1,5 @@
 """Instances read tables from each other, and accept no key past its bound."""
 
-import logging
 import math
 from types import MethodType
 from unittest.mock import AsyncMock, Mock
@@ -143,17 +142,21 @@
 
 @pytest.mark.parametrize("immediately", [True, False])
 @pytest.mark.parametrize("seed", range(20))
-def test_the_return_of_a_store_is_reported_once(seed, immediately, caplog):
+def test_the_return_of_a_store_is_reported_once(seed, immediately, monkeypatch):
     """Guards against a second outage while the other members still lack the store."""
     world = World(["a"] * 4 + ["b"] * 3 + ["c"] * 2, seed)
     world.run(5_000)
     world.refused, world.refuses_immediately = set(world.instances), immediately
     world.run(6_000)
     world.refused = set()
-    with caplog.at_level(logging.INFO):
-        world.run(2_000)
-    assert caplog.text.count("event=store_back") == len(world.instances)
-    assert "event=store_lost" not in caplog.text
+    events: list[str] = []
+    monkeypatch.setattr(
+        "coursekeel.gateway.site._follow_task.log_event",
+        lambda name, *_, **__: events.append(name),
+    )
+    world.run(2_000)
+    assert events.count("store_back") == len(world.instances)
+    assert "store_lost" not in events
 
 
 @pytest.mark.parametrize("phase_ms", range(0, 2_400, 150))
