--- a/src/coursekeel/gateway/streams/_placement.py
+++ b/src/coursekeel/gateway/streams/_placement.py
@@ -2,9 +2,8 @@
 
 Rule for a run: a few endpoints are asked for their load reports, then routing chooses.
 A new request waits in the queue until `queue_deadline_ms`, or while all endpoints of
-its pool are silent and may answer again; however late its reports are, it is granted
-room that is free. A stream that has begun waits until its own deadline, since another
-instance would have to read its prompt again. Rule for a copy:
+its pool are silent and may answer again; a stream that has begun waits until its own
+deadline, since another instance would have to read its prompt again. Rule for a copy:
 `EndpointSelector.choose_for_copy`, for resumable routes only, in pools that keep
 copies.
 
@@ -124,7 +123,6 @@
             deadline_ms=call.deadline_ms
             if resuming
             else queue_deadline_ms(call, now_ms),
-            late_until_ms=call.deadline_ms,
             prompt_tokens=caller.prompt_tokens,
             prompt_key=caller.prompt_key or caller.request_id,
             excluded=action.excluded,
--- a/src/coursekeel/routing/_messages.py
+++ b/src/coursekeel/routing/_messages.py
@@ -1,7 +1,5 @@
 """Inputs and decisions of the router."""
 
-import math
-
 from attrs import field, frozen
 
 __all__ = ["Decision", "Grant", "LoadReport", "PlacementRequest", "Refuse"]
@@ -17,9 +15,6 @@
     | cost | share of the pool's work, for fairness among teams: prompt and output
       tokens of a generation, 1 for a call |
     | rank | order of the classes, 0 first |
-    | deadline_ms | until when it may wait |
-    | late_until_ms | until when a new one that comes after that is granted room that is
-      free at once |
     | continuing | has tokens already; placed before new requests |
     | prompt_key | hash of the prompt, salted by team, for prefix affinity |
     | excluded | endpoints to avoid |
@@ -36,7 +31,6 @@
     pool: str
     cost: float
     deadline_ms: float
-    late_until_ms: float = -math.inf
     number: int = 0
     weight: float = 1.0
     continuing: bool = False
--- a/src/coursekeel/routing/_router.py
+++ b/src/coursekeel/routing/_router.py
@@ -123,9 +123,6 @@
             return self.review(now_ms)
         if self.is_unreached(request.pool):
             return [self._admission.refuse_unreached(request)]
-        late_grant = self._grant_late(request, now_ms)
-        if late_grant is not None:
-            return [late_grant]
         queue = self._queue_of(request)
         served = self.endpoints.serves(request.pool)
         refusal = self._admission.check_new(request, queue, served, now_ms)
@@ -254,16 +251,6 @@
             decisions.append(self._grant(request, load, now_ms))
         return decisions
 
-    def _grant_late(self, request: PlacementRequest, now_ms: float) -> Grant | None:
-        """Grant a new request whose time to wait is over if it needs no wait."""
-        if not request.deadline_ms <= now_ms < request.late_until_ms:
-            return None
-        pool = request.pool
-        if any(queue.waiting for key, queue in self._queues.items() if key[2] == pool):
-            return None
-        load = self.endpoints.choose(request, now_ms, in_need=True)
-        return None if load is None else self._grant(request, load, now_ms)
-
     def _grant(
         self, request: PlacementRequest, load: EndpointLoad, now_ms: float
     ) -> Grant:
