Revert "Fix: a gateway took its own stalls for the silence of its endpoints"

The cause that it was for stands: after a stall of the process all timers that were due fire in one turn of its loop.

--- a/src/coursekeel/fetch/__init__.py
+++ b/src/coursekeel/fetch/__init__.py
@@ -19,7 +19,6 @@
 )
 from coursekeel.fetch._overruns import OVERRUNS, Overrun, record_overrun
 from coursekeel.fetch._own_link import OwnLink
-from coursekeel.fetch._read_timer import ReadTimer
 
 __all__ = [
     "OVERRUNS",
@@ -38,7 +37,6 @@
     "NotReached",
     "Overrun",
     "OwnLink",
-    "ReadTimer",
     "SendWithheld",
     "Transfer",
     "record_overrun",
--- a/src/coursekeel/fetch/_exchange.py
+++ b/src/coursekeel/fetch/_exchange.py
@@ -9,10 +9,10 @@
 from enum import Enum
 from typing import Any
 
-from attrs import define, evolve, field, frozen
+from attrs import define, evolve, frozen
 from twisted.internet.defer import succeed
 from twisted.internet.endpoints import TCP4ClientEndpoint
-from twisted.internet.error import ConnectionDone, TimeoutError
+from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 from twisted.web._newclient import Request, ResponseDone
 from twisted.web.http import PotentialDataLoss
@@ -23,7 +23,6 @@
 from coursekeel.fetch._arrival import MAX_BODY_BYTES
 from coursekeel.fetch._bounded_protocol import BoundedProtocol
 from coursekeel.fetch._overruns import Overrun
-from coursekeel.fetch._read_timer import ReadTimer
 from coursekeel.reactor import Reactor
 
 __all__ = [
@@ -206,9 +205,8 @@
 class Exchange:
     """Sends one request and reports its events to a sink; `abort` cancels it.
 
-    ``connect_ms`` is the time to connect, as `ReadTimer` counts it. ``max_body_bytes``
-    is the longest body that is taken, None for any; the sink may change it when the
-    head arrives.
+    ``max_body_bytes`` is the longest body that is taken, None for any; the sink may
+    change it when the head arrives.
     """
 
     reactor: Reactor
@@ -217,15 +215,9 @@
     connect_ms: float
     max_body_bytes: int | None = MAX_BODY_BYTES
     _connecting: Any = None
-    _connect_timer: ReadTimer = field(init=False)
     _connection: _Connection | None = None
     _finished: bool = False
 
-    def __attrs_post_init__(self) -> None:
-        self._connect_timer = ReadTimer(
-            self.reactor, self.connect_ms, self._connect_timed_out
-        )
-
     @property
     def is_connected(self) -> bool:
         """Whether the connection was made."""
@@ -234,16 +226,14 @@
     def start(self) -> None:
         """Connect, send the request and stream the response to the sink."""
         request = self.request
-        without_timeout: Any = None
         endpoint = TCP4ClientEndpoint(
             self.reactor,
             request.host,
             request.port,
-            timeout=without_timeout,
+            timeout=self.connect_ms / 1000,
             bindAddress=(request.local_host, 0) if request.local_host else None,
         )
         factory: Any = Factory.forProtocol(_Connection)
-        self._connect_timer.start()
         self._connecting = endpoint.connect(factory)
         self._connecting.addCallbacks(self._connected, self._connect_failed)
 
@@ -258,7 +248,6 @@
         They refer back to the exchange, and the garbage collector runs rarely.
         """
         self._finished = True
-        self._connect_timer.cancel()
         sink, self.sink = self.sink, ExchangeSink()
         self.request = evolve(self.request, headers=list, body=b"")
         return sink
@@ -285,7 +274,6 @@
 
     def _connected(self, connection: _Connection) -> None:
         self._connection = connection
-        self._connect_timer.cancel()
         if self._finished:
             self.abort()
             return
@@ -315,11 +303,6 @@
         self._close()
         self._end(Ending.WITHHELD, "right_lapsed")
 
-    def _connect_timed_out(self) -> None:
-        sink = self._finish()
-        self._close()
-        sink.ended(Ending.NOT_SENT, str(TimeoutError()))
-
     def _connect_failed(self, failure: Any) -> None:
         self._end(Ending.NOT_SENT, failure.getErrorMessage() or failure.type.__name__)
 
--- a/src/coursekeel/gateway/endpoints/_endpoint_probe.py
+++ b/src/coursekeel/gateway/endpoints/_endpoint_probe.py
@@ -6,20 +6,16 @@
 
 from collections.abc import Callable
 from enum import Enum
+from typing import Any
 
 from attrs import define, field, frozen
 
-from coursekeel.fetch import (
-    Ending,
-    Exchange,
-    ExchangeHead,
-    ExchangeSink,
-    ReadTimer,
-)
+from coursekeel.fetch import Ending, Exchange, ExchangeHead, ExchangeSink
 from coursekeel.forwarding import EndpointRecord
 from coursekeel.gateway._adapters import EndpointCall
 from coursekeel.gateway.endpoints._endpoint_client import EndpointClient
 from coursekeel.reactor import Reactor
+from coursekeel.units import MS_PER_SECOND
 
 __all__ = [
     "EndpointProbe",
@@ -66,9 +62,9 @@
 class EndpointProbe(ExchangeSink):
     """Sends one probe; ``on_result`` is called once.
 
-    ``timeout_ms`` is counted by `ReadTimer`, and starts again while this instance's own
-    link is full. ``tells_reach``: whether a failure to connect counts against the
-    pool's reach; not for an endpoint that may have ended.
+    ``timeout_ms`` starts again while this instance's own link is full. ``tells_reach``:
+    whether a failure to connect counts against the pool's reach; not for an endpoint
+    that may have ended.
     """
 
     reactor: Reactor
@@ -79,7 +75,7 @@
     on_result: Callable[[ProbeResult], None]
     tells_reach: bool = True
     _exchange: Exchange | None = None
-    _timeout: ReadTimer = field(init=False)
+    _timeout: Any = None
     _head: ExchangeHead | None = None
     _body: list[bytes] = field(factory=list)
 
@@ -97,7 +93,8 @@
         self._body.append(data)
 
     def ended(self, ending: Ending, reason: str) -> None:
-        self._timeout.cancel()
+        if self._timeout.active():
+            self._timeout.cancel()
         if ending is Ending.WHOLE and self._head is not None:
             self.on_result(ProbeResponse(self._head, b"".join(self._body)))
         elif ending is Ending.NOT_SENT:
@@ -106,8 +103,8 @@
             self.on_result(ProbeFailure(ProbeFailureKind.CUT, reason))
 
     def _start_timeout(self) -> None:
-        self._timeout = ReadTimer(self.reactor, self.timeout_ms, self._timed_out)
-        self._timeout.start()
+        timeout_s = self.timeout_ms / MS_PER_SECOND
+        self._timeout = self.reactor.callLater(timeout_s, self._timed_out)
 
     def _timed_out(self) -> None:
         if self.client.link.full:
--- a/tests/cover/test_crash_watch.py
+++ b/tests/cover/test_crash_watch.py
@@ -16,7 +16,6 @@
     QuarantinePass,
 )
 from tests.common.moments import position_at
-from tests.common.read_time import pass_read_time
 from tests.cover.test_fingerprint import CALL
 
 OTHER_CALL = evolve(CALL, body=b"another")
@@ -103,13 +102,13 @@
 
 def test_a_reporting_endpoint_that_closed_a_run_and_times_out_has_crashed(harness):
     harness.lose_run("e0", ran_ms=60, closed=True)
-    pass_read_time(harness.reactor, 0.2)
+    harness.reactor.advance(0.2)
     assert harness.strikes() == {"e0": Sign.BEGAN}
 
 
 def test_an_endpoint_that_is_silent_for_longer_than_sound_ones_has_crashed(harness):
     harness.lose_run("e0", ran_ms=60)
-    pass_read_time(harness.reactor, 0.05 * 55)
+    harness.reactor.pump([0.05] * 55)
     assert harness.strikes() == {"e0": Sign.BEGAN}
 
 
@@ -117,28 +116,28 @@
     """Requests of three sound endpoints that fell silent were barred everywhere."""
     for name in ("e0", "e1", "e2"):
         harness.lose_run(name, ran_ms=60)
-    pass_read_time(harness.reactor, 0.05 * 28)
+    harness.reactor.pump([0.05] * 28)
     assert harness.strikes() == {}
     for sink in harness.probes[-3:]:
         sink.head_arrived(ExchangeHead(200, []))
         sink.ended(Ending.WHOLE, "")
-    pass_read_time(harness.reactor, 0.05 * 100)
+    harness.reactor.pump([0.05] * 100)
     assert harness.strikes() == {}
     assert harness.gate.barred_ms(CALL) == 0
 
 
 def test_a_run_that_is_closed_while_its_endpoint_is_silent_proves_the_crash(harness):
     harness.lose_run("e0", ran_ms=60)
-    pass_read_time(harness.reactor, 0.05 * 10)
+    harness.reactor.pump([0.05] * 10)
     assert harness.strikes() == {}
     harness.lose_run("e0", OTHER_CALL, ran_ms=60, closed=True)
-    pass_read_time(harness.reactor, 0.05 * 10)
+    harness.reactor.pump([0.05] * 10)
     assert harness.strikes() == harness.strikes(OTHER_CALL) == {"e0": Sign.BEGAN}
 
 
 def test_a_probe_timeout_of_a_plain_service_is_no_crash(harness):
     harness.lose_run("e0", REPEATABLE_CALL)
-    pass_read_time(harness.reactor, 0.2)
+    harness.reactor.advance(0.2)
     assert harness.strikes(REPEATABLE_CALL) == {}
 
 
--- a/tests/cover/test_silent_endpoints.py
+++ b/tests/cover/test_silent_endpoints.py
@@ -12,7 +12,6 @@
     SilentEndpoints,
 )
 from tests.common.moments import position_at
-from tests.common.read_time import pass_read_time
 
 ENDPOINT = EndpointRecord("e1", "engines", "127.0.0.1", 1, "zone-1", 8)
 
@@ -51,16 +50,16 @@
 
 
 def test_an_endpoint_that_answers_again_is_used_at_once(endpoint):
-    pass_read_time(endpoint.reactor, 1.2)
+    endpoint.reactor.advance(1.2)
     endpoint.answer()
     endpoint.answer()
     assert endpoint.is_used
 
 
 def test_an_endpoint_whose_reports_are_always_late_stays_ejected(endpoint):
-    pass_read_time(endpoint.reactor, 0.2)
+    endpoint.reactor.advance(0.2)
     endpoint.answer()
-    pass_read_time(endpoint.reactor, 0.2)
+    endpoint.reactor.advance(0.2)
     assert not endpoint.is_used
     assert endpoint.watch.pool_answers_by_ms("engines") is None
 
@@ -69,13 +68,13 @@
     endpoint.watch.silent(ENDPOINT)
     assert len(endpoint.sinks) == 1
     assert endpoint.watch.pool_answers_by_ms("engines") == 2_000
-    pass_read_time(endpoint.reactor, 2.1)
+    endpoint.reactor.advance(2.1)
     assert not endpoint.is_used
     assert endpoint.watch.pool_answers_by_ms("engines") is None
 
 
 def test_requests_are_not_held_for_an_endpoint_that_did_not_answer_before(endpoint):
-    pass_read_time(endpoint.reactor, 2.1)
+    endpoint.reactor.advance(2.1)
     endpoint.watch.silent(ENDPOINT)
     assert len(endpoint.sinks) == 2
     assert endpoint.watch.pool_answers_by_ms("engines") is None
