--- a/src/coursekeel/gateway/members/_shared_source.py
+++ b/src/coursekeel/gateway/members/_shared_source.py
@@ -338,8 +338,8 @@
         wait_ms = _STORE_RETRY_MS * (0.5 + self.random.random())
         if now_ms - state.store_queried_ms >= wait_ms:
             return True
-        # A store that answers few queries would get one from each instance otherwise
-        # for each confirmation.
+        # Once in an interval: a store that answers few queries would otherwise get one
+        # from each instance for each answer that a member got.
         may_be_back = self.freshness.confirmed_ms(table.value) > state.store_queried_ms
         if may_be_back and now_ms - state.retried_early_ms >= wait_ms:
             state.retried_early_ms = now_ms
