Logs: a table that can't be followed is told apart from a store that is away

Cause: an exception while a table was read counted as a failed query, so that store_back ended a time in which the store had answered each query; and its beginning wasn't set, so that an outage of the store was reported and missing endpoints were kept after it. request_refused had no version of the configuration, so that a dropped route looked like an instance without one. Change: faults are counted apart (table_back, coursekeel_table_faults), and request_refused names the configuration. Measured: test_an_exception_of_this_program_is_no_outage_of_the_store failed before (on_source_return was called with an outage of 2,100 ms) and passes.

--- a/src/coursekeel/gateway/_gauges.py
+++ b/src/coursekeel/gateway/_gauges.py
@@ -56,6 +56,11 @@
         "Times that the store came back from an older copy",
         lambda: follow_tasks[0].restores,
     )
+    gauge(
+        "coursekeel_table_faults",
+        "Queries of tables so far that ended with an exception of this program",
+        lambda: sum(task.faults for task in follow_tasks),
+    )
     gauge(
         "coursekeel_reads_behind",
         "Responses so far that were behind what this instance knew",
--- a/src/coursekeel/gateway/_metrics.py
+++ b/src/coursekeel/gateway/_metrics.py
@@ -159,6 +159,7 @@
             request=request_id,
             outcome=refusal.code,
             status=int(refusal.status),
+            configuration=self.configuration_age().version,
             belief_age_ms=logged_age_ms(routes_age_ms),
         )
 
--- a/src/coursekeel/gateway/site/_follow_task.py
+++ b/src/coursekeel/gateway/site/_follow_task.py
@@ -95,6 +95,7 @@
 
     The store responds as soon as it has a change; between changes it is queried once
     every ``hold_ms``, and its empty response confirms that nothing changed.
+    ``faults`` counts the queries that ended with an exception of this program.
     ``timeout_ms`` bounds the time to the response to a query that isn't held.
     """
 
@@ -109,10 +110,12 @@
     feed: TableFeed
     restores: int = 0
     reads_behind: int = 0
+    faults: int = 0
     _order: ReadOrder = field(factory=ReadOrder)
     _resume_position: StorePosition | None = None
     _stopped: bool = False
     _failure_count: int = 0
+    _fault_count: int = 0
     _failing_since_ms: float = 0.0
     _change_count: int = 0
     _from_member: bool = False
@@ -136,10 +139,10 @@
 
     async def _run(self) -> None:
         while not self._stopped:
-            failures, changes = self._failure_count, self._change_count
+            failures, changes = self._trouble_count, self._change_count
             await self._query_or_reset()
             self._gathered_ms = 0.0
-            if self._failure_count > failures:
+            if self._trouble_count > failures:
                 await deferLater(self.reactor, self._pause_s())
             elif self._change_count > changes and not self._from_member:
                 # A member gathers changes before it sends them.
@@ -150,7 +153,8 @@
         """Query once; after an unexpected exception, read the whole table again.
 
         Otherwise a bug would end the task: the instance would stay ready without
-        ever receiving another change. `InvariantBroken` is raised on.
+        ever receiving another change. `InvariantBroken` is raised on. It counts as no
+        failure of the store, which may have responded.
         """
         try:
             await self._query()
@@ -160,7 +164,12 @@
             error = "".join(format_exception(failure))
             log_event("follow_failed", logging.ERROR, table=self._name, error=error)
             self._resume_position = None
-            self._failure_count += 1
+            self._fault_count += 1
+            self.faults += 1
+
+    @property
+    def _trouble_count(self) -> int:
+        return self._failure_count + self._fault_count
 
     async def _query(self) -> None:
         query = self._sent = StoreQuery(self.clock.now_ms(), self._hold_ms())
@@ -293,6 +302,9 @@
         self._resume_position = table_read.position
         self._order.applied(table_read.position, now_ms)
         self.feed.took(table_read, confirmed_ms, failing=self._failure_count > 0)
+        if self._fault_count:
+            log_event("table_back", table=self._name, faults=self._fault_count)
+            self._fault_count = 0
 
     def _shows_return(self, table_read: TableRead) -> bool:
         """Whether the store responded after it had failed, to this instance or another.
@@ -393,11 +405,11 @@
             )
 
     def _pause_s(self) -> float:
-        if self._response_lost and self._failure_count == 1:
+        if self._response_lost and self._trouble_count == 1:
             # The store may be sound, and the query took its time already.
             return 0.0
         doubled_ms = _FIRST_PAUSE_MS * 2.0 ** min(
-            self._failure_count - 1, _MAX_DOUBLINGS
+            self._trouble_count - 1, _MAX_DOUBLINGS
         )
         jitter = 0.5 + self.random.random() / 2
         return float(min(doubled_ms, _LONGEST_PAUSE_MS) * jitter / 1000)
--- a/tests/cover/test_follow_task.py
+++ b/tests/cover/test_follow_task.py
@@ -306,3 +306,25 @@
     )
     table.on_source_return.assert_not_called()
     task.stop()
+
+
+def test_an_exception_of_this_program_is_no_outage_of_the_store(monkeypatch):
+    """Guards against logging that the store is back, though it was never away."""
+    events: list[str] = []
+    monkeypatch.setattr(
+        "coursekeel.gateway.site._follow_task.log_event",
+        lambda event, *_, **__: events.append(event),
+    )
+    reactor, source = FakeReactor(), ScriptedSource()
+    task, table, _ = followed_table(reactor, source)
+    source.answers[0].callback(TableRead((), position_at(3), 0.0, whole=True))
+    reactor.advance(0.1)
+    source.answers[1].errback(ValueError("injected"))
+    reactor.advance(1)
+    source.answers[2].errback(ValueError("injected"))
+    reactor.advance(1)
+    source.answers[3].callback(TableRead((), position_at(3), 2_100.0, whole=True))
+    table.on_source_return.assert_not_called()
+    assert events == ["follow_failed", "follow_failed", "table_back"]
+    assert task.faults == 2
+    task.stop()
