Fix: a number of very many digits raised where text from outside is read

The operator listed an address whose port has thousands of digits; all machines returned, and no instance read the list of endpoints while the row stood (follow_failed at each query). Callers whose Deadline-Ms, Last-Event-Id or Token-Usage had 5,000 digits got a closed connection, an era of as many failed the table. Cause: int() raises ValueError above 4,300 digits, after isdigit() had said that the text is a number. Readers expect their own error. The class: a check that doesn't imply that the conversion succeeds, at each reader for itself. Change: coursekeel.numbers reads whole numbers, with their bound, in one place: addresses, eras, positions, members' addresses, terms of relayed requests, numbers of events, callers' headers. A caller's number above 64 bits counts as the largest.

--- a/src/coursekeel/forwarding/_events.py
+++ b/src/coursekeel/forwarding/_events.py
@@ -7,6 +7,7 @@
 from attrs import define, field
 
 from coursekeel.answers import OfferOutcome, OfferResult
+from coursekeel.numbers import parse_whole
 
 __all__ = ["EventLedger", "event_number", "split_events"]
 
@@ -68,6 +69,5 @@
     """The number in an event's ``id`` line; None if it has no valid one."""
     for line in event.split(b"\n"):
         if line.startswith(b"id:"):
-            text = line[3:].strip()
-            return int(text) if text.isdigit() else None
+            return parse_whole(line[3:].strip())
     return None
--- a/src/coursekeel/forwarding/_moment.py
+++ b/src/coursekeel/forwarding/_moment.py
@@ -9,8 +9,13 @@
 
 from attrs import frozen
 
+from coursekeel.numbers import parse_whole
+
 __all__ = ["StorePosition"]
 
+# What a JSON number of the store can hold.
+_MAX_VERSION = 2**64 - 1
+
 
 @frozen(order=True)
 class StorePosition:
@@ -28,7 +33,8 @@
     @classmethod
     def parse(cls, text: str) -> "StorePosition":
         """Parse the result of `str`; raises `ValueError`."""
-        era, _, version = text.partition(".")
-        if not (era.isascii() and era.isdigit()):
-            raise ValueError(f"got {text!r}, expected ERA.VERSION")
-        return cls(int(era), int(version))
+        era_text, _, version_text = text.partition(".")
+        era, version = parse_whole(era_text), parse_whole(version_text, _MAX_VERSION)
+        if era is None or version is None:
+            raise ValueError(f"got {text!r:.60}, expected ERA.VERSION")
+        return cls(era, version)
--- a/src/coursekeel/gateway/relay/_relay_wire.py
+++ b/src/coursekeel/gateway/relay/_relay_wire.py
@@ -13,6 +13,7 @@
 from coursekeel.fetch import ExchangeHead
 from coursekeel.gateway._adapters import HeaderPairs
 from coursekeel.gateway.admission._refusals import GatewayRefusal
+from coursekeel.numbers import parse_whole
 from coursekeel.units import MS_PER_SECOND
 
 __all__ = [
@@ -66,11 +67,12 @@
             f"got {len(groups)} groups and {len(tries)} numbers of tries, "
             "expected one of each"
         )
-    if not tries[0].isdigit() or not 1 <= int(tries[0][:9]) <= _MAX_TRIES:
+    number = parse_whole(tries[0], _MAX_TRIES)
+    if not number:
         return BadRelayTerms(
             f"tries: got {tries[0][:20]!r}, expected a number from 1 to {_MAX_TRIES}"
         )
-    return RelayTerms(groups[0].decode("latin-1"), int(tries[0]))
+    return RelayTerms(groups[0].decode("latin-1"), number)
 
 
 def without_relay_headers(headers: HeaderPairs) -> list[tuple[bytes, bytes]]:
--- a/src/coursekeel/group/_members.py
+++ b/src/coursekeel/group/_members.py
@@ -16,6 +16,7 @@
 from attrs import define, field, frozen
 
 from coursekeel.group._messages import MemberState, News
+from coursekeel.numbers import parse_port
 
 __all__ = ["MAX_UPDATES_PER_MESSAGE", "MemberEvent", "MemberEventKind", "Members"]
 
@@ -27,7 +28,6 @@
 # Limits the memory that updates of an unknown sender can use; docs/CAPACITY.md plans
 # for 380 members.
 _MAX_MEMBERS = 1_000
-_MAX_PORT = 65_535  # RFC 9293
 
 _STATE_RANKS = {
     MemberState.ALIVE: 0,
@@ -241,4 +241,4 @@
 
 def _is_address(text: str) -> bool:
     host, _, port = text.rpartition(":")
-    return bool(host) and port.isascii() and port.isdigit() and int(port) <= _MAX_PORT
+    return bool(host) and parse_port(port) is not None
--- a/src/coursekeel/settings/_load.py
+++ b/src/coursekeel/settings/_load.py
@@ -12,6 +12,7 @@
 import json5
 
 from coursekeel.errors import SettingsInvalid
+from coursekeel.numbers import parse_whole
 from coursekeel.settings._gateway import (
     AnswerSettings,
     CanarySettings,
@@ -153,7 +154,7 @@
 
 def _is_address(text: str) -> bool:
     host, _, port = text.rpartition(":")
-    return bool(host) and port.isdigit() and int(port) <= _MAX_PORT
+    return bool(host) and parse_whole(port, _MAX_PORT) is not None
 
 
 def _with_profile(value: dict[str, Any]) -> tuple[dict[str, Any], list[str]]:
--- a/tests/platform/test_malformed_input.py
+++ b/tests/platform/test_malformed_input.py
@@ -108,6 +108,8 @@
     SERVER | {"address": None},
     SERVER | {"address": "nowhere"},
     SERVER | {"address": "10.0.0.1:99999"},
+    SERVER | {"address": "10.0.0.1:" + "9" * 5_000},
+    SERVER | {"address": "10.0.0.1:0"},
     SERVER | {"slots": "four"},
     SERVER | {"slots": [4]},
     SERVER | {"zone": {"name": "z"}},
@@ -120,7 +122,11 @@
 ]
 
 
-@pytest.mark.parametrize("bad", BAD_SERVERS, ids=str)
+def short(value: Any) -> str:
+    return str(value)[:60]
+
+
+@pytest.mark.parametrize("bad", BAD_SERVERS, ids=short)
 def test_a_malformed_server_row_hides_no_other_row(bad):
     """Otherwise a malformed row keeps leaving servers in use."""
     follower = TableFollower(Table.ENDPOINTS)
@@ -177,7 +183,7 @@
 ]
 
 
-@pytest.mark.parametrize("bad", BAD_CONFIGURATIONS, ids=lambda value: str(value)[:60])
+@pytest.mark.parametrize("bad", BAD_CONFIGURATIONS, ids=short)
 def test_a_malformed_configuration_leaves_the_previous_one_in_force(bad):
     """Otherwise requests with a key would be refused until the next valid version."""
     follower = TableFollower(Table.CONFIGURATION)
@@ -239,9 +245,20 @@
     assert failures[0].check(InvariantBroken)
 
 
-def read_result(body: bytes, table: Table, whole: bool) -> Any:
+@pytest.mark.parametrize("era", ["9" * 5_000, str(2**63), "-1", "1.0", "x"], ids=short)
+def test_an_era_that_is_no_number_fails_the_query(era):
+    headers = {"store-era": era}
+    result = read_result(orjson.dumps(page([])), Table.ENDPOINTS, True, headers)
+    assert isinstance(result, SourceFailed)
+    assert "expected a whole number" in result.reason
+
+
+def read_result(
+    body: bytes, table: Table, whole: bool, headers: dict[str, str] | None = None
+) -> Any:
+    reply = HttpReply(200, "json", body, headers or {})
     source = PlatformSource(FakeReactor(), "127.0.0.1:1")
-    source._rows._fetcher = Mock(ask=lambda *_: succeed(HttpReply(200, "json", body)))
+    source._rows._fetcher = Mock(ask=lambda *_: succeed(reply))
     call = (
         source.read(table, 1.0)
         if whole
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -143,6 +143,20 @@
     return convert_endpoint("i-1", decode_json(orjson.dumps(body), ServerForm))
 
 
+def test_long_numbers_of_callers_count_as_the_largest_ones():
+    """Guards against a number whose conversion raises, or whose cost has no bound."""
+    digits = b"9" * 5_000
+    caller = PlatformCallers().read(
+        [
+            (b"deadline-ms", digits),
+            (b"last-event-id", digits),
+            (b"token-usage", digits + b"," + digits),
+        ]
+    )
+    assert caller.deadline_ms == caller.resume_after == 2**63 - 1
+    assert caller.prompt_tokens == caller.output_tokens == 100_000_000
+
+
 def test_a_configuration_is_converted():
     converted = read_configuration(configuration())
     kinds = {route.name: route.kind for route in converted.routes}
