Fix: one request of a huge cost kept the fair queue's loop turning without end

What was seen: a stream whose Token-Usage has 12 digits or more; the instance computes at one core, and answers nothing that it holds or gets. Cause: each turn of the deficit round robin adds a quantum of 512 to a team's deficit, so that head() turns cost / 512 times, for ever once a quantum no longer changes the float. The class: a number from outside bounds a loop. Change: rounds in which no team's deficit covers a request are added at once, and a cost counts as 1e9 at most. The order of grants is unchanged. Measured: test_a_request_of_any_cost_is_granted_after_the_others_of_its_turn[1e+20] didn't end within 20 s before (timeout's status 124); all 20 tests of test_routing.py pass in 0.92 s, among them the order against a plain round robin by Hypothesis.

--- a/src/coursekeel/routing/_queue.py
+++ b/src/coursekeel/routing/_queue.py
@@ -1,8 +1,10 @@
 """Queue of the requests that wait for one pool in one class, fair among teams.
 
+Callers name the cost of their requests, so the time of each call is independent of it.
 Owns the order in which they are granted. A core; only `expired` takes the time.
 """
 
+import math
 from collections import deque
 
 from attrs import define, field
@@ -14,6 +16,8 @@
 # Deficit added per turn, in the unit of `PlacementRequest.cost`. Small against a long
 # prompt, so that turns pass often.
 _QUANTUM_COST = 512.0
+# The highest cost that is charged: quanta added to it count in full as floats.
+_MAX_COST = 1e9
 
 
 @define
@@ -62,20 +66,28 @@
 
     def head(self) -> PlacementRequest | None:
         """The request to grant next, the same until it is removed; None if empty."""
+        self._pass_rounds()
         while self._turns:
             team = self._teams[self._turns[0]]
             request = team.waiting[0]
-            if team.deficit >= request.cost:
+            if team.deficit >= _charged(request):
                 return request
             team.deficit += _QUANTUM_COST * team.weight
             self._turns.rotate(-1)
         return None
 
+    def _pass_rounds(self) -> None:
+        """Add the quanta of all rounds in which no team's deficit covers a request."""
+        rounds = min(map(_rounds_needed, self._teams.values()), default=0)
+        if rounds > 0:
+            for team in self._teams.values():
+                team.deficit += rounds * _QUANTUM_COST * team.weight
+
     def pop(self, request: PlacementRequest) -> None:
         """Remove the request that `head` returned, and charge its team."""
         team = self._teams[request.team]
         team.waiting.popleft()
-        team.deficit -= request.cost
+        team.deficit -= _charged(request)
         self._after_removal(request.team, request)
 
     def cost_ahead_of(self, team_name: str) -> float:
@@ -110,3 +122,13 @@
         if not self._teams[name].waiting:
             del self._teams[name]
             self._turns.remove(name)
+
+
+def _charged(request: PlacementRequest) -> float:
+    return min(request.cost, _MAX_COST)
+
+
+def _rounds_needed(team: _TeamQueue) -> int:
+    """How many more quanta the team's first request needs."""
+    missing = _charged(team.waiting[0]) - team.deficit
+    return math.ceil(missing / (_QUANTUM_COST * team.weight))
--- a/tests/cover/test_routing.py
+++ b/tests/cover/test_routing.py
@@ -2,6 +2,7 @@
 
 from random import Random
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -147,6 +148,53 @@
     assert queue.waiting == 0
 
 
+def grant_by_single_quanta(waiting, quantum=512.0):
+    """The numbers of (team, cost) pairs in the order of plain deficit round robin."""
+    turns, queues, deficits, order = [], {}, {}, []
+    for number, (team, cost) in enumerate(waiting):
+        if team not in queues:
+            turns.append(team)
+            queues[team], deficits[team] = [], 0.0
+        queues[team].append((number, cost))
+    while turns:
+        team = turns[0]
+        number, cost = queues[team][0]
+        if deficits[team] < cost:
+            deficits[team] += quantum
+            turns.append(turns.pop(0))
+            continue
+        deficits[team] -= cost
+        order.append(number)
+        queues[team].pop(0)
+        if not queues[team]:
+            turns.pop(0)
+    return order
+
+
+@given(st.lists(st.tuples(st.sampled_from("abc"), st.integers(1, 9_000)), max_size=20))
+def test_the_fair_queue_grants_in_the_order_of_deficit_round_robin(waiting):
+    queue, order = FairQueue(), []
+    for number, (team, cost) in enumerate(waiting):
+        queue.add(make_request(number, team, float(cost)))
+    while (head := queue.head()) is not None:
+        queue.pop(head)
+        order.append(head.number)
+    assert order == grant_by_single_quanta(waiting)
+
+
+@pytest.mark.parametrize("cost", [2e8, 1e12, 1e20, 1e300])
+def test_a_request_of_any_cost_is_granted_after_the_others_of_its_turn(cost):
+    """Guards against a loop as long as the cost that a caller names."""
+    queue = FairQueue()
+    queue.add(make_request(0, "large", cost))
+    queue.add(make_request(1, "small", 512.0))
+    for number in (1, 0):
+        head = queue.head()
+        queue.pop(head)
+        assert head.number == number
+    assert queue.head() is None
+
+
 def test_a_flooding_team_does_not_delay_another():
     queue = FairQueue()
     for number in range(100):
