--- a/tests/platform/test_malformed_input.py
+++ b/tests/platform/test_malformed_input.py
@@ -12,6 +12,7 @@
 from twisted.internet.defer import Deferred, ensureDeferred, succeed
 from twisted.internet.task import Clock as FakeReactor
 
+from coursekeel.canary import RolloutState
 from coursekeel.errors import InvariantBroken
 from coursekeel.fetch import HttpReply
 from coursekeel.forwarding import EndpointDirectory, Freshness, StoreClock
@@ -31,8 +32,11 @@
 
 sys.path.insert(0, str(ROOT / "platform"))
 
+import _store
 from _endpoints import PlatformEndpoints
+from _rollouts import PlatformRollouts
 from _store import PlatformSource
+from _suspects import PlatformSuspects
 
 SETTINGS = GatewaySettings("g", "z", GatewayListen("h:1"), "s:1")
 SERVER = {"service": "plain", "address": "10.0.0.1:80", "zone": "z", "slots": 4}
@@ -159,6 +163,52 @@
     assert follower.directory.may_take("good", 0.0)
 
 
+def test_a_bug_in_reading_one_row_hides_no_other_row(monkeypatch):
+    """Guards against a list of endpoints that no instance reads while a row stands."""
+    convert = _store.convert_endpoint
+
+    def raise_for_bad(endpoint_id, form):
+        if endpoint_id == "bad":
+            raise ArithmeticError("injected")
+        return convert(endpoint_id, form)
+
+    follower = TableFollower(Table.ENDPOINTS)
+    follower.respond(page([row("servers", "bad", SERVER)]))
+    monkeypatch.setattr(_store, "convert_endpoint", raise_for_bad)
+    rows = [row("servers", "bad", SERVER), row("servers", "good", SERVER)]
+    for version in (6, 7):
+        follower.respond(page(rows, version))
+        assert follower.directory.may_take("good", 0.0)
+        assert follower.directory.may_take("bad", 0.0), "its last sound form is kept"
+    assert follower.task.faults == 0
+
+
+def test_a_row_whose_envelope_is_malformed_keeps_the_previous_server_record():
+    follower = TableFollower(Table.ENDPOINTS)
+    follower.respond(page([row("servers", "a", SERVER)]))
+    bad = row("servers", "a", SERVER) | {"ver": "2"}
+    body = orjson.dumps(page([bad], 6))
+    follower.site.apply_endpoints(read_result(body, Table.ENDPOINTS, True))
+    assert follower.directory.may_take("a", 0.0)
+
+
+@pytest.mark.parametrize("bad", [None, [], {"ver": 2}, {"key": 7, "ver": 2}], ids=str)
+def test_a_malformed_row_hides_no_record_of_another_rollout(bad):
+    record = {"state": "completed", "target-version": "v2"}
+    body = orjson.dumps(page([bad, row("status", "rollout/p", record)]))
+    rollouts = PlatformRollouts(FakeReactor(), "127.0.0.1:1")
+    rollouts._rows._fetcher = Mock(ask=lambda *_: succeed(HttpReply(200, "j", body)))
+    assert result_of(rollouts.read("p", 1.0)).state is RolloutState.COMPLETED
+
+
+@pytest.mark.parametrize("bad", [None, [], {"ver": 2}, {"key": 7, "ver": 2}], ids=str)
+def test_a_malformed_row_hides_no_other_suspect(bad):
+    body = orjson.dumps(page([bad, row("suspects", "f1", {"strikes": []})]))
+    suspects = PlatformSuspects(FakeReactor(), "127.0.0.1:1")
+    suspects._rows._fetcher = Mock(ask=lambda *_: succeed(HttpReply(200, "j", body)))
+    assert set(result_of(suspects.read(1.0)).values) == {"f1"}
+
+
 def test_a_malformed_update_keeps_the_previous_server_record():
     follower = TableFollower(Table.ENDPOINTS)
     follower.respond(page([row("servers", "a", SERVER)]))
@@ -264,6 +314,10 @@
         if whole
         else source.follow(table, position_at(1), 1.0, 1.0)
     )
+    return result_of(call)
+
+
+def result_of(call: Any) -> Any:
     results: list[Any] = []
     ensureDeferred(call).addBoth(results.append)
     return results[0]
