Fix: text in the form of an address became an endpoint to which nothing connects

What was seen: rows such as 'h :80', '[h:80', '::1:80', '127.1:80' or '[::%réseau]:80' were chosen for requests, each losing a try; connecting raised UnicodeError of the idna codec beside endpoint_ejected. Cause: an address was anything before the last colon and a port after it. Change: coursekeel.addresses takes an IPv4 address or a name by RFC 1123 (with underscores) and a port, for endpoints and for members of the group. Connections are made over IPv4 only, so IPv6 is refused too. Names stay allowed; the users' pages speak of IP numbers.

--- a/src/coursekeel/group/_members.py
+++ b/src/coursekeel/group/_members.py
@@ -15,8 +15,8 @@
 import xxhash
 from attrs import define, field, frozen
 
+from coursekeel.addresses import parse_address
 from coursekeel.group._messages import MemberState, News
-from coursekeel.numbers import parse_port
 
 __all__ = ["MAX_UPDATES_PER_MESSAGE", "MemberEvent", "MemberEventKind", "Members"]
 
@@ -153,7 +153,7 @@
     def _add(self, update: News, now_ms: float) -> None:
         if update.state not in (MemberState.ALIVE, MemberState.SUSPECT):
             return
-        if len(self._members) >= _MAX_MEMBERS or not _is_address(update.address):
+        if len(self._members) >= _MAX_MEMBERS or not parse_address(update.address):
             return
         member = _Member(update.zone, update.incarnation, update.state, now_ms)
         self._members[update.address] = member
@@ -237,8 +237,3 @@
             member = self._members.get(address)
             if member is not None:
                 yield News(address, member.zone, member.incarnation, member.state)
-
-
-def _is_address(text: str) -> bool:
-    host, _, port = text.rpartition(":")
-    return bool(host) and parse_port(port) is not None
--- a/tests/platform/test_malformed_input.py
+++ b/tests/platform/test_malformed_input.py
@@ -107,6 +107,26 @@
         raise AssertionError("the task sent no further request")
 
 
+# Text that has the form HOST:PORT, and where nothing can listen.
+NO_ADDRESSES = [
+    "h :80",
+    "[h:80",
+    "http://h:80",
+    "::1:80",
+    "[::1]:80",
+    "127.1:80",
+    "127..1:80",
+    "127.0.0.256:80",
+    "[::%réseau]:80",
+    "user@h:80",
+    "réseau.example:80",
+    "h:80:80",
+    "-h:80",
+    "h\0:80",
+    "h" * 64 + ":80",
+    "h." * 127 + "h:80",
+    "٣.example:80",
+]
 BAD_SERVERS = [
     SERVER | {"address": 7},
     SERVER | {"address": None},
@@ -114,6 +134,7 @@
     SERVER | {"address": "10.0.0.1:99999"},
     SERVER | {"address": "10.0.0.1:" + "9" * 5_000},
     SERVER | {"address": "10.0.0.1:0"},
+    *(SERVER | {"address": address} for address in NO_ADDRESSES),
     SERVER | {"slots": "four"},
     SERVER | {"slots": [4]},
     SERVER | {"zone": {"name": "z"}},
