Fix: heads that aren't valid HTTP were taken as answers

A server sent an answer with the status 000, and the caller got it; on other systems the name of a field held a blank or a control byte. Cause: Twisted's client parser takes as a status whatever int() takes, any version, and any bytes as a field's value; nothing else looked. The class: a head is read by a parser that passes what the next program reads differently. Change: one check of status line and fields, as the lines arrive, at the protocol that all responses come through: requests, streams, reports, health checks, the store, members, relays and the entries' engines. What Twisted's parser refuses by itself is treated alike. Such a response ends as MALFORMED: a failure of the endpoint, no sign of its crash; the request may have run. response_malformed says what was received, escaped and cut.

--- a/src/coursekeel/addresses.py
+++ b/src/coursekeel/addresses.py
@@ -1,6 +1,6 @@
 """Parses the addresses of endpoints and instances that other programs list.
 
-Rule: an address is checked before it becomes an endpoint; one that nobody can connect to
+Rule: an address is checked before it becomes an endpoint: one to which nobody connects
 would cost each request that chooses it a try. Connections are made over IPv4, so a host
 is an IPv4 address or a name (RFC 1123 2.1, with underscores). Owns no state.
 """
--- a/src/coursekeel/entry/_gauges.py
+++ b/src/coursekeel/entry/_gauges.py
@@ -2,7 +2,7 @@
 
 from coursekeel.entry.answers._adoption_task import AdoptionTask
 from coursekeel.entry.answers._answer_registry import AnswerRegistry
-from coursekeel.fetch import OVERRUNS
+from coursekeel.fetch import MALFORMED, OVERRUNS
 from coursekeel.observe import Metrics
 from coursekeel.quarantine import Quarantine
 from coursekeel.routing import Router
@@ -36,6 +36,11 @@
         "Responses so far that were given up because they exceed a bound",
         lambda: OVERRUNS.total,
     )
+    gauge(
+        "coursekeel_responses_malformed",
+        "Responses so far that were given up because their heads are not valid",
+        lambda: MALFORMED.total,
+    )
     gauge(
         "coursekeel_suspect_requests",
         "Requests under which endpoints ended",
--- a/src/coursekeel/fetch/__init__.py
+++ b/src/coursekeel/fetch/__init__.py
@@ -19,8 +19,10 @@
 )
 from coursekeel.fetch._overruns import OVERRUNS, Overrun, record_overrun
 from coursekeel.fetch._own_link import OwnLink
+from coursekeel.fetch._response_head import MALFORMED
 
 __all__ = [
+    "MALFORMED",
     "OVERRUNS",
     "AnswerLost",
     "DirectAgents",
--- a/src/coursekeel/fetch/_bounded_protocol.py
+++ b/src/coursekeel/fetch/_bounded_protocol.py
@@ -9,15 +9,23 @@
 The number of interim responses counts within one read too: each has few bytes, and is
 parsed as a whole response.
 
+Each line of a head is checked by `_response_head` as it arrives.
+
 Owns the counts of one connection.
 """
 
 from http import HTTPStatus
 from typing import Any
 
+from twisted.internet.error import ConnectionDone
 from twisted.web._newclient import HTTP11ClientProtocol, HTTPClientParser
 
 from coursekeel.fetch._overruns import Overrun, record_overrun
+from coursekeel.fetch._response_head import (
+    check_field,
+    check_status_line,
+    record_malformed,
+)
 
 __all__ = ["MAX_HEAD_BYTES", "MAX_INTERIM_RESPONSES", "BoundedProtocol"]
 
@@ -33,6 +41,7 @@
 class BoundedProtocol(HTTP11ClientProtocol):
     """Closes its connection once a bound is exceeded, and then names it in ``overrun``.
 
+    It closes it at a head that isn't valid too, and then sets ``is_malformed``.
     ``body_bytes`` is to be raised by who receives the body; without that,
     ``counts_body`` must be false, and the framing isn't bounded.
     """
@@ -40,6 +49,7 @@
     counts_body = False
     body_bytes = 0
     overrun: Overrun | None = None
+    is_malformed = False
     _received_bytes = 0
     _interim_responses = 0
 
@@ -48,8 +58,34 @@
         sent = super().request(request)
         parser: Any = self._parser
         parser.allHeadersReceived = self._headers_received
+        parser.statusReceived = self._status_received
+        parser.headerReceived = self._field_received
         return sent
 
+    def _status_received(self, line: bytes) -> None:
+        check_status_line(line)
+        parser: Any = self._parser
+        HTTPClientParser.statusReceived(parser, line)
+
+    def _field_received(self, name: bytes, value: bytes) -> None:
+        check_field(name, value)
+        parser: Any = self._parser
+        HTTPClientParser.headerReceived(parser, name, value)
+
+    def _giveUp(self, reason: Any) -> None:
+        """The parser raised, or the connection isn't kept after a response."""
+        parser: Any = self._parser
+        in_head = parser is not None and parser.bodyDecoder is None
+        if in_head and not reason.check(ConnectionDone):
+            self.is_malformed = True
+            record_malformed(self._peer(), reason.getErrorMessage())
+        super()._giveUp(reason)
+
+    def _peer(self) -> str:
+        transport: Any = self.transport
+        peer = transport.getPeer()
+        return f"{peer.host}:{peer.port}"
+
     def _headers_received(self) -> None:
         """The headers of an interim response, or of the response itself, ended."""
         parser: Any = self._parser
@@ -89,6 +125,5 @@
             return
         self.overrun = overrun
         transport: Any = self.transport
-        peer = transport.getPeer()
-        record_overrun(overrun, f"{peer.host}:{peer.port}", self._received_bytes)
+        record_overrun(overrun, self._peer(), self._received_bytes)
         transport.abortConnection()
--- a/src/coursekeel/fetch/_exchange.py
+++ b/src/coursekeel/fetch/_exchange.py
@@ -41,6 +41,7 @@
     ``WITHHELD``: ``may_send`` returned false once connected, so nothing was sent.
     ``NO_ANSWER``: sent, but no response head arrived. ``CUT``: the body is incomplete.
     ``OVERRUN``: sent, and given up here as the response exceeds a bound (`Overrun`).
+    ``MALFORMED``: sent, and given up here as the response's head isn't valid.
     """
 
     WHOLE = "whole"
@@ -49,6 +50,7 @@
     NO_ANSWER = "no_answer"
     CUT = "cut"
     OVERRUN = "overrun"
+    MALFORMED = "malformed"
 
 
 @frozen
@@ -307,7 +309,11 @@
         self._end(Ending.NOT_SENT, failure.getErrorMessage() or failure.type.__name__)
 
     def _request_failed(self, failure: Any) -> None:
-        if not self._end_if_overrun():
+        if self._end_if_overrun():
+            return
+        if self._connection is not None and self._connection.is_malformed:
+            self._end(Ending.MALFORMED, "malformed_head")
+        else:
             self._end(Ending.NO_ANSWER, failure.type.__name__)
 
     def _end_if_overrun(self) -> bool:
--- a/src/coursekeel/gateway/_gauges.py
+++ b/src/coursekeel/gateway/_gauges.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Sequence
 
-from coursekeel.fetch import OVERRUNS
+from coursekeel.fetch import MALFORMED, OVERRUNS
 from coursekeel.gateway._dispatcher import Dispatcher
 from coursekeel.gateway._http import OpenConnections
 from coursekeel.gateway._metrics import GatewayMetrics
@@ -151,6 +151,11 @@
         "Responses so far that were given up because they exceed a bound",
         lambda: OVERRUNS.total,
     )
+    gauge(
+        "coursekeel_responses_malformed",
+        "Responses so far that were given up because their heads are not valid",
+        lambda: MALFORMED.total,
+    )
     bodies = dispatcher.context.bodies
     gauge(
         "coursekeel_collected_bytes",
--- a/tests/cover/test_response_bounds.py
+++ b/tests/cover/test_response_bounds.py
@@ -11,6 +11,7 @@
     AnswerLost,
     Ending,
     Exchange,
+    ExchangeHead,
     ExchangeRequest,
     ExchangeSink,
     Fetcher,
@@ -29,9 +30,13 @@
 
 class Sink(ExchangeSink):
     def __init__(self) -> None:
+        self.heads: list[ExchangeHead] = []
         self.body = bytearray()
         self.endings: list[tuple[Ending, str]] = []
 
+    def head_arrived(self, head: ExchangeHead) -> None:
+        self.heads.append(head)
+
     def data_arrived(self, data: bytes) -> None:
         self.body += data
 
