Fix: a body announced as too long was waited for, and a long length got no answer

What was seen: Content-Length of 20 or 400 digits, no answer for over 6 s; of 5,000 digits, a traceback and a closed connection. Cause: the gateway refused a body with 413 only once all of it had come, whatever its length said. Twisted converts a length of any number of digits by int(). Change: 413 goes out when the limit is exceeded or announced to be; the rest of the body is read for 2 s, so that no reset takes the refusal away.

--- a/src/coursekeel/entry/http/_site.py
+++ b/src/coursekeel/entry/http/_site.py
@@ -8,7 +8,7 @@
 from twisted.web.server import Request, Site
 
 from coursekeel.entry.http._common import error_body, not_run
-from coursekeel.runtime import BoundedBody
+from coursekeel.runtime import BoundedBody, with_bounded_length
 from coursekeel.settings import EntrySettings
 
 __all__ = ["bounded_site"]
@@ -52,6 +52,9 @@
         self.totalHeadersSize = self.header_limit_bytes
         super().connectionMade()
 
+    def headerReceived(self, line: bytes) -> bool:
+        return bool(super().headerReceived(with_bounded_length(line)))
+
 
 def bounded_site(resource: Any, settings: EntrySettings) -> Any:
     """Create a Twisted site that enforces the limits of the settings.
--- a/src/coursekeel/gateway/_http.py
+++ b/src/coursekeel/gateway/_http.py
@@ -21,7 +21,7 @@
 from coursekeel.gateway._adapters import HeaderPairs
 from coursekeel.gateway._request import RequestBody
 from coursekeel.observe import log_event
-from coursekeel.runtime import BoundedBody
+from coursekeel.runtime import BoundedBody, with_bounded_length
 from coursekeel.units import MS_PER_SECOND
 
 __all__ = [
@@ -38,6 +38,10 @@
 # How long a caller may pause while it sends a request, at least.
 _READ_TIMEOUT_S = 15
 
+# How long the rest of a body that was refused is read: a close before a caller has sent
+# it would reset the connection, and the refusal might be lost.
+_REFUSED_BODY_S = 2.0
+
 # How long a connection that is cut may take to send what is written to it.
 _CUT_FLUSH_S = 0.25
 
@@ -77,6 +81,11 @@
         if self.has_no_room:
             self._free_body()
 
+    def body_too_large(self) -> None:
+        """Refuse the request before the rest of its body, which may never come."""
+        channel: Any = self.channel
+        channel.refuse_body(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+
     def take_body(self) -> RequestBody:
         """Return the body, which is counted until this request ends, and freed then."""
         self._taken_body = RequestBody(self.content.getvalue())
@@ -101,7 +110,9 @@
     def requestReceived(self, command: bytes, path: bytes, version: bytes) -> None:
         self.method, self.uri, self.clientproto = command, path, version
         if self.body_is_too_large:
-            self._refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+            # It was refused already.
+            channel: Any = self.channel
+            channel.loseConnection()
         elif self.has_no_room:
             self.responseHeaders.setRawHeaders(b"retry-after", [_NO_ROOM_RETRY_AFTER])
             self._refuse(HTTPStatus.SERVICE_UNAVAILABLE)
@@ -337,6 +348,16 @@
             transport.dataBuffer, transport.offset = b"", 0
             transport._tempDataBuffer, transport._tempDataLen = [], 0
 
+    def headerReceived(self, line: bytes) -> bool:
+        return bool(super().headerReceived(with_bounded_length(line)))
+
+    def refuse_body(self, status: HTTPStatus) -> None:
+        """Answer a request at once, and read the rest of its body for a short time."""
+        head = f"HTTP/1.1 {status.value} {status.phrase}\r\nconnection: close\r\n"
+        transport: Any = self.transport
+        transport.write(f"{head}content-length: 0\r\n\r\n".encode())
+        self._abort_call = self.callLater(_REFUSED_BODY_S, self.abort)
+
     def cut(self) -> None:
         """Close the connection, soon also if the caller doesn't read what was sent."""
         transport: Any = self.transport
--- a/src/coursekeel/runtime/__init__.py
+++ b/src/coursekeel/runtime/__init__.py
@@ -1,7 +1,7 @@
 """Code shared by all roles: process, clock, periodic work, drivers of the cores."""
 
 from coursekeel.runtime._answer_driver import AnswerDriver, AnswerShell
-from coursekeel.runtime._bounded_body import BoundedBody
+from coursekeel.runtime._bounded_body import BoundedBody, with_bounded_length
 from coursekeel.runtime._clock import Clock
 from coursekeel.runtime._periodic import Periodic, spawn
 from coursekeel.runtime._process import Role, install_reactor, run_role
@@ -18,4 +18,5 @@
     "install_reactor",
     "run_role",
     "spawn",
+    "with_bounded_length",
 ]
--- a/src/coursekeel/runtime/_bounded_body.py
+++ b/src/coursekeel/runtime/_bounded_body.py
@@ -7,7 +7,22 @@
 from io import BytesIO
 from typing import Any
 
-__all__ = ["BoundedBody"]
+from coursekeel.numbers import saturating_whole
+
+__all__ = ["BoundedBody", "with_bounded_length"]
+
+_LENGTH = b"content-length:"
+
+
+def with_bounded_length(line: bytes) -> bytes:
+    """A header line that Twisted can parse: a length of any number of digits is cut.
+
+    It stays above each limit on bodies. Twisted raises `ValueError` for a long one.
+    """
+    if line[: len(_LENGTH)].lower() != _LENGTH:
+        return line
+    length = saturating_whole(line[len(_LENGTH) :].strip(b" \t"))
+    return line if length is None else _LENGTH + str(length).encode()
 
 
 class BoundedBody:
--- a/tests/nocover/test_bad_input.py
+++ b/tests/nocover/test_bad_input.py
@@ -98,9 +98,10 @@
         return connection.recv(4096)
 
 
-def test_a_body_over_the_limit_is_refused_by_its_length(entry):
+@pytest.mark.parametrize("digits", [11, 20, 400, 5_000])
+def test_a_body_over_the_limit_is_refused_by_its_length(entry, digits):
     head = b"POST /v1/completions HTTP/1.1\r\nHost: x\r\n"
-    head += b"Content-Length: 99999999999\r\n\r\n"
+    head += b"Content-Length: " + b"9" * digits + b"\r\n\r\n"
     assert send_raw(entry, head).startswith(b"HTTP/1.1 413")
 
 
--- a/tests/platform/test_callers_numbers.py
+++ b/tests/platform/test_callers_numbers.py
@@ -1,6 +1,7 @@
 """Whatever number a caller's header holds, it is answered, and so are others."""
 
 import socket
+import time
 
 import pytest
 
@@ -40,3 +41,18 @@
     """Guards against a traceback in place of an answer, and a loop without end."""
     assert status_of(site, path, **{name: DIGITS[digits]}) == 200
     assert status_of(site, "/again/1") == 200
+
+
+@pytest.mark.parametrize("path", ["/stream/4", "/again/1", "/once/1"])
+@pytest.mark.parametrize("digits", DIGITS)
+def test_a_body_announced_as_too_long_is_refused_at_once(site, digits, path):
+    """Guards against waiting for a body that nobody can send."""
+    began_s = time.monotonic()
+    assert status_of(site, path, content_length=DIGITS[digits]) == 413
+    assert time.monotonic() - began_s < 1
+    assert status_of(site, "/again/1") == 200
+
+
+def test_a_caller_that_sends_all_of_a_refused_body_can_read_the_refusal(site):
+    assert site.ask("/once/1", b"b" * 1_000_000).status == 413
+    assert "Traceback" not in site.log()
