Fix: text that is no Unicode in one row kept the whole page from being read

What was seen: a lone surrogate in a row's value, escaped in the response; gateways that started beside it were never ready (store_lost, not JSON: no low surrogate). Cause: orjson refuses the document for such text, wherever it stands. The same class: the next page began after the key of the last row, and a malformed last row failed the read. Change: a page that orjson refuses is parsed by the standard library, which keeps lone surrogates; numbers that no float holds, NaN and deep nesting stay errors. A row whose key can't be encoded is unreadable. The next page begins after the last readable key.

--- a/tests/platform/test_malformed_input.py
+++ b/tests/platform/test_malformed_input.py
@@ -24,6 +24,11 @@
     TableRead,
 )
 from coursekeel.gateway._live_settings import LiveSettings
+from coursekeel.gateway.members._reading_codec import (
+    RelayedTableRead,
+    decode_table_read,
+    encode_table_read,
+)
 from coursekeel.gateway.site._follow_task import FollowedTable, TableWatchTask
 from coursekeel.gateway.site._site_state import SiteState
 from coursekeel.settings import GatewayListen, GatewaySettings
@@ -316,6 +321,48 @@
     assert failures[0].check(InvariantBroken)
 
 
+RAW_TEXTS = [rb"AAA\ud800", rb"\udfff", b"AAA\xff", b"\xed\xa0\x80", b"A\x00A", b"A\nA"]
+
+
+@pytest.mark.parametrize("text", RAW_TEXTS, ids=short)
+@pytest.mark.parametrize("name", ["key", "value", "table", "other"])
+def test_text_that_is_no_unicode_in_one_row_hides_no_other_row(name, text):
+    """Guards against a gateway that never becomes ready beside one such row."""
+    bad = row("servers", "bad", SERVER) | {name: "TEXT"}
+    rows = [bad, row("servers", "good", SERVER)]
+    body = orjson.dumps(page(rows)).replace(b'"TEXT"', b'"' + text + b'"')
+    result = read_result(body, Table.ENDPOINTS, True)
+    follower = TableFollower(Table.ENDPOINTS)
+    follower.site.apply_endpoints(result)
+    assert follower.directory.may_take("good", 0.0)
+    # Members can read it too.
+    read = RelayedTableRead(position_at(5), True, 0.0, 0.0, False, result.entries)
+    assert decode_table_read(encode_table_read(read)) == read
+
+
+def test_a_page_that_ends_with_a_malformed_row_is_followed_by_the_next():
+    good = row("servers", "a", SERVER)
+    pages = [page([good, None], more=True), page([row("servers", "b", SERVER)])]
+    urls = []
+
+    def ask(_method: str, url: str, _timeout_ms: float) -> Any:
+        urls.append(url)
+        return succeed(HttpReply(200, "json", orjson.dumps(pages[len(urls) - 1])))
+
+    source = PlatformSource(FakeReactor(), "127.0.0.1:1")
+    source._rows._fetcher = Mock(ask=ask)
+    result = result_of(source.read(Table.ENDPOINTS, 1.0))
+    ids = {getattr(each.entry, "endpoint_id", "") for each in result.entries}
+    assert ids == {"a", "", "b"}
+    assert urls[1].endswith("from=a%00")
+
+
+@pytest.mark.parametrize("number", ["1e400", "-1e400", "NaN", "Infinity", "9" * 5_000])
+def test_a_number_that_no_float_holds_beside_such_text_fails_the_query(number):
+    body = b'{"rows": ["\\ud800"], "ver": 5, "now_ms": %b}' % number.encode()
+    assert isinstance(read_result(body, Table.ENDPOINTS, True), SourceFailed)
+
+
 @pytest.mark.parametrize("era", ["9" * 5_000, str(2**63), "-1", "1.0", "x"], ids=short)
 def test_an_era_that_is_no_number_fails_the_query(era):
     headers = {"store-era": era}
@@ -365,6 +412,25 @@
     assert isinstance(result, TableRead | HistoryExpired | SourceFailed)
 
 
+PARTS = st.lists(
+    st.binary(max_size=8)
+    | st.sampled_from([b'{"rows":[', b"[", b"]", b"{", b"}", b",", b'"', b":", b"null"])
+    | st.sampled_from([b'],"ver":5,"now_ms":1}', b"\\ud800", b"-", b"1e400", b"NaN"]),
+    max_size=12,
+).map(b"".join)
+
+
+@given(body=PARTS, table=st.sampled_from(Table))
+def test_any_bytes_give_a_read_or_a_failure(body, table):
+    result = read_result(body, table, True)
+    assert isinstance(result, TableRead | HistoryExpired | SourceFailed)
+
+
+def test_a_page_of_a_hundred_thousand_brackets_fails_the_query():
+    body = b"[" * 100_000
+    assert isinstance(read_result(body, Table.ENDPOINTS, True), SourceFailed)
+
+
 @given(changes=st.dictionaries(st.sampled_from(sorted(SERVER)), JSON), good=st.text())
 def test_no_server_row_affects_another(changes, good):
     rows = [
