Fix: one response with a wrong time of the store made keys count as unconfirmed

What was seen: now_ms 1e308 for half a second; two of three instances refuse all requests with a key from then on. Cause: each response bounds the offset of the store's clock from above, and the lowest bound is kept. One wrong time put it so low that all later responses seemed to be as old as the process, until bounds that contradict each other were reset after 30 s. Change: replicas lag and never lead, so a response that is ahead of the bounds by over 60 s isn't used, and counts as a failed query; after 30 s of such the clock counts as having jumped. A process that starts in that moment, and a lead of less than 60 s, still cost up to 30 s of refusals: the safe side.

--- a/src/coursekeel/forwarding/_freshness.py
+++ b/src/coursekeel/forwarding/_freshness.py
@@ -29,6 +29,9 @@
 # Bounds that contradict each other for longer mean that a clock stopped or jumped; for
 # less, a lagging replica may have responded.
 _MAX_CONTRADICTION_MS = 30_000.0
+# A response of a store whose clock is ahead by more isn't used: replicas lag, and never
+# lead.
+_MAX_LEAD_MS = 60_000.0
 
 
 def confirmed_time_ms(sent_ms: float, received_ms: float, held_ms: float) -> float:
@@ -51,7 +54,8 @@
     one bounds the offset from both sides. The closest bounds are kept, and widened with
     time, since the clocks drift. They show when a response was delayed on the way or
     came from a lagging replica. Bounds that contradict each other for long mean that a
-    clock stopped or jumped, and are reset.
+    clock stopped or jumped, and are reset. One response with a wrong time mustn't make
+    the bounds contradict each other: see `is_ahead`.
     """
 
     _max_offset_ms: float = math.inf
@@ -59,6 +63,23 @@
     _bounds_at_ms: float = 0.0
     _consistent_at_ms: float = 0.0
     _era: int = 0
+    _ahead_since_ms: float = math.inf
+
+    def is_ahead(self, era: int, store_ms: float, received_ms: float) -> bool:
+        """Whether a response's time is ahead by more than any earlier one allows.
+
+        After `_MAX_CONTRADICTION_MS` of them the clock counts as having jumped.
+        """
+        self._update_bounds(era, received_ms)
+        lead_ms = store_ms + self._min_offset_ms - received_ms
+        if lead_ms <= _MAX_LEAD_MS:
+            self._ahead_since_ms = math.inf
+            return False
+        self._ahead_since_ms = min(self._ahead_since_ms, received_ms)
+        if received_ms - self._ahead_since_ms <= _MAX_CONTRADICTION_MS:
+            return True
+        self._reset_bounds()
+        return False
 
     def latest_ms(self, era: int, store_ms: float, received_ms: float) -> float:
         """The latest local time at which the store can have made a response.
@@ -89,8 +110,12 @@
             self._consistent_at_ms = self._bounds_at_ms
         contradicted_ms = self._bounds_at_ms - self._consistent_at_ms
         if era > self._era or contradicted_ms > _MAX_CONTRADICTION_MS:
-            self._era, self._consistent_at_ms = max(era, self._era), self._bounds_at_ms
-            self._max_offset_ms, self._min_offset_ms = math.inf, -math.inf
+            self._era = max(era, self._era)
+            self._reset_bounds()
+
+    def _reset_bounds(self) -> None:
+        self._consistent_at_ms, self._ahead_since_ms = self._bounds_at_ms, math.inf
+        self._max_offset_ms, self._min_offset_ms = math.inf, -math.inf
 
 
 @define
--- a/src/coursekeel/gateway/site/_follow_task.py
+++ b/src/coursekeel/gateway/site/_follow_task.py
@@ -197,6 +197,9 @@
     def _checked_reading(self, table_read: TableRead) -> TableRead | None:
         """The snapshot or update if it may be applied, or None; handles the others."""
         position = table_read.position
+        if self._is_ahead(table_read):
+            self._source_failed(f"its clock is ahead: {table_read.store_ms:.0f} ms")
+            return None
         verdict = self._order.judge(
             position, table_read.whole, self._made_by_ms(table_read)
         )
@@ -221,6 +224,12 @@
             self._read_behind(table_read, known)
         return None
 
+    def _is_ahead(self, table_read: TableRead) -> bool:
+        """Whether the store's time in its own response can't be true."""
+        return table_read.confirmed_ms is None and self.store_clock.is_ahead(
+            table_read.position.era, table_read.store_ms, self.clock.now_ms()
+        )
+
     def _made_by_ms(self, table_read: TableRead) -> float:
         """The latest local time at which the store can have made this response."""
         if table_read.confirmed_ms is not None:
--- a/tests/cover/test_follow_task.py
+++ b/tests/cover/test_follow_task.py
@@ -328,3 +328,36 @@
     assert events == ["follow_failed", "follow_failed", "table_back"]
     assert task.faults == 2
     task.stop()
+
+
+def respond_in_time(reactor, source, lead_ms=0.0):
+    """Answer the last query; the store's clock is ahead by ``lead_ms``."""
+    store_ms = reactor.seconds() * 1000 + lead_ms
+    source.answers[-1].callback(TableRead((), position_at(3), store_ms, whole=True))
+    reactor.advance(1)
+
+
+def test_a_store_whose_clock_jumps_for_a_moment_confirms_again_at_once():
+    """Guards against refusing all keys after a single response with a wrong time."""
+    reactor, source = FakeReactor(), ScriptedSource()
+    reactor.advance(100)
+    task, _, freshness = followed_table(reactor, source)
+    for lead_ms in (0.0, 61_000.0, 1e15, 0.0):
+        respond_in_time(reactor, source, lead_ms)
+    task.stop()
+    # The last query was sent within the pause after a failure, 0.6 s at most.
+    assert freshness.age_ms("endpoints", reactor.seconds() * 1000) < 2_000
+
+
+def test_a_store_whose_clock_jumped_for_good_is_followed_again_after_a_while():
+    reactor, source = FakeReactor(), ScriptedSource()
+    reactor.advance(100)
+    task, _, freshness = followed_table(reactor, source)
+    respond_in_time(reactor, source)
+    for _ in range(30):
+        respond_in_time(reactor, source, 1e9)
+        assert freshness.age_ms("endpoints", reactor.seconds() * 1000) > 1_000
+    for _ in range(3):
+        respond_in_time(reactor, source, 1e9)
+    task.stop()
+    assert freshness.age_ms("endpoints", reactor.seconds() * 1000) < 2_000
--- a/tests/platform/test_malformed_input.py
+++ b/tests/platform/test_malformed_input.py
@@ -281,6 +281,8 @@
         page("rows"),
         page([], version="5"),
         page([], now_ms="soon"),
+        page([], now_ms=1e308),
+        page([], now_ms=-1e308),
         page([], more=True),
         page([None], more=True),
     ],
