--- a/src/coursekeel/forwarding/_model.py
+++ b/src/coursekeel/forwarding/_model.py
@@ -82,7 +82,9 @@
         usable = [share for share in self.pools if share.weight > 0]
         if not usable:
             return ""
-        weights = [share.weight for share in usable]
+        # Scaled, as the sum of the largest floats is infinite.
+        largest = max(share.weight for share in usable)
+        weights = [share.weight / largest for share in usable]
         return random.choices(usable, weights)[0].pool
 
 
--- a/tests/platform/test_malformed_input.py
+++ b/tests/platform/test_malformed_input.py
@@ -2,6 +2,7 @@
 
 import sys
 from base64 import b64encode
+from random import Random
 from typing import Any
 from unittest.mock import Mock
 
@@ -323,6 +324,51 @@
     assert failures[0].check(InvariantBroken)
 
 
+NUMBERS = st.sampled_from(
+    [0, -1, 1, 2**31, 2**63, 2**64 - 1, 1e300, 1e308, -1e308, 5e-324, 0.5]
+)
+
+
+@given(duration=NUMBERS)
+def test_an_order_of_any_duration_keeps_the_configuration_readable(duration):
+    order = {"service": "p", "target-version": "v2", "duration-s": duration}
+    follower = TableFollower(Table.CONFIGURATION)
+    rows = [row("op", "rollout/p", order), row("op", "config", configuration(1))]
+    follower.respond(page(rows))
+    assert follower.site.routes.configuration.version == 1
+    assert follower.task.faults == 0
+
+
+@given(
+    route_numbers=st.fixed_dictionaries(
+        {}, optional=dict.fromkeys(("timeout-ms", "target-latency-ms"), NUMBERS)
+    ),
+    weights=st.lists(NUMBERS, min_size=1, max_size=3),
+    limits=st.fixed_dictionaries(
+        {}, optional=dict.fromkeys(("idle-timeout-ms", "max-body-bytes"), NUMBERS)
+    ),
+)
+def test_numbers_of_any_size_in_a_configuration_break_no_later_step(
+    route_numbers, weights, limits
+):
+    """Guards against a sum or a product that overflows where a request is routed."""
+    value = configuration(1)
+    value["routes"][0] |= route_numbers
+    value["routes"][0]["traffic-split"] = [
+        {"service": f"p{number}", "weight": weight}
+        for number, weight in enumerate(weights)
+    ]
+    value["limits"] = limits
+    follower = TableFollower(Table.CONFIGURATION)
+    follower.respond(page([row("op", "config", value)]))
+    assert follower.task.faults == 0
+    if follower.site.routes is None:
+        return
+    route = follower.site.routes.configuration.routes[0]
+    pool = route.pick_pool(Random(1))
+    assert (pool == "") == all(share.weight <= 0 for share in route.pools)
+
+
 RAW_TEXTS = [rb"AAA\ud800", rb"\udfff", b"AAA\xff", b"\xed\xa0\x80", b"A\x00A", b"A\nA"]
 
 
