Fix: at entries one malformed item hid or held up all others of its list

What would be seen: an instance without a zone in the platform's list, and the entry keeps its old list; a row of expiries whose minute is no number, and nothing later expires; an engine's status with a count of 1e308 or -1, taken as its load. Change: instances are read one by one (coursekeel.items), malformed expiries are logged and passed over, a malformed status counts as none (status_unreadable).

--- a/src/coursekeel/endpoints/_http_engine.py
+++ b/src/coursekeel/endpoints/_http_engine.py
@@ -1,5 +1,6 @@
 """Engines over HTTP: JSON requests, and streams of JSON lines."""
 
+import logging
 from http import HTTPStatus
 from typing import Any
 
@@ -33,10 +34,14 @@
     NotReached,
 )
 from coursekeel.intents import ModelName
+from coursekeel.observe import log_event
 from coursekeel.reactor import Reactor
 
 __all__ = ["HttpEngine"]
 
+# Longer texts are cut, to keep log lines short.
+_MAX_FAULT_CHARACTERS = 200
+
 # The response of an engine that checks epochs to an order with an old one.
 _OLD_EPOCH = HTTPStatus.CONFLICT
 # The longest line of a stream, which holds some tokens. It limits the memory that a
@@ -221,7 +226,14 @@
         reply = await self._call("GET", "/status", None, fetcher=fetcher)
         if isinstance(reply, Unreachable):
             return reply
-        return _status(orjson.loads(reply.body))
+        try:
+            return _status(orjson.loads(reply.body))
+        except (ArithmeticError, KeyError, TypeError, ValueError) as failure:
+            fault = f"{type(failure).__name__}: {failure}"[:_MAX_FAULT_CHARACTERS]
+            log_event(
+                "status_unreadable", logging.WARNING, fault=fault, at=self.address
+            )
+            return Unreachable(False, "unreadable status")
 
     async def give(self, order: Order, epoch: int, may_send: MaySend) -> OrderOutcome:
         """Send an order with the epoch of the group's lease."""
@@ -287,13 +299,20 @@
     return [head, order.request, b"}"]
 
 
+def _count(raw: dict[str, Any], name: str) -> int:
+    count = raw[name]
+    if type(count) is not int or count < 0:
+        raise ValueError(f"{name}: got {count!r:.40}, expected a count")
+    return count
+
+
 def _status(raw: dict[str, Any]) -> EndpointStatus:
     return EndpointStatus(
         incarnation=str(raw["incarnation"]),
         leaving=bool(raw["leaving"]),
-        running=int(raw["running"]),
-        queued=int(raw["queued"]),
-        slots=int(raw["slots"]),
+        running=_count(raw, "running"),
+        queued=_count(raw, "queued"),
+        slots=_count(raw, "slots"),
         serves=tuple(ModelName(*name) for name in raw["models"]),
         role=str(raw.get("role", "")),
     )
--- a/src/coursekeel/entry/answers/_expiry_task.py
+++ b/src/coursekeel/entry/answers/_expiry_task.py
@@ -2,8 +2,10 @@
 
 from random import Random
 
-from attrs import define, field
+from attrs import define, field, frozen
 
+from coursekeel.items import log_unreadable
+from coursekeel.numbers import parse_whole
 from coursekeel.observe import log_event
 from coursekeel.reactor import Reactor
 from coursekeel.runtime import Clock, Periodic
@@ -17,6 +19,14 @@
 _MAX_ROWS_PER_SCAN = 100
 
 
+@frozen
+class _Due:
+    """A row that expires after a minute of the wall clock, by its key."""
+
+    minute: int
+    key: str
+
+
 @define(eq=False)
 class ExpiryTask:
     """Deletes answers and claims whose retention time has passed.
@@ -50,11 +60,15 @@
             return
         now_minute = self.clock.wall_s() // SECONDS_PER_MINUTE
         for row in rows.rows.values():
-            if int(row.key.split("/")[1]) < now_minute:
-                await self._expire(row)
+            due = _due(row)
+            if due is None:
+                log_unreadable(
+                    "expires", row.key, "expected expires/MINUTE/… and a key"
+                )
+            elif due.minute < now_minute:
+                await self._expire(row, due.key)
 
-    async def _expire(self, due: Row) -> None:
-        key = due.value["key"]
+    async def _expire(self, due: Row, key: str) -> None:
         rows = await self.platform.read([key])
         if isinstance(rows, Unavailable):
             return
@@ -69,3 +83,12 @@
                     await self.platform.delete_object(row.value[field_name])
         await self.platform.transact(Transaction(expected, dict(writes)))
         log_event("expired", key=key)
+
+
+def _due(row: Row) -> _Due | None:
+    """What a row of the list of expiries says; None if it is malformed."""
+    minute = parse_whole(row.key.split("/")[1])
+    key = row.value.get("key")
+    if minute is None or not isinstance(key, str):
+        return None
+    return _Due(minute, key)
--- a/src/coursekeel/storage/_http.py
+++ b/src/coursekeel/storage/_http.py
@@ -14,6 +14,7 @@
     HttpReply,
     Transfer,
 )
+from coursekeel.items import log_unreadable, read_each
 from coursekeel.reactor import Reactor
 from coursekeel.storage._interface import (
     Committed,
@@ -123,7 +124,14 @@
         if not isinstance(reply, HttpReply) or reply.status != HTTPStatus.OK:
             return self._record_failure(reply)
         listed = orjson.loads(reply.body)["instances"]
-        return InstanceList(tuple(_instance(raw) for raw in listed))
+        instances = read_each(
+            "instances",
+            listed,
+            _instance,
+            ValueError,
+            lambda raw, fault: log_unreadable("instances", raw, fault),
+        )
+        return InstanceList(tuple(each for each in instances if each is not None))
 
     async def _call(
         self, method: str, path: str, data: bytes | None = None
@@ -169,7 +177,13 @@
     return None if raw is None else _existing_row(key, raw)
 
 
-def _instance(raw: dict[str, Any]) -> ListedInstance:
+def _instance(raw: Any) -> ListedInstance:
+    """Convert one instance; raises `ValueError`, which names the field."""
+    if not isinstance(raw, dict):
+        raise ValueError(f"got {raw!r:.40}, expected an object")
+    for name in ("instance_id", "kind", "zone", "address"):
+        if not isinstance(raw.get(name), str):
+            raise ValueError(f"{name}: got {raw.get(name)!r:.40}, expected a text")
     return ListedInstance(
         instance_id=raw["instance_id"],
         kind=raw["kind"],
