--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -40,6 +40,14 @@
     assert report.fault
 
 
+@pytest.mark.parametrize("name", ["running", "queued", "kv-used", "kv-total"])
+def test_a_report_with_a_negative_count_is_unreadable(name):
+    """Guards against a load below that of an idle server, which draws all requests."""
+    report = read_report(**{name: -1})
+    assert isinstance(report, UnreadableReport)
+    assert "expected counts from 0 on" in report.fault
+
+
 def response_head(status: int, **headers: str) -> ExchangeHead:
     pairs = [(k.replace("_", "-").encode(), v.encode()) for k, v in headers.items()]
     return ExchangeHead(status, pairs)
