--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -81,6 +81,9 @@
     ZONE_SILENT = "zone_silent"
     ENGINES_SILENT = "engines_silent"
     SERVICES_SILENT = "services_silent"
+    ENGINE_HEADS_INVALID = "engine_heads_invalid"
+    SERVICE_HEADS_INVALID = "service_heads_invalid"
+    ROWS_MALFORMED = "rows_malformed"
     SERVER_LEAVES = "server_leaves"
     SERVER_GONE = "server_gone"
     ROW_LAPSES = "row_lapses"
@@ -113,6 +116,7 @@
         FaultKind.SERVICE_TEARS,
         FaultKind.SERVICE_RESETS,
         FaultKind.SERVICE_LIMITS,
+        FaultKind.SERVICE_HEADS_INVALID,
     }
 )
 # Their rules count from some seconds after their beginning.
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -76,6 +76,19 @@
 _DOWN_S = 1.0
 _ALWAYS = {"crashed_by": GUILTY, "down_s": _DOWN_S}
 
+# What an operator may list as a server's address, and is none.
+_NO_ADDRESSES = (
+    "H",
+    "H :80",
+    "[H:80",
+    "http://H:80/",
+    "::1:80",
+    "127..1:80",
+    "H:" + "9" * 5_000,
+    ["127.0.0.1:80", "H:" + "9" * 5_000],
+    None,
+)
+
 # What the link between a gateway and the store does, and how late it is when slow: as
 # late as leaves a question answered.
 _SLOW_MS = 700.0
@@ -129,6 +142,8 @@
     FaultKind.SERVICE_FAILS: {"fail": _MANY},
     FaultKind.SERVICE_TEARS: {"torn": _MANY},
     FaultKind.SERVICE_RESETS: {"reset": _MANY},
+    FaultKind.ENGINE_HEADS_INVALID: {"invalid_head": _MANY},
+    FaultKind.SERVICE_HEADS_INVALID: {"invalid_head": _MANY},
 }
 # Under these a server isn't sound; one that preempts runs goes on with them.
 _UNSOUND = frozenset(
@@ -328,6 +343,8 @@
                 self.site.store(copy=True)
             case FaultKind.CONFIGURATION_CHANGED:
                 self._configure()
+            case FaultKind.ROWS_MALFORMED:
+                self._list_malformed_rows()
             case FaultKind.KEY_REVOKED:
                 self._key_changes(_SPARE_KEYS[target % len(_SPARE_KEYS)])
             case FaultKind.LAST_KEY_REVOKED:
@@ -365,6 +382,9 @@
             self._back(target)
         elif kind is FaultKind.STORE_RESTORED:
             self._store_restored()
+        elif kind is FaultKind.ROWS_MALFORMED:
+            keys = range(len(_NO_ADDRESSES))
+            self.site.put([("servers", f"malformed-{key}", None) for key in keys])
         elif kind is FaultKind.ENGINE_LEAVES:
             # What said that it leaves doesn't come back; another takes its place.
             self._engine_replaced(target)
@@ -375,6 +395,21 @@
             server_fault = ServerFault(target, begun_s, time.monotonic())
             self.evidence.server_faults.append(server_fault)
 
+    def _list_malformed_rows(self) -> None:
+        """List servers of both pools with what is no address; the operator ends it."""
+        row = self.site.server_row(0)[2]
+        pools = ("engines", "plain")
+        self.site.put(
+            [
+                (
+                    "servers",
+                    f"malformed-{number}",
+                    row | {"service": pools[number % 2], "address": address},
+                )
+                for number, address in enumerate(_NO_ADDRESSES)
+            ]
+        )
+
     def _set_faults(self, number: int, faults: dict) -> None:
         """Replace a server's faults; it goes on naming its limit."""
         named = {"names_limit": _LIMIT_PER_S} if number in self._limited_s else {}
--- a/tests/nocover/test_soak.py
+++ b/tests/nocover/test_soak.py
@@ -171,6 +171,27 @@
 )
 
 
+# Rows and answers that can't be read, beside gateways that come back and a store in
+# trouble.
+BAD_INPUT = Schedule(
+    18.0,
+    3,
+    9,
+    (
+        Fault(FaultKind.ROWS_MALFORMED, 1.5, 5.0),
+        Fault(FaultKind.SERVICE_HEADS_INVALID, 2.0, 2.5, 3),
+        Fault(FaultKind.ENGINE_HEADS_INVALID, 2.5, 2.5, 0),
+        Fault(FaultKind.GATEWAY_KILLED, 3.0, 1.0, 1),
+        Fault(FaultKind.GATEWAY_KILLED, 3.2, 1.0, 2),
+        Fault(FaultKind.ROWS_MALFORMED, 7.0, 2.5),
+        Fault(FaultKind.STORE_RESETS, 7.3, 0.8),
+        Fault(FaultKind.GATEWAY_STOPPED, 8.2, 1.0, 0),
+        Fault(FaultKind.ENGINE_HEADS_INVALID, 8.5, 1.0, 1),
+        Fault(FaultKind.SERVICE_HEADS_INVALID, 9.0, 0.9, 4),
+    ),
+)
+
+
 @pytest.mark.parametrize("said", [b"", b"HTTP/1.1 2"])
 def test_a_caller_notes_whether_any_byte_came_before_the_close(said):
     with socket.create_server(("127.0.0.1", 0)) as listener:
@@ -247,3 +268,11 @@
     assert len(played.evidence.left) == 8
     served = [each for each in played.evidence.calls if each.status == 200]
     assert len(served) > 100
+
+
+def test_rows_and_answers_that_cannot_be_read_break_no_promise():
+    played = play(BAD_INPUT)
+    assert played.violations == []
+    assert {each.status for each in played.evidence.calls} <= {0, 200, 502, 503, 504}
+    served = [each for each in played.evidence.calls if each.status == 200]
+    assert len(served) > 100
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -24,6 +24,13 @@
 from twisted.web.server import Site  # noqa: E402
 
 _EVENT_GAP_S = 0.02
+_INVALID_HEADS = (
+    b"HTTP/1.1 000 Some\r\n",
+    b"HTTP/1.1 99 Some\r\n",
+    b"HTTP/1.1 200 OK\r\nX More: 1\r\n",
+    b"HTTP/1.1 200 OK\r\nX\x01More: 1\r\n",
+    b"HTTP/1.1 200 OK\r\nX-More: 1\x002\r\n",
+)
 # Interval between the pieces of a response at limited bandwidth.
 _PIECE_INTERVAL_S = 0.05
 # Time from the start of a crashing request to the crash, and from the crash to the
@@ -562,11 +569,22 @@
                 return Deferred()
             delay_s = self.faults["hang_ms"] / 1000
             return deferLater(reactor, delay_s, self._run, request, path, headers, body)
+        if self._use_fault("invalid_head"):
+            return self._send_invalid_head(request, run_id)
         if self._use_fault("reset") or self.worker_is_down:
             request.transport.abortConnection()
             return Deferred()
         return self._run(request, path, headers, body)
 
+    def _send_invalid_head(self, request: Any, run_id: str) -> Any:
+        """Answer with a head that isn't HTTP, each time another, and then close."""
+        head = _INVALID_HEADS[len(self.ran) % len(_INVALID_HEADS)]
+        own = f"Request-Id: {run_id}\r\nResponse-Signature: sig-{self.name}\r\n"
+        rest = f"{own}Content-Length: 4\r\n\r\nbody"
+        request.transport.write(head + rest.encode())
+        request.transport.loseConnection()
+        return Deferred()
+
     def _run(self, request: Any, path: str, headers: dict[str, str], body: str) -> Any:
         """Work on a request, unless its sender has left meanwhile."""
         if request._disconnected:
