--- a/src/coursekeel/fetch/_response_head.py
+++ b/src/coursekeel/fetch/_response_head.py
@@ -30,7 +30,8 @@
 # RFC 9110 5.5.
 _FORBIDDEN_IN_VALUES = b"\x00\r\n"
 # Longer texts are cut, to keep log lines short.
-_MAX_FAULT_BYTES = 60
+_MAX_SHOWN_BYTES = 60
+_MAX_FAULT_CHARACTERS = 300
 
 
 class MalformedHead(Exception):
@@ -69,8 +70,9 @@
 def record_malformed(peer: str, fault: str) -> None:
     """Log and count a response whose head isn't valid; ``peer`` is its sender."""
     MALFORMED.total += 1
-    log_event("response_malformed", logging.WARNING, peer=peer, fault=fault)
+    shown = fault[:_MAX_FAULT_CHARACTERS]
+    log_event("response_malformed", logging.WARNING, peer=peer, fault=shown)
 
 
 def _cut(data: bytes) -> str:
-    return repr(data[:_MAX_FAULT_BYTES])
+    return repr(data[:_MAX_SHOWN_BYTES])
