Review: one class counts responses that were given up, for either reason

MalformedCount was OverrunCount again under another name; ResponseCount serves both. A test names the relay's header by its constant.

--- a/src/coursekeel/fetch/_overruns.py
+++ b/src/coursekeel/fetch/_overruns.py
@@ -10,7 +10,7 @@
 
 from coursekeel.observe import log_event
 
-__all__ = ["OVERRUNS", "Overrun", "OverrunCount", "record_overrun"]
+__all__ = ["OVERRUNS", "Overrun", "ResponseCount", "record_overrun"]
 
 
 class Overrun(Enum):
@@ -27,13 +27,13 @@
 
 
 @define
-class OverrunCount:
-    """The responses that this process has given up."""
+class ResponseCount:
+    """How many responses this process has given up, for one reason."""
 
     total: int = 0
 
 
-OVERRUNS = OverrunCount()
+OVERRUNS = ResponseCount()
 
 
 def record_overrun(overrun: Overrun, peer: str, received_bytes: int) -> None:
--- a/src/coursekeel/fetch/_response_head.py
+++ b/src/coursekeel/fetch/_response_head.py
@@ -10,13 +10,11 @@
 import logging
 import re
 
-from attrs import define
-
+from coursekeel.fetch._overruns import ResponseCount
 from coursekeel.observe import log_event
 
 __all__ = [
     "MALFORMED",
-    "MalformedCount",
     "MalformedHead",
     "check_field",
     "check_status_line",
@@ -38,14 +36,7 @@
     """The head isn't valid; the text says what was received and what is expected."""
 
 
-@define
-class MalformedCount:
-    """The responses with invalid heads that this process has received."""
-
-    total: int = 0
-
-
-MALFORMED = MalformedCount()
+MALFORMED = ResponseCount()
 
 
 def check_status_line(line: bytes) -> None:
--- a/tests/cover/test_numbers.py
+++ b/tests/cover/test_numbers.py
@@ -6,6 +6,7 @@
 
 from coursekeel.forwarding import StorePosition, event_number
 from coursekeel.gateway.relay._relay_wire import (
+    _TRIES_HEADER,
     RELAY_HEADER,
     BadRelayTerms,
     read_terms,
@@ -57,7 +58,7 @@
 def test_long_numbers_of_peers_are_refused_by_each_reader(digits):
     """Guards against `ValueError` where a reader's own error is expected."""
     assert event_number(f"id: {digits}\ndata: x\n\n".encode()) is None
-    terms = [(RELAY_HEADER, b"g"), (b"coursekeel-relay-tries", digits.encode())]
+    terms = [(RELAY_HEADER, b"g"), (_TRIES_HEADER, digits.encode())]
     assert isinstance(read_terms(terms), BadRelayTerms)
     with pytest.raises(ValueError, match=r"expected ERA\.VERSION"):
         StorePosition.parse(f"{digits}.1")
