--- a/review/second/stage.py
+++ b/review/second/stage.py
@@ -91,6 +91,7 @@
         self.connections: dict[int, set[_Writer]] = {}
         self.running: dict[str, int] = {}
         self.runs: list[str] = []
+        self.ran_at_s: dict[str, float] = {}
         self.behave: Callable[..., Awaitable[bool]] | None = None
 
     async def open(self, view: int) -> None:
@@ -183,6 +184,7 @@
         """Run a request; returns whether the connection serves another one."""
         run = headers["request-id"]
         self.runs.append(run)
+        self.ran_at_s[run] = time.monotonic()
         after = int(headers.get("last-event-id", 0))
         self.site.record(
             f"{self.identity} runs {run}: {method} {target}"
@@ -232,6 +234,8 @@
         self.rows: dict[tuple[str, str], dict[str, Any]] = {}
         self.changed = asyncio.Event()
         self.port = 0
+        # The views that get no answer.
+        self.silent_to: set[int] = set()
 
     async def open(self) -> None:
         """Listen for the gateways."""
@@ -241,7 +245,11 @@
                 view = self._view_of(writer.get_extra_info("peername")[1])
                 while (message := await read_message(reader)) is not None:
                     first, _, body = message
-                    writer.write(await self._call(view, first.split(" ")[1], body))
+                    reply = await self._call(view, first.split(" ")[1], body)
+                    if view in self.silent_to:
+                        await reader.read()
+                        return
+                    writer.write(reply)
                     await writer.drain()
             except (ConnectionError, asyncio.IncompleteReadError):
                 pass
@@ -518,21 +526,23 @@
         deadline_ms: int,
         method: str = "POST",
         key: str = KEY,
-        reply: Reply | None = None,
+        body_bytes: int = 200,
     ) -> Reply:
         """Send one request on a connection of its own, and read its answer."""
-        reply = Reply() if reply is None else reply
+        reply = Reply()
+        text = run.encode() if method == "POST" else b""
+        body = text.ljust(body_bytes if text else 0, b".")
         self.record(f"a client sends {run}: {method} {target} to {gateway.name}")
         try:
             async with asyncio.timeout(deadline_ms / 1000 + 1):
                 await self._exchange(
-                    gateway, run, target, deadline_ms, method, key, reply
+                    gateway, run, target, deadline_ms, method, key, body, reply
                 )
         except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
             pass
         end = "whole" if reply.whole else "not whole"
-        text = reply.body[-60:].decode("latin-1").replace("\n", " ")
-        self.record(f"the client of {run} has {reply.status}, {end}: ...{text}")
+        shown = reply.body[-60:].decode("latin-1").replace("\n", " ")
+        self.record(f"the client of {run} has {reply.status}, {end}: ...{shown}")
         return reply
 
     async def _exchange(
@@ -543,10 +553,10 @@
         deadline_ms: int,
         method: str,
         key: str,
+        body: bytes,
         reply: Reply,
     ) -> None:
         reader, writer = await asyncio.open_connection(gateway.ip, self.ports[0])
-        body = run.encode().ljust(200, b".") if method == "POST" else b""
         lines = [f"{method} {target} HTTP/1.1", f"Host: {HOST}", f"Request-Id: {run}"]
         lines += [f"Deadline-Ms: {deadline_ms}", f"Authorization: Bearer {key}"]
         if "/stream" in target:
@@ -612,20 +622,24 @@
 
 
 def configuration(
-    version: int, routes: list[dict[str, Any]], backups: bool = False
+    version: int,
+    routes: list[dict[str, Any]],
+    backups: bool = False,
+    plain: tuple[str, ...] = ("plain",),
+    max_body_bytes: int = 4 << 20,
 ) -> dict[str, Any]:
-    """Return a configuration with a service of engines and a plain one."""
+    """Return a configuration with a service of engines and some plain ones."""
     engine = {"slots": 24, "backups": backups, "models": [{"name": "m"}]}
     return {
         "version": version,
         "routes": routes,
         "services": [
             {"name": "llm", "engine": engine, "health-path": "/health"},
-            {"name": "plain", "health-path": "/health"},
+            *({"name": name, "health-path": "/health"} for name in plain),
         ],
         "limits": {
             "max-header-bytes": 16384,
-            "max-body-bytes": 4194304,
+            "max-body-bytes": max_body_bytes,
             "header-timeout-ms": 10000,
             "idle-timeout-ms": 15000,
         },
