Log why a stream's overdue run is replaced, and for which kind of route

A replaced run and one that never began could only be told apart by what followed.

Change: run_replaced names the endpoint, the reason, the kind of route, the runs so far and the tries of the route.

No decision changes.

--- a/src/coursekeel/answers/_answer.py
+++ b/src/coursekeel/answers/_answer.py
@@ -113,6 +113,11 @@
         """Whether a run is open that isn't suspected."""
         return self._attempts.has_healthy
 
+    @property
+    def runs(self) -> int:
+        """How many attempts may have run at their endpoints."""
+        return self._attempts.runs
+
     @property
     def run_state(self) -> RunState:
         """Whether the request ran, as far as can be guaranteed."""
--- a/src/coursekeel/answers/_attempts.py
+++ b/src/coursekeel/answers/_attempts.py
@@ -45,10 +45,15 @@
         """Whether a live attempt isn't suspected."""
         return any(not attempt.suspected for attempt in self.live)
 
+    @property
+    def runs(self) -> int:
+        """How many attempts may have run on their endpoints."""
+        return sum(attempt.may_have_run for attempt in self.by_number.values())
+
     @property
     def may_have_run(self) -> bool:
         """Whether any attempt may have run on its endpoint."""
-        return any(attempt.may_have_run for attempt in self.by_number.values())
+        return self.runs > 0
 
     def open(self, attempt: Attempt) -> OpenAttempt:
         """Add an attempt and return the action that opens its stream."""
--- a/src/coursekeel/gateway/_metrics.py
+++ b/src/coursekeel/gateway/_metrics.py
@@ -271,6 +271,23 @@
             position=position,
         )
 
+    def run_replaced(
+        self, call: AdmittedRequest, endpoint_id: str, reason: str, runs: int
+    ) -> None:
+        """Log that a successor is searched for an overdue run that is still open.
+
+        ``runs`` is how many runs the request may have had, this one included.
+        """
+        log_event(
+            "run_replaced",
+            request=call.caller.request_id,
+            endpoint=endpoint_id,
+            reason=reason,
+            kind=call.route.kind.value,
+            runs=runs,
+            tries=call.route.tries,
+        )
+
     def stream_waits(
         self, call: AdmittedRequest, code: str, ahead: int, position: int
     ) -> None:
--- a/src/coursekeel/gateway/streams/_overdue_runs.py
+++ b/src/coursekeel/gateway/streams/_overdue_runs.py
@@ -242,6 +242,7 @@
             self._keep_without_retry(attempt, reason, overdue_ms)
             return
         attempt.set_overdue(reason)
+        self._log_replaced(attempt, reason)
         if not attempt.is_relayed and reason != PREEMPTED:
             task.avoid_zone_of(attempt.endpoint_id)
         task.handle_event(EndpointStalled(attempt.endpoint_id, may_use_copy))
@@ -258,6 +259,12 @@
         else:
             attempt.lose(reason)
 
+    def _log_replaced(self, attempt: StreamAttempt, reason: str) -> None:
+        task = self.task
+        task.context.metrics.run_replaced(
+            task.call, attempt.endpoint_id, reason, task.core.runs
+        )
+
     def run_kept(self, attempt: StreamAttempt, reason: str) -> None:
         """Log once a stall that an overdue run is waited on, for a log value."""
         position = self.task.core.ledger.next_position
--- a/src/coursekeel/gateway/streams/_stream_task.py
+++ b/src/coursekeel/gateway/streams/_stream_task.py
@@ -251,8 +251,7 @@
     @property
     def has_tries_left(self) -> bool:
         """Whether the route allows one more run; refused sends were none."""
-        runs = sum(each.may_have_run for each in self.core.attempts.values())
-        return runs < max(self.call.route.tries, 1)
+        return self.core.runs < max(self.call.route.tries, 1)
 
     def _policy(self) -> AnswerPolicy:
         """Return the core's limits for this request.
