Stand-in: a run whose caller leaves ends no other run of the same request

Cause: tests/platform/standin.py keeps open runs by request id. A request that ran twice at one server had one entry, so that the first run's closed connection, or its last event, ended the second run, which stayed open and silent.

Change: a closed connection removes the entry only if it is its own, and a run whose caller has left sends nothing more. No test's check changes.

--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -634,7 +634,7 @@
         if "kv-backup" in headers:
             self.peers[headers["kv-backup"]].copies.add(run_id)
         request.setHeader("content-type", "text/event-stream")
-        request.notifyFinish().addErrback(lambda _: self.open.pop(run_id, None))
+        request.notifyFinish().addErrback(lambda _: self._dropped(run_id, request))
         first = int(headers.get("last-event-id", 0)) + 1
         # An empty write sends the headers.
         request.write(b"")
@@ -642,9 +642,16 @@
         reactor.callLater(first_gap_s, self._event, request, run_id, first, last)
         return Deferred()
 
+    def _dropped(self, run_id: str, request: Any) -> None:
+        """End a run whose caller has left; another of the same id goes on."""
+        if self.open.get(run_id) is request:
+            del self.open[run_id]
+
     def _event(self, request: Any, run_id: str, number: int, last: int) -> None:
         if run_id not in self.open or self.faults.get("dark"):
             return
+        if request._disconnected:
+            return
         if self.silent_s:
             reactor.callLater(self.silent_s, self._event, request, run_id, number, last)
             return
@@ -727,7 +734,7 @@
     def _until_closed(self, request: Any) -> Any:
         run_id = request.getHeader("request-id")
         self.open[run_id] = request
-        request.notifyFinish().addErrback(lambda _: self.open.pop(run_id, None))
+        request.notifyFinish().addErrback(lambda _: self._dropped(run_id, request))
         return Deferred()
 
     def _use_fault(self, fault: str) -> bool:
