--- a/src/coursekeel/answers/_answer.py
+++ b/src/coursekeel/answers/_answer.py
@@ -118,6 +118,11 @@
         """How many attempts may have run at their endpoints."""
         return self._attempts.runs
 
+    @property
+    def may_run_again(self) -> bool:
+        """Whether the policy allows one more run of the request."""
+        return self.recovery.may_run_again
+
     @property
     def run_state(self) -> RunState:
         """Whether the request ran, as far as can be guaranteed."""
--- a/src/coursekeel/answers/_policy.py
+++ b/src/coursekeel/answers/_policy.py
@@ -1,5 +1,7 @@
 """Timeouts and limits that a request class sets for its answers."""
 
+import math
+
 from attrs import frozen
 
 __all__ = ["AnswerPolicy"]
@@ -20,6 +22,9 @@
     An answer is interrupted after ``deaths_before_stop`` lost runs in a row, not
     counting those before a run that streamed for ``reset_losses_after_ms``. An engine's
     run is read again up to ``reread_tries`` times before it counts as lost.
+
+    No attempt is opened once ``max_runs`` may have run, whatever became of them: 1 for
+    a request that may not be repeated.
     """
 
     patience_ms: float = 30_000
@@ -31,4 +36,5 @@
     deaths_before_stop: int = 3
     reset_losses_after_ms: float = 1_000
     reread_tries: int = 2
+    max_runs: float = math.inf
     retry_after_ms: int = 2_000
--- a/src/coursekeel/answers/_recovery.py
+++ b/src/coursekeel/answers/_recovery.py
@@ -8,6 +8,9 @@
 beside its successor, otherwise until its successor is accepted or starts. An answer
 that waits for longer than its class's ``patience_ms`` is interrupted.
 
+Every way to one more run asks `Recovery.may_run_again`. If the policy's ``max_runs``
+allows none, the loss of a run interrupts the answer, and a stalled run is waited on.
+
 Owns the endpoints to avoid, the count of runs lost in a row, and the time since which
 the answer waits. All timeouts and limits are in `AnswerPolicy`. Has no clock: callers
 pass the current time in ms.
@@ -67,6 +70,11 @@
         ran = self.attempts.may_have_run
         return RunState.UNKNOWN if ran else RunState.NOT_RUN
 
+    @property
+    def may_run_again(self) -> bool:
+        """Whether the policy allows one more run; refused sends were none."""
+        return self.attempts.runs < self.policy.max_runs
+
     def record_progress(self, streamed_ms: float) -> None:
         """Reset the recovery state after new pieces; called when the ledger grew.
 
@@ -108,7 +116,7 @@
         Does nothing if a suspected stream has recovered in the meantime.
         """
         self._seeking = False
-        if self.attempts.has_healthy:
+        if self.attempts.has_healthy or not self.may_run_again:
             return []
         attempts = self.attempts
         keeps_suspected = self.policy.races or self.policy.handover_ms
@@ -185,6 +193,8 @@
         """Count a lost run; interrupt the answer at the limit, otherwise resume it."""
         self.lost_runs += 1
         self.excluded_endpoints.add(attempt.endpoint_id)
+        if not self.may_run_again:
+            return self._give_up("answer_lost", "unstoppable")
         if self.lost_runs >= self.policy.deaths_before_stop:
             return self._give_up("request_stops_engines", "unstoppable")
         return self._resume_from_copy_or_seek(attempt, now_ms)
@@ -211,6 +221,8 @@
         """Request an endpoint, unless a healthy attempt is open."""
         if self.attempts.has_healthy:
             return []
+        if not self.may_run_again:
+            return self._give_up("answer_lost", "unstoppable")
         self._mark_recovering(now_ms)
         return [*self.request_endpoint(), self.next_alarm()]
 
@@ -230,6 +242,8 @@
 
         A copy that may not be used now is kept for later.
         """
+        if not self.may_run_again:
+            return []
         attempt.suspected = True
         self.excluded_endpoints.add(attempt.endpoint_id)
         if self.waiting_since_ms is None:
@@ -320,7 +334,12 @@
         return min(opened_ms) + self.policy.handover_ms
 
     def _suspect_at_ms(self, attempt: Attempt) -> float:
-        """The time at which an attempt becomes suspect unless data arrives before."""
+        """The time at which an attempt becomes suspect unless data arrives before.
+
+        Never if nothing may replace it.
+        """
+        if not self.may_run_again:
+            return math.inf
         if attempt.has_progressed:
             return attempt.last_received_ms + self.policy.silence_ms
         if attempt.way is Way.COPY:
--- a/src/coursekeel/gateway/relay/_relay_client.py
+++ b/src/coursekeel/gateway/relay/_relay_client.py
@@ -75,6 +75,10 @@
         """Whether a member may still serve: it is alive, or finishes its requests."""
         return member in self.swim.alive() or member in self.swim.leaving()
 
+    def is_gone(self, member: str) -> bool:
+        """Whether the group has given a member up: it didn't refute a suspicion."""
+        return member not in self.swim.serving()
+
     def others_alive(self) -> list[str]:
         """The live members that a request may be relayed to."""
         return [each for each in self.swim.alive() if each != self.swim.own]
--- a/src/coursekeel/gateway/streams/_overdue_runs.py
+++ b/src/coursekeel/gateway/streams/_overdue_runs.py
@@ -1,9 +1,10 @@
 """Decide what becomes of a stream's run that is overdue: replaced, kept or lost.
 
 Rule: an overdue run is replaced only if the request may be sent again and a retry is
-reserved. Without a retry it is waited on for as long as a sound endpoint may be silent.
-Then it is lost, so that the caller can ask another instance; but once the caller has a
-part of the answer, the run is waited on while its stream waits for a retry.
+reserved. One of a request that may run once is waited on until it ends. Any other one
+without a retry is waited on for as long as a sound endpoint may be silent. Then it is
+lost, so that the caller can ask another instance; but once the caller has a part of the
+answer, the run is waited on while its stream waits for a retry.
 
 A run whose endpoint gives no report is left only for an endpoint that does. If the one
 that keeps its copy is silent as well, the run is waited on for as long; then another
@@ -131,6 +132,9 @@
         attempt = self._unsuspected(number)
         if attempt is None:
             return
+        if not self.task.core.may_run_again:
+            self.run_kept(attempt, reason)
+            return
         if reason == PREEMPTED and overdue_ms >= _MAX_OVERDUE_MS:
             reason = NOT_LISTED
         if reason == PREEMPTED:
@@ -145,13 +149,15 @@
     def run_not_listed(self, number: int) -> None:
         """Give up a run without an event that its endpoint doesn't list.
 
-        The last one that its route allows a begun stream is kept: its loss would be a
-        cut, or would let the request run once more.
+        The last one that its route allows a begun stream is kept, and the only one of a
+        request that may run once: its loss would be a cut, or would let the request run
+        once more.
         """
         attempt = self.task.open_attempts.get(number)
         if attempt is None:
             return
-        if self.task.has_begun and not self.task.has_tries_left:
+        begun_last = self.task.has_begun and not self.task.has_tries_left
+        if begun_last or not self.task.core.may_run_again:
             self.run_kept(attempt, NOT_RUNNING)
         else:
             attempt.lose(NOT_RUNNING)
--- a/src/coursekeel/gateway/streams/_relayed_attempt.py
+++ b/src/coursekeel/gateway/streams/_relayed_attempt.py
@@ -5,6 +5,10 @@
 counted here like an endpoint's; a run that ends with the member goes on elsewhere after
 the last event that has come.
 
+A run that may not be repeated is waited on while its member is only suspected: it may
+still be at work. It is lost once the group has given the member up and no event has
+come for a while.
+
 Owns the exchange, the watch over the member, and the bytes of the incomplete last
 event.
 """
@@ -31,6 +35,12 @@
 # How often the group's view of the member is looked at.
 _WATCH_INTERVAL_MS = 250.0
 
+# The log value of a run whose member is suspected or gone.
+_MEMBER_LOST = "member_lost"
+
+# A member that sent data this recently serves, whatever the group finds.
+_RECENT_DATA_MS = 2_000.0
+
 
 @define(eq=False)
 class RelayedAttempt(StreamAttempt):
@@ -68,15 +78,24 @@
 
     def _check_member(self) -> None:
         self._watch_member()
-        if not self.task.context.relays.is_serving(self.endpoint_id):
-            self.search.lost(self.endpoint_id)
-            now_ms = self.task.context.clock.now_ms()
-            if self._member_lost_ms is None:
-                self._member_lost_ms = now_ms
-            overdue_ms = now_ms - self._member_lost_ms
-            self.task.run_overdue(self.number, "member_lost", overdue_ms)
-        else:
+        if self.task.context.relays.is_serving(self.endpoint_id):
             self._member_lost_ms = None
+            return
+        self.search.lost(self.endpoint_id)
+        now_ms = self.task.context.clock.now_ms()
+        if self._member_lost_ms is None:
+            self._member_lost_ms = now_ms
+        if not self.task.core.may_run_again and self._has_ended_with_member(now_ms):
+            self.lose(_MEMBER_LOST)
+            return
+        overdue_ms = now_ms - self._member_lost_ms
+        self.task.run_overdue(self.number, _MEMBER_LOST, overdue_ms)
+
+    def _has_ended_with_member(self, now_ms: float) -> bool:
+        """Whether the member is gone, not just suspected, and sends nothing."""
+        last_ms = self.task.core.attempts[self.number].last_received_ms
+        is_silent = now_ms - last_ms >= _RECENT_DATA_MS
+        return is_silent and self.task.context.relays.is_gone(self.endpoint_id)
 
     def may_send(self) -> bool:
         return self.task.may_still_relay()
--- a/src/coursekeel/gateway/streams/_stream_task.py
+++ b/src/coursekeel/gateway/streams/_stream_task.py
@@ -44,7 +44,7 @@
     Way,
 )
 from coursekeel.fetch import ExchangeHead
-from coursekeel.forwarding import EndpointRecord, EventLedger, RouteKind
+from coursekeel.forwarding import EndpointRecord, EventLedger
 from coursekeel.gateway._adapters import OutboundRequest
 from coursekeel.gateway._caller_reply import CallerReply
 from coursekeel.gateway._context import GatewayContext
@@ -242,7 +242,8 @@
         """Return whether the request may be sent again; if so, a retry is reserved."""
         now_ms = self.context.clock.now_ms()
         return (
-            self.has_tries_left
+            self.core.may_run_again
+            and self.has_tries_left
             and self.context.site.may_still_send(self.call, self._has_new_events)
             and self._quarantine_pass.may_send()
             and self._send_account.reserve(now_ms)
@@ -256,24 +257,24 @@
     def _policy(self) -> AnswerPolicy:
         """Return the core's limits for this request.
 
-        A stream that is not resumable runs once, without a stall limit. Instead of time
-        limits for the first token there is `FirstEventWatch`, instead of patience
-        the request's deadline. Runs never race, which would double the work; an
+        A stream that is not resumable runs once. Instead of time limits for the first
+        token there is `FirstEventWatch`, instead of patience the request's deadline.
+        Runs never race, which would double the work; an
         overdue one only ends after its successor was accepted.
         """
         call, timers = self.call, self.context.settings.timers
-        resumable = call.route.kind is RouteKind.RESUMABLE
         return AnswerPolicy(
             patience_ms=math.inf,
             first_token_ms=math.inf,
             copy_first_ms=math.inf,
-            silence_ms=timers.silence_ms if resumable else math.inf,
+            silence_ms=timers.silence_ms,
             races=False,
             handover_ms=_HANDOVER_MS,
-            deaths_before_stop=max(call.route.tries, 1) if resumable else 1,
+            deaths_before_stop=max(call.route.tries, 1),
             # The quarantine decides which requests crash endpoints.
             reset_losses_after_ms=0,
             reread_tries=0,
+            max_runs=math.inf if call.route.kind.idempotent else 1,
             retry_after_ms=int(STREAM_RETRY_MS),
         )
 
@@ -593,9 +594,11 @@
         """How many endpoints the next member may send the run to.
 
         Half of what is left, so that another member can resume it. Endpoints that this
-        instance was cut off from don't count.
+        instance was cut off from don't count. A request that may run once is given one,
+        whatever kind of route the member's configuration has by then.
         """
-        left = max(self.call.route.tries, 1) - self._relayed_tries
+        most = self.call.route.tries if self.call.route.kind.idempotent else 1
+        left = max(most, 1) - self._relayed_tries
         return (left + 1) // 2
 
     def _open_relay(self, action: OpenAttempt) -> None:
--- a/tests/cover/test_stream_placement.py
+++ b/tests/cover/test_stream_placement.py
@@ -181,6 +181,7 @@
         copies: bool = False,
         resume_after: int | None = None,
         team: Team | None = None,
+        kind: RouteKind = RouteKind.RESUMABLE,
     ) -> StreamTask:
         caller = CallerHeaders("r1", "key", 20_000, resume_after, 5_000, 100, "p1")
         call = AdmittedRequest(
@@ -190,7 +191,7 @@
             [],
             b"",
             caller,
-            ROUTE,
+            evolve(ROUTE, kind=kind),
             POOL,
             copies,
             team,
