Log heads of requests that are refused, with the bounds on them

Change: head_refused names what had been received, the number of fields, the limit that the connection enforces, the one in force, and the library's bounds on a line and on the number of fields.

No decision changes.

--- a/src/coursekeel/gateway/_http.py
+++ b/src/coursekeel/gateway/_http.py
@@ -348,6 +348,26 @@
             transport.dataBuffer, transport.offset = b"", 0
             transport._tempDataBuffer, transport._tempDataLen = [], 0
 
+    def _respondToBadRequestAndDisconnect(self) -> None:
+        self._log_refused_head(self._receivedHeaderSize)
+        super()._respondToBadRequestAndDisconnect()
+
+    def lineLengthExceeded(self, line: bytes) -> Any:
+        self._log_refused_head(self._receivedHeaderSize + len(line))
+        return super().lineLengthExceeded(line)
+
+    def _log_refused_head(self, size_bytes: int) -> None:
+        """Log a head that is refused, with the bounds on it."""
+        log_event(
+            "head_refused",
+            received_bytes=size_bytes,
+            fields=self._receivedHeaderCount,
+            limit_bytes=self.totalHeadersSize,
+            in_force_bytes=self.limits().header_bytes,
+            line_bytes=self.MAX_LENGTH,
+            max_fields=self.maxHeaders,
+        )
+
     def headerReceived(self, line: bytes) -> bool:
         return bool(super().headerReceived(with_bounded_length(line)))
 
