--- a/src/coursekeel/gateway/_http.py
+++ b/src/coursekeel/gateway/_http.py
@@ -21,7 +21,7 @@
 from coursekeel.gateway._adapters import HeaderPairs
 from coursekeel.gateway._request import RequestBody
 from coursekeel.observe import log_event
-from coursekeel.runtime import BoundedBody, with_bounded_length
+from coursekeel.runtime import BoundedBody, BoundedHead, with_bounded_length
 from coursekeel.units import MS_PER_SECOND
 
 __all__ = [
@@ -263,8 +263,8 @@
                 channel.loseConnection()
 
 
-class _CallerChannel(HTTPChannel):
-    """A connection with the limits in force when it opened.
+class _CallerChannel(BoundedHead, HTTPChannel):
+    """A connection with the limits in force when each request is read.
 
     One that is idle is kept for longer if its timeout is raised meanwhile, since
     callers use connections again by the newest timeout. A caller that pauses while it
@@ -276,11 +276,13 @@
     _abort_call: Any = None
 
     def connectionMade(self) -> None:
-        self.totalHeadersSize = self.limits().header_bytes
         self.timeOut = self._idle_timeout_s
         self.connections.add(self)
         super().connectionMade()
 
+    def head_limit_bytes(self) -> int:
+        return self.limits().header_bytes
+
     @property
     def _idle_timeout_s(self) -> int:
         return math.ceil(self.limits().idle_timeout_ms / MS_PER_SECOND)
@@ -392,7 +394,7 @@
 ) -> Any:
     """A server that calls ``take`` with each request once its body was received.
 
-    ``limits`` is called for each connection and body, since the limits can change.
+    ``limits`` is called for each head, body and idle time, since the limits can change.
     """
     attributes = {
         "limits": staticmethod(limits),
--- a/src/coursekeel/runtime/__init__.py
+++ b/src/coursekeel/runtime/__init__.py
@@ -2,6 +2,7 @@
 
 from coursekeel.runtime._answer_driver import AnswerDriver, AnswerShell
 from coursekeel.runtime._bounded_body import BoundedBody, with_bounded_length
+from coursekeel.runtime._bounded_head import BoundedHead
 from coursekeel.runtime._clock import Clock
 from coursekeel.runtime._periodic import Periodic, spawn
 from coursekeel.runtime._process import Role, install_reactor, run_role
@@ -11,6 +12,7 @@
     "AnswerDriver",
     "AnswerShell",
     "BoundedBody",
+    "BoundedHead",
     "Clock",
     "Periodic",
     "Role",
--- /dev/null
+++ b/src/coursekeel/runtime/_bounded_head.py
@@ -0,0 +1,43 @@
+"""The head of a request, bounded by the limit that is in force when it is read.
+
+A connection outlives changes of the limit, so that it is asked for at each head. A head
+that has begun is read by the larger of the limits at its start and now: its sender
+could not know of a change. Owns the bound on one connection's heads.
+"""
+
+from typing import Any
+
+__all__ = ["BoundedHead"]
+
+
+class BoundedHead:
+    """Bounds heads; a mixin to put before Twisted's channel class."""
+
+    totalHeadersSize: int
+    _receivedHeaderSize: int
+
+    def head_limit_bytes(self) -> int:
+        """The limit on a head's size that is in force now."""
+        raise NotImplementedError
+
+    def connectionMade(self) -> None:
+        self._update_limit()
+        twisted: Any = super()
+        twisted.connectionMade()
+
+    def dataReceived(self, data: bytes) -> None:
+        self._update_limit()
+        twisted: Any = super()
+        twisted.dataReceived(data)
+
+    def lineReceived(self, line: bytes) -> None:
+        self._update_limit()
+        twisted: Any = super()
+        twisted.lineReceived(line)
+
+    def _update_limit(self) -> None:
+        limit_bytes = self.head_limit_bytes()
+        has_begun = self._receivedHeaderSize > 0
+        if has_begun:
+            limit_bytes = max(limit_bytes, self.totalHeadersSize)
+        self.totalHeadersSize = limit_bytes
--- a/tests/cover/test_caller_connection.py
+++ b/tests/cover/test_caller_connection.py
@@ -121,3 +121,85 @@
     idle.transport.unread = b""
     idle.clock.advance(5.1)
     assert idle.transport.disconnecting
+
+
+class KeptConnection:
+    """A caller's connection, and the limits in force; `GET` requests are answered."""
+
+    def __init__(self, header_bytes: int = 16_384) -> None:
+        self.transport, self.served = AbortableTransport(), 0
+        self.limits = RequestLimits(header_bytes=header_bytes)
+        factory = caller_server(self.serve, lambda: self.limits, OpenConnections())
+        self.protocol = factory.buildProtocol(None)
+        self.protocol.callLater = Clock().callLater
+        self.protocol.makeConnection(self.transport)
+
+    def serve(self, request) -> None:
+        self.served += 1
+        request.setHeader(b"content-length", b"0")
+        request.finish()
+
+    def set_header_bytes(self, header_bytes: int) -> None:
+        self.limits = RequestLimits(header_bytes=header_bytes)
+
+    def ask(self, size_bytes: int) -> int:
+        """Send a head of about this size; returns the status, 0 without an answer."""
+        return self.send(head_of(size_bytes))
+
+    def send(self, data: bytes) -> int:
+        self.transport.clear()
+        self.protocol.dataReceived(data)
+        answer = self.transport.value()
+        return int(answer.split(b" ")[1]) if answer else 0
+
+
+def head_of(size_bytes: int, field_bytes: int = 4_000) -> bytes:
+    """A proper head of about this size, in fields of at most ``field_bytes``."""
+    lines = [b"GET / HTTP/1.1", b"Host: a"]
+    left = size_bytes - sum(map(len, lines))
+    while left > 0:
+        name = b"X-%d: " % len(lines)
+        lines.append(name + b"v" * max(1, min(left, field_bytes) - len(name)))
+        left -= len(lines[-1])
+    return b"\r\n".join(lines) + b"\r\n\r\n"
+
+
+@pytest.mark.parametrize("used", [False, True])
+def test_a_raised_limit_on_heads_is_in_force_on_open_connections(used):
+    """They kept the limit of their opening: proper requests got 400 (review/7)."""
+    kept = KeptConnection(16_384)
+    if used:
+        assert kept.ask(200) == 200
+    kept.set_header_bytes(32_768)
+    assert kept.ask(20_000) == 200
+    assert kept.ask(20_000) == 200
+
+
+@pytest.mark.parametrize("used", [False, True])
+def test_a_lowered_limit_on_heads_is_in_force_on_open_connections(used):
+    """Requests were served by the old limit for as long as a connection was kept."""
+    kept = KeptConnection(32_768)
+    if used:
+        assert kept.ask(20_000) == 200
+    kept.set_header_bytes(16_384)
+    assert 400 <= kept.ask(20_000) < 500
+    assert kept.served == used
+
+
+@pytest.mark.parametrize(("before", "after"), [(16_384, 32_768), (32_768, 16_384)])
+def test_a_head_that_has_begun_is_read_by_the_larger_limit(before, after):
+    """Its sender could not know of the change."""
+    kept = KeptConnection(before)
+    data = head_of(20_000)
+    assert kept.send(data[:6_000]) == 0
+    kept.set_header_bytes(after)
+    assert kept.send(data[6_000:]) == 200
+
+
+def test_the_limit_of_a_head_does_not_hold_for_the_next_one():
+    kept = KeptConnection(32_768)
+    data = head_of(20_000)
+    kept.send(data[:6_000])
+    kept.set_header_bytes(16_384)
+    assert kept.send(data[6_000:]) == 200
+    assert 400 <= kept.ask(20_000) < 500
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -21,6 +21,7 @@
 from twisted.internet.defer import Deferred  # noqa: E402
 from twisted.internet.error import ConnectionAborted  # noqa: E402
 from twisted.internet.task import deferLater  # noqa: E402
+from twisted.web.http import HTTPChannel  # noqa: E402
 from twisted.web.server import Site  # noqa: E402
 
 _EVENT_GAP_S = 0.02
@@ -313,6 +314,13 @@
             self.waiting.clear()
 
 
+class _RoomyChannel(HTTPChannel):
+    """A connection that takes heads of any size that a gateway may pass on."""
+
+    totalHeadersSize = MAX_LENGTH = 1 << 20
+    maxHeaders = 1 << 20
+
+
 class Server:
     """One server: unary responses, streams of numbered events, and KV copies."""
 
@@ -350,6 +358,7 @@
     def listen(self) -> int:
         """Listen, at the same port in every incarnation."""
         site = Site(self.app.resource())
+        site.protocol = _RoomyChannel
         self.listener = reactor.listenTCP(self.port, site, interface="127.0.0.1")
         self.port = self.listener.getHost().port
         return self.port
