Fix: bounds of the HTTP library stood before the limit on heads

What callers saw: within a limit of 32 KB, a field of 20 KB closed the connection without an answer, and 600 short fields got 400, on new connections too.

Cause: Twisted's channel has bounds of its own, 16,384 bytes a line and 500 fields, which nothing set. The users' page names one limit on heads.

Change: BoundedHead sets both bounds from the limit, so that neither holds before it; entries use it too, where 600 fields within 16 KB got 400.

Why it works: a line is a part of a head and a field takes a byte at least, so the limit on the head's bytes bounds both, and the memory for them.

--- a/src/coursekeel/entry/http/_site.py
+++ b/src/coursekeel/entry/http/_site.py
@@ -8,7 +8,7 @@
 from twisted.web.server import Request, Site
 
 from coursekeel.entry.http._common import error_body, not_run
-from coursekeel.runtime import BoundedBody, with_bounded_length
+from coursekeel.runtime import BoundedBody, BoundedHead, with_bounded_length
 from coursekeel.settings import EntrySettings
 
 __all__ = ["bounded_site"]
@@ -43,14 +43,13 @@
             super().process()
 
 
-class _BoundedChannel(HTTPChannel):
-    """A channel that limits the bytes of a request's headers."""
+class _BoundedChannel(BoundedHead, HTTPChannel):
+    """A channel that limits the bytes of a request's head."""
 
     header_limit_bytes = 0
 
-    def connectionMade(self) -> None:
-        self.totalHeadersSize = self.header_limit_bytes
-        super().connectionMade()
+    def head_limit_bytes(self) -> int:
+        return self.header_limit_bytes
 
     def headerReceived(self, line: bytes) -> bool:
         return bool(super().headerReceived(with_bounded_length(line)))
--- a/src/coursekeel/gateway/_http.py
+++ b/src/coursekeel/gateway/_http.py
@@ -366,8 +366,6 @@
             fields=self._receivedHeaderCount,
             limit_bytes=self.totalHeadersSize,
             in_force_bytes=self.limits().header_bytes,
-            line_bytes=self.MAX_LENGTH,
-            max_fields=self.maxHeaders,
         )
 
     def headerReceived(self, line: bytes) -> bool:
--- a/src/coursekeel/runtime/_bounded_head.py
+++ b/src/coursekeel/runtime/_bounded_head.py
@@ -2,7 +2,8 @@
 
 A connection outlives changes of the limit, so that it is asked for at each head. A head
 that has begun is read by the larger of the limits at its start and now: its sender
-could not know of a change. Owns the bound on one connection's heads.
+could not know of a change. Twisted's own bounds on the length of a line and on the
+number of fields give way to it. Owns the bound on one connection's heads.
 """
 
 from typing import Any
@@ -13,6 +14,8 @@
 class BoundedHead:
     """Bounds heads; a mixin to put before Twisted's channel class."""
 
+    maxHeaders: int
+    MAX_LENGTH: int
     totalHeadersSize: int
     _receivedHeaderSize: int
 
@@ -40,4 +43,6 @@
         has_begun = self._receivedHeaderSize > 0
         if has_begun:
             limit_bytes = max(limit_bytes, self.totalHeadersSize)
-        self.totalHeadersSize = limit_bytes
+        self.totalHeadersSize = self.MAX_LENGTH = limit_bytes
+        # A field takes a byte at least, so that this is no bound of its own.
+        self.maxHeaders = limit_bytes
--- a/tests/cover/test_caller_connection.py
+++ b/tests/cover/test_caller_connection.py
@@ -203,3 +203,14 @@
     kept.set_header_bytes(16_384)
     assert kept.send(data[6_000:]) == 200
     assert 400 <= kept.ask(20_000) < 500
+
+
+@pytest.mark.parametrize(("size_bytes", "field_bytes"), [(20_000, 20_000), (9_000, 12)])
+def test_a_head_within_the_limit_is_served_whatever_its_fields(size_bytes, field_bytes):
+    """A long field closed the connection without an answer, many fields got 400."""
+    kept = KeptConnection(32_768)
+    assert kept.send(head_of(size_bytes, field_bytes)) == 200
+    data = head_of(size_bytes, field_bytes)
+    for start in range(0, len(data), 1_000):
+        status = kept.send(data[start : start + 1_000])
+    assert status == 200
--- a/tests/nocover/test_bad_input.py
+++ b/tests/nocover/test_bad_input.py
@@ -111,6 +111,13 @@
     assert b" 200 " not in answer
 
 
+def test_many_headers_within_the_limit_are_served(entry):
+    """More than 500 of them got 400."""
+    lines = b"".join(b"X-%d: y\r\n" % n for n in range(600))
+    answer = send_raw(entry, b"GET /healthz HTTP/1.1\r\nHost: x\r\n" + lines + b"\r\n")
+    assert answer.startswith(b"HTTP/1.1 200 ")
+
+
 def test_a_request_that_stalls_halfway_blocks_no_other(entry):
     with socket.create_connection(("127.0.0.1", entry.port)) as connection:
         connection.sendall(
--- a/tests/platform/test_callers_limits.py
+++ b/tests/platform/test_callers_limits.py
@@ -103,3 +103,13 @@
         assert {status_of(each.ask(LONG)) for each in kept} == {200}
     limit(site, max_header_bytes=LOW)
     assert all(400 <= status_of(each.ask(LONG)) < 500 for each in kept)
+
+
+@pytest.mark.parametrize(("head_bytes", "field_bytes"), [(LONG, LONG), (9_000, 15)])
+def test_a_head_within_the_limit_is_served_whatever_its_fields(
+    site, head_bytes, field_bytes
+):
+    """One field of 20 KB got no answer, and 600 short ones got 400."""
+    limit(site, max_header_bytes=HIGH)
+    caller = KeptCaller(site.ports[0])
+    assert status_of(caller.ask(head_bytes, field_bytes)) == 200
