Fix: a head over the limit got 400 or a closed connection, and no line of the log

What callers saw: a request whose head exceeds the limit got 400, as a malformed one does, with nothing that says why; with a line over the limit its connection was closed without an answer. Operators saw nothing with the caller's id.

Cause: both came from the HTTP library's own handling; a body over the limit had its own answer, a head had none.

Change: the head gets 431 with the code head_too_large, and what is still coming is read for 2 s, as after a 413, since a close would reset the connection and the answer be lost. request_refused names the request, also if its id was the last field read, and counts it; a 413 is logged the same way and says body_too_large. Entries answer 431 with their usual error.

Why it works: after such a head nothing more is read from its connection, so that no later line can be taken for a request.

--- a/src/coursekeel/entry/http/_site.py
+++ b/src/coursekeel/entry/http/_site.py
@@ -27,16 +27,8 @@
         return self.limit_bytes
 
     def body_too_large(self) -> None:
-        limit = self.limit_bytes
-        refusal = not_run("too_large", f"the body is over the limit of {limit} bytes")
-        body = orjson.dumps(error_body(refusal))
-        head = (
-            b"HTTP/1.1 413 Content Too Large\r\ncontent-type: application/json\r\n"
-            b"connection: close\r\ncontent-length: %d\r\n\r\n" % len(body)
-        )
-        transport: Any = self.channel.transport
-        transport.write(head + body)
-        self.channel.loseConnection()
+        fault = f"the body is over the limit of {self.limit_bytes} bytes"
+        _refuse(self.channel, b"413 Content Too Large", fault)
 
     def process(self) -> None:
         if not self.body_is_too_large:
@@ -51,10 +43,25 @@
     def head_limit_bytes(self) -> int:
         return self.header_limit_bytes
 
+    def head_too_large(self, size_bytes: int) -> None:
+        fault = f"the head is over the limit of {self.header_limit_bytes} bytes"
+        _refuse(self, b"431 Request Header Fields Too Large", fault)
+
     def headerReceived(self, line: bytes) -> bool:
         return bool(super().headerReceived(with_bounded_length(line)))
 
 
+def _refuse(channel: Any, status: bytes, fault: str) -> None:
+    """Answer a request over a limit, and close its connection."""
+    body = orjson.dumps(error_body(not_run("too_large", fault)))
+    head = (
+        b"HTTP/1.1 %b\r\ncontent-type: application/json\r\n"
+        b"connection: close\r\ncontent-length: %d\r\n\r\n" % (status, len(body))
+    )
+    channel.transport.write(head + body)
+    channel.loseConnection()
+
+
 def bounded_site(resource: Any, settings: EntrySettings) -> Any:
     """Create a Twisted site that enforces the limits of the settings.
 
--- a/src/coursekeel/gateway/_dispatcher.py
+++ b/src/coursekeel/gateway/_dispatcher.py
@@ -101,6 +101,13 @@
         arrived_ms = self.context.clock.now_ms()
         self._serve(request, headers, caller, reply, arrived_ms, tries)
 
+    def refuse_over_limit(self, fields: HeaderPairs, refusal: GatewayRefusal) -> None:
+        """Record a request that the HTTP server refused because of a limit."""
+        request_id = self.callers.read(fields).request_id
+        self.context.metrics.refused(
+            request_id, refusal, self.context.site.routes_age_ms
+        )
+
     def end_requests_by(self, last_ms: float) -> None:
         """End the requests that are open at ``last_ms``: the instance is stopping."""
         deadlines, routing = self.context.deadlines, self.context.routing
--- a/src/coursekeel/gateway/_http.py
+++ b/src/coursekeel/gateway/_http.py
@@ -20,6 +20,7 @@
 from coursekeel.forwarding import RequestLimits
 from coursekeel.gateway._adapters import HeaderPairs
 from coursekeel.gateway._request import RequestBody
+from coursekeel.gateway.admission._refusals import GatewayRefusal
 from coursekeel.observe import log_event
 from coursekeel.runtime import BoundedBody, BoundedHead, with_bounded_length
 from coursekeel.units import MS_PER_SECOND
@@ -34,13 +35,20 @@
 ]
 
 _Limits = Callable[[], RequestLimits]
+# Called with the fields received so far and the refusal of a request over a limit.
+_OverLimit = Callable[[HeaderPairs, GatewayRefusal], None]
+
+_HEAD_TOO_LARGE = GatewayRefusal(
+    HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "head_too_large"
+)
+_BODY_TOO_LARGE = GatewayRefusal(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "body_too_large")
 
 # How long a caller may pause while it sends a request, at least.
 _READ_TIMEOUT_S = 15
 
-# How long the rest of a body that was refused is read: a close before a caller has sent
-# it would reset the connection, and the refusal might be lost.
-_REFUSED_BODY_S = 2.0
+# How long the rest of a request that was refused is read: a close before a caller has
+# sent it would reset the connection, and the refusal might be lost.
+_REFUSED_REST_S = 2.0
 
 # How long a connection that is cut may take to send what is written to it.
 _CUT_FLUSH_S = 0.25
@@ -84,7 +92,7 @@
     def body_too_large(self) -> None:
         """Refuse the request before the rest of its body, which may never come."""
         channel: Any = self.channel
-        channel.refuse_body(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+        channel.refuse(_BODY_TOO_LARGE)
 
     def take_body(self) -> RequestBody:
         """Return the body, which is counted until this request ends, and freed then."""
@@ -273,6 +281,7 @@
 
     limits: _Limits
     connections: OpenConnections
+    over_limit: _OverLimit
     _abort_call: Any = None
 
     def connectionMade(self) -> None:
@@ -354,9 +363,9 @@
         self._log_refused_head(self._receivedHeaderSize)
         super()._respondToBadRequestAndDisconnect()
 
-    def lineLengthExceeded(self, line: bytes) -> Any:
-        self._log_refused_head(self._receivedHeaderSize + len(line))
-        return super().lineLengthExceeded(line)
+    def head_too_large(self, size_bytes: int) -> None:
+        self._log_refused_head(size_bytes)
+        self.refuse(_HEAD_TOO_LARGE)
 
     def _log_refused_head(self, size_bytes: int) -> None:
         """Log a head that is refused, with the bounds on it."""
@@ -371,12 +380,27 @@
     def headerReceived(self, line: bytes) -> bool:
         return bool(super().headerReceived(with_bounded_length(line)))
 
-    def refuse_body(self, status: HTTPStatus) -> None:
-        """Answer a request at once, and read the rest of its body for a short time."""
-        head = f"HTTP/1.1 {status.value} {status.phrase}\r\nconnection: close\r\n"
+    def _fields_so_far(self) -> HeaderPairs:
+        if not self.requests:
+            return []
+        name, colon, value = self.last_line.partition(b":")
+        last = [(name.lower(), value.strip())] if colon else []
+        return [*self.requests[-1].header_pairs(), *last]
+
+    def refuse(self, refusal: GatewayRefusal) -> None:
+        """Answer a request at once, and read the rest of it for a short time."""
+        type(self).over_limit(self._fields_so_far(), refusal)
+        status = HTTPStatus(refusal.status)
+        lines = [
+            f"HTTP/1.1 {status.value} {status.phrase}",
+            "connection: close",
+            "content-type: text/plain",
+            f"content-length: {len(refusal.code)}",
+        ]
         transport: Any = self.transport
-        transport.write(f"{head}content-length: 0\r\n\r\n".encode())
-        self._abort_call = self.callLater(_REFUSED_BODY_S, self.abort)
+        head = "".join(f"{line}\r\n" for line in lines)
+        transport.write(f"{head}\r\n{refusal.code}".encode())
+        self._abort_call = self.callLater(_REFUSED_REST_S, self.abort)
 
     def cut(self) -> None:
         """Close the connection, soon also if the caller doesn't read what was sent."""
@@ -389,9 +413,12 @@
     take: Callable[[CallerRequest], None],
     limits: _Limits,
     connections: OpenConnections,
+    over_limit: _OverLimit = lambda fields, refusal: None,
 ) -> Any:
     """A server that calls ``take`` with each request once its body was received.
 
+    ``over_limit`` is called for each request refused because of a limit.
+
     ``limits`` is called for each head, body and idle time, since the limits can change.
     """
     attributes = {
@@ -405,6 +432,7 @@
         (_CallerChannel,),
         {
             "limits": staticmethod(limits),
+            "over_limit": staticmethod(over_limit),
             "requestFactory": request_class,
             "connections": connections,
         },
--- a/tests/cover/test_caller_connection.py
+++ b/tests/cover/test_caller_connection.py
@@ -129,9 +129,12 @@
     def __init__(self, header_bytes: int = 16_384) -> None:
         self.transport, self.served = AbortableTransport(), 0
         self.limits = RequestLimits(header_bytes=header_bytes)
-        factory = caller_server(self.serve, lambda: self.limits, OpenConnections())
+        self.refused, self.clock = Mock(), Clock()
+        factory = caller_server(
+            self.serve, lambda: self.limits, OpenConnections(), self.refused
+        )
         self.protocol = factory.buildProtocol(None)
-        self.protocol.callLater = Clock().callLater
+        self.protocol.callLater = self.clock.callLater
         self.protocol.makeConnection(self.transport)
 
     def serve(self, request) -> None:
@@ -214,3 +217,25 @@
     for start in range(0, len(data), 1_000):
         status = kept.send(data[start : start + 1_000])
     assert status == 200
+
+
+@pytest.mark.parametrize("field_bytes", [300, 4_000, 40_000])
+@pytest.mark.parametrize("step", [900, 100_000])
+def test_a_head_over_the_limit_gets_431_before_its_connection_ends(field_bytes, step):
+    """It got 400, as a malformed one does, or no answer."""
+    kept = KeptConnection(16_384)
+    data, answer = head_of(40_000, field_bytes), b""
+    for start in range(0, len(data), step):
+        kept.protocol.dataReceived(data[start : start + step])
+    answer = kept.transport.value()
+    assert answer.startswith(b"HTTP/1.1 431 ")
+    assert answer.endswith(b"\r\n\r\nhead_too_large")
+    ((fields, refusal),) = [each.args for each in kept.refused.call_args_list]
+    assert (refusal.status, refusal.code) == (431, "head_too_large")
+    assert (b"host", b"a") in fields or field_bytes == 40_000
+    # What is still coming is read, as a close would reset the connection.
+    assert not kept.transport.disconnecting and not kept.transport.aborted
+    assert kept.send(head_of(100)) == 0, "nothing more is served"
+    kept.clock.advance(2.1)
+    assert kept.transport.aborted
+    assert not kept.served
--- a/tests/platform/test_callers_limits.py
+++ b/tests/platform/test_callers_limits.py
@@ -113,3 +113,14 @@
     limit(site, max_header_bytes=HIGH)
     caller = KeptCaller(site.ports[0])
     assert status_of(caller.ask(head_bytes, field_bytes)) == 200
+
+
+@pytest.mark.parametrize("field_bytes", [4_000, 60_000])
+def test_a_head_over_the_limit_gets_431_and_is_logged_with_its_id(site, field_bytes):
+    """It got 400, as a malformed one does, or no answer, and no line of the log."""
+    limit(site, max_header_bytes=HIGH)
+    caller = KeptCaller(site.ports[0])
+    answer = caller.ask(60_000, field_bytes)
+    assert status_of(answer) == 431
+    refused = f"request={caller.port}-{id(caller)}-1 outcome=head_too_large status=431"
+    wait_until(lambda: refused in site.log(), "it is logged", 2)
