--- a/src/coursekeel/gateway/_dispatcher.py
+++ b/src/coursekeel/gateway/_dispatcher.py
@@ -23,6 +23,7 @@
     admit,
 )
 from coursekeel.gateway.admission._refusals import (
+    NO_CONFIGURATION,
     NOT_READY_RETRY_MS,
     REQUEST_BARRED_CODE,
     STOPPING,
@@ -101,12 +102,16 @@
         arrived_ms = self.context.clock.now_ms()
         self._serve(request, headers, caller, reply, arrived_ms, tries)
 
-    def refuse_over_limit(self, fields: HeaderPairs, refusal: GatewayRefusal) -> None:
-        """Record a request that the HTTP server refused because of a limit."""
-        request_id = self.callers.read(fields).request_id
-        self.context.metrics.refused(
-            request_id, refusal, self.context.site.routes_age_ms
-        )
+    def refusal_over_limit(
+        self, fields: HeaderPairs, refusal: GatewayRefusal
+    ) -> GatewayRefusal:
+        """The reply to a request that is over a limit, which is recorded as refused.
+
+        Without a configuration the limits are defaults, which a caller needn't keep.
+        """
+        if self.context.site.routes is None:
+            refusal = NO_CONFIGURATION
+        return self._recorded(self.callers.read(fields), refusal)
 
     def end_requests_by(self, last_ms: float) -> None:
         """End the requests that are open at ``last_ms``: the instance is stopping."""
@@ -189,6 +194,12 @@
     def _refuse(
         self, reply: CallerReply, caller: CallerHeaders, refusal: GatewayRefusal
     ) -> None:
+        reply.refuse(self._recorded(caller, refusal))
+
+    def _recorded(
+        self, caller: CallerHeaders, refusal: GatewayRefusal
+    ) -> GatewayRefusal:
+        """Record a refusal; returns it with the time to come back at."""
         age_ms = self.context.site.routes_age_ms
         self.context.metrics.refused(caller.request_id, refusal, age_ms)
         retry_after_ms = refusal_retry_ms(
@@ -197,7 +208,7 @@
             caller.deadline_ms,
             self.context.random,
         )
-        reply.refuse(evolve(refusal, retry_after_ms=retry_after_ms))
+        return evolve(refusal, retry_after_ms=retry_after_ms)
 
     def _admitted_request(
         self,
--- a/src/coursekeel/gateway/_gateway.py
+++ b/src/coursekeel/gateway/_gateway.py
@@ -398,7 +398,7 @@
             self._dispatcher.handle_request,
             lambda: self._site.limits,
             self._connections,
-            self._dispatcher.refuse_over_limit,
+            self._dispatcher.refusal_over_limit,
         )
         self._listen(listen.callers, server)
         if listen.readiness:
--- a/src/coursekeel/gateway/_http.py
+++ b/src/coursekeel/gateway/_http.py
@@ -35,8 +35,9 @@
 ]
 
 _Limits = Callable[[], RequestLimits]
-# Called with the fields received so far and the refusal of a request over a limit.
-_OverLimit = Callable[[HeaderPairs, GatewayRefusal], None]
+# Called with the fields received so far and the refusal of a request over a limit;
+# returns the refusal to send.
+_OverLimit = Callable[[HeaderPairs, GatewayRefusal], GatewayRefusal]
 
 _HEAD_TOO_LARGE = GatewayRefusal(
     HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "head_too_large"
@@ -389,7 +390,7 @@
 
     def refuse(self, refusal: GatewayRefusal) -> None:
         """Answer a request at once, and read the rest of it for a short time."""
-        type(self).over_limit(self._fields_so_far(), refusal)
+        refusal = type(self).over_limit(self._fields_so_far(), refusal)
         status = HTTPStatus(refusal.status)
         lines = [
             f"HTTP/1.1 {status.value} {status.phrase}",
@@ -398,6 +399,9 @@
             f"content-length: {len(refusal.code)}",
         ]
         transport: Any = self.transport
+        if refusal.retry_after_ms:
+            retry_after_s = refusal.retry_after_ms / MS_PER_SECOND
+            lines.append(f"retry-after: {retry_after_s:.3f}")
         head = "".join(f"{line}\r\n" for line in lines)
         transport.write(f"{head}\r\n{refusal.code}".encode())
         self._abort_call = self.callLater(_REFUSED_REST_S, self.abort)
@@ -413,11 +417,11 @@
     take: Callable[[CallerRequest], None],
     limits: _Limits,
     connections: OpenConnections,
-    over_limit: _OverLimit = lambda fields, refusal: None,
+    over_limit: _OverLimit = lambda fields, refusal: refusal,
 ) -> Any:
     """A server that calls ``take`` with each request once its body was received.
 
-    ``over_limit`` is called for each request refused because of a limit.
+    ``over_limit`` returns what a request that is over a limit is refused with.
 
     ``limits`` is called for each head, body and idle time, since the limits can change.
     """
--- a/src/coursekeel/gateway/admission/_admission.py
+++ b/src/coursekeel/gateway/admission/_admission.py
@@ -18,6 +18,7 @@
 
 from coursekeel.forwarding import Route, RouteTable, Team
 from coursekeel.gateway.admission._refusals import (
+    NO_CONFIGURATION,
     NOT_READY_RETRY_MS,
     OTHER_INSTANCE_RETRY_MS,
     STOPPING,
@@ -32,7 +33,6 @@
 _STALE_CONFIGURATION = GatewayRefusal(
     _UNAVAILABLE, "belief_old", OTHER_INSTANCE_RETRY_MS
 )
-_NO_ROUTES = GatewayRefusal(_UNAVAILABLE, "no_configuration", NOT_READY_RETRY_MS)
 _TOO_MANY_OPEN = GatewayRefusal(_UNAVAILABLE, "too_many_open", NOT_READY_RETRY_MS)
 _NO_ROUTE = GatewayRefusal(HTTPStatus.NOT_FOUND, "no_route")
 _UNKNOWN_KEY = GatewayRefusal(HTTPStatus.UNAUTHORIZED, "unknown_key")
@@ -85,7 +85,7 @@
 def admit(arrival: RequestKey, state: AdmissionState) -> Admitted | GatewayRefusal:
     """Admit a request, or return the refusal to send."""
     if state.routes is None:
-        return _NO_ROUTES
+        return NO_CONFIGURATION
     if state.open_requests > state.max_open_requests:
         return _TOO_MANY_OPEN
     route = state.routes.route(arrival.host, arrival.path)
--- a/src/coursekeel/gateway/admission/_refusals.py
+++ b/src/coursekeel/gateway/admission/_refusals.py
@@ -19,6 +19,7 @@
 
 __all__ = [
     "NOT_READY_RETRY_MS",
+    "NO_CONFIGURATION",
     "OTHER_INSTANCE_RETRY_MS",
     "REQUEST_BARRED_CODE",
     "STOPPING",
@@ -96,6 +97,11 @@
     retry_after_ms: float = 0.0
 
 
+# Whatever else might be wrong with a request: a configuration may allow it.
+NO_CONFIGURATION = GatewayRefusal(
+    HTTPStatus.SERVICE_UNAVAILABLE, "no_configuration", NOT_READY_RETRY_MS
+)
+
 # This instance stops before it could answer, and the request has not run.
 STOPPING = GatewayRefusal(
     HTTPStatus.SERVICE_UNAVAILABLE, "stopping", OTHER_INSTANCE_RETRY_MS
--- a/tests/cover/test_caller_connection.py
+++ b/tests/cover/test_caller_connection.py
@@ -129,7 +129,7 @@
     def __init__(self, header_bytes: int = 16_384) -> None:
         self.transport, self.served = AbortableTransport(), 0
         self.limits = RequestLimits(header_bytes=header_bytes)
-        self.refused, self.clock = Mock(), Clock()
+        self.refused, self.clock = Mock(side_effect=lambda _, own: own), Clock()
         factory = caller_server(
             self.serve, lambda: self.limits, OpenConnections(), self.refused
         )
--- a/tests/platform/test_callers_limits.py
+++ b/tests/platform/test_callers_limits.py
@@ -124,3 +124,23 @@
     assert status_of(answer) == 431
     refused = f"request={caller.port}-{id(caller)}-1 outcome=head_too_large status=431"
     wait_until(lambda: refused in site.log(), "it is logged", 2)
+
+
+@pytest.mark.parametrize(
+    ("head_bytes", "body"), [(LONG, b""), (LONG * 4, b""), (0, b"x" * (5 << 20))]
+)
+def test_a_request_over_the_defaults_gets_503_before_the_first_read(head_bytes, body):
+    """A configuration may allow it; callers never repeat after 400, 413 or 431."""
+    with running_gateway() as site:
+        limit(site, max_header_bytes=HIGH * 4, max_body_bytes=8 << 20)
+        site.store(fault="silent")
+        port, *_ = site.start_gateway("g2", wait=False)
+        answer = KeptCaller(port).ask(head_bytes, body=body)
+        assert status_of(answer) == 503
+        assert float(field_of(answer, b"retry-after")) > 0
+        assert "outcome=no_configuration status=503" in site.log("g2")
+        site.store(fault="")
+        read = f"event=configuration_applied version={site.version} "
+        wait_until(lambda: read in site.log("g2"), "the first read", 20)
+        wait_until(lambda: status_of(KeptCaller(port).ask()) == 200, "it serves", 10)
+        assert status_of(KeptCaller(port).ask(head_bytes, body=body)) == 200
