Fix: a lowered idle timeout was not in force on connections in use

What callers saw: nothing wrong; an operator who lowers idle-timeout-ms kept every connection that is used again for the old time.

The timeout was taken when a connection was opened; timeoutConnection asked for the newest one only to extend it, and Twisted sets the one from before a request again when that ends.

Change: it is read at each request's end. A raise was in force before this already.

Tests: test_a_lowered_idle_timeout_holds_after_the_next_request failed on the code before; 23 of 23 pass in cover/test_caller_connection.py.

--- a/src/coursekeel/gateway/_http.py
+++ b/src/coursekeel/gateway/_http.py
@@ -346,6 +346,11 @@
         else:
             super().timeoutConnection()
 
+    def requestDone(self, request: Any) -> None:
+        # Twisted goes on with the timeout from before the request.
+        self._savedTimeOut = self._idle_timeout_s
+        super().requestDone(request)
+
     def connectionLost(self, reason: Any = connectionDone) -> None:
         self.connections.remove(self)
         if self._abort_call is not None and self._abort_call.active():
--- a/tests/cover/test_caller_connection.py
+++ b/tests/cover/test_caller_connection.py
@@ -239,3 +239,15 @@
     kept.clock.advance(2.1)
     assert kept.transport.aborted
     assert not kept.served
+
+
+def test_a_lowered_idle_timeout_holds_after_the_next_request():
+    """A used connection kept the timeout of its opening for good."""
+    idle = IdleConnection(40_000)
+    idle.protocol.requestFactory.take = lambda request: request.finish()
+    idle.set_idle_timeout(5_000)
+    idle.protocol.dataReceived(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+    idle.clock.advance(4.9)
+    assert not idle.transport.disconnecting
+    idle.clock.advance(0.2)
+    assert idle.transport.disconnecting
