Fix: a lowered limit on bodies ended those that were half-way with 413

What callers saw: a body within the limit at its start got 413, which callers never repeat, if the limit was lowered while it came.

Change: the larger of the limits at the body's start and now, as for heads.

--- a/src/coursekeel/gateway/_http.py
+++ b/src/coursekeel/gateway/_http.py
@@ -73,11 +73,17 @@
     take: Callable[["CallerRequest"], None]
     connections: "OpenConnections"
     has_no_room = False
+    _limit_at_start_bytes = 0
     _counted_bytes = 0
     _taken_body: RequestBody | None = None
 
+    def gotLength(self, length: int | None) -> None:
+        self._limit_at_start_bytes = self.limits().body_bytes
+        super().gotLength(length)
+
     def body_limit_bytes(self) -> int:
-        return self.limits().body_bytes
+        """The larger of the limits at the body's start and now, as for heads."""
+        return max(self._limit_at_start_bytes, self.limits().body_bytes)
 
     def handleContentChunk(self, data: bytes) -> None:
         if self.has_no_room:
--- a/tests/cover/test_caller_connection.py
+++ b/tests/cover/test_caller_connection.py
@@ -251,3 +251,21 @@
     assert not idle.transport.disconnecting
     idle.clock.advance(0.2)
     assert idle.transport.disconnecting
+
+
+@pytest.mark.parametrize("chunked", [False, True])
+@pytest.mark.parametrize(("before", "after"), [(500, 100), (100, 500)])
+def test_a_body_that_has_begun_is_read_by_the_larger_limit(before, after, chunked):
+    """A cut of the limit ended bodies half-way with 413, which callers never repeat."""
+    kept = KeptConnection()
+    kept.limits = RequestLimits(body_bytes=before)
+    head = b"POST / HTTP/1.1\r\nHost: a\r\n"
+    if chunked:
+        kept.send(head + b"Transfer-Encoding: chunked\r\n\r\n32\r\n" + b"x" * 50)
+        rest = b"\r\n96\r\n" + b"x" * 150 + b"\r\n0\r\n\r\n"
+    else:
+        length = 50 if before < after else 200
+        kept.send(head + b"Content-Length: %d\r\n\r\n" % length + b"x" * 20)
+        rest = b"x" * (length - 20)
+    kept.limits = RequestLimits(body_bytes=after)
+    assert kept.send(rest) == 200
