Fix: a member's refusal for its own limits was taken for a lost answer

Cause: refusals of the HTTP server itself (413, 431, 503 for want of memory) left out the field by which a sender knows a member's refusal from an endpoint's answer.

Evidence: read_refusal gives None for all three on the code before (the new test).

Change: the members' port names the code in that field, and the sender takes head_too_large, body_too_large and no_room for refusals of that member alone, so that it asks another one.

--- a/src/coursekeel/gateway/_http.py
+++ b/src/coursekeel/gateway/_http.py
@@ -59,6 +59,7 @@
 _UNSENT_CHECK_S = 0.05
 # Seconds until a request is to come again for which there was no memory.
 _NO_ROOM_RETRY_AFTER = b"0.5"
+_NO_ROOM_CODE = b"no_room"
 # Checks without progress after which a peer counts as not reading: one second.
 _MAX_STALLED_CHECKS = 20
 
@@ -129,13 +130,16 @@
             channel: Any = self.channel
             channel.loseConnection()
         elif self.has_no_room:
-            self.responseHeaders.setRawHeaders(b"retry-after", [_NO_ROOM_RETRY_AFTER])
-            self._refuse(HTTPStatus.SERVICE_UNAVAILABLE)
+            self._refuse_for_want_of_room()
         else:
             type(self).take(self)
 
-    def _refuse(self, status: HTTPStatus) -> None:
-        self.setResponseCode(status)
+    def _refuse_for_want_of_room(self) -> None:
+        channel: Any = self.channel
+        self.setResponseCode(HTTPStatus.SERVICE_UNAVAILABLE)
+        self.responseHeaders.setRawHeaders(b"retry-after", [_NO_ROOM_RETRY_AFTER])
+        if channel.refusal_header:
+            self.responseHeaders.setRawHeaders(channel.refusal_header, [_NO_ROOM_CODE])
         self.responseHeaders.setRawHeaders(b"connection", [b"close"])
         self.responseHeaders.setRawHeaders(b"content-length", [b"0"])
         self.finish()
@@ -289,6 +293,7 @@
     limits: _Limits
     connections: OpenConnections
     over_limit: _OverLimit
+    refusal_header: bytes
     _abort_call: Any = None
 
     def connectionMade(self) -> None:
@@ -409,6 +414,8 @@
             "content-type: text/plain",
             f"content-length: {len(refusal.code)}",
         ]
+        if self.refusal_header:
+            lines.append(f"{self.refusal_header.decode()}: {refusal.code}")
         transport: Any = self.transport
         if refusal.retry_after_ms:
             retry_after_s = refusal.retry_after_ms / MS_PER_SECOND
@@ -429,10 +436,13 @@
     limits: _Limits,
     connections: OpenConnections,
     over_limit: _OverLimit = lambda fields, refusal: refusal,
+    refusal_header: bytes = b"",
 ) -> Any:
     """A server that calls ``take`` with each request once its body was received.
 
     ``over_limit`` returns what a request that is over a limit is refused with.
+    ``refusal_header`` is the field that names the code of the server's own refusals,
+    empty for none.
 
     ``limits`` is called for each head, body and idle time, since the limits can change.
     """
@@ -448,6 +458,7 @@
         {
             "limits": staticmethod(limits),
             "over_limit": staticmethod(over_limit),
+            "refusal_header": refusal_header,
             "requestFactory": request_class,
             "connections": connections,
         },
--- a/src/coursekeel/gateway/members/_peer_server.py
+++ b/src/coursekeel/gateway/members/_peer_server.py
@@ -34,7 +34,7 @@
 )
 from coursekeel.gateway.members._reading_codec import RelayedTableRead, TableReadEncoder
 from coursekeel.gateway.members._table_feed import FeedAnswer, TableFeed
-from coursekeel.gateway.relay._relay_wire import RELAY_HEADER
+from coursekeel.gateway.relay._relay_wire import REFUSAL_HEADER, RELAY_HEADER
 from coursekeel.observe import log_event
 
 __all__ = ["TABLES_PATH", "PeerServer"]
@@ -87,7 +87,12 @@
 
     def site(self) -> object:
         """The HTTP server, to be listened with."""
-        return caller_server(self.take, self._limits, self.connections)
+        return caller_server(
+            self.take,
+            self._limits,
+            self.connections,
+            refusal_header=REFUSAL_HEADER,
+        )
 
     def _limits(self) -> RequestLimits:
         callers = self.caller_limits()
--- a/src/coursekeel/gateway/relay/_relay_client.py
+++ b/src/coursekeel/gateway/relay/_relay_client.py
@@ -38,8 +38,11 @@
     {
         POOL_UNREACHED_CODE,
         "belief_old",
+        "body_too_large",
+        "head_too_large",
         "no_configuration",
         "no_pool",
+        "no_room",
         "no_route",
         "not_a_member",
         "stopping",
--- a/tests/cover/test_caller_connection.py
+++ b/tests/cover/test_caller_connection.py
@@ -6,9 +6,13 @@
 from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
 
+from coursekeel.fetch import ExchangeHead
 from coursekeel.forwarding import RequestLimits
 from coursekeel.gateway._caller_reply import CallerReply
 from coursekeel.gateway._http import OpenConnections, caller_server
+from coursekeel.gateway.members._peer_server import PeerServer
+from coursekeel.gateway.relay._relay_client import may_be_served_elsewhere, says_not_run
+from coursekeel.gateway.relay._relay_wire import read_refusal
 
 
 class AbortableTransport(StringTransport):
@@ -269,3 +273,31 @@
         rest = b"x" * (length - 20)
     kept.limits = RequestLimits(body_bytes=after)
     assert kept.send(rest) == 200
+
+
+@pytest.mark.parametrize(
+    ("request_bytes", "status", "code"),
+    [
+        (head_of(30_000), 431, "head_too_large"),
+        (b"POST / HTTP/1.1\r\nContent-Length: 9000\r\n\r\n", 413, "body_too_large"),
+        (b"POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\n123456789", 503, "no_room"),
+    ],
+)
+def test_a_member_that_has_no_room_for_a_relayed_request_says_that_it_has_not_run(
+    request_bytes, status, code
+):
+    """Its sender took that for a lost answer: 502 for a request that no server got."""
+    limits = RequestLimits(body_bytes=1_000)
+    server = PeerServer("g", {}, Mock(), lambda: limits, max_received_bytes=lambda: 8)
+    member, transport = server.site().buildProtocol(None), AbortableTransport()
+    member.callLater = Clock().callLater
+    member.makeConnection(transport)
+    member.dataReceived(request_bytes)
+    assert not server.relay.called
+    lines = transport.value().split(b"\r\n\r\n")[0].split(b"\r\n")[1:]
+    pairs = [line.split(b": ", 1) for line in lines]
+    head = ExchangeHead(status, [(name.lower(), value) for name, value in pairs])
+    refusal = read_refusal(head)
+    assert refusal is not None
+    assert (refusal.status, refusal.code) == (status, code)
+    assert says_not_run(refusal) and may_be_served_elsewhere(refusal)
