Refactor: the watch over a relaying member is a class of its own

Cause: whole answers are to watch their member as streams do; the timer and the rule for a member that is gone were a part of RelayedAttempt.

Change: MemberWatch has both. No behaviour changes.

--- a/src/coursekeel/gateway/streams/_relayed_attempt.py
+++ b/src/coursekeel/gateway/streams/_relayed_attempt.py
@@ -13,14 +13,13 @@
 event.
 """
 
-from typing import Any
-
 from attrs import define
 
 from coursekeel.answers import Loss
 from coursekeel.fetch import ExchangeHead
 from coursekeel.gateway._adapters import HeadVerdict
 from coursekeel.gateway.admission._refusals import GatewayRefusal
+from coursekeel.gateway.relay._member_watch import MemberWatch
 from coursekeel.gateway.relay._relay_client import (
     MemberSearch,
     may_be_served_elsewhere,
@@ -28,19 +27,12 @@
 )
 from coursekeel.gateway.relay._relay_wire import read_refusal
 from coursekeel.gateway.streams._stream_attempt import StreamAttempt
-from coursekeel.units import MS_PER_SECOND
 
 __all__ = ["RelayedAttempt"]
 
-# How often the group's view of the member is looked at.
-_WATCH_INTERVAL_MS = 250.0
-
 # The log value of a run whose member is suspected or gone.
 _MEMBER_LOST = "member_lost"
 
-# A member that sent data this recently serves, whatever the group finds.
-_RECENT_DATA_MS = 2_000.0
-
 
 @define(eq=False)
 class RelayedAttempt(StreamAttempt):
@@ -48,8 +40,7 @@
 
     _search: MemberSearch | None = None
     _tries: int = 0
-    _watch_timer: Any = None
-    _member_lost_ms: float | None = None
+    _member_watch: MemberWatch | None = None
 
     @property
     def is_relayed(self) -> bool:
@@ -68,34 +59,27 @@
         self._exchange = task.context.relays.send(
             task.call, self.endpoint_id, tries, self, resume_after
         )
-        self._watch_member()
-
-    def _watch_member(self) -> None:
-        reactor = self.task.context.reactor
-        self._watch_timer = reactor.callLater(
-            _WATCH_INTERVAL_MS / MS_PER_SECOND, self._check_member
+        self._member_watch = MemberWatch(
+            task.context.reactor,
+            task.context.relays,
+            self.endpoint_id,
+            self._member_suspected,
         )
+        self._member_watch.start()
 
-    def _check_member(self) -> None:
-        self._watch_member()
-        if self.task.context.relays.is_serving(self.endpoint_id):
-            self._member_lost_ms = None
-            return
+    def _member_suspected(self, overdue_ms: float) -> None:
+        task = self.task
         self.search.lost(self.endpoint_id)
-        now_ms = self.task.context.clock.now_ms()
-        if self._member_lost_ms is None:
-            self._member_lost_ms = now_ms
-        if not self.task.core.may_run_again and self._has_ended_with_member(now_ms):
+        if not task.core.may_run_again and self._has_ended_with_member:
             self.lose(_MEMBER_LOST)
-            return
-        overdue_ms = now_ms - self._member_lost_ms
-        self.task.run_overdue(self.number, _MEMBER_LOST, overdue_ms)
+        else:
+            task.run_overdue(self.number, _MEMBER_LOST, overdue_ms)
 
-    def _has_ended_with_member(self, now_ms: float) -> bool:
-        """Whether the member is gone, not just suspected, and sends nothing."""
+    @property
+    def _has_ended_with_member(self) -> bool:
+        assert self._member_watch is not None
         last_ms = self.task.core.attempts[self.number].last_received_ms
-        is_silent = now_ms - last_ms >= _RECENT_DATA_MS
-        return is_silent and self.task.context.relays.is_gone(self.endpoint_id)
+        return self._member_watch.has_ended(last_ms)
 
     def may_send(self) -> bool:
         return self.task.may_still_relay()
@@ -141,6 +125,5 @@
         """Leave it to the member, which knows the endpoint."""
 
     def _release(self, failed: bool) -> None:
-        if self._watch_timer is not None:
-            self._watch_timer.cancel()
-            self._watch_timer = None
+        if self._member_watch is not None:
+            self._member_watch.stop()
