Fix: callers waited to their deadline for a relaying member that was gone

What callers saw: a whole request that may run once, relayed to a member that stops for good without closing its connection, got 504 at the deadline, after 20 s.

Cause: streams watch the member that serves them, whole answers didn't; only routes whose requests may be repeated had a time limit for a try.

Change: a relayed try has the same MemberWatch. A member that is only suspected is waited on. Once the group has given it up, and nothing has come from it for 2 s, the try may have run and is over: 502 for a request that may run once, the next try for one that may be repeated, if there is a retry; else it is waited on as before.

Why it works: the group gives a member up only after a suspicion that it had time to refute, so that a pause of 3.5 s doesn't end a request.

Tests: in platform/test_runs_once.py, a member that stops for good: 504 for 502 on the code before, passes now; one that pauses for 3.5 s: the answer is whole, one run, on both. 710 passed in that file, test_relay.py, two more and tests/quality.

--- a/src/coursekeel/gateway/whole/_relayed_try.py
+++ b/src/coursekeel/gateway/whole/_relayed_try.py
@@ -2,9 +2,11 @@
 
 Rule: the member sends the request to one endpoint, so that a try through a member is
 one try like any other, and the sender's `CallCore` stays the only one that repeats. A
-member that refuses has not run it; one that loses it may have.
+member that refuses has not run it; one that loses it may have. A member that is only
+suspected is waited on; one that the group has given up has lost the request.
 
-Owns the exchange and its time limit. Reports the outcome to its owner once.
+Owns the exchange, its time limit and the watch over the member. Reports the outcome to
+its owner once.
 """
 
 from attrs import define, field
@@ -15,6 +17,7 @@
 from coursekeel.gateway._context import GatewayContext
 from coursekeel.gateway._request import AdmittedRequest
 from coursekeel.gateway.admission._refusals import GatewayRefusal
+from coursekeel.gateway.relay._member_watch import MemberWatch
 from coursekeel.gateway.relay._relay_client import (
     MemberSearch,
     may_be_served_elsewhere,
@@ -41,6 +44,8 @@
     member: str
     may_have_arrived: bool = True
     _limit: TryLimit = field(init=False)
+    _watch: MemberWatch = field(init=False)
+    _last_data_ms: float = field(init=False)
     _exchange: Exchange | None = None
     _head: ExchangeHead | None = None
     _body: CollectedBody = field(init=False)
@@ -48,13 +53,21 @@
     def __attrs_post_init__(self) -> None:
         self._body = CollectedBody(self.context.bodies)
         self._limit = TryLimit(
-            self.context.reactor, self.owner.may_replace_try, self._limit_reached
+            self.context.reactor, self.owner.may_replace_try, self._give_up
         )
+        self._watch = MemberWatch(
+            self.context.reactor,
+            self.context.relays,
+            self.member,
+            self._member_suspected,
+        )
+        self._last_data_ms = self.context.clock.now_ms()
 
     def open(self, limit_ms: float | None) -> None:
         """Send the request; after ``limit_ms`` without an answer it may be replaced."""
         if limit_ms is not None:
             self._limit.start(limit_ms)
+        self._watch.start()
         relays = self.context.relays
         self._exchange = relays.send(self.call, self.member, _TRIES, self)
 
@@ -63,12 +76,14 @@
 
     def head_arrived(self, head: ExchangeHead) -> None:
         self._head = head
+        self._last_data_ms = self.context.clock.now_ms()
 
     def data_arrived(self, data: bytes) -> None:
+        self._last_data_ms = self.context.clock.now_ms()
         self._body.add(data, self)
 
     def ended(self, ending: Ending, reason: str) -> None:
-        self._limit.stop()
+        self._stop_timers()
         if ending in (Ending.NOT_SENT, Ending.WITHHELD):
             self._not_served(reason)
             return
@@ -113,7 +128,7 @@
 
     def abandon(self) -> None:
         """Abort without an outcome; the member stops when the connection closes."""
-        self._limit.stop()
+        self._stop_timers()
         self._body.drop()
         if self._exchange is not None:
             self._exchange.abort()
@@ -125,7 +140,19 @@
         self._log(SendOutcome.MAYBE_SENT.value)
         self.owner.try_ended(SendOutcome.MAYBE_SENT)
 
-    def _limit_reached(self) -> None:
+    def _stop_timers(self) -> None:
+        self._limit.stop()
+        self._watch.stop()
+
+    def _member_suspected(self, suspected_ms: float) -> None:
+        """End the try with its member; one that may be repeated, if it can be now."""
+        if not self._watch.has_ended(self._last_data_ms):
+            return
+        if not self.call.route.kind.idempotent or self.owner.may_replace_try():
+            self._give_up()
+
+    def _give_up(self) -> None:
+        """End the try, whose answer may still be made."""
         self.abandon()
         self._log(SendOutcome.MAYBE_SENT.value)
         self.search.lost(self.member)
--- a/tests/platform/test_runs_once.py
+++ b/tests/platform/test_runs_once.py
@@ -25,6 +25,7 @@
         changed = configuration(site.version)
         changed["routes"] += [
             route("stream-once", "streaming", "engines", **limits),
+            route("whole-once", "non_idempotent", "plain", **limits),
         ]
         changed["routes"][0]["timeout-ms"] = ROUTE_TIMEOUT_MS
         site.put([("op", "config", changed)])
@@ -92,3 +93,34 @@
     assert took_s < ROUTE_TIMEOUT_MS / 1000 / 2
     wait_until(lambda: request_id not in group.site.open_runs(), "its run ends", 5)
     wait_for_members(group)
+
+
+def test_a_relayed_call_that_may_run_once_ends_after_its_member_has(group):
+    """Its caller was kept waiting to its deadline for a 504."""
+    for number in range(3, 9):
+        group.site.faults(f"s{number}", delay_ms=ROUTE_TIMEOUT_MS)
+    began_s = time.monotonic()
+    connection, request_id, member = relay(group, "/whole-once/x")
+    member.send_signal(signal.SIGSTOP)
+    answer = read(connection)
+    took_s = time.monotonic() - began_s
+    member.send_signal(signal.SIGCONT)
+    runs = len(group.site.ran(request_id))
+    group.site.forget()
+    assert (answer.status, runs) == (502, 1)
+    assert took_s < ROUTE_TIMEOUT_MS / 1000 / 2
+    wait_for_members(group)
+
+
+def test_a_relayed_call_that_may_run_once_survives_a_pause_of_its_member(group):
+    for number in range(3, 9):
+        group.site.faults(f"s{number}", delay_ms=5_000)
+    connection, request_id, member = relay(group, "/whole-once/x")
+    member.send_signal(signal.SIGSTOP)
+    time.sleep(FREEZE_S)
+    member.send_signal(signal.SIGCONT)
+    answer = read(connection)
+    runs = len(group.site.ran(request_id))
+    group.site.forget()
+    assert (answer.status, answer.whole, runs) == (200, True, 1)
+    wait_for_members(group)
