Review: malformed requests have an event of their own, limits are read once a head

Cause: head_refused also named malformed heads and chunks, whose bounds say nothing; the limit was asked for at every line of a head.

Change: request_malformed for what can't be read. The limit is asked for at each head's first line and each arrival of data, which covers the same cases.

--- a/src/coursekeel/gateway/_http.py
+++ b/src/coursekeel/gateway/_http.py
@@ -377,15 +377,14 @@
             transport._tempDataBuffer, transport._tempDataLen = [], 0
 
     def _respondToBadRequestAndDisconnect(self) -> None:
-        self._log_refused_head(self._receivedHeaderSize)
+        log_event(
+            "request_malformed",
+            received_bytes=self._receivedHeaderSize,
+            fields=self._receivedHeaderCount,
+        )
         super()._respondToBadRequestAndDisconnect()
 
     def head_too_large(self, size_bytes: int) -> None:
-        self._log_refused_head(size_bytes)
-        self.refuse(_HEAD_TOO_LARGE)
-
-    def _log_refused_head(self, size_bytes: int) -> None:
-        """Log a head that is refused, with the bounds on it."""
         log_event(
             "head_refused",
             received_bytes=size_bytes,
@@ -393,6 +392,7 @@
             limit_bytes=self.totalHeadersSize,
             in_force_bytes=self.limits().header_bytes,
         )
+        self.refuse(_HEAD_TOO_LARGE)
 
     def headerReceived(self, line: bytes) -> bool:
         return bool(super().headerReceived(with_bounded_length(line)))
--- a/src/coursekeel/runtime/_bounded_head.py
+++ b/src/coursekeel/runtime/_bounded_head.py
@@ -49,7 +49,8 @@
         twisted.dataReceived(data)
 
     def lineReceived(self, line: bytes) -> None:
-        self._update_limit()
+        if not self._receivedHeaderSize:
+            self._update_limit()
         if self._receivedHeaderSize + len(line) > self.totalHeadersSize:
             self.lineLengthExceeded(line)
             return
